Fix the interfaces between the parts

Cause: the parts are built side by side, so what they share has to stand first: events and effects of the kernel, messages, result codes, base classes of plug-ins. Ruled out: one large node module with callbacks; its decisions could not run in virtual time. Before: nothing. Conclusion: the parts can be filled in independently.

--- /dev/null
+++ b/rosemarycrank/admission/__init__.py
@@ -0,0 +1,26 @@
+"""Admission control at the target's node."""
+
+from rosemarycrank.admission import _base
+from rosemarycrank.admission import _baselines
+
+AdmissionController = _base.AdmissionController
+Decision = _base.Decision
+Load = _base.Load
+Sample = _base.Sample
+ShedLevel = _base.ShedLevel
+Ticket = _base.Ticket
+Verdict = _base.Verdict
+PassThrough = _baselines.PassThrough
+StaticLimit = _baselines.StaticLimit
+
+__all__ = [
+    'AdmissionController',
+    'Decision',
+    'Load',
+    'PassThrough',
+    'Sample',
+    'ShedLevel',
+    'StaticLimit',
+    'Ticket',
+    'Verdict',
+]
--- /dev/null
+++ b/rosemarycrank/admission/_baselines.py
@@ -0,0 +1,69 @@
+"""Simple admission controllers, kept as baselines for measurement."""
+
+from rosemarycrank import kernel
+from rosemarycrank import results
+from rosemarycrank.admission import _base
+
+
+@kernel.register('admission', 'pass-through')
+class PassThrough(_base.AdmissionController):
+    """Admits everything.
+
+    Attributes
+    ----------
+    in_flight_ : int
+        Attempts running.
+    """
+
+    def __init__(self):
+        self.in_flight_ = 0
+
+    def offer(self, ticket, now):
+        """Admit the ticket."""
+        self.in_flight_ += 1
+        return _base.Decision(_base.Verdict.ADMIT)
+
+    def release(self, ticket, sample, now):
+        """Count the ticket out."""
+        self.in_flight_ -= 1
+        return []
+
+    def withdraw(self, ticket, now):
+        """Do nothing: there is no queue."""
+
+    def expire(self, now):
+        """Return nothing: there is no queue."""
+        return []
+
+    def shed_level(self, now):
+        """Return the level that sheds nothing."""
+        return _base.ShedLevel()
+
+    def load(self, now):
+        """Return the attempts running, without a limit."""
+        return _base.Load(self.in_flight_, 0, 0)
+
+
+@kernel.register('admission', 'static-limit')
+class StaticLimit(PassThrough):
+    """Admits up to a fixed number of attempts and refuses the rest.
+
+    Parameters
+    ----------
+    limit : int, default=64
+        Attempts that may run at once.
+    """
+
+    def __init__(self, limit=64):
+        super().__init__()
+        self.limit = limit
+
+    def offer(self, ticket, now):
+        """Admit the ticket below the limit."""
+        if self.in_flight_ >= self.limit:
+            return _base.Decision(_base.Verdict.REFUSE, results.Result.SHED)
+        return super().offer(ticket, now)
+
+    def load(self, now):
+        """Return the attempts running and the limit."""
+        return _base.Load(self.in_flight_, self.limit, 0)
--- /dev/null
+++ b/rosemarycrank/kernel/__init__.py
@@ -0,0 +1,75 @@
+"""Sans-IO kernel: events in, effects out.
+
+Nothing in the kernel opens a socket, reads a clock or uses a global random
+source. A driver (the gevent node, or a test in virtual time) hands events
+to `Kernel.handle` and carries out the effects that it returns.
+"""
+
+from rosemarycrank.kernel import _effects
+from rosemarycrank.kernel import _kernel
+from rosemarycrank.kernel import _registry
+from rosemarycrank.kernel import _timers
+
+Kernel = _kernel.Kernel
+Component = _kernel.Component
+Context = _kernel.Context
+Timers = _timers.Timers
+Subscription = _timers.Subscription
+
+Answer = _effects.Answer
+ClientRequest = _effects.ClientRequest
+ClientGone = _effects.ClientGone
+PeerLost = _effects.PeerLost
+PlatformReply = _effects.PlatformReply
+PlatformRequest = _effects.PlatformRequest
+Received = _effects.Received
+Reply = _effects.Reply
+ResetPeer = _effects.ResetPeer
+Send = _effects.Send
+SendFailed = _effects.SendFailed
+StopNow = _effects.StopNow
+UpstreamAnnounced = _effects.UpstreamAnnounced
+UpstreamAnswer = _effects.UpstreamAnswer
+UpstreamCall = _effects.UpstreamCall
+UpstreamCancel = _effects.UpstreamCancel
+UpstreamReport = _effects.UpstreamReport
+UpstreamWithdrawn = _effects.UpstreamWithdrawn
+DrainRequested = _effects.DrainRequested
+PartnerLeaveRequested = _effects.PartnerLeaveRequested
+
+register = _registry.register
+create = _registry.create
+names = _registry.names
+implementations = _registry.implementations
+
+__all__ = [
+    'Answer',
+    'ClientGone',
+    'ClientRequest',
+    'Component',
+    'Context',
+    'DrainRequested',
+    'Kernel',
+    'PartnerLeaveRequested',
+    'PeerLost',
+    'PlatformReply',
+    'PlatformRequest',
+    'Received',
+    'Reply',
+    'ResetPeer',
+    'Send',
+    'SendFailed',
+    'StopNow',
+    'Subscription',
+    'Timers',
+    'UpstreamAnnounced',
+    'UpstreamAnswer',
+    'UpstreamCall',
+    'UpstreamCancel',
+    'UpstreamReport',
+    'UpstreamWithdrawn',
+    'create',
+    'implementations',
+    'names',
+    'register',
+]
--- /dev/null
+++ b/rosemarycrank/kernel/_kernel.py
@@ -0,0 +1,267 @@
+"""Kernel that routes events to components and collects effects."""
+
+import abc
+import random
+
+import attrs
+
+from rosemarycrank.kernel import _effects
+from rosemarycrank.kernel import _timers
+
+
+class Context:
+    """What components share: timers, random numbers, effects, counters.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` at which other nodes reach this node.
+    incarnation : int
+        Random number of this run of the node; never used again.
+    seed : int
+        Seed of the random source.
+
+    Attributes
+    ----------
+    timers : Timers
+        Timer service.
+    random : random.Random
+        Random source.
+    counters : dict of str to int
+        Counters by name, for metrics and the state dump.
+    """
+
+    def __init__(self, address, incarnation, seed):
+        self.address = address
+        self.incarnation = incarnation
+        self.timers = _timers.Timers()
+        self.random = random.Random(seed)
+        self.counters = {}
+        self._effects = []
+        self._subscribers_by_type = {}
+
+    @property
+    def now(self):
+        """Current time in seconds of the driver's monotonic clock."""
+        return self.timers.now
+
+    def emit(self, effect):
+        """Add an effect for the driver to carry out.
+
+        Parameters
+        ----------
+        effect : object
+            Instance of an effect class.
+        """
+        self._effects.append(effect)
+
+    def send(self, address, message):
+        """Send a message to another node.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the node.
+        message : object
+            Registered message.
+        """
+        self._effects.append(_effects.Send(address, message))
+
+    def count(self, name, amount=1):
+        """Add to a counter.
+
+        Parameters
+        ----------
+        name : str
+            Name of the counter.
+        amount : int, default=1
+            What to add.
+        """
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def publish(self, notice):
+        """Hand a notice to the components that subscribe to its class.
+
+        Parameters
+        ----------
+        notice : object
+            Instance of any class.
+        """
+        for callback in self._subscribers_by_type.get(type(notice), ()):
+            callback(notice)
+
+    def subscribe(self, notice_type, callback):
+        """Call back with every published notice of a class.
+
+        Parameters
+        ----------
+        notice_type : type
+            Class of the notices.
+        callback : callable
+            Called with the notice.
+        """
+        self._subscribers_by_type.setdefault(notice_type, []).append(callback)
+
+    def take_effects(self):
+        """Return the effects emitted since the last call, in order.
+
+        Returns
+        -------
+        list
+            Effects.
+        """
+        effects, self._effects = self._effects, []
+        return effects
+
+
+class Component(abc.ABC):
+    """Part of the kernel with state of its own.
+
+    A component is constructed with its settings, then attached to a
+    context once. It handles the event and message classes that `handles`
+    maps to method names.
+    """
+
+    #: Section name in the state dump.
+    name = ''
+
+    #: Maps event or message class to the name of the handling method. A
+    #: method for a message takes ``(sender, message)``; one for an event
+    #: takes ``(event)``.
+    handles = {}
+
+    def attach(self, context):
+        """Take the context, and subscribe to timers and notices.
+
+        Parameters
+        ----------
+        context : Context
+            Context of the kernel.
+        """
+        self.context = context
+
+    def start_drain(self):
+        """Begin a planned stop: take no new work, finish what runs."""
+
+    def idle(self):
+        """Return whether a planned stop may complete.
+
+        Returns
+        -------
+        bool
+            True once nothing here is left to finish.
+        """
+        return True
+
+    @abc.abstractmethod
+    def dump(self):
+        """Return the state for the state dump.
+
+        Returns
+        -------
+        dict
+            Values that JSON can carry.
+        """
+
+
+@attrs.frozen
+class _Route:
+    method: object
+    is_message: bool
+
+
+class Kernel:
+    """Routes events to components.
+
+    Parameters
+    ----------
+    context : Context
+        What the components share.
+    components : sequence of Component
+        Components in the order in which they are attached and dumped.
+    """
+
+    def __init__(self, context, components):
+        self.context = context
+        self.components = tuple(components)
+        self._routes_by_type = {}
+        for component in self.components:
+            component.attach(context)
+            self._add_routes(component)
+
+    def handle(self, event, now):
+        """Handle one event.
+
+        Parameters
+        ----------
+        event : object
+            Event, or `Received` with a message from another node.
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        list
+            Effects to carry out, in order.
+        """
+        self.context.timers.advance(now)
+        if isinstance(event, _effects.Received):
+            message = event.message
+            for route in self._routes_by_type.get(type(message), ()):
+                if route.is_message:
+                    route.method(event.sender, message)
+        else:
+            for route in self._routes_by_type.get(type(event), ()):
+                if not route.is_message:
+                    route.method(event)
+        return self.context.take_effects()
+
+    def advance(self, now):
+        """Fire the timers that are due.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+
+        Returns
+        -------
+        list
+            Effects to carry out, in order.
+        """
+        self.context.timers.advance(now)
+        return self.context.take_effects()
+
+    def next_due(self):
+        """Return when `advance` has work next, or None.
+
+        Returns
+        -------
+        float or None
+            Seconds of the driver's clock.
+        """
+        return self.context.timers.next_due()
+
+    def dump(self):
+        """Return the state of all components by section name.
+
+        Returns
+        -------
+        dict
+            Values that JSON can carry.
+        """
+        sections = {part.name: part.dump() for part in self.components}
+        sections['counters'] = dict(sorted(self.context.counters.items()))
+        sections['node'] = {
+            'address': self.context.address,
+            'incarnation': f'{self.context.incarnation:016x}',
+        }
+        return sections
+
+    def _add_routes(self, component):
+        for handled, method_name in component.handles.items():
+            # Events are defined in one module; all else is a message.
+            is_message = handled.__module__ != _effects.__name__
+            self._routes_by_type.setdefault(handled, []).append(
+                _Route(getattr(component, method_name), is_message)
+            )
--- /dev/null
+++ b/rosemarycrank/messages/__init__.py
@@ -0,0 +1,35 @@
+"""Messages that nodes send to each other, and their encoding."""
+
+from rosemarycrank.messages import _codec
+from rosemarycrank.messages import _types
+
+Attempt = _types.Attempt
+AttemptReply = _types.AttemptReply
+Cancel = _types.Cancel
+Hello = _types.Hello
+HelloReply = _types.HelloReply
+KeyedCall = _types.KeyedCall
+KeyedReply = _types.KeyedReply
+Revoke = _types.Revoke
+RevokeReply = _types.RevokeReply
+RevokeState = _types.RevokeState
+
+Codec = _codec.Codec
+DecodeError = _codec.DecodeError
+register = _codec.register
+
+__all__ = [
+    'Attempt',
+    'AttemptReply',
+    'Cancel',
+    'Codec',
+    'DecodeError',
+    'Hello',
+    'HelloReply',
+    'KeyedCall',
+    'KeyedReply',
+    'Revoke',
+    'RevokeReply',
+    'RevokeState',
+    'register',
+]
--- /dev/null
+++ b/tests/test_results.py
@@ -0,0 +1,17 @@
+"""The table of result codes and its page."""
+
+import pathlib
+
+from rosemarycrank import results
+
+PAGE = pathlib.Path(__file__).parents[1] / 'docs' / 'RESULT_CODES.md'
+
+
+def test_page_holds_the_table_of_the_code():
+    assert results.markdown_table() in PAGE.read_text()
+
+
+def test_numbers_are_unique_and_found():
+    numbers = [result.number for result in results.Result]
+    assert len(set(numbers)) == len(numbers)
+    assert all(results.describe(r.number) is r for r in results.Result)
