Reach the platform over HTTP, each request sent once

Cause: the ledger, the bundles and membership need the table service and the object store, and a lost answer to a write has to be told from a write that never left.

Ruled out: taking a status of 500 or above as proof that a write failed, since a gateway may answer so after it.

--- a/rosemarycrank/platform/__init__.py
+++ b/rosemarycrank/platform/__init__.py
@@ -1,7 +1,14 @@
 """The platform's table service and object store."""
 
+from rosemarycrank.platform import _errors
+from rosemarycrank.platform import _http
 from rosemarycrank.platform import _operations
 
+HttpPlatform = _http.HttpPlatform
+PlatformAnswerLost = _errors.PlatformAnswerLost
+PlatformError = _errors.PlatformError
+PlatformUnavailable = _errors.PlatformUnavailable
+
 ObjectGet = _operations.ObjectGet
 ObjectPut = _operations.ObjectPut
 Row = _operations.Row
@@ -11,8 +18,12 @@
 WriteResult = _operations.WriteResult
 
 __all__ = [
+    'HttpPlatform',
     'ObjectGet',
     'ObjectPut',
+    'PlatformAnswerLost',
+    'PlatformError',
+    'PlatformUnavailable',
     'Row',
     'TableList',
     'TableRead',
--- /dev/null
+++ b/rosemarycrank/platform/_http.py
@@ -0,0 +1,263 @@
+"""Platform over HTTP."""
+
+import math
+from urllib import parse
+
+import attrs
+import gevent
+from geventhttpclient import response as http_response
+import msgspec
+
+from rosemarycrank.platform import _errors
+from rosemarycrank.platform import _operations
+from rosemarycrank.platform import _single_send
+
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+_CONNECTIONS = 32
+
+_OK = 200
+_MULTIPLE_CHOICES = 300
+_NOT_FOUND = 404
+_PRECONDITION_FAILED = 412
+_SERVER_ERROR = 500
+
+
+class _OutOfTime(Exception):
+    """The whole operation took longer than allowed."""
+
+
+@attrs.frozen
+class _RowBody:
+    """JSON form of a row; in an answer the version may be in the ETag."""
+
+    value: dict
+    write_id: str
+    key: str = ''
+    version: int = 0
+
+
+@attrs.frozen
+class _RowsBody:
+    rows: list[_RowBody]
+
+
+@attrs.frozen
+class _HttpAnswer:
+    status: int
+    etag: str
+    body: bytes
+
+
+class HttpPlatform:
+    """Carries out operations on the platform's services over HTTP.
+
+    Every request is sent once. `execute` blocks the calling greenlet only.
+
+    Parameters
+    ----------
+    url : str
+        ``http://host:port`` of the platform.
+    timeout_s : float, default=2.0
+        Longest time for one operation, in seconds.
+    connections : int, default=32
+        Largest number of connections.
+    max_answer_bytes : int, default=16 MiB
+        Longest answer, headers included.
+
+    Raises
+    ------
+    ValueError
+        If the URL is not ``http://host:port`` or the time not positive.
+    """
+
+    def __init__(
+        self,
+        url,
+        timeout_s=2.0,
+        connections=_CONNECTIONS,
+        max_answer_bytes=_MAX_ANSWER_BYTES,
+    ):
+        if not (math.isfinite(timeout_s) and timeout_s > 0):
+            raise ValueError(f'timeout_s: got {timeout_s!r}, allowed > 0')
+        parts = parse.urlsplit(url)
+        if parts.scheme != 'http' or not parts.hostname or not parts.port:
+            raise ValueError(f'url: got {url!r}, allowed http://host:port')
+        self._timeout_s = timeout_s
+        self._base_path = parts.path.rstrip('/')
+        self._client = _single_send.make_client(
+            parts.hostname,
+            parts.port,
+            connections,
+            timeout_s,
+            max_answer_bytes,
+        )
+        self._method_by_type = {
+            _operations.TableRead: self._read,
+            _operations.TableList: self._list,
+            _operations.TableWrite: self._write,
+            _operations.ObjectGet: self._get,
+            _operations.ObjectPut: self._put,
+        }
+
+    def execute(self, operation):
+        """Carry out one operation.
+
+        Parameters
+        ----------
+        operation : object
+            Instance of an operation class of `rosemarycrank.platform`.
+
+        Returns
+        -------
+        object
+            What the operation class says.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If a write certainly did not take effect, or a read has no
+            usable answer.
+        PlatformAnswerLost
+            If a write may or may not have taken effect.
+        """
+        return self._method_by_type[type(operation)](operation)
+
+    def close(self):
+        """Close the idle connections."""
+        self._client.close()
+
+    def _read(self, operation):
+        answer = self._request_read(_row_path(operation))
+        if answer.status == _NOT_FOUND:
+            return None
+        return _decode_row(operation.key, answer)
+
+    def _list(self, operation):
+        query = parse.urlencode(
+            {'prefix': operation.prefix, 'limit': operation.limit}
+        )
+        answer = self._request_read(
+            f'/tables/{_quote(operation.table)}?{query}'
+        )
+        if answer.status == _NOT_FOUND:
+            return []
+        body = _decode(answer.body, _RowsBody)
+        return [_to_row(row, row.key, row.version) for row in body.rows]
+
+    def _write(self, operation):
+        answer = self._request_write(
+            _row_path(operation),
+            msgspec.json.encode(_RowBody(operation.value, operation.write_id)),
+            _precondition(operation.expected_version),
+            allowed=(_PRECONDITION_FAILED,),
+        )
+        applied = answer.status != _PRECONDITION_FAILED
+        if applied:
+            row = _operations.Row(
+                operation.key,
+                operation.value,
+                operation.expected_version + 1,
+                operation.write_id,
+            )
+            return _operations.WriteResult(True, row)
+        return _operations.WriteResult(False, _standing_row(operation, answer))
+
+    def _get(self, operation):
+        answer = self._request_read(f'/objects/{_quote(operation.name)}')
+        return None if answer.status == _NOT_FOUND else answer.body
+
+    def _put(self, operation):
+        self._request_write(
+            f'/objects/{_quote(operation.name)}', operation.body, {}
+        )
+
+    def _request_read(self, path):
+        try:
+            answer = self._request('GET', path)
+        except _UNANSWERED as error:
+            raise _errors.PlatformUnavailable(_describe(error)) from error
+        if answer.status not in (_OK, _NOT_FOUND):
+            raise _errors.PlatformUnavailable(f'status {answer.status}')
+        return answer
+
+    def _request_write(self, path, body, headers, allowed=()):
+        try:
+            answer = self._request('PUT', path, body, headers)
+        except _single_send.NotSent as error:
+            raise _errors.PlatformUnavailable(_describe(error)) from error
+        except _UNANSWERED as error:
+            raise _errors.PlatformAnswerLost(_describe(error)) from error
+        if _OK <= answer.status < _MULTIPLE_CHOICES:
+            return answer
+        if answer.status in allowed:
+            return answer
+        if answer.status >= _SERVER_ERROR:
+            # A gateway may answer so after the write took effect.
+            raise _errors.PlatformAnswerLost(f'status {answer.status}')
+        raise _errors.PlatformUnavailable(f'status {answer.status}')
+
+    def _request(self, method, path, body=b'', headers=None):
+        with gevent.Timeout(self._timeout_s, _OutOfTime('out of time')):
+            response = self._client.request(
+                method, self._base_path + path, body, headers or {}
+            )
+            with response:
+                content = response.read()
+                if not response.message_complete:
+                    raise http_response.HTTPParseError('answer cut short')
+        etag = response.get('ETag', '')
+        return _HttpAnswer(response.get_code(), etag, content)
+
+
+_UNANSWERED = (
+    OSError,
+    _OutOfTime,
+    _single_send.AnswerTooLarge,
+    _single_send.NotSent,
+    http_response.HTTPParseError,
+)
+
+
+def _describe(error):
+    return f'{type(error).__name__}: {error}'
+
+
+def _quote(segment):
+    return parse.quote(segment, safe='')
+
+
+def _row_path(operation):
+    return f'/tables/{_quote(operation.table)}/{_quote(operation.key)}'
+
+
+def _precondition(expected_version):
+    if expected_version == 0:
+        return {'If-None-Match': '*'}
+    return {'If-Match': f'"{expected_version}"'}
+
+
+def _decode(body, body_type):
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise _errors.PlatformUnavailable(f'answer: {error}') from error
+
+
+def _to_row(body, key, version):
+    if version < 1:
+        raise _errors.PlatformUnavailable(f'version: got {version}')
+    return _operations.Row(key, body.value, version, body.write_id)
+
+
+def _decode_row(key, answer):
+    body = _decode(answer.body, _RowBody)
+    tag = answer.etag.removeprefix('W/').strip('"')
+    version = int(tag) if tag.isdecimal() else body.version
+    return _to_row(body, key, version)
+
+
+def _standing_row(operation, answer):
+    """Return the row in a refusal, or None when there is none."""
+    if not answer.body or answer.body == b'null':
+        return None
+    return _decode_row(operation.key, answer)
--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,141 @@
+"""Operations over HTTP, and what their failures say."""
+
+import json
+import socket
+
+import gevent
+import pytest
+
+from rosemarycrank import platform
+
+READ = platform.TableRead('keys', 'a/b')
+WRITE = platform.TableWrite('keys', 'a/b', {'x': 1}, 0, 'w1')
+REPLACE = platform.TableWrite('keys', 'a/b', {'x': 1}, 4, 'w1')
+PUT = platform.ObjectPut('closing', b'body')
+BODY = json.dumps({'value': {'x': 2}, 'write_id': 'w0'}).encode()
+
+
+def respond(status, body=b'', headers=''):
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n'
+    return f'{head}{headers}\r\n'.encode() + body
+
+
+@pytest.mark.parametrize('operation', [READ, WRITE, PUT], ids=repr)
+def test_closed_connection_gets_one_arrival(scripted, client, operation):
+    with pytest.raises(platform.PlatformError):
+        client.execute(operation)
+    gevent.sleep(0.05)
+    assert len(scripted.requests) == 1
+
+
+@pytest.mark.parametrize('operation', [READ, WRITE, PUT], ids=repr)
+def test_reused_connection_closed_gets_one_arrival(
+    scripted, client, operation
+):
+    scripted.answers = [respond(200, b'', 'ETag: "1"\r\n')]
+    client.execute(platform.ObjectGet('warm'))
+    with pytest.raises(platform.PlatformError):
+        client.execute(operation)
+    gevent.sleep(0.05)
+    assert len(scripted.requests) == 2
+
+
+def test_read_of_a_row(scripted, client):
+    scripted.answers = [respond(200, BODY, 'ETag: "3"\r\n')]
+    assert client.execute(READ) == platform.Row('a/b', {'x': 2}, 3, 'w0')
+    assert scripted.requests[0].startswith(b'GET /tables/keys/a%2Fb ')
+
+
+def test_read_of_a_missing_row(scripted, client):
+    scripted.answers = [respond(404)]
+    assert client.execute(READ) is None
+
+
+@pytest.mark.parametrize(
+    'write, header',
+    [(WRITE, b'If-None-Match: *'), (REPLACE, b'If-Match: "4"')],
+)
+def test_write_states_its_precondition(scripted, client, write, header):
+    scripted.answers = [respond(200, BODY, 'ETag: "5"\r\n')]
+    result = client.execute(write)
+    assert result.applied
+    assert result.row.version == write.expected_version + 1
+    assert header in scripted.requests[0]
+
+
+def test_refused_write_carries_the_standing_row(scripted, client):
+    scripted.answers = [respond(412, BODY, 'ETag: "7"\r\n')]
+    expected = platform.Row('a/b', {'x': 2}, 7, 'w0')
+    assert client.execute(WRITE) == platform.WriteResult(False, expected)
+
+
+def test_list(scripted, client):
+    row = {'key': 'k', 'value': {}, 'version': 2, 'write_id': 'w'}
+    scripted.answers = [respond(200, json.dumps({'rows': [row]}).encode())]
+    listed = client.execute(platform.TableList('nodes', 'a', 5))
+    assert listed == [platform.Row('k', {}, 2, 'w')]
+    assert b'/tables/nodes?prefix=a&limit=5' in scripted.requests[0]
+
+
+def test_objects(scripted, client):
+    scripted.answers = [respond(201), respond(200, b'body'), respond(404)]
+    assert client.execute(PUT) is None
+    assert client.execute(platform.ObjectGet('closing')) == b'body'
+    assert client.execute(platform.ObjectGet('closing')) is None
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        None,
+        respond(500),
+        respond(503),
+        b'',
+        b'nonsense\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab',
+    ],
+)
+@pytest.mark.parametrize('write', [WRITE, PUT], ids=repr)
+def test_write_without_whole_answer_is_lost(scripted, client, answer, write):
+    scripted.answers = [answer]
+    with pytest.raises(platform.PlatformAnswerLost):
+        client.execute(write)
+
+
+@pytest.mark.parametrize('status', [400, 403, 413, 429])
+def test_rejected_write_did_not_take_effect(scripted, client, status):
+    scripted.answers = [respond(status)]
+    with pytest.raises(platform.PlatformUnavailable):
+        client.execute(WRITE)
+
+
+@pytest.mark.parametrize('operation', [READ, WRITE, PUT], ids=repr)
+def test_refused_connection_did_not_take_effect(operation):
+    with socket.socket() as reserved:
+        reserved.bind(('127.0.0.1', 0))
+        port = reserved.getsockname()[1]
+        client = platform.HttpPlatform(f'http://127.0.0.1:{port}', 1.0)
+        with pytest.raises(platform.PlatformUnavailable):
+            client.execute(operation)
+
+
+def test_truncated_read_is_an_error(scripted, client):
+    scripted.answers = [b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab']
+    scripted.answers.append(None)
+    with pytest.raises(platform.PlatformUnavailable):
+        client.execute(platform.ObjectGet('a'))
+
+
+@pytest.mark.parametrize('headers', ['', f'X-Long: {"a" * 5000}\r\n'])
+def test_answer_size_is_bounded(scripted, headers):
+    client = platform.HttpPlatform(scripted.url, 1.0, max_answer_bytes=4000)
+    body = b'' if headers else b'a' * 5000
+    scripted.answers = [respond(200, body, headers)]
+    with pytest.raises(platform.PlatformUnavailable, match='TooLarge'):
+        client.execute(platform.ObjectGet('a'))
+
+
+@pytest.mark.parametrize('url', ['https://a:1', 'http://a', 'a:1', ''])
+def test_other_urls_are_refused(url):
+    with pytest.raises(ValueError, match='url'):
+        platform.HttpPlatform(url)
