Own keys by issue or by a claim in the table

Cause: non-idempotent requests need one node that decides whether they run, whichever node the client reaches.

The first whole path: keys that nodes issue, conditional claims read back by their write identifier, calls to owners, closing records. Ruled out: ownership by a lease or by membership (a paused holder may still act), and treating an unreadable claim as free.

--- a/rosemarycrank/ledger/__init__.py
+++ b/rosemarycrank/ledger/__init__.py
@@ -1,8 +1,10 @@
 """Idempotency keys: at most one run of each non-idempotent request."""
 
 from rosemarycrank.ledger import _base
+from rosemarycrank.ledger import _claims
 
-Ledger = _base.Ledger
+Claims = _claims.Claims
 KeyedRequest = _base.KeyedRequest
+Ledger = _base.Ledger
 
-__all__ = ['KeyedRequest', 'Ledger']
+__all__ = ['Claims', 'KeyedRequest', 'Ledger']
--- /dev/null
+++ b/rosemarycrank/ledger/_claims.py
@@ -0,0 +1,504 @@
+"""Ledger of keys that nodes issue and keys that clients choose.
+
+A key that a node issued names its owner, and only the owner runs it. A key
+that a client chose is claimed in the platform's table by the first node
+that gets it, which owns it from then on. Every other node passes a send on
+to the owner. No decision rests on a lease or on membership.
+"""
+
+import functools
+
+import attrs
+
+from rosemarycrank import kernel
+from rosemarycrank.ledger import _base
+from rosemarycrank.ledger import _claiming
+from rosemarycrank.ledger import _closing
+from rosemarycrank.ledger import _codes
+from rosemarycrank.ledger import _entries
+from rosemarycrank.ledger import _forwarding
+from rosemarycrank.ledger import _keys
+from rosemarycrank.ledger import _owner
+from rosemarycrank.ledger import _platform_client
+from rosemarycrank.ledger import _sends
+from rosemarycrank import messages
+from rosemarycrank import results
+
+_MAX_ISSUED_AT_ONCE = 1000
+_MAX_HOPS = 6
+_MAX_REMAINING_S = 3600.0
+_SWEEP_PERIOD_S = 1.0
+_DRAIN_CHECK_PERIOD_S = 0.1
+_RETRY_AFTER_S = 1.0
+
+
+@attrs.frozen
+class _Ownership:
+    """Which run of a node owns a key, and by which version of its row.
+
+    ``version`` is 0 when the key itself names the owner.
+    """
+
+    owner: str
+    incarnation: int
+    version: int = 0
+
+
+@kernel.register('ledger', 'claims')
+class Claims(_base.Ledger):
+    """Ledger with issued keys and claims in the platform's table.
+
+    Parameters
+    ----------
+    key_secret : bytes, default=b''
+        Secret that all nodes share, for the MACs of issued keys. Without
+        one, other nodes refuse the keys that this node issues.
+    key_validity_s : float, default=86400.0
+        How long a key can be used after its issue or claim, in seconds.
+    claim_timeout_s : float, default=1.0
+        Longest time for a claim, in seconds.
+    query_timeout_s : float, default=2.0
+        Longest time for a question about a key, in seconds.
+    platform_timeout_s : float, default=2.5
+        Longest wait for one operation on the platform, in seconds.
+    resend_s : float, default=0.3
+        Time until a call to an owner is first sent again, in seconds.
+    silence_s : float, default=1.0
+        Time without an answer from an owner after which its closing
+        record is looked for, in seconds.
+    closing_timeout_s : float, default=5.0
+        Longest time that a planned stop waits to write the closing
+        record, in seconds.
+    max_upstream_attempts : int, default=3
+        Attempts of one key that may reach an upstream, over all sends.
+    max_keys : int, default=100000
+        Keys that this node may own at one time.
+    max_kept_bytes : int, default=64 MiB
+        Bytes of kept answers beyond which no new key is taken.
+    """
+
+    handles = {
+        kernel.PlatformReply: 'on_platform_reply',
+        messages.KeyedCall: 'on_keyed_call',
+        messages.KeyedReply: 'on_keyed_reply',
+    }
+
+    def __init__(
+        self,
+        key_secret=b'',
+        key_validity_s=86400.0,
+        claim_timeout_s=1.0,
+        query_timeout_s=2.0,
+        platform_timeout_s=2.5,
+        resend_s=0.3,
+        silence_s=1.0,
+        closing_timeout_s=5.0,
+        max_upstream_attempts=3,
+        max_keys=100_000,
+        max_kept_bytes=64 * 1024 * 1024,
+    ):
+        self.key_secret = key_secret
+        self.key_validity_s = key_validity_s
+        self.claim_timeout_s = claim_timeout_s
+        self.query_timeout_s = query_timeout_s
+        self.platform_timeout_s = platform_timeout_s
+        self.resend_s = resend_s
+        self.silence_s = silence_s
+        self.closing_timeout_s = closing_timeout_s
+        self.max_upstream_attempts = max_upstream_attempts
+        self.max_keys = max_keys
+        self.max_kept_bytes = max_kept_bytes
+
+    def attach(self, context):
+        """Take the context and build the parts."""
+        super().attach(context)
+        secret = self.key_secret or context.random.randbytes(32)
+        self._issuer = _keys.KeyIssuer(secret)
+        self._entries = _entries.Entries(self.max_keys, self.max_kept_bytes)
+        self._owner = _owner.Owner(
+            context,
+            self._entries,
+            lambda request, finish: self.run(request, finish),
+            self.max_upstream_attempts,
+        )
+        self._platform = _platform_client.PlatformClient(
+            context, self.platform_timeout_s
+        )
+        self._claimer = _claiming.Claimer(
+            context, self._platform, self.claim_timeout_s
+        )
+        self._forwarder = _forwarding.Forwarder(context, self.resend_s)
+        self._closing_reader = _closing.ClosingReader(context, self._platform)
+        self._closing_writer = _closing.ClosingWriter(
+            context, self._platform, self.closing_timeout_s
+        )
+        self._open_sends = set()
+        self._claiming_by_key_hash = {}
+        self._owned_any = False
+        self._draining = False
+        context.timers.every(_SWEEP_PERIOD_S, self._entries.forget_expired)
+
+    def submit(self, request, finish):
+        """Have a request run at most once, here or at the key's owner."""
+        try:
+            issued = self._issuer.parse(request.key)
+        except _keys.InvalidKey:
+            finish(_answer(results.Result.KEY_INVALID))
+            return
+        send = self._open(
+            request.key,
+            request,
+            _keys.request_digest(request),
+            request.deadline,
+            finish,
+        )
+        self._resolve(send, issued)
+
+    def query(self, key, finish):
+        """Find out what became of a key, without running anything."""
+        try:
+            issued = self._issuer.parse(key)
+        except _keys.InvalidKey:
+            finish(_answer(results.Result.KEY_INVALID))
+            return
+        deadline = self.context.now + self.query_timeout_s
+        self._resolve(self._open(key, None, '', deadline, finish), issued)
+
+    def issue(self, count):
+        """Return new keys that this node owns; none during a stop.
+
+        Raises
+        ------
+        ValueError
+            If the count is not between 1 and 1000.
+        """
+        if not 1 <= count <= _MAX_ISSUED_AT_ONCE:
+            raise ValueError(
+                f'count: got {count!r}, allowed 1 to {_MAX_ISSUED_AT_ONCE}'
+            )
+        if self._draining:
+            return []
+        self._owned_any = True
+        context = self.context
+        return [
+            self._issuer.issue(
+                context.address,
+                context.incarnation,
+                context.now,
+                context.random.getrandbits(64),
+            )
+            for _ in range(count)
+        ]
+
+    def start_drain(self):
+        """Take no new key, and write the closing record at the end."""
+        if not self._draining:
+            self._draining = True
+            self.context.timers.every(
+                _DRAIN_CHECK_PERIOD_S, self._close_if_finished, first_s=0.0
+            )
+
+    def idle(self):
+        """Return whether the closing record is settled and all answered."""
+        return self._closing_writer.done and not self._open_sends
+
+    def dump(self):
+        """Return sizes and the phase of a planned stop."""
+        return {
+            'keys': len(self._entries),
+            'running': self._entries.running,
+            'kept_bytes': self._entries.kept_bytes,
+            'open_sends': len(self._open_sends),
+            'forwarded': len(self._forwarder),
+            'platform_operations': len(self._platform),
+            'draining': self._draining,
+            'closed': self._owner.closed,
+            'closing_settled': self._closing_writer.done,
+        }
+
+    def on_platform_reply(self, event):
+        """Hand on an answer of the platform."""
+        self._platform.answered(event)
+
+    def on_keyed_reply(self, _sender, message):
+        """Hand on an owner's answer."""
+        self._forwarder.answered(message)
+
+    def on_keyed_call(self, sender, message):
+        """Answer a call as the owner of its key."""
+
+        def reply(answer):
+            self.context.send(
+                sender, _forwarding.to_reply(message.call_id, answer)
+            )
+
+        intended = _forwarding.intended_incarnation(message.call_id)
+        if intended != self.context.incarnation:
+            reply(_answer(results.Result.OWNER_ENDED))
+            return
+        try:
+            issued = self._issuer.parse(message.key)
+        except _keys.InvalidKey:
+            reply(_answer(results.Result.KEY_INVALID))
+            return
+        self._take_call(self._open_call(sender, message, reply), issued)
+
+    def _open_call(self, sender, message, reply):
+        remaining_s = min(max(0.0, message.remaining_s), _MAX_REMAINING_S)
+        deadline = self.context.now + remaining_s
+        call_id = f'{sender}/{message.call_id}'
+        if message.query_only:
+            return self._open(message.key, None, '', deadline, reply, call_id)
+        request = _base.KeyedRequest(
+            message.key,
+            message.service,
+            message.method,
+            message.path,
+            message.headers,
+            message.body,
+            deadline,
+        )
+        digest = _keys.request_digest(request)
+        return self._open(
+            message.key, request, digest, deadline, reply, call_id
+        )
+
+    def _open(self, key, request, digest, deadline, finish, call_id=''):
+        send = _sends.Send(
+            key,
+            _keys.key_hash(key),
+            request,
+            digest,
+            deadline,
+            may_run=not self._draining,
+            call_id=call_id,
+        )
+        self._open_sends.add(send)
+
+        def on_answer(answer):
+            self._open_sends.discard(send)
+            if answer is not None:
+                self.context.count(f'ledger_answer_{answer.result.number}')
+                finish(answer)
+
+        send.watch(self.context.timers, on_answer)
+        return send
+
+    def _resolve(self, send, issued):
+        """Find the owner of a key, and have it take the send."""
+        entry = self._entries.get(send.key_hash)
+        if entry is not None:
+            self._owner.take(entry, send)
+        elif issued is None:
+            self._claim(send, 0)
+        elif self._is_mine(issued):
+            self._admit(send, issued.tick_s)
+        else:
+            self._forward(send, _Ownership(issued.owner, issued.incarnation))
+
+    def _take_call(self, send, issued):
+        """Take a send from another node, which sees the owner here."""
+        entry = self._entries.get(send.key_hash)
+        if entry is not None:
+            self._owner.take(entry, send)
+        elif issued is not None and self._is_mine(issued):
+            self._admit(send, issued.tick_s)
+        else:
+            # The row tells whether the entry was forgotten or never was.
+            self._claimer.read(
+                send.key_hash, functools.partial(self._take_by_row, send)
+            )
+
+    def _take_by_row(self, send, readable, row):
+        if not send.is_open:
+            return
+        if not readable:
+            self._refuse(send, _codes.UNREADABLE)
+        elif row is None or not self._is_own_claim(row.claim):
+            self._refuse(send, results.Result.OWNER_ENDED)
+        else:
+            self._settle(send, row)
+
+    def _is_mine(self, issued):
+        context = self.context
+        return (
+            issued.owner == context.address
+            and issued.incarnation == context.incarnation
+        )
+
+    def _is_own_claim(self, claim):
+        return claim.is_by(self.context.address, self.context.incarnation)
+
+    def _claim(self, send, expected_version):
+        """Claim the key if this node may own it, else only look."""
+        if self._may_own(send):
+            self._owned_any = True
+            waiting = self._claiming_by_key_hash.setdefault(send.key_hash, [])
+            waiting.append(send)
+            if len(waiting) == 1:
+                self._claimer.claim(
+                    send.key_hash,
+                    send.digest,
+                    expected_version,
+                    functools.partial(self._claimed, send.key_hash),
+                )
+        else:
+            self._claimer.read(
+                send.key_hash,
+                functools.partial(self._looked_up, send, expected_version),
+            )
+
+    def _may_own(self, send):
+        return (
+            not send.is_question
+            and send.may_run
+            and not self._owner.closed
+            and not self._entries.is_full()
+        )
+
+    def _claimed(self, key_hash, row):
+        for send in self._claiming_by_key_hash.pop(key_hash):
+            if send.is_open:
+                self._settle(send, row)
+
+    def _looked_up(self, send, known_version, readable, row):
+        if not send.is_open:
+            return
+        if not readable:
+            self._refuse(send, _codes.UNREADABLE)
+        elif row is not None and row.version > known_version:
+            self._settle(send, row)
+        elif self._entries.get(send.key_hash) is not None:
+            self._owner.take(self._entries.get(send.key_hash), send)
+        else:
+            self._refuse_unowned(send)
+
+    def _refuse_unowned(self, send):
+        """Refuse a send whose key certainly never ran."""
+        if send.is_question:
+            self._refuse(send, _codes.NEVER_RAN)
+        elif not send.may_run or self._owner.closed:
+            self._refuse(send, results.Result.LEAVING)
+        elif send.call_id:
+            # Nothing would remember the refusal when a late copy comes.
+            self._refuse(send, _codes.UNREADABLE)
+        else:
+            self._refuse(send, _codes.FULL)
+
+    def _settle(self, send, row):
+        """Go on by the claim that stands, or None if it is not known."""
+        entry = self._entries.get(send.key_hash)
+        if entry is not None:
+            self._owner.take(entry, send)
+        elif row is None:
+            self._refuse(send, _codes.UNREADABLE)
+        elif not send.is_question and send.digest != row.claim.digest:
+            self._refuse(send, results.Result.KEY_REUSED)
+        elif self._is_own_claim(row.claim):
+            self._admit(send, row.claim.tick_s)
+        else:
+            incarnation = int(row.claim.incarnation, 16)
+            self._forward(
+                send, _Ownership(row.claim.owner, incarnation, row.version)
+            )
+
+    def _admit(self, send, tick_s):
+        """Take a key that is owned here and has no entry.
+
+        Entries of keys that ran are kept until the key is past its
+        validity, so a valid key without an entry never ran.
+        """
+        expires = tick_s + self.key_validity_s
+        if expires <= self.context.now:
+            self._refuse(send, results.Result.KEY_EXPIRED)
+        elif self._may_own(send):
+            entry = self._entries.add(send.key_hash, send.digest, expires)
+            self._owner.take(entry, send)
+        else:
+            self._refuse_unowned(send)
+
+    def _forward(self, send, ownership):
+        send.hops += 1
+        if send.hops > _MAX_HOPS:
+            self._refuse(send, _codes.UNREADABLE)
+            return
+        if ownership.owner == self.context.address:
+            # An earlier run at this address; it has ended.
+            self._find_closing(send, ownership, None)
+            return
+        send.overdue_result = results.Result.OWNER_UNREACHABLE
+        call_id = self._forwarder.forward(
+            ownership.owner,
+            ownership.incarnation,
+            send,
+            functools.partial(self._owner_answered, send, ownership),
+        )
+        self._watch_for_silence(send, ownership, call_id, self.silence_s)
+
+    def _owner_answered(self, send, ownership, answer):
+        if not send.is_open:
+            return
+        if answer.result is results.Result.OWNER_ENDED:
+            self._find_closing(send, ownership, None)
+        else:
+            send.finish(answer)
+
+    def _watch_for_silence(self, send, ownership, call_id, delay_s):
+        def check(_now):
+            if send.is_open and self._forwarder.is_waiting(call_id):
+                self._find_closing(send, ownership, call_id)
+                self._watch_for_silence(send, ownership, call_id, 2 * delay_s)
+
+        self.context.timers.after(delay_s, check)
+
+    def _find_closing(self, send, ownership, call_id):
+        """Look for the closing record of an owner.
+
+        ``call_id`` is the call that still waits for the owner, or None
+        if the owner has certainly ended.
+        """
+        self._closing_reader.find(
+            _closing.record_name(ownership.owner, ownership.incarnation),
+            send.key_hash,
+            functools.partial(self._closing_found, send, ownership, call_id),
+        )
+
+    def _closing_found(self, send, ownership, call_id, closing, closed_key):
+        if not send.is_open:
+            return
+        if call_id is not None and not self._forwarder.is_waiting(call_id):
+            return
+        if closing is _closing.Closing.RAN:
+            self._finish_from_record(send, closed_key)
+        elif closing is _closing.Closing.NEVER_RAN:
+            self._forwarder.abandon(call_id)
+            self._claim(send, ownership.version)
+        elif call_id is None and closing is _closing.Closing.ABSENT:
+            self._refuse(send, results.Result.OWNER_ENDED)
+        elif call_id is None:
+            self._refuse(send, _codes.UNREADABLE)
+
+    def _finish_from_record(self, send, closed_key):
+        if not send.is_question and send.digest != closed_key.digest:
+            self._refuse(send, results.Result.KEY_REUSED)
+        else:
+            send.finish(closed_key.answer())
+
+    def _refuse(self, send, result):
+        retry_after_s = _RETRY_AFTER_S * (1.0 + self.context.random.random())
+        send.refuse(result, retry_after_s)
+
+    def _close_if_finished(self, _now):
+        if self._owner.closed or self._entries.running:
+            return
+        if any(send.may_run for send in self._open_sends):
+            return
+        self._owner.closed = True
+        if self._owned_any:
+            self._closing_writer.start(self._entries)
+        else:
+            self._closing_writer.done = True
+
+
+def _answer(result):
+    return kernel.Answer(result, result.http_status)
--- /dev/null
+++ b/rosemarycrank/ledger/_forwarding.py
@@ -0,0 +1,180 @@
+"""Calls to the owners of keys.
+
+A call is sent again until its answer comes, since messages may be lost.
+The owner recognizes copies by the call's identifier and by the key. The
+identifier begins with the incarnation that the call is meant for, so that
+a late copy never runs at a later run of the node.
+"""
+
+import functools
+
+import attrs
+
+from rosemarycrank import kernel
+from rosemarycrank import messages
+from rosemarycrank import results
+
+_MAX_RESEND_DELAY_S = 2.0
+
+
+@attrs.define(eq=False)
+class _Call:
+    address: str
+    send: object
+    done: object
+    resend_delay_s: float
+
+
+class Forwarder:
+    """Passes sends on to the owners of their keys.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    resend_s : float
+        Time to the first resend, in seconds; it doubles with each.
+    """
+
+    def __init__(self, context, resend_s):
+        self._context = context
+        self._resend_s = resend_s
+        self._by_call_id = {}
+
+    def __len__(self):
+        return len(self._by_call_id)
+
+    def forward(self, address, incarnation, send, done):
+        """Pass a send on, until its answer comes or it is closed.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the owner.
+        incarnation : int
+            Incarnation of the owner.
+        send : Send
+            What to pass on.
+        done : callable
+            Called at most once with the owner's `kernel.Answer`.
+
+        Returns
+        -------
+        str
+            Identifier of the call, for `abandon`.
+        """
+        nonce = self._context.random.getrandbits(64)
+        call_id = f'{incarnation:016x}-{nonce:016x}'
+        self._by_call_id[call_id] = _Call(address, send, done, self._resend_s)
+        self._context.count('ledger_forwarded')
+        self._send(call_id, None)
+        return call_id
+
+    def is_waiting(self, call_id):
+        """Return whether the answer to a call is still awaited."""
+        return call_id in self._by_call_id
+
+    def abandon(self, call_id):
+        """Wait no longer for the answer to a call."""
+        self._by_call_id.pop(call_id, None)
+
+    def answered(self, reply):
+        """Hand an owner's answer to who waits for it.
+
+        Parameters
+        ----------
+        reply : rosemarycrank.messages.KeyedReply
+            The answer; one that nobody waits for is ignored.
+        """
+        call = self._by_call_id.pop(reply.call_id, None)
+        if call is not None:
+            call.done(_to_answer(reply))
+
+    def _send(self, call_id, _now):
+        call = self._by_call_id.get(call_id)
+        if call is None:
+            return
+        if not call.send.is_open:
+            self.abandon(call_id)
+            return
+        remaining_s = call.send.deadline - self._context.now
+        self._context.send(
+            call.address, _to_message(call_id, call.send, remaining_s)
+        )
+        self._context.timers.after(
+            call.resend_delay_s, functools.partial(self._send, call_id)
+        )
+        call.resend_delay_s = min(2 * call.resend_delay_s, _MAX_RESEND_DELAY_S)
+
+
+def intended_incarnation(call_id):
+    """Return the incarnation of the node that a call is meant for.
+
+    Parameters
+    ----------
+    call_id : str
+        Identifier of the call.
+
+    Returns
+    -------
+    int or None
+        None if the identifier does not name one.
+    """
+    try:
+        return int(call_id.partition('-')[0], 16)
+    except ValueError:
+        return None
+
+
+def to_reply(call_id, answer):
+    """Return the message for an answer.
+
+    Parameters
+    ----------
+    call_id : str
+        Identifier of the call.
+    answer : kernel.Answer
+        The owner's answer.
+
+    Returns
+    -------
+    rosemarycrank.messages.KeyedReply
+        The message.
+    """
+    return messages.KeyedReply(
+        call_id,
+        answer.result.number,
+        answer.status,
+        answer.headers,
+        answer.body,
+        answer.retry_after_s,
+    )
+
+
+def _to_answer(reply):
+    try:
+        result = results.describe(reply.result)
+    except KeyError:
+        # A code of a later release: nothing can be said about the key.
+        result = results.Result.ANSWER_LOST
+    return kernel.Answer(
+        result, reply.status, reply.headers, reply.body, reply.retry_after_s
+    )
+
+
+def _to_message(call_id, send, remaining_s):
+    if send.is_question:
+        return messages.KeyedCall(
+            call_id, send.key, '', '', '', {}, b'', remaining_s, True
+        )
+    request = send.request
+    return messages.KeyedCall(
+        call_id,
+        send.key,
+        request.service,
+        request.method,
+        request.path,
+        request.headers,
+        request.body,
+        remaining_s,
+    )
