Prove at most one run of each key under faults

Cause: the ledger had no proof. A state machine drives two or three ledgers in virtual time: messages lost, duplicated and late, operations on the table refused, lost or taking effect late, nodes paused, crashed and stopped as planned, clients that send under the same key everywhere. Its oracle counts runs by key and checks each answer when it is given.

Seen failing: a node that had written its closing record went on to answer "not run" for keys that another node had taken over and run; it now looks who owns the key.

Also: a claim reads the row first, so that resends cost reads and not writes.

--- a/rosemarycrank/ledger/_claiming.py
+++ b/rosemarycrank/ledger/_claiming.py
@@ -1,8 +1,10 @@
 """Claims of keys in the platform's table.
 
-A claim is one conditional write. When its answer is lost, the row is read
-back and the write identifier tells whose write stands; the same write may
-then be sent again, since it can take effect only once.
+A claim is one conditional write. The row is read first, since reads are
+cheaper than writes and most sends under a claimed key are resends. When
+the answer to the write is lost, the row is read back and tells whose write
+stands; the same write may then be sent again, since it can take effect
+only once.
 """
 
 import attrs
@@ -103,9 +105,12 @@
     _writes: int = 0
 
     def start(self, timeout_s):
-        """Send the conditional write, and give up after a time."""
+        """Begin, and give up after a time."""
         self._context.timers.after(timeout_s, self._out_of_time)
-        self._write()
+        if self._operation.expected_version:
+            self._write()
+        else:
+            self._read()
 
     def _write(self, _now=None):
         if self._done is not None:
@@ -115,7 +120,7 @@
     def _written(self, reply):
         if reply.lost:
             self._context.count('ledger_claims_read_back')
-            self._read_back()
+            self._read()
         elif reply.error:
             self._write_again()
         elif reply.value.applied:
@@ -124,14 +129,14 @@
         else:
             self._decide(reply.value.row)
 
-    def _read_back(self, _now=None):
+    def _read(self, _now=None):
         if self._done is not None:
             operation = platform.TableRead(_rows.TABLE, self._operation.key)
             self._client.execute(operation, self._was_read)
 
     def _was_read(self, reply):
         if reply.error:
-            self._later(self._read_back)
+            self._later(self._read)
         else:
             self._decide(reply.value)
 
@@ -139,8 +144,6 @@
         """Decide by the row that stands, or None."""
         expected = self._operation.expected_version
         if row is None or row.version <= expected:
-            # A write on its way may still take effect; sending the same
-            # one again is safe, for only one of them can.
             self._write_again()
             return
         try:
@@ -150,7 +153,11 @@
             self._finish(None)
 
     def _write_again(self):
-        if self._writes < _MAX_WRITES:
+        # A write on its way may still take effect; sending the same one
+        # again is safe, for only one of them can.
+        if self._writes == 0:
+            self._write()
+        elif self._writes < _MAX_WRITES:
             self._later(self._write)
         else:
             self._finish(None)
--- a/rosemarycrank/ledger/_claims.py
+++ b/rosemarycrank/ledger/_claims.py
@@ -31,6 +31,11 @@
 _DRAIN_CHECK_PERIOD_S = 0.1
 _RETRY_AFTER_S = 1.0
 
+_RESULTS_BY_CLOSING = {
+    _closing.Closing.ABSENT: results.Result.OWNER_ENDED,
+    _closing.Closing.UNREADABLE: _codes.UNREADABLE,
+}
+
 
 @attrs.frozen
 class _Ownership:
@@ -286,21 +291,25 @@
 
     def _resolve(self, send, issued):
         """Find the owner of a key, and have it take the send."""
-        entry = self._entries.get(send.key_hash)
+        entry = self._owned_entry(send.key_hash)
         if entry is not None:
             self._owner.take(entry, send)
         elif issued is None:
             self._claim(send, 0)
-        elif self._is_mine(issued):
-            self._admit(send, issued.tick_s)
-        else:
+        elif not self._is_mine(issued):
             self._forward(send, _Ownership(issued.owner, issued.incarnation))
+        elif self._owner.closed:
+            self._claim(send, 0)
+        else:
+            self._admit(send, issued.tick_s)
 
     def _take_call(self, send, issued):
         """Take a send from another node, which sees the owner here."""
-        entry = self._entries.get(send.key_hash)
+        entry = self._owned_entry(send.key_hash)
         if entry is not None:
             self._owner.take(entry, send)
+        elif self._owner.closed:
+            self._refuse(send, results.Result.OWNER_ENDED)
         elif issued is not None and self._is_mine(issued):
             self._admit(send, issued.tick_s)
         else:
@@ -319,6 +328,17 @@
         else:
             self._settle(send, row)
 
+    def _owned_entry(self, key_hash):
+        """Return the entry of a key, or None.
+
+        Once this node is closed, another may have taken over a key that
+        did not run here, so its entry says nothing any more.
+        """
+        entry = self._entries.get(key_hash)
+        if entry is None or not self._owner.closed:
+            return entry
+        return entry if entry.state is _entries.State.KEPT else None
+
     def _is_mine(self, issued):
         context = self.context
         return (
@@ -368,8 +388,8 @@
             self._refuse(send, _codes.UNREADABLE)
         elif row is not None and row.version > known_version:
             self._settle(send, row)
-        elif self._entries.get(send.key_hash) is not None:
-            self._owner.take(self._entries.get(send.key_hash), send)
+        elif self._owned_entry(send.key_hash) is not None:
+            self._owner.take(self._owned_entry(send.key_hash), send)
         else:
             self._refuse_unowned(send)
 
@@ -387,7 +407,7 @@
 
     def _settle(self, send, row):
         """Go on by the claim that stands, or None if it is not known."""
-        entry = self._entries.get(send.key_hash)
+        entry = self._owned_entry(send.key_hash)
         if entry is not None:
             self._owner.take(entry, send)
         elif row is None:
@@ -473,10 +493,8 @@
         elif closing is _closing.Closing.NEVER_RAN:
             self._forwarder.abandon(call_id)
             self._claim(send, ownership.version)
-        elif call_id is None and closing is _closing.Closing.ABSENT:
-            self._refuse(send, results.Result.OWNER_ENDED)
         elif call_id is None:
-            self._refuse(send, _codes.UNREADABLE)
+            self._refuse(send, _RESULTS_BY_CLOSING[closing])
 
     def _finish_from_record(self, send, closed_key):
         if not send.is_question and send.digest != closed_key.digest:
--- /dev/null
+++ b/tests/ledger/world.py
@@ -0,0 +1,311 @@
+"""Several ledgers in virtual time, with faults, and the oracle.
+
+The world holds messages, operations on the platform and running requests
+until a test lets them go on, and checks each run and answer at once.
+"""
+
+import functools
+import itertools
+import random
+
+import attrs
+
+from rosemarycrank import kernel
+from rosemarycrank import ledger
+from rosemarycrank import platform
+from rosemarycrank import results
+
+SECRET = b's' * 32
+VALIDITY_S = 300.0
+ADDRESSES = ('10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1')
+
+NOT_RUN = results.Outcome.NOT_RUN
+COMPLETE = results.Outcome.COMPLETE
+UNKNOWN = results.Outcome.UNKNOWN
+
+#: These speak of the send alone, not of earlier ones under the key.
+OF_THE_SEND_ALONE = {
+    results.Result.KEY_REUSED,
+    results.Result.KEY_EXPIRED,
+    results.Result.KEY_INVALID,
+}
+
+RESULTS_BY_OUTCOME = {
+    COMPLETE: results.Result.OK,
+    NOT_RUN: results.Result.UPSTREAM_REFUSED,
+    UNKNOWN: results.Result.ANSWER_LOST,
+}
+
+
+@attrs.define(eq=False)
+class Run:
+    node: object
+    key: str
+    send_id: int
+    body: bytes
+    finish: object
+    outcome: results.Outcome | None = None
+    ended: bool = False
+
+    @property
+    def may_have_reached(self):
+        return self.outcome is not NOT_RUN
+
+
+@attrs.define(eq=False)
+class Sent:
+    key: str
+    body: bytes
+    incarnation: int
+    runs_before: tuple
+    answers: list = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class Node:
+    kernel: kernel.Kernel
+    ledger: ledger.Claims
+    paused: bool = False
+
+
+class World:
+    """Nodes, network, platform, upstreams and clients."""
+
+    def __init__(self, addresses=ADDRESSES, **parameters):
+        self.now = 0.0
+        self.random = random.Random(1)
+        self.parameters = {'key_validity_s': VALIDITY_S} | parameters
+        self.nodes_by_address = {}
+        self.messages = []
+        self.operations = []
+        self.rows_by_table = {}
+        self.objects_by_name = {}
+        self.writes = 0
+        self.runs = []
+        self.sends_by_id = {}
+        self._ids = itertools.count(1)
+        for address in addresses:
+            self.start(address)
+
+    # Nodes
+
+    def start(self, address):
+        """Start a node with nothing kept, as a new incarnation."""
+        context = kernel.Context(
+            address, next(self._ids), self.random.getrandbits(64)
+        )
+        part = ledger.Claims(SECRET, **self.parameters)
+        node = Node(kernel.Kernel(context, [part]), part)
+        part.run = functools.partial(self._run, node)
+        context.timers.now = self.now
+        self.nodes_by_address[address] = node
+        return node
+
+    def crash(self, address):
+        """End a node with all that it holds."""
+        del self.nodes_by_address[address]
+
+    def is_alive(self, node):
+        """Return whether a node runs and is not paused."""
+        return node in self.nodes_by_address.values() and not node.paused
+
+    def act(self, node, action, *args):
+        """Call a method of the ledger and carry out its effects."""
+        node.kernel.context.timers.advance(self.now)
+        value = action(*args)
+        self._carry_out(node, node.kernel.context.take_effects())
+        return value
+
+    def advance(self, seconds):
+        """Let time pass in steps; paused nodes do nothing."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.1)
+            for node in list(self.nodes_by_address.values()):
+                if not node.paused:
+                    self._carry_out(node, node.kernel.advance(self.now))
+
+    def _carry_out(self, node, effects):
+        address = node.kernel.context.address
+        for effect in effects:
+            if isinstance(effect, kernel.Send):
+                self.messages.append((address, effect.address, effect.message))
+            else:
+                self.operations.append((node, effect))
+
+    # Network
+
+    def deliver(self, position=0, keep=False):
+        """Deliver a message; a duplicate of it may stay on its way."""
+        sender, address, message = self.messages[position]
+        node = self.nodes_by_address.get(address)
+        if node is not None and node.paused:
+            return
+        if not keep:
+            del self.messages[position]
+        if node is None:
+            return
+        event = kernel.Received(sender, message)
+        self._carry_out(node, node.kernel.handle(event, self.now))
+
+    # Platform
+
+    def answer(self, position=0, fault='', early=False):
+        """Answer an operation; `fault` is 'down', 'lost' or 'late'.
+
+        'lost' takes effect without an answer that says so; 'late' counts
+        as lost now and takes effect when answered again.
+        """
+        node, effect = self.operations.pop(position)
+        value = None
+        if fault == 'late':
+            self.operations.append((node, effect))
+        elif fault != 'down':
+            value = self._execute(effect.operation)
+        if fault:
+            reply = kernel.PlatformReply(
+                effect.operation_id, fault, fault != 'down'
+            )
+        else:
+            reply = kernel.PlatformReply(effect.operation_id, value=value)
+        if self.is_alive(node):
+            self._carry_out(node, node.kernel.handle(reply, self.now))
+
+    def _execute(self, operation):
+        match operation:
+            case platform.TableRead(table, key):
+                return self.rows_by_table.get(table, {}).get(key)
+            case platform.TableWrite():
+                return self._write(operation)
+            case platform.ObjectGet(name):
+                return self.objects_by_name.get(name)
+            case platform.ObjectPut(name, body):
+                self.objects_by_name[name] = body
+
+    def _write(self, operation):
+        self.writes += 1
+        rows = self.rows_by_table.setdefault(operation.table, {})
+        row = rows.get(operation.key)
+        version = row.version if row else 0
+        if version != operation.expected_version:
+            return platform.WriteResult(False, row)
+        row = platform.Row(
+            operation.key, operation.value, version + 1, operation.write_id
+        )
+        rows[operation.key] = row
+        return platform.WriteResult(True, row)
+
+    # Upstreams
+
+    def _run(self, node, request, finish):
+        send_id = int(request.headers['send'])
+        for run in self.runs:
+            assert run.key != request.key or not run.may_have_reached, (
+                'second run of a key'
+            )
+        for answer in self.sends_by_id[send_id].answers:
+            assert answer.result.outcome is not NOT_RUN, (
+                'run of a send that was told that it did not run'
+            )
+        self.runs.append(Run(node, request.key, send_id, request.body, finish))
+
+    def open_runs(self):
+        """Return the runs that have not ended, of nodes not paused."""
+        return [
+            run for run in self.runs if not run.ended and not run.node.paused
+        ]
+
+    def finish_run(self, run, outcome, padding=0):
+        """Let an upstream end; its answer names the run."""
+        run.ended = True
+        if not self.is_alive(run.node):
+            # Nobody hears of it, so it counts as one that ran.
+            return
+        run.outcome = outcome
+        body = b'a' * padding + f' {self.runs.index(run)}'.encode()
+        answer = kernel.Answer(
+            RESULTS_BY_OUTCOME[outcome],
+            200,
+            {},
+            body,
+            upstream_attempts=1,
+        )
+        self.act(run.node, run.finish, answer)
+
+    # Clients
+
+    def submit(self, node, key, body=b'body', timeout_s=5.0):
+        """Send a request under a key through a node."""
+        send_id = next(self._ids)
+        sent = self._sent(node, key, body)
+        self.sends_by_id[send_id] = sent
+        request = ledger.KeyedRequest(
+            key,
+            'cuotas',
+            'POST',
+            '/renewals',
+            {'send': str(send_id)},
+            body,
+            self.now + timeout_s,
+        )
+        finish = functools.partial(self._answered, sent)
+        self.act(node, node.ledger.submit, request, finish)
+        return sent
+
+    def query(self, node, key):
+        """Ask through a node what became of a key."""
+        sent = self._sent(node, key, None)
+        self.sends_by_id[next(self._ids)] = sent
+        finish = functools.partial(self._answered, sent)
+        self.act(node, node.ledger.query, key, finish)
+        return sent
+
+    def _sent(self, node, key, body):
+        before = tuple(run for run in self.runs if run.key == key)
+        return Sent(key, body, node.kernel.context.incarnation, before)
+
+    def _answered(self, sent, answer):
+        sent.answers.append(answer)
+        assert len(sent.answers) == 1, 'second answer'
+        outcome = answer.result.outcome
+        if outcome is NOT_RUN and answer.result not in OF_THE_SEND_ALONE:
+            for run in sent.runs_before:
+                assert not run.may_have_reached, 'told not run, but ran'
+        if outcome is COMPLETE:
+            self._check_whole(sent, answer)
+
+    def _check_whole(self, sent, answer):
+        position = int(answer.body.rsplit(b' ', 1)[1])
+        run = self.runs[position]
+        assert run.key == sent.key, 'answer of another key'
+        assert run.outcome is COMPLETE, 'answer of a run without one'
+        if sent.body is not None:
+            assert run.body == sent.body, 'answer to another request'
+
+    # Whole runs
+
+    def deliver_all(self, faults=('',), keep=False):
+        """Answer the operations and deliver the messages under way."""
+        for number in range(len(self.operations)):
+            self.answer(fault=faults[number % len(faults)])
+        for message in list(self.messages):
+            if message in self.messages:
+                self.deliver(self.messages.index(message), keep)
+
+    def settle(self, rounds=50):
+        """Deliver, answer and finish all, in order, without faults."""
+        for _ in range(rounds):
+            self.deliver_all()
+            for run in self.open_runs():
+                self.finish_run(run, COMPLETE)
+            self.advance(0.2)
+
+    def check_all_answered(self):
+        """Check that each send at a node that lives has its answer."""
+        incarnations = {
+            node.kernel.context.incarnation
+            for node in self.nodes_by_address.values()
+        }
+        for sent in self.sends_by_id.values():
+            if sent.incarnation in incarnations:
+                assert len(sent.answers) == 1, 'send without an answer'
