--- /dev/null
+++ b/rosemarycrank/calls/_entry.py
@@ -0,0 +1,621 @@
+"""Calls at the entry node: admission of client requests and attempts."""
+
+import hashlib
+import itertools
+
+import attrs
+
+from rosemarycrank.calls import _allowance
+from rosemarycrank.calls import _peers
+from rosemarycrank import kernel
+from rosemarycrank import ledger
+from rosemarycrank import messages
+from rosemarycrank import results
+
+#: Refusals that another target may still accept, at no cost in retries:
+#: the refusing node takes no work at all.
+_FREE_REDIRECTS = frozenset(
+    {
+        results.Result.LEAVING,
+        results.Result.NO_TARGET,
+        results.Result.PARTNER_LEFT,
+        results.Result.STALE_ATTEMPT,
+    }
+)
+
+#: Refusals after which another attempt would be no use.
+_FINAL_REFUSALS = frozenset({results.Result.DEADLINE_TOO_SHORT})
+
+#: Most targets that one call may be redirected to at no cost.
+MAX_FREE_REDIRECTS = 4
+
+#: Revocations without an answer after which a target counts as silent.
+MAX_SILENT_REVOKES = 3
+
+#: Growth of the interval between questions about a running attempt.
+CHECK_BACKOFF = 2.0
+
+#: Advice to clients when a node cannot tell when to come back, in seconds.
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+@attrs.define(eq=False)
+class Call:
+    """A call that this node makes for a client or for its own upstream.
+
+    ``deadline`` is in seconds of the local clock; ``finish`` is called
+    once with the final `kernel.Answer`.
+    """
+
+    request: object
+    idempotent: bool
+    context: messages.CallContext
+    deadline: float
+    allowance: _allowance.Allowance
+    finish: object
+    request_id: str
+    parent_token: str = ''
+    tried: set = attrs.field(factory=set)
+    redirects: int = 0
+    upstream_attempts: int = 0
+    may_have_run: bool = False
+    last_refusal: kernel.Answer | None = None
+    attempt: object = None
+    timer: object = None
+    done: bool = False
+
+
+@attrs.define(eq=False)
+class Outgoing:
+    """An attempt in flight from this node to a target's node."""
+
+    attempt_id: str
+    call: Call
+    target: object
+    sent_at: float
+    lent: int = 0
+    check_s: float = 0.0
+    silent_checks: int = 0
+    timer: object = None
+    sent: bool = False
+    incarnation: int = 0
+
+
+class EntryCalls(kernel.Component):
+    """Takes requests of clients and of the local upstream.
+
+    Parameters
+    ----------
+    directory : rosemarycrank.membership.Directory
+        Targets.
+    balancer : rosemarycrank.balancing.Balancer
+        Choice of target.
+    budget : rosemarycrank.retry.RetryBudget
+        Retry budget by service.
+    bundle_holder : object
+        Its ``current`` is the bundle in force, or None.
+    key_ledger : rosemarycrank.ledger.Ledger
+        Runs non-idempotent requests at most once.
+    target_calls : TargetCalls
+        Gives the context of nested calls.
+    attempt_timeout_s : float, default=0.5
+        Silence after which the target is asked about an attempt.
+
+    Attributes
+    ----------
+    calls_by_request_id_ : dict of str to Call
+        Calls without a final answer.
+    """
+
+    name = 'entry'
+    handles = {
+        kernel.ClientGone: '_on_client_gone',
+        kernel.ClientRequest: '_on_client_request',
+        kernel.PeerLost: '_on_peer_lost',
+        kernel.SendFailed: '_on_send_failed',
+        messages.AttemptReply: '_on_attempt_reply',
+        messages.HelloReply: '_on_hello_reply',
+        messages.RevokeReply: '_on_revoke_reply',
+    }
+
+    def __init__(
+        self,
+        directory,
+        balancer,
+        budget,
+        bundle_holder,
+        key_ledger,
+        target_calls,
+        attempt_timeout_s=0.5,
+    ):
+        self.directory = directory
+        self.balancer = balancer
+        self.budget = budget
+        self.bundle_holder = bundle_holder
+        self.key_ledger = key_ledger
+        self.target_calls = target_calls
+        self.attempt_timeout_s = attempt_timeout_s
+        self.draining_ = False
+        self.calls_by_request_id_ = {}
+        self._outgoing_by_id = {}
+        self._peers = _peers.Peers(target_calls.attempt_validity_s)
+        self._waiting_by_address = {}
+        self._sequence = itertools.count(1)
+        self.keyed_waiting_ = 0
+        key_ledger.run = self._run_keyed
+        target_calls.cancel_nested = self._cancel_nested
+
+    def start_drain(self):
+        self.draining_ = True
+
+    def idle(self):
+        return not self.calls_by_request_id_ and self.keyed_waiting_ == 0
+
+    def dump(self):
+        return {
+            'calls': len(self.calls_by_request_id_),
+            'keyed_waiting': self.keyed_waiting_,
+            'attempts': len(self._outgoing_by_id),
+            'peers': len(self._peers),
+            'balancer': self.balancer.dump(),
+        }
+
+    # Client requests
+
+    def _on_client_request(self, request):
+        self.context.count('entry.requests')
+        refusal = self._refusal(request)
+        if refusal is not None:
+            self._reply(request.request_id, self._refuse(refusal))
+            return
+        self._admit(request)
+
+    def _refusal(self, request):
+        bundle = self.bundle_holder.current
+        if bundle is None:
+            return results.Result.NO_BUNDLE
+        if self.draining_ and not request.token:
+            return results.Result.LEAVING
+        if request.token and self.target_calls.running(request.token) is None:
+            return results.Result.TOKEN_ENDED
+        request_class = bundle.classify(
+            request.service, request.method, request.path
+        )
+        if request_class is None:
+            return results.Result.UNKNOWN_SERVICE
+        if len(request.body) > bundle.policy.max_body_bytes:
+            return results.Result.BODY_TOO_LARGE
+        if not request_class.idempotent and not request.key:
+            return results.Result.KEY_REQUIRED
+        return None
+
+    def _admit(self, request):
+        now = self.context.now
+        bundle = self.bundle_holder.current
+        request_class = bundle.classify(
+            request.service, request.method, request.path
+        )
+        deadline = now + min(
+            request_class.deadline_s,
+            request.deadline_s or request_class.deadline_s,
+        )
+        parent = self.target_calls.running(request.token)
+        if parent is None:
+            allowance = _allowance.Allowance(request_class.allowance)
+            context = messages.CallContext(
+                rank=request_class.rank,
+                shed_hash=_shed_hash(request),
+                depth=0,
+            )
+        else:
+            deadline = min(deadline, parent.ticket.deadline)
+            allowance = parent.allowance
+            # A call for an important request is as important as that.
+            context = messages.CallContext(
+                rank=min(request_class.rank, parent.ticket.rank),
+                shed_hash=parent.ticket.shed_hash,
+                depth=parent.message.context.depth + 1,
+            )
+        if context.depth > bundle.policy.max_depth:
+            answer = self._refuse(results.Result.TOO_DEEP)
+            self._reply(request.request_id, answer)
+            return
+        retry_after_s = self.balancer.sheds(
+            request.service, context.rank, context.shed_hash, now
+        )
+        if retry_after_s > 0.0:
+            self.context.count('entry.early_refusals')
+            answer = self._refuse(results.Result.SHED, retry_after_s)
+            self._reply(request.request_id, answer)
+            return
+        if request_class.idempotent:
+            self._start_client_call(request, context, deadline, allowance)
+        else:
+            self._submit_keyed(request, context, deadline, allowance)
+
+    def _start_client_call(self, request, context, deadline, allowance):
+        self._start(
+            Call(
+                request=request,
+                idempotent=True,
+                context=context,
+                deadline=deadline,
+                allowance=allowance,
+                finish=lambda answer: self._reply(request.request_id, answer),
+                request_id=request.request_id,
+                parent_token=request.token,
+            )
+        )
+
+    def _submit_keyed(self, request, context, deadline, allowance):
+        lent = allowance.lend() if request.token else allowance.left
+        self.keyed_waiting_ += 1
+
+        def finish(answer):
+            self.keyed_waiting_ -= 1
+            allowance.give_back(answer.allowance_left)
+            self._reply(request.request_id, answer)
+
+        self.key_ledger.submit(
+            ledger.KeyedRequest(
+                key=request.key,
+                service=request.service,
+                method=request.method,
+                path=request.path,
+                headers=request.headers,
+                body=request.body,
+                deadline=deadline,
+                context=attrs.evolve(context, allowance=lent),
+            ),
+            finish,
+        )
+
+    def _run_keyed(self, request, finish):
+        """Run a keyed request whose owner is this node."""
+        number = next(self._sequence)
+        self._start(
+            Call(
+                request=request,
+                idempotent=False,
+                context=request.context,
+                deadline=request.deadline,
+                allowance=_allowance.Allowance(request.context.allowance),
+                finish=finish,
+                request_id=f'{self.context.incarnation:016x}-k{number}',
+            )
+        )
+
+    def _on_client_gone(self, event):
+        call = self.calls_by_request_id_.get(event.request_id)
+        if call is not None and call.idempotent:
+            self._cancel(call)
+
+    def _cancel_nested(self, token):
+        nested = [
+            call
+            for call in self.calls_by_request_id_.values()
+            if call.parent_token == token
+        ]
+        for call in nested:
+            self._cancel(call)
+
+    def _cancel(self, call):
+        self.context.count('entry.cancelled')
+        self._abandon_attempt(call)
+        self._finish(call, kernel.Answer(results.Result.CANCELLED))
+
+    # Attempts
+
+    def _start(self, call):
+        self.calls_by_request_id_[call.request_id] = call
+        call.timer = self.context.timers.after(
+            max(0.0, call.deadline - self.context.now),
+            lambda now: self._on_deadline(call),
+        )
+        self.budget.earn(call.request.service, self.context.now)
+        self._next_attempt(call)
+
+    def _next_attempt(self, call):
+        now = self.context.now
+        bundle = self.bundle_holder.current
+        candidates = [
+            target
+            for target in self.directory.targets(call.request.service)
+            if not bundle.partner_ended(target.partner)
+        ]
+        target = self.balancer.choose(
+            candidates, call.context.rank, call.tried, now
+        )
+        if target is None:
+            answer = call.last_refusal or self._refuse(
+                results.Result.NO_TARGET
+            )
+            self._finish(call, answer)
+            return
+        call.tried.add(target.address)
+        outgoing = Outgoing(
+            attempt_id=(
+                f'{self.context.incarnation:016x}-{next(self._sequence)}'
+            ),
+            call=call,
+            target=target,
+            sent_at=now,
+            check_s=self.attempt_timeout_s,
+        )
+        call.attempt = outgoing
+        self._outgoing_by_id[outgoing.attempt_id] = outgoing
+        self.balancer.sent(target, now)
+        self._schedule_check(outgoing)
+        peer = self._peers.fresh(target, now, self.context)
+        if peer is None:
+            # The target's clock is not known: ask before sending.
+            waiting = self._waiting_by_address.setdefault(target.address, [])
+            waiting.append(outgoing)
+            self.context.send(target.address, messages.Hello())
+        else:
+            self._send(outgoing, peer)
+
+    def _send(self, outgoing, peer):
+        call = outgoing.call
+        outgoing.sent = True
+        outgoing.incarnation = peer.incarnation
+        outgoing.lent = call.allowance.lend()
+        self.context.count('entry.attempts')
+        request = call.request
+        self.context.send(
+            outgoing.target.address,
+            messages.Attempt(
+                attempt_id=outgoing.attempt_id,
+                request_id=call.request_id,
+                service=request.service,
+                method=request.method,
+                path=request.path,
+                headers=request.headers,
+                body=request.body,
+                context=attrs.evolve(call.context, allowance=outgoing.lent),
+                remaining_s=call.deadline - self.context.now,
+                target_incarnation=peer.incarnation,
+                target_tick=peer.tick,
+                idempotent=call.idempotent,
+            ),
+        )
+
+    def _on_hello_reply(self, sender, message):
+        peer = self._peers.heard(
+            sender, message.incarnation, message.tick, self.context.now
+        )
+        for outgoing in self._waiting_by_address.pop(sender, ()):
+            if outgoing.attempt_id not in self._outgoing_by_id:
+                continue
+            if message.accepting:
+                self._send(outgoing, peer)
+            else:
+                self._attempt_refused(outgoing, results.Result.LEAVING)
+
+    def _on_attempt_reply(self, sender, message):
+        self._peers.heard(
+            sender, message.incarnation, message.tick, self.context.now
+        )
+        outgoing = self._outgoing_by_id.get(message.attempt_id)
+        if outgoing is None or sender != outgoing.target.address:
+            self.context.count('entry.late_replies')
+            return
+        self._take_reply(outgoing, message)
+
+    def _take_reply(self, outgoing, message):
+        call = outgoing.call
+        self._end_attempt(outgoing, message)
+        call.allowance.give_back(
+            min(message.allowance_left, max(0, outgoing.lent))
+        )
+        call.upstream_attempts += message.upstream_reached
+        answer = kernel.Answer(
+            result=results.describe(message.result),
+            status=message.status,
+            headers=message.headers,
+            body=message.body,
+            retry_after_s=message.retry_after_s,
+        )
+        outcome = answer.result.outcome
+        if outcome is results.Outcome.COMPLETE:
+            self._finish(call, answer)
+        elif outcome is results.Outcome.NOT_RUN:
+            self._refused(call, answer)
+        else:
+            self._lost(call, answer)
+
+    def _attempt_refused(self, outgoing, result):
+        self._end_attempt(outgoing, None)
+        outgoing.call.allowance.give_back(outgoing.lent)
+        self._refused(outgoing.call, self._refuse(result))
+
+    def _refused(self, call, answer):
+        """Go on after an attempt that is known not to have run."""
+        call.last_refusal = answer
+        if answer.result in _FREE_REDIRECTS:
+            call.redirects += 1
+            if call.redirects <= MAX_FREE_REDIRECTS:
+                self._next_attempt(call)
+                return
+        elif answer.result not in _FINAL_REFUSALS and self._may_retry(call):
+            self._next_attempt(call)
+            return
+        self._finish(call, answer)
+
+    def _lost(self, call, answer):
+        """Go on after an attempt that may have run."""
+        call.may_have_run = True
+        if call.idempotent and self._may_retry(call):
+            self._next_attempt(call)
+        else:
+            self._finish(call, answer)
+
+    def _may_retry(self, call):
+        if self.context.now >= call.deadline:
+            return False
+        if call.allowance.left <= 0:
+            self.context.count('entry.allowance_spent')
+            return False
+        if not self.budget.spend(call.request.service, self.context.now):
+            self.context.count('entry.budget_spent')
+            return False
+        self.context.count('entry.retries')
+        return call.allowance.take()
+
+    def _end_attempt(self, outgoing, reply):
+        outgoing.call.attempt = None
+        del self._outgoing_by_id[outgoing.attempt_id]
+        if outgoing.timer is not None:
+            outgoing.timer.cancel()
+        self.balancer.finished(
+            outgoing.target,
+            self.context.now - outgoing.sent_at,
+            reply,
+            self.context.now,
+        )
+
+    def _abandon_attempt(self, call):
+        """Give up an attempt in flight; what it was lent is spent."""
+        outgoing = call.attempt
+        if outgoing is None:
+            return
+        self._end_attempt(outgoing, None)
+        if outgoing.sent:
+            call.may_have_run = True
+            self.context.send(
+                outgoing.target.address, messages.Cancel(outgoing.attempt_id)
+            )
+
+    # Silence
+
+    def _schedule_check(self, outgoing):
+        outgoing.timer = self.context.timers.after(
+            outgoing.check_s, lambda now: self._check(outgoing)
+        )
+
+    def _check(self, outgoing):
+        """Ask about an attempt that has not been answered."""
+        if outgoing.attempt_id not in self._outgoing_by_id:
+            return
+        address = outgoing.target.address
+        if outgoing.silent_checks >= MAX_SILENT_REVOKES and (
+            outgoing.call.idempotent or not outgoing.sent
+        ):
+            self._give_up_target(outgoing)
+            return
+        outgoing.silent_checks += 1
+        silent = not self._peers.heard_since(address, outgoing.sent_at)
+        if silent:
+            self.context.count('entry.connections_replaced')
+            self.context.emit(kernel.ResetPeer(address))
+        if outgoing.sent:
+            self.context.count('entry.revokes')
+            self.context.send(
+                address,
+                messages.Revoke(
+                    outgoing.attempt_id, outgoing.incarnation, silent
+                ),
+            )
+        else:
+            self.context.send(address, messages.Hello())
+        self._schedule_check(outgoing)
+
+    def _give_up_target(self, outgoing):
+        call = outgoing.call
+        if not outgoing.sent:
+            self._attempt_refused(outgoing, results.Result.NO_TARGET)
+            return
+        self._abandon_attempt(call)
+        self._lost(call, kernel.Answer(results.Result.ANSWER_LOST))
+
+    def _on_revoke_reply(self, sender, message):
+        now = self.context.now
+        outgoing = self._outgoing_by_id.get(message.attempt_id)
+        if outgoing is None or sender != outgoing.target.address:
+            return
+        self._peers.heard_message(sender, now)
+        outgoing.silent_checks = 0
+        if message.incarnation != outgoing.incarnation:
+            # The run of the node that took the attempt has ended.
+            self._abandon_attempt(outgoing.call)
+            self._lost(
+                outgoing.call, kernel.Answer(results.Result.ANSWER_LOST)
+            )
+        elif message.state is messages.RevokeState.RUNNING:
+            outgoing.check_s *= CHECK_BACKOFF
+        elif message.state is messages.RevokeState.REVOKED:
+            self._attempt_refused(outgoing, results.Result.REVOKED)
+        elif message.reply is None:
+            self._abandon_attempt(outgoing.call)
+            self._lost(
+                outgoing.call, kernel.Answer(results.Result.ANSWER_LOST)
+            )
+        else:
+            self._take_reply(outgoing, message.reply)
+
+    def _on_send_failed(self, event):
+        if not isinstance(event.message, messages.Attempt):
+            return
+        outgoing = self._outgoing_by_id.get(event.message.attempt_id)
+        if outgoing is not None:
+            self._attempt_refused(outgoing, results.Result.BACKPRESSURE)
+
+    def _on_peer_lost(self, event):
+        self._peers.forget(event.address)
+        lost = [
+            outgoing
+            for outgoing in self._outgoing_by_id.values()
+            if outgoing.target.address == event.address
+        ]
+        for outgoing in lost:
+            outgoing.timer.cancel()
+            self._check(outgoing)
+
+    # Final answers
+
+    def _on_deadline(self, call):
+        if call.done:
+            return
+        self._abandon_attempt(call)
+        if call.may_have_run:
+            result = results.Result.DEADLINE_PASSED
+        else:
+            result = results.Result.DEADLINE_TOO_SHORT
+        self._finish(call, kernel.Answer(result))
+
+    def _finish(self, call, answer):
+        if call.done:
+            return
+        call.done = True
+        call.timer.cancel()
+        del self.calls_by_request_id_[call.request_id]
+        if (
+            call.may_have_run
+            and answer.result.outcome is results.Outcome.NOT_RUN
+        ):
+            # An earlier attempt may have run, so the last refusal alone
+            # says nothing about the request.
+            answer = attrs.evolve(answer, result=results.Result.ANSWER_LOST)
+        left = call.allowance.left if not call.parent_token else 0
+        call.finish(
+            attrs.evolve(
+                answer,
+                upstream_attempts=call.upstream_attempts,
+                allowance_left=left,
+            )
+        )
+
+    def _reply(self, request_id, answer):
+        self.context.count(f'entry.answers.{answer.result.name}')
+        self.context.emit(kernel.Reply(request_id, answer))
+
+    def _refuse(self, result, retry_after_s=DEFAULT_RETRY_AFTER_S):
+        jitter = 1.0 + 0.5 * self.context.random.random()
+        return kernel.Answer(result, retry_after_s=retry_after_s * jitter)
+
+
+def _shed_hash(request):
+    """Return a stable number in [0, 1) for a client request."""
+    identity = request.key or request.request_id
+    digest = hashlib.blake2b(identity.encode(), digest_size=8).digest()
+    return int.from_bytes(digest) / 2.0**64
--- /dev/null
+++ b/rosemarycrank/http_client/_client.py
@@ -0,0 +1,182 @@
+"""Wrapper of geventhttpclient without its hidden re-sends."""
+
+import attrs
+import gevent
+import geventhttpclient
+from geventhttpclient import connectionpool
+from geventhttpclient import response as client_response
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+READ_BLOCK_BYTES = 64 * 1024
+
+
+class HttpError(Exception):
+    """A request that got no whole answer."""
+
+
+class ConnectFailed(HttpError):
+    """No connection was made, so nothing was sent."""
+
+
+class AnswerLost(HttpError):
+    """The request was sent, at least in part, and no answer came."""
+
+
+class AnswerTruncated(HttpError):
+    """The answer is shorter than its announced length, or too large."""
+
+
+@attrs.frozen
+class Response:
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+
+class _Pool(connectionpool.ConnectionPool):
+    """Pool that tells a failed connect from a failed send.
+
+    Attributes
+    ----------
+    writing : set of gevent.Greenlet
+        Greenlets that were handed a socket and may have written to it.
+    """
+
+    def __init__(self, *arguments, **parameters):
+        super().__init__(*arguments, **parameters)
+        self.writing = set()
+
+    def get_socket(self):
+        sock = super().get_socket()
+        self.writing.add(gevent.getcurrent())
+        return sock
+
+    def _connect_socket(self, sock, address):
+        try:
+            return super()._connect_socket(sock, address)
+        except OSError as error:
+            raise ConnectFailed(f'{address}: {error}') from error
+
+
+class Client:
+    """HTTP client of one server.
+
+    Parameters
+    ----------
+    host : str
+        IP number of the server.
+    port : int
+        TCP port.
+    connections : int, default=64
+        Most connections open at once.
+    connect_timeout_s : float, default=1.0
+        Longest wait for a connection.
+    read_timeout_s : float, default=30.0
+        Longest wait for one read.
+    """
+
+    def __init__(
+        self,
+        host,
+        port,
+        connections=64,
+        connect_timeout_s=1.0,
+        read_timeout_s=30.0,
+    ):
+        self.host = host
+        self.port = port
+        self.connections = connections
+        self.connect_timeout_s = connect_timeout_s
+        self.read_timeout_s = read_timeout_s
+        self._client = geventhttpclient.HTTPClient(host, port=port)
+        self._pool = _Pool(
+            host,
+            port,
+            host,
+            port,
+            size=connections,
+            connection_timeout=connect_timeout_s,
+            network_timeout=read_timeout_s,
+        )
+        # The library sends a request up to size + 1 more times when a
+        # connection closes; a size of -1 leaves the one send.
+        self._pool.size = -1
+        self._client._connection_pool = self._pool
+
+    def request(self, method, target, body=b'', headers=None, timeout_s=None):
+        """Send a request once and read the whole answer.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        target : str
+            Path with query.
+        body : bytes, default=b''
+            Body.
+        headers : dict of str to str, optional
+            Headers.
+        timeout_s : float, optional
+            Longest wait for the whole exchange, in seconds.
+
+        Returns
+        -------
+        Response
+            The answer.
+
+        Raises
+        ------
+        ConnectFailed
+            If no connection was made: the request was not sent.
+        AnswerLost
+            If the request may have been taken and no answer came.
+        AnswerTruncated
+            If the answer was cut short.
+        """
+        greenlet = gevent.getcurrent()
+        try:
+            with gevent.Timeout(timeout_s):
+                return self._exchange(method, target, body, headers)
+        except gevent.Timeout as error:
+            if greenlet in self._pool.writing:
+                raise AnswerLost(f'no answer in {timeout_s} s') from error
+            raise ConnectFailed('no connection in time') from error
+        except HttpError:
+            raise
+        except (OSError, client_response.HTTPParseError) as error:
+            raise AnswerLost(str(error)) from error
+        finally:
+            self._pool.writing.discard(greenlet)
+
+    def close(self):
+        """Close the idle connections."""
+        self._client.close()
+
+    def _exchange(self, method, target, body, headers):
+        answer = self._client.request(
+            method, target, body=body, headers=headers or {}
+        )
+        try:
+            return self._read(answer)
+        finally:
+            answer.release()
+
+    def _read(self, answer):
+        length = answer.content_length
+        if length is not None and length > MAX_ANSWER_BYTES:
+            raise AnswerTruncated(
+                f'answer: got {length} bytes, allowed {MAX_ANSWER_BYTES}'
+            )
+        blocks = []
+        try:
+            while block := answer.read(READ_BLOCK_BYTES):
+                blocks.append(block)
+        except (OSError, client_response.HTTPParseError) as error:
+            raise AnswerTruncated(str(error)) from error
+        body = b''.join(blocks)
+        if not answer.message_complete:
+            raise AnswerTruncated(f'answer: got {len(body)} bytes, not whole')
+        headers = {str(k).lower(): str(v) for k, v in answer.items()}
+        return Response(answer.status_code, headers, body)
--- a/rosemarycrank/kernel/_effects.py
+++ b/rosemarycrank/kernel/_effects.py
@@ -136,7 +136,8 @@
 class Answer:
     """Final answer to a client request.
 
-    ``upstream_attempts`` counts the attempts that reached an upstream.
+    ``upstream_attempts`` counts the attempts that reached an upstream,
+    ``allowance_left`` the retries that were lent and not spent.
     """
 
     result: results.Result
@@ -145,6 +146,7 @@
     body: bytes = b''
     retry_after_s: float = 0.0
     upstream_attempts: int = 0
+    allowance_left: int = 0
 
 
 @attrs.frozen
--- a/rosemarycrank/ledger/_base.py
+++ b/rosemarycrank/ledger/_base.py
@@ -5,13 +5,15 @@
 import attrs
 
 from rosemarycrank import kernel
+from rosemarycrank import messages
 
 
 @attrs.frozen
 class KeyedRequest:
     """A non-idempotent request under an idempotency key.
 
-    ``deadline`` is in seconds of the local clock.
+    ``deadline`` is in seconds of the local clock. ``context`` goes along
+    to the key's owner, and ``run`` gets it back unchanged.
     """
 
     key: str
@@ -21,6 +23,7 @@
     headers: dict
     body: bytes
     deadline: float
+    context: messages.CallContext = messages.CallContext()
 
 
 class Ledger(kernel.Component):
--- a/rosemarycrank/messages/__init__.py
+++ b/rosemarycrank/messages/__init__.py
@@ -5,6 +5,7 @@
 
 Attempt = _types.Attempt
 AttemptReply = _types.AttemptReply
+CallContext = _types.CallContext
 Cancel = _types.Cancel
 Hello = _types.Hello
 HelloReply = _types.HelloReply
@@ -21,6 +22,7 @@
 __all__ = [
     'Attempt',
     'AttemptReply',
+    'CallContext',
     'Cancel',
     'Codec',
     'DecodeError',
--- a/rosemarycrank/messages/_types.py
+++ b/rosemarycrank/messages/_types.py
@@ -11,6 +11,28 @@
 from rosemarycrank.messages import _codec
 
 
+@attrs.frozen
+class CallContext:
+    """What travels with a call down the graph.
+
+    Attributes
+    ----------
+    rank : int
+        Order of shedding; 0 is shed last.
+    shed_hash : float
+        Hash of the client request in [0, 1).
+    allowance : int
+        Retries lent to whoever runs the call.
+    depth : int
+        Calls above this one.
+    """
+
+    rank: int = 0
+    shed_hash: float = 0.0
+    allowance: int = 0
+    depth: int = 0
+
+
 class RevokeState(enum.Enum):
     """What a target's node says about a revoked attempt."""
 
@@ -55,16 +77,11 @@
     path: str
     headers: dict[str, str]
     body: bytes
-    class_name: str
-    rank: int
-    shed_hash: float
+    context: CallContext
     remaining_s: float
-    allowance: int
-    depth: int
     target_incarnation: int
     target_tick: float
     idempotent: bool = True
-    bundle_version: int = 0
 
 
 @_codec.register
@@ -96,10 +113,15 @@
 @_codec.register
 @attrs.frozen
 class Revoke:
-    """Asks the target's node to make sure that an attempt never runs."""
+    """Asks the target's node to make sure that an attempt never runs.
+
+    ``silent`` tells that nothing was heard on the connection since the
+    attempt was sent, so the answer is to come on a new one.
+    """
 
     attempt_id: str
     target_incarnation: int
+    silent: bool = False
 
 
 @_codec.register
@@ -135,6 +157,7 @@
     body: bytes
     remaining_s: float
     query_only: bool = False
+    context: CallContext = CallContext()
 
 
 @_codec.register
@@ -148,3 +171,4 @@
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b''
     retry_after_s: float = 0.0
+    allowance_left: int = 0
--- a/rosemarycrank/results/_codes.py
+++ b/rosemarycrank/results/_codes.py
@@ -69,6 +69,13 @@
     )
     BAD_REQUEST = _Entry(208, Outcome.NOT_RUN, 400, 'malformed request')
 
+    TOKEN_ENDED = _Entry(
+        209,
+        Outcome.NOT_RUN,
+        409,
+        'token names no request that is running here',
+    )
+
     NO_BUNDLE = _Entry(
         300, Outcome.NOT_RUN, 503, 'node holds no accepted bundle yet'
     )
