Check settings against constraints kept in tables

Cause: every part reads its settings from YAML, and an operator needs all errors of a file at once, each with line, key, value and what is allowed. Ruled out: validators in __init__, which stop at the first error and know no line; msgspec and cattrs conversion, which report one error each time; yaml.safe_load, which keeps no lines and expands aliases. Before: no settings. Conclusion: settings.load, parse and build stand, with NodeSettings.

--- a/rosemarycrank/settings/__init__.py
+++ b/rosemarycrank/settings/__init__.py
@@ -1,1 +1,47 @@
-"""TODO."""
+"""Checked settings from YAML files."""
+
+from rosemarycrank.settings import _constraints
+from rosemarycrank.settings import _errors
+from rosemarycrank.settings import _loader
+from rosemarycrank.settings import _node
+
+Constraint = _constraints.Constraint
+Flag = _constraints.Flag
+Interval = _constraints.Interval
+ListOf = _constraints.ListOf
+MapOf = _constraints.MapOf
+Nested = _constraints.Nested
+Optional = _constraints.Optional
+Options = _constraints.Options
+Text = _constraints.Text
+
+ProblemError = _errors.ProblemError
+SettingsError = _errors.SettingsError
+
+build = _loader.build
+load = _loader.load
+parse = _loader.parse
+
+ADDRESS = _node.ADDRESS
+NAME = _node.NAME
+NodeSettings = _node.NodeSettings
+
+__all__ = [
+    'ADDRESS',
+    'Constraint',
+    'Flag',
+    'Interval',
+    'ListOf',
+    'MapOf',
+    'NAME',
+    'Nested',
+    'NodeSettings',
+    'Optional',
+    'Options',
+    'ProblemError',
+    'SettingsError',
+    'Text',
+    'build',
+    'load',
+    'parse',
+]
--- /dev/null
+++ b/rosemarycrank/settings/_constraints.py
@@ -0,0 +1,261 @@
+"""Constraints on values, kept apart from the classes that hold them."""
+
+import abc
+import re
+
+import attrs
+
+from rosemarycrank.settings import _errors
+
+#: Returned in place of a converted value that broke its constraint.
+INVALID = object()
+
+
+@attrs.frozen
+class Place:
+    """Where a value stands, and where its problems go.
+
+    Attributes
+    ----------
+    source : str
+        Name of the file.
+    key : str
+        Path of the key.
+    problems : list of ProblemError
+        Problems found so far.
+    """
+
+    source: str
+    key: str
+    problems: list
+
+    def child(self, name):
+        """Return the place of a key below this one."""
+        key = f'{self.key}.{name}' if self.key else name
+        return attrs.evolve(self, key=key)
+
+    def item(self, index):
+        """Return the place of an item of a list."""
+        return attrs.evolve(self, key=f'{self.key}[{index}]')
+
+    def refuse(self, line, found, allowed):
+        """Record a problem and return `INVALID`."""
+        self.problems.append(
+            _errors.ProblemError(self.source, line, self.key, found, allowed)
+        )
+        return INVALID
+
+
+class Constraint(abc.ABC):
+    """What a value has to satisfy."""
+
+    @abc.abstractmethod
+    def allowed(self):
+        """Return what is allowed, as text.
+
+        Returns
+        -------
+        str
+            For example ``'an integer from 0 to 16'``.
+        """
+
+    @abc.abstractmethod
+    def convert(self, value, place):
+        """Check a value and convert it.
+
+        Parameters
+        ----------
+        value : Located
+            The value found.
+        place : Place
+            Where it stands; takes the problems.
+
+        Returns
+        -------
+        object
+            The converted value, or `INVALID`.
+        """
+
+    def refuse(self, value, place):
+        """Record that a value breaks this constraint."""
+        return place.refuse(value.line, value.shown(), self.allowed())
+
+
+@attrs.frozen
+class Interval(Constraint):
+    """A number of a type from ``low`` to ``high``, both included."""
+
+    type: type
+    low: float
+    high: float
+    unit: str = ''
+
+    def allowed(self):
+        kind = 'an integer' if self.type is int else 'a number'
+        unit = f' {self.unit}' if self.unit else ''
+        return f'{kind} from {self.low} to {self.high}{unit}'
+
+    def convert(self, value, place):
+        data = value.data
+        # bool is a subclass of int in Python.
+        is_number = isinstance(data, (int, self.type))
+        if isinstance(data, bool) or not is_number:
+            return self.refuse(value, place)
+        if not self.low <= data <= self.high:
+            return self.refuse(value, place)
+        return self.type(data)
+
+
+@attrs.frozen
+class Options(Constraint):
+    """One of some values."""
+
+    values: tuple = attrs.field(converter=tuple)
+
+    def allowed(self):
+        return 'one of ' + ', '.join(repr(v) for v in self.values)
+
+    def convert(self, value, place):
+        if isinstance(value.data, (list, dict)):
+            return self.refuse(value, place)
+        for option in self.values:
+            if type(option) is type(value.data) and option == value.data:
+                return option
+        return self.refuse(value, place)
+
+
+@attrs.frozen
+class Text(Constraint):
+    """A string that matches a regular expression as a whole."""
+
+    pattern: str = ''
+    description: str = ''
+
+    def allowed(self):
+        if self.description:
+            return self.description
+        if self.pattern:
+            return f'a string matching {self.pattern}'
+        return 'a string'
+
+    def convert(self, value, place):
+        if not isinstance(value.data, str):
+            return self.refuse(value, place)
+        if self.pattern and not re.fullmatch(self.pattern, value.data):
+            return self.refuse(value, place)
+        return value.data
+
+
+@attrs.frozen
+class Flag(Constraint):
+    """True or false."""
+
+    def allowed(self):
+        return 'true or false'
+
+    def convert(self, value, place):
+        if not isinstance(value.data, bool):
+            return self.refuse(value, place)
+        return value.data
+
+
+@attrs.frozen
+class Optional(Constraint):
+    """Null, or what another constraint allows."""
+
+    constraint: Constraint
+
+    def allowed(self):
+        return f'{self.constraint.allowed()}, or null'
+
+    def convert(self, value, place):
+        if value.data is None:
+            return None
+        return self.constraint.convert(value, place)
+
+
+@attrs.frozen
+class ListOf(Constraint):
+    """A list; converted to a tuple."""
+
+    constraint: Constraint
+    min_items: int = 0
+
+    def allowed(self):
+        least = f' with at least {self.min_items}' if self.min_items else ''
+        return f'a list{least}, of {self.constraint.allowed()}'
+
+    def convert(self, value, place):
+        items = value.data
+        if not isinstance(items, list) or len(items) < self.min_items:
+            return self.refuse(value, place)
+        converted = [
+            self.constraint.convert(item, place.item(index))
+            for index, item in enumerate(items)
+        ]
+        return INVALID if INVALID in converted else tuple(converted)
+
+
+@attrs.frozen
+class MapOf(Constraint):
+    """A mapping from names to values."""
+
+    constraint: Constraint
+    key_constraint: Text = Text()
+
+    def allowed(self):
+        return f'a mapping to {self.constraint.allowed()}'
+
+    def convert(self, value, place):
+        if not isinstance(value.data, dict):
+            return self.refuse(value, place)
+        converted_by_name = {}
+        for name, item in value.data.items():
+            below = place.child(name)
+            key = attrs.evolve(item, data=name)
+            self.key_constraint.convert(key, below)
+            converted_by_name[name] = self.constraint.convert(item, below)
+        if INVALID in converted_by_name.values():
+            return INVALID
+        return converted_by_name
+
+
+@attrs.frozen
+class Nested(Constraint):
+    """A mapping onto an `attrs` class with a ``constraints`` table."""
+
+    cls: type
+
+    def allowed(self):
+        return f'a mapping with the keys {sorted(self.cls.constraints)}'
+
+    def convert(self, value, place):
+        if not isinstance(value.data, dict):
+            return self.refuse(value, place)
+        self._refuse_unknown_keys(value, place)
+        arguments = {}
+        for field in attrs.fields(self.cls):
+            converted = self._convert_field(field, value, place)
+            if converted is not attrs.NOTHING:
+                arguments[field.name] = converted
+        if INVALID in arguments.values():
+            return INVALID
+        return self.cls(**arguments)
+
+    def _convert_field(self, field, value, place):
+        below = place.child(field.name)
+        found = value.data.get(field.name)
+        if found is not None:
+            return self.cls.constraints[field.name].convert(found, below)
+        if field.default is not attrs.NOTHING:
+            return attrs.NOTHING
+        allowed = self.cls.constraints[field.name].allowed()
+        return below.refuse(value.line, 'no such key', allowed)
+
+    def _refuse_unknown_keys(self, value, place):
+        names = [field.name for field in attrs.fields(self.cls)]
+        for name, found in value.data.items():
+            if name not in names:
+                place.child(name).refuse(
+                    found.line, 'an unknown key', f'one of {names}'
+                )
--- /dev/null
+++ b/rosemarycrank/settings/_loader.py
@@ -0,0 +1,108 @@
+"""Loading of checked `attrs` classes from YAML files and mappings."""
+
+import pathlib
+
+from rosemarycrank.settings import _constraints
+from rosemarycrank.settings import _errors
+from rosemarycrank.settings import _yaml
+
+
+def load(path, cls):
+    """Load an instance of a class from a YAML file.
+
+    Parameters
+    ----------
+    path : str or path-like
+        The file.
+    cls : type
+        `attrs` class with a table ``constraints`` of `Constraint` by field
+        name. Fields without a default are required.
+
+    Returns
+    -------
+    object
+        Instance of the class.
+
+    Raises
+    ------
+    SettingsError
+        With all problems of the file, if there are any.
+    """
+    return parse(_read(path), cls, source=str(path))
+
+
+def parse(text, cls, source):
+    """Build an instance of a class from YAML text.
+
+    Parameters
+    ----------
+    text : bytes
+        The document.
+    cls : type
+        Class as for `load`.
+    source : str
+        Name of the document for errors.
+
+    Returns
+    -------
+    object
+        Instance of the class.
+
+    Raises
+    ------
+    SettingsError
+        With all problems of the text, if there are any.
+    """
+    problems = []
+    located = _yaml.parse(text, source, problems)
+    if located is None:
+        raise _group(problems, source)
+    return _convert(located, cls, source, problems)
+
+
+def build(cls, mapping, source='mapping'):
+    """Build an instance of a class from a mapping.
+
+    Parameters
+    ----------
+    cls : type
+        Class as for `load`.
+    mapping : dict
+        Plain data.
+    source : str, default='mapping'
+        Name of where it comes from, for errors.
+
+    Returns
+    -------
+    object
+        Instance of the class.
+
+    Raises
+    ------
+    SettingsError
+        With all problems of the mapping, if there are any.
+    """
+    return _convert(_yaml.locate(mapping), cls, source, [])
+
+
+def _convert(located, cls, source, problems):
+    place = _constraints.Place(source, '', problems)
+    instance = _constraints.Nested(cls).convert(located, place)
+    if problems:
+        raise _group(problems, source)
+    return instance
+
+
+def _read(path):
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        problem = _errors.ProblemError(
+            str(path), 0, '', error.strerror, 'a readable file'
+        )
+        raise _group([problem], str(path)) from error
+
+
+def _group(problems, source):
+    ordered = sorted(problems, key=lambda problem: problem.line)
+    return _errors.SettingsError(f'{source}: not valid', ordered)
