Add membership by gossip with failure detection

Nodes join through seeds, probe each other directly and through others, and pass on records a bounded number of times. A record is ordered by its sequence, which only the holder of the address raises: incarnations are random and have no order of their own.

--- a/rosemarycrank/membership/__init__.py
+++ b/rosemarycrank/membership/__init__.py
@@ -1,10 +1,18 @@
 """Which nodes and targets there are, and which accept work."""
 
 from rosemarycrank.membership import _base
+from rosemarycrank.membership import _gossip
 
 Directory = _base.Directory
+GossipDirectory = _gossip.GossipDirectory
 MemberFailed = _base.MemberFailed
 MemberLeft = _base.MemberLeft
 MemberUp = _base.MemberUp
 
-__all__ = ['Directory', 'MemberFailed', 'MemberLeft', 'MemberUp']
+__all__ = [
+    'Directory',
+    'GossipDirectory',
+    'MemberFailed',
+    'MemberLeft',
+    'MemberUp',
+]
--- /dev/null
+++ b/rosemarycrank/membership/_broadcast.py
@@ -0,0 +1,74 @@
+"""News waiting to be passed on, each a bounded number of times."""
+
+import math
+
+import attrs
+
+
+@attrs.define
+class _Item:
+    record: object
+    sends_left: int
+
+
+def transmissions(node_count):
+    """Return how often a node passes on one piece of news.
+
+    Parameters
+    ----------
+    node_count : int
+        Nodes that it has to reach.
+
+    Returns
+    -------
+    int
+        Number of sends; grows with the logarithm of the nodes.
+    """
+    return math.ceil(2 * math.log(node_count + 1)) + 2
+
+
+class BroadcastQueue:
+    """Records to piggyback, those sent least often first."""
+
+    def __init__(self):
+        self._by_address = {}
+
+    def __len__(self):
+        return len(self._by_address)
+
+    def add(self, record, node_count):
+        """Queue a record in place of an earlier one of its address.
+
+        Parameters
+        ----------
+        record : Record
+            News to pass on.
+        node_count : int
+            Nodes that it has to reach.
+        """
+        self._by_address[record.address] = _Item(
+            record, transmissions(node_count)
+        )
+
+    def take(self, limit):
+        """Return records for one message and count them as sent once.
+
+        Parameters
+        ----------
+        limit : int
+            Largest number of records.
+
+        Returns
+        -------
+        list of Record
+            The records.
+        """
+        items = list(self._by_address.values())
+        if len(items) > limit:
+            items.sort(key=lambda item: -item.sends_left)
+            del items[limit:]
+        for item in items:
+            item.sends_left -= 1
+            if item.sends_left <= 0:
+                del self._by_address[item.record.address]
+        return [item.record for item in items]
--- /dev/null
+++ b/rosemarycrank/membership/_probing.py
@@ -0,0 +1,173 @@
+"""Failure detection: direct and indirect probes, then suspicion."""
+
+import attrs
+
+from rosemarycrank.membership import _messages
+
+INDIRECT_PROBES = 3
+RELAY_LIFETIME_S = 3.0
+
+
+@attrs.define
+class _Probe:
+    address: str
+    indirect_at: float
+    fails_at: float
+    indirect: bool = False
+
+
+@attrs.define
+class _Relay:
+    requester: str
+    nonce: int
+    expires_at: float
+
+
+class Prober:
+    """Probes one node a period and reports the ones that do not answer.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    period_s : float
+        Seconds between probes.
+    ack_timeout_s : float
+        Seconds after which others are asked to probe the node.
+    make_ping : callable
+        Takes ``(address, nonce)``, returns a `Ping` for that node.
+    on_silent : callable
+        Called with the address of a node that did not answer in a period.
+    """
+
+    def __init__(self, context, period_s, ack_timeout_s, make_ping, on_silent):
+        self.context = context
+        self.period_s = period_s
+        self.ack_timeout_s = ack_timeout_s
+        self._make_ping = make_ping
+        self._on_silent = on_silent
+        self._next_at = 0.0
+        self._order = []
+        self._probe_by_nonce = {}
+        self._relay_by_nonce = {}
+
+    def tick(self, now, candidates):
+        """Send what is due.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        candidates : sequence of str
+            Addresses of the other nodes that are taken to run.
+        """
+        self._check_probes(now, candidates)
+        for nonce, relay in list(self._relay_by_nonce.items()):
+            if relay.expires_at <= now:
+                del self._relay_by_nonce[nonce]
+        if now >= self._next_at:
+            jitter = self.context.random.uniform(0.9, 1.1)
+            self._next_at = now + self.period_s * jitter
+            self._probe_next(now, candidates)
+
+    def postpone(self, gap_s):
+        """Move all deadlines after a pause of this process.
+
+        Parameters
+        ----------
+        gap_s : float
+            Length of the pause in seconds.
+        """
+        for probe in self._probe_by_nonce.values():
+            probe.indirect_at += gap_s
+            probe.fails_at += gap_s
+
+    def relay(self, requester, request, now):
+        """Probe a node for another one.
+
+        Parameters
+        ----------
+        requester : str
+            Address of the node that asks.
+        request : PingRequest
+            What it asks.
+        now : float
+            Current time in seconds.
+        """
+        nonce = self.new_nonce()
+        self._relay_by_nonce[nonce] = _Relay(
+            requester, request.nonce, now + RELAY_LIFETIME_S
+        )
+        self._ping(request.address, nonce)
+
+    def acked(self, ack):
+        """Handle an answer to a probe of this node.
+
+        Parameters
+        ----------
+        ack : Ack
+            The answer.
+        """
+        self._probe_by_nonce.pop(ack.nonce, None)
+        relay = self._relay_by_nonce.pop(ack.nonce, None)
+        if relay is not None:
+            self.context.send(
+                relay.requester, _messages.Ack(relay.nonce, ack.address)
+            )
+
+    def probe(self, address, now):
+        """Probe one node now.
+
+        Parameters
+        ----------
+        address : str
+            Address of the node.
+        now : float
+            Current time in seconds.
+        """
+        nonce = self.new_nonce()
+        self._probe_by_nonce[nonce] = _Probe(
+            address, now + self.ack_timeout_s, now + self.period_s
+        )
+        self._ping(address, nonce)
+
+    def new_nonce(self):
+        """Return a number that identifies a question of this node.
+
+        Returns
+        -------
+        int
+            Random number of 32 bits.
+        """
+        return self.context.random.getrandbits(32)
+
+    def _ping(self, address, nonce):
+        self.context.send(address, self._make_ping(address, nonce))
+
+    def _probe_next(self, now, candidates):
+        allowed = set(candidates)
+        while self._order or candidates:
+            if not self._order:
+                # Every node once in random order: a failed node is probed
+                # within a bounded time, unlike with independent choices.
+                self._order = list(candidates)
+                self.context.random.shuffle(self._order)
+            address = self._order.pop()
+            if address in allowed:
+                self.probe(address, now)
+                return
+
+    def _check_probes(self, now, candidates):
+        for nonce, probe in list(self._probe_by_nonce.items()):
+            if probe.fails_at <= now:
+                del self._probe_by_nonce[nonce]
+                self._on_silent(probe.address)
+            elif probe.indirect_at <= now and not probe.indirect:
+                probe.indirect = True
+                self._probe_indirectly(nonce, probe.address, candidates)
+
+    def _probe_indirectly(self, nonce, address, candidates):
+        helpers = [c for c in candidates if c != address]
+        count = min(INDIRECT_PROBES, len(helpers))
+        for helper in self.context.random.sample(helpers, count):
+            self.context.send(helper, _messages.PingRequest(nonce, address))
--- /dev/null
+++ b/rosemarycrank/membership/_table.py
@@ -0,0 +1,193 @@
+"""Table of node records with digests for comparing two tables."""
+
+import hashlib
+
+from rosemarycrank.membership import _messages
+
+BUCKETS = 64
+DIGEST_BYTES = 8
+
+Status = _messages.Status
+
+
+def precedence(record):
+    """Return the sort key by which the later news wins.
+
+    Parameters
+    ----------
+    record : Record
+        Record of a node.
+
+    Returns
+    -------
+    tuple of int
+        Greater for later news of the same address.
+    """
+    return record.sequence, record.status, record.incarnation
+
+
+def is_up(record):
+    """Return whether a record speaks of a node that is taken to run."""
+    return record.status <= Status.SUSPECT
+
+
+def _hash(text):
+    digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, 'big')
+
+
+def bucket_of(address):
+    """Return the number of the bucket that an address falls into."""
+    return _hash(address) % BUCKETS
+
+
+def record_hash(record):
+    """Return the part of a record in digests.
+
+    Suspicion is left out, since it passes or turns into a failure, and so
+    are nodes that do not run, since tables forget them at different times.
+
+    Parameters
+    ----------
+    record : Record
+        Record of a node.
+
+    Returns
+    -------
+    int
+        Hash of 64 bits; 0 for a node that does not run.
+    """
+    if not is_up(record):
+        return 0
+    return _hash(f'{record.address} {record.incarnation} {record.sequence}')
+
+
+class RecordTable:
+    """Records by address; later news replaces earlier news.
+
+    Attributes
+    ----------
+    by_address : dict of str to Record
+        Latest record of each address.
+    version : int
+        Grows with each change of the set of running nodes.
+    """
+
+    def __init__(self):
+        self.by_address = {}
+        self.version = 0
+        self._digest_by_bucket = [0] * BUCKETS
+        self._up_addresses = ()
+        self._up_version = 0
+
+    def apply(self, record):
+        """Take a record unless what is known is as late or later.
+
+        Parameters
+        ----------
+        record : Record
+            News of a node.
+
+        Returns
+        -------
+        bool
+            Whether the record was news.
+        """
+        known = self.by_address.get(record.address)
+        if known is not None and precedence(record) <= precedence(known):
+            return False
+        self._replace(record.address, known, record)
+        return True
+
+    def forget(self, address):
+        """Remove the record of an address.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of a known node.
+        """
+        self._replace(address, self.by_address[address], None)
+
+    def up_addresses(self):
+        """Return the addresses of the nodes that are taken to run.
+
+        Returns
+        -------
+        tuple of str
+            In order of address.
+        """
+        if self._up_version != self.version:
+            self._up_version = self.version
+            self._up_addresses = tuple(
+                sorted(r.address for r in self.by_address.values() if is_up(r))
+            )
+        return self._up_addresses
+
+    def digest(self):
+        """Return the digests of all buckets.
+
+        Returns
+        -------
+        bytes
+            `DIGEST_BYTES` for each bucket.
+        """
+        return b''.join(
+            value.to_bytes(DIGEST_BYTES, 'big')
+            for value in self._digest_by_bucket
+        )
+
+    def differing_buckets(self, digest):
+        """Compare the digests of another table.
+
+        Parameters
+        ----------
+        digest : bytes
+            Result of `digest` of the other table.
+
+        Returns
+        -------
+        list of int
+            Numbers of the buckets that differ.
+        """
+        own = self.digest()
+        return [
+            number
+            for number in range(BUCKETS)
+            if own[number * DIGEST_BYTES : (number + 1) * DIGEST_BYTES]
+            != digest[number * DIGEST_BYTES : (number + 1) * DIGEST_BYTES]
+        ]
+
+    def records_in(self, buckets):
+        """Return the records of some buckets.
+
+        Parameters
+        ----------
+        buckets : sequence of int
+            Numbers of buckets.
+
+        Returns
+        -------
+        list of Record
+            Their records, nodes that do not run included.
+        """
+        wanted = set(buckets)
+        return [
+            record
+            for address, record in self.by_address.items()
+            if bucket_of(address) in wanted
+        ]
+
+    def _replace(self, address, old, new):
+        change = 0
+        if old is not None:
+            change ^= record_hash(old)
+        if new is None:
+            del self.by_address[address]
+        else:
+            change ^= record_hash(new)
+            self.by_address[address] = new
+        self._digest_by_bucket[bucket_of(address)] ^= change
+        was_up = old is not None and is_up(old)
+        if was_up != (new is not None and is_up(new)):
+            self.version += 1
