--- a/rosemarycrank/admission/__init__.py
+++ b/rosemarycrank/admission/__init__.py
@@ -1,8 +1,10 @@
 """Admission control at the target's node."""
 
+from rosemarycrank.admission import _adaptive
 from rosemarycrank.admission import _base
 from rosemarycrank.admission import _baselines
 
+AdaptiveLimit = _adaptive.AdaptiveLimit
 AdmissionController = _base.AdmissionController
 Decision = _base.Decision
 Load = _base.Load
@@ -14,6 +16,7 @@
 StaticLimit = _baselines.StaticLimit
 
 __all__ = [
+    'AdaptiveLimit',
     'AdmissionController',
     'Decision',
     'Load',
--- /dev/null
+++ b/tests/test_plugins.py
@@ -0,0 +1,158 @@
+"""Checks over every registered admission, balancing and retry plug-in."""
+
+import inspect
+import random
+
+import pytest
+
+from rosemarycrank import admission
+from rosemarycrank import balancing
+from rosemarycrank import kernel
+from rosemarycrank import messages
+from rosemarycrank import retry
+
+KINDS = {
+    'admission': admission.AdmissionController,
+    'balancing': balancing.Balancer,
+    'retry': retry.RetryBudget,
+}
+PLUGINS = [
+    (kind, name) for kind in sorted(KINDS) for name in kernel.names(kind)
+]
+BALANCERS = kernel.names('balancing')
+CONTROLLERS = kernel.names('admission')
+REQUIRED = {'failure_domain': 'fd-a', 'random': random.Random(1)}
+
+
+def _create(kind, name):
+    required = REQUIRED if kind == 'balancing' else {}
+    return kernel.create(kind, name, **required)
+
+
+def _targets(count):
+    return tuple(
+        balancing.Target(
+            address=f'127.0.0.1:{number}',
+            incarnation=number,
+            service='previews',
+            failure_domain=f'fd-{"ab"[number % 2]}',
+            slots=4,
+        )
+        for number in range(count)
+    )
+
+
+def _reply(**fields):
+    return messages.AttemptReply('a', 100, 1, 0.0, **fields)
+
+
+@pytest.mark.parametrize('kind, name', PLUGINS)
+def test_plugin_derives_from_the_base_class_of_its_kind(kind, name):
+    assert issubclass(kernel.implementations(kind)[name], KINDS[kind])
+
+
+@pytest.mark.parametrize('kind, name', PLUGINS)
+def test_parameters_are_stored_unchanged(kind, name):
+    plugin = _create(kind, name)
+    parameters = inspect.signature(type(plugin)).parameters.values()
+    for parameter in parameters:
+        expected = REQUIRED.get(parameter.name, parameter.default)
+        assert getattr(plugin, parameter.name) == expected
+
+
+@pytest.mark.parametrize('name', CONTROLLERS)
+def test_every_ticket_ends_once_and_load_returns_to_zero(name):
+    source = random.Random(7)
+    controller = _create('admission', name)
+    running, queued, ended = [], {}, []
+    now = 0.0
+    for number in range(3000):
+        now += source.expovariate(500)
+        ticket = admission.Ticket(
+            f'a{number}', source.randrange(4), source.random(), now + 0.5
+        )
+        decision = controller.offer(ticket, now)
+        if decision.verdict is admission.Verdict.ADMIT:
+            running.append(ticket)
+        elif decision.verdict is admission.Verdict.QUEUE:
+            queued[ticket.attempt_id] = ticket
+        else:
+            assert decision.result is not None
+            ended.append(ticket)
+        for loser in decision.displaced:
+            ended.append(queued.pop(loser.attempt_id))
+        if running and source.random() < 0.6:
+            ended.append(running.pop(source.randrange(len(running))))
+            sample = admission.Sample(0.02, source.random() < 0.9)
+            for waiting in controller.release(ended[-1], sample, now):
+                running.append(queued.pop(waiting.attempt_id))
+        for late in controller.expire(now):
+            ended.append(queued.pop(late.attempt_id))
+    while running:
+        ticket = running.pop()
+        ended.append(ticket)
+        sample = admission.Sample(0.02, True)
+        for waiting in controller.release(ticket, sample, now):
+            running.append(queued.pop(waiting.attempt_id))
+    for late in controller.expire(now):
+        ended.append(queued.pop(late.attempt_id))
+    assert not queued
+    assert sorted(t.attempt_id for t in ended) == sorted(
+        f'a{number}' for number in range(3000)
+    )
+    load = controller.load(now)
+    assert (load.in_flight, load.queued) == (0, 0)
+
+
+@pytest.mark.parametrize('name', CONTROLLERS)
+def test_idle_controller_sheds_nothing(name):
+    controller = _create('admission', name)
+    assert not controller.shed_level(5.0).sheds(1 << 20, 0.999)
+    assert controller.retry_after_s(5.0) > 0.0
+    assert controller.service_time_s(5.0) == 0.0
+
+
+@pytest.mark.parametrize('name', BALANCERS)
+def test_choice_is_a_candidate_that_is_not_excluded(name):
+    balancer = _create('balancing', name)
+    candidates = _targets(6)
+    excluded = {candidates[0].address, candidates[3].address}
+    for step in range(200):
+        now = step * 0.01
+        choice = balancer.choose(candidates, step % 4, excluded, now)
+        assert choice in candidates and choice.address not in excluded
+        balancer.sent(choice, now)
+        reply = _reply(in_flight=3, limit=4) if step % 3 else None
+        balancer.finished(choice, 0.005, reply, now)
+
+
+@pytest.mark.parametrize('name', BALANCERS)
+def test_no_candidate_left_gives_none(name):
+    balancer = _create('balancing', name)
+    candidates = _targets(2)
+    everywhere = {target.address for target in candidates}
+    assert balancer.choose(candidates, 0, everywhere, 0.0) is None
+    assert balancer.choose((), 0, set(), 0.0) is None
+
+
+@pytest.mark.parametrize('name', BALANCERS)
+def test_last_target_is_tried_even_when_it_failed(name):
+    balancer = _create('balancing', name)
+    (target,) = _targets(1)
+    for _ in range(5):
+        assert balancer.choose((target,), 0, set(), 1.0) is target
+        balancer.sent(target, 1.0)
+        balancer.finished(target, 0.1, None, 1.0)
+
+
+@pytest.mark.parametrize('name', BALANCERS)
+def test_unheard_service_is_not_shed(name):
+    balancer = _create('balancing', name)
+    assert balancer.sheds('previews', 9, 0.99, 0.0) == 0.0
+
+
+@pytest.mark.parametrize('name', kernel.names('retry'))
+def test_first_retry_is_permitted(name):
+    budget = _create('retry', name)
+    budget.earn('previews', 1.0)
+    assert budget.spend('previews', 1.0)
