Add stand-ins for the platform and upstreams

The upstream stand-in has slots, a queue, a connection limit, seeded service times, cold start, drain, shedding, cancellation, deadlines, nested calls, reports that lag or lie, and truncated, dropped or missing answers on command. It writes the start of each run before it runs, so that a killed process leaves it recorded.

--- /dev/null
+++ b/rosemarycrank/standins/_requests.py
@@ -0,0 +1,132 @@
+"""A request as the upstream stand-in understands it."""
+
+import fnmatch
+import time
+
+import attrs
+import msgspec
+
+from rosemarycrank import load
+from rosemarycrank.standins import _settings
+
+
+@attrs.frozen
+class Content:
+    """Body of a request; all of it is optional."""
+
+    nonce: str = ''
+    key: str = ''
+    paid: bool = False
+    call: tuple[_settings.Call, ...] = ()
+
+
+@attrs.frozen
+class Request:
+    """A request to run.
+
+    ``deadline_at`` is in seconds of the monotonic clock, or None.
+    """
+
+    service: str
+    method: str
+    path: str
+    digest: str
+    nonce: str
+    request_id: str = ''
+    token: str = ''
+    key: str = ''
+    paid: bool = False
+    calls: tuple[_settings.Call, ...] = ()
+    deadline_at: float | None = None
+
+    def remaining_s(self):
+        """Return the seconds left until the deadline, or None."""
+        if self.deadline_at is None:
+            return None
+        return max(0.0, self.deadline_at - time.monotonic())
+
+
+def parse(settings, request, body):
+    """Return the request of an HTTP request.
+
+    Parameters
+    ----------
+    settings : UpstreamSettings
+        Settings of the upstream.
+    request : falcon.Request
+        The HTTP request.
+    body : bytes
+        Its whole body.
+
+    Returns
+    -------
+    Request
+        The request.
+
+    Raises
+    ------
+    ValueError
+        If the deadline is not a number.
+    """
+    content = _content(body)
+    path = request.path
+    if request.query_string:
+        path = f'{path}?{request.query_string}'
+    header = request.get_header
+    return Request(
+        service=settings.service,
+        method=request.method,
+        path=path,
+        digest=load.request_digest(
+            settings.service, request.method, path, body
+        ),
+        nonce=content.nonce or request.path.rpartition('/')[2],
+        request_id=header('Rosemarycrank-Request-Id') or '',
+        token=header('Rosemarycrank-Token') or '',
+        key=header('Idempotency-Key') or content.key,
+        paid=content.paid or bool(content.key),
+        calls=content.call or _routed_calls(settings, request),
+        deadline_at=_deadline_at(header('Rosemarycrank-Deadline-Ms')),
+    )
+
+
+def child_body(call, nonce):
+    """Return the body of a nested call.
+
+    Parameters
+    ----------
+    call : Call
+        The nested call.
+    nonce : str
+        Its nonce.
+
+    Returns
+    -------
+    bytes
+        The body; empty for a GET.
+    """
+    if call.method == 'GET':
+        return b''
+    content = Content(nonce=nonce, paid=call.paid, call=call.call)
+    return msgspec.json.encode(content)
+
+
+def _content(body):
+    try:
+        return msgspec.json.decode(body, type=Content)
+    except msgspec.DecodeError:
+        return Content()
+
+
+def _routed_calls(settings, request):
+    for route in settings.routes:
+        method_matches = route.method in ('*', request.method)
+        if method_matches and fnmatch.fnmatchcase(request.path, route.path):
+            return route.calls
+    return ()
+
+
+def _deadline_at(milliseconds):
+    if not milliseconds:
+        return None
+    return time.monotonic() + int(milliseconds) / 1000
--- /dev/null
+++ b/rosemarycrank/standins/_runs.py
@@ -0,0 +1,67 @@
+"""Record of what reached an upstream."""
+
+import time
+
+import attrs
+import msgspec
+
+from rosemarycrank import load
+
+
+class RunLog:
+    """Appends run events to a file, and keeps them.
+
+    A start is written before the run, so that the record holds it even if
+    the process is killed.
+
+    Parameters
+    ----------
+    upstream : str
+        ``host:port`` of the upstream.
+    path : str
+        File to append to; empty for none.
+    """
+
+    def __init__(self, upstream, path=''):
+        self.upstream = upstream
+        self.events = []
+        self._next_number = 0
+        self._file = open(path, 'ab', buffering=0) if path else None
+
+    def start(self, request):
+        """Record that a request starts to run; return its event."""
+        return self._first('start', request)
+
+    def refuse(self, request, reason):
+        """Record that a request arrived and did not run."""
+        self._first('refused', request, reason)
+
+    def end(self, start, how):
+        """Record how the run of a start event ended."""
+        event = attrs.evolve(start, event='end', at=time.time(), detail=how)
+        self._append(event)
+
+    def _first(self, event, request, detail=''):
+        self._next_number += 1
+        record = load.RunEvent(
+            event=event,
+            upstream=self.upstream,
+            number=self._next_number,
+            at=time.time(),
+            nonce=request.nonce,
+            service=request.service,
+            method=request.method,
+            path=request.path,
+            digest=request.digest,
+            request_id=request.request_id,
+            key=request.key,
+            paid=request.paid,
+            detail=detail,
+        )
+        self._append(record)
+        return record
+
+    def _append(self, event):
+        self.events.append(event)
+        if self._file is not None:
+            self._file.write(msgspec.json.encode(event) + b'\n')
--- /dev/null
+++ b/rosemarycrank/standins/_tables.py
@@ -0,0 +1,89 @@
+"""Logic of the platform's table service and object store, in memory."""
+
+import functools
+
+from rosemarycrank import platform
+
+
+class Tables:
+    """Tables and objects that carry out operations one at a time.
+
+    Attributes
+    ----------
+    reads : int
+        Operations that read, so far.
+    writes : int
+        Operations that write, so far, applied or not.
+    """
+
+    def __init__(self):
+        self.reads = 0
+        self.writes = 0
+        self._rows_by_table = {}
+        self._bodies_by_name = {}
+
+    def execute(self, operation):
+        """Carry out one operation.
+
+        Parameters
+        ----------
+        operation : object
+            An operation of `rosemarycrank.platform`.
+
+        Returns
+        -------
+        object
+            The result that the operation's class names.
+
+        Raises
+        ------
+        TypeError
+            If it is no such operation.
+        """
+        return self._execute(operation)
+
+    @functools.singledispatchmethod
+    def _execute(self, operation):
+        raise TypeError(f'operation: got {type(operation).__name__}')
+
+    @_execute.register
+    def _(self, operation: platform.TableRead):
+        self.reads += 1
+        return self._rows(operation.table).get(operation.key)
+
+    @_execute.register
+    def _(self, operation: platform.TableList):
+        self.reads += 1
+        rows = self._rows(operation.table)
+        keys = sorted(k for k in rows if k.startswith(operation.prefix))
+        return [rows[key] for key in keys[: operation.limit]]
+
+    @_execute.register
+    def _(self, operation: platform.TableWrite):
+        self.writes += 1
+        rows = self._rows(operation.table)
+        row = rows.get(operation.key)
+        version = row.version if row is not None else 0
+        if version != operation.expected_version:
+            return platform.WriteResult(applied=False, row=row)
+        row = platform.Row(
+            key=operation.key,
+            value=operation.value,
+            version=version + 1,
+            write_id=operation.write_id,
+        )
+        rows[operation.key] = row
+        return platform.WriteResult(applied=True, row=row)
+
+    @_execute.register
+    def _(self, operation: platform.ObjectGet):
+        self.reads += 1
+        return self._bodies_by_name.get(operation.name)
+
+    @_execute.register
+    def _(self, operation: platform.ObjectPut):
+        self.writes += 1
+        self._bodies_by_name[operation.name] = operation.body
+
+    def _rows(self, table):
+        return self._rows_by_table.setdefault(table, {})
--- /dev/null
+++ b/rosemarycrank/standins/_upstream_app.py
@@ -0,0 +1,184 @@
+"""HTTP face of the upstream stand-in."""
+
+import time
+
+import attrs
+import falcon
+import gevent
+import msgspec
+
+from rosemarycrank.standins import _requests
+from rosemarycrank.standins import _runner
+from rosemarycrank.standins import _server
+from rosemarycrank.standins import _settings
+
+_STATUS_BY_ENDING = {
+    _runner.Ending.COMPLETE: 200,
+    _runner.Ending.CALL_FAILED: 502,
+    _runner.Ending.WRONG_ANSWER: 502,
+    _runner.Ending.EXPIRED: 504,
+    _runner.Ending.CANCELLED: 499,
+}
+_HANG_S = 3600.0
+
+
+def application(runner, run_log, on_drain):
+    """Return the WSGI application of an upstream.
+
+    Parameters
+    ----------
+    runner : Runner
+        What runs requests.
+    run_log : RunLog
+        Record of runs.
+    on_drain : callable
+        Called with True or False when draining is switched.
+
+    Returns
+    -------
+    falcon.App
+        The application.
+    """
+    app = falcon.App()
+    app.add_route('/load', _LoadResource(runner))
+    app.add_route('/health', _HealthResource(runner))
+    app.add_route('/control', _ControlResource(runner, on_drain))
+    app.add_route('/runs', _RunsResource(run_log))
+    app.add_route('/in-flight/{token}', _InFlightResource(runner))
+    app.add_sink(_WorkSink(runner, run_log))
+    return app
+
+
+class _WorkSink:
+    """Everything that is not an endpoint of the stand-in itself."""
+
+    def __init__(self, runner, run_log):
+        self._runner = runner
+        self._run_log = run_log
+
+    def __call__(self, request, response):
+        parsed = self._parse(request)
+        if self._runner.happens(self._runner.behaviour.drop_early_rate):
+            self._run_log.refuse(parsed, 'connection dropped')
+            _server.drop_connection(request)
+            return
+        try:
+            ending = self._runner.run(parsed)
+        except _runner.Refusal as refusal:
+            _refuse(response, refusal)
+            return
+        self._answer(request, response, parsed, ending)
+
+    def _parse(self, request):
+        body = _server.read_body(request)
+        if body is None:
+            raise falcon.HTTPBadRequest(description='body is not whole')
+        try:
+            return _requests.parse(self._runner.settings, request, body)
+        except ValueError as error:
+            raise falcon.HTTPBadRequest(description=str(error)) from error
+
+    def _answer(self, request, response, parsed, ending):
+        body = self._body(parsed, ending)
+        behaviour = self._runner.behaviour
+        if self._runner.happens(behaviour.hang_rate):
+            gevent.sleep(_HANG_S)
+        elif self._runner.happens(behaviour.drop_rate):
+            _server.drop_connection(request)
+        elif self._runner.happens(behaviour.truncate_rate):
+            _server.send_truncated(request, body)
+        response.status = _STATUS_BY_ENDING[ending]
+        response.content_type = falcon.MEDIA_JSON
+        response.data = body
+
+    def _body(self, parsed, ending):
+        return msgspec.json.encode(
+            {
+                'upstream': self._run_log.upstream,
+                'ending': ending.value,
+                'padding': 'x' * self._runner.settings.answer_bytes,
+                'digest': parsed.digest,
+            }
+        )
+
+
+def _refuse(response, refusal):
+    response.status = 503
+    response.set_header('Upstream-Outcome', 'not-run')
+    response.set_header('Retry-After', '1')
+    response.media = {'refused': str(refusal)}
+
+
+class _LoadResource:
+    def __init__(self, runner):
+        self._runner = runner
+        self._sampled_at = 0.0
+        self._sample = 0
+
+    def on_get(self, request, response):
+        behaviour = self._runner.behaviour
+        now = time.monotonic()
+        if now - self._sampled_at >= behaviour.report_lag_s:
+            self._sampled_at = now
+            self._sample = self._runner.in_flight
+        response.media = {
+            'in_flight': round(self._sample * behaviour.load_factor),
+            'slots': self._runner.settings.slots,
+        }
+
+
+class _HealthResource:
+    def __init__(self, runner):
+        self._runner = runner
+
+    def on_get(self, request, response):
+        response.media = {'healthy': self._runner.behaviour.reported_healthy}
+
+
+class _ControlResource:
+    def __init__(self, runner, on_drain):
+        self._runner = runner
+        self._on_drain = on_drain
+
+    def on_get(self, request, response):
+        runner = self._runner
+        response.media = {
+            **attrs.asdict(runner.behaviour),
+            'in_flight': runner.in_flight,
+            'waiting': runner.waiting,
+        }
+
+    def on_post(self, request, response):
+        before = self._runner.behaviour
+        self._runner.behaviour = self._changed(request)
+        if self._runner.behaviour.drain != before.drain:
+            self._on_drain(self._runner.behaviour.drain)
+        self.on_get(request, response)
+
+    def _changed(self, request):
+        body = _server.read_body(request) or b''
+        try:
+            changes = msgspec.json.decode(body, type=dict)
+            values = {**attrs.asdict(self._runner.behaviour), **changes}
+            _server.check_keys(values, _settings.Behaviour)
+            return msgspec.convert(values, _settings.Behaviour)
+        except (ValueError, msgspec.DecodeError) as error:
+            raise falcon.HTTPBadRequest(description=str(error)) from error
+
+
+class _RunsResource:
+    def __init__(self, run_log):
+        self._run_log = run_log
+
+    def on_get(self, request, response):
+        response.content_type = falcon.MEDIA_JSON
+        response.data = msgspec.json.encode(self._run_log.events)
+
+
+class _InFlightResource:
+    def __init__(self, runner):
+        self._runner = runner
+
+    def on_delete(self, request, response, token):
+        known = self._runner.cancel(token)
+        response.status = falcon.HTTP_204 if known else falcon.HTTP_404
--- /dev/null
+++ b/rosemarycrank/standins/upstream.py
@@ -0,0 +1,143 @@
+"""Stand-in for an upstream that a partner runs."""
+
+import pathlib
+import time
+from typing import Annotated
+
+import gevent
+import typer
+
+from rosemarycrank import load
+from rosemarycrank.standins import _announcer
+from rosemarycrank.standins import _runner
+from rosemarycrank.standins import _runs
+from rosemarycrank.standins import _server
+from rosemarycrank.standins import _settings
+from rosemarycrank.standins import _upstream_app
+
+# Requests that the node had sent when the upstream withdrew still arrive.
+_QUIET_S = 0.3
+_POLL_S = 0.02
+
+
+class Upstream:
+    """One upstream with its server.
+
+    Parameters
+    ----------
+    settings : UpstreamSettings
+        Settings of the upstream.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.server = _server.Server(
+            settings.address, None, settings.max_connections
+        )
+        self.announcer = None
+        self.runner = None
+
+    def start(self):
+        """Listen, then announce."""
+        self.server.init_socket()
+        settings = self.settings
+        address = self.server.bound_address
+        run_log = _runs.RunLog(address, settings.runs_file)
+        client = (
+            load.Client(settings.node_http) if settings.node_http else None
+        )
+        calls = _runner.NestedCalls(client)
+        self.runner = _runner.Runner(settings, run_log, calls)
+        self.server.application = _upstream_app.application(
+            self.runner, run_log, self._switch_drain
+        )
+        self.server.start()
+        if settings.node_admin:
+            self.announcer = _announcer.Announcer(settings, address)
+            self.announcer.start()
+
+    def stop(self):
+        """Withdraw, wait for what is in flight, then close."""
+        if self.announcer is not None:
+            self.announcer.withdraw()
+        self._wait_until_quiet()
+        self.server.stop(timeout=1.0)
+
+    def _switch_drain(self, drains):
+        if self.announcer is None:
+            return
+        if drains:
+            self.announcer.withdraw()
+        else:
+            self.announcer.start()
+
+    def _wait_until_quiet(self):
+        now = time.monotonic()
+        give_up_at = now + self.settings.drain_s
+        quiet_since = now
+        while now < give_up_at and now - quiet_since < _QUIET_S:
+            gevent.sleep(_POLL_S)
+            now = time.monotonic()
+            if self.runner.in_flight:
+                quiet_since = now
+
+
+def serve(settings):
+    """Serve until SIGTERM.
+
+    Parameters
+    ----------
+    settings : UpstreamSettings
+        Settings of the upstream.
+    """
+    stopped = _server.stop_event()
+    upstream = Upstream(settings)
+    upstream.start()
+    _server.print_ready(address=upstream.server.bound_address)
+    stopped.wait()
+    upstream.stop()
+
+
+def _run(
+    settings: Annotated[pathlib.Path, typer.Option(help='YAML file')] = None,
+    address: Annotated[str, typer.Option(help='host:port')] = None,
+    service: Annotated[str, typer.Option()] = None,
+    partner: Annotated[str, typer.Option()] = None,
+    node_admin: Annotated[str, typer.Option(help='host:port')] = None,
+    node_http: Annotated[str, typer.Option(help='host:port')] = None,
+    slots: Annotated[int, typer.Option(help='requests at once')] = None,
+    max_connections: Annotated[int, typer.Option()] = None,
+    runs_file: Annotated[str, typer.Option(help='appended to')] = None,
+    seed: Annotated[int, typer.Option()] = None,
+    version: Annotated[
+        bool,
+        typer.Option(
+            '--version', callback=_server.print_version, is_eager=True
+        ),
+    ] = False,
+):
+    """Stand in for an upstream."""
+    chosen = _server.load_settings(
+        settings,
+        _settings.UpstreamSettings,
+        address=address,
+        service=service,
+        partner=partner,
+        node_admin=node_admin,
+        node_http=node_http,
+        slots=slots,
+        max_connections=max_connections,
+        runs_file=runs_file,
+        seed=seed,
+    )
+    _server.configure_logging()
+    serve(chosen)
+
+
+def main():
+    """Run the program."""
+    _server.run_program(_run)
+
+
+if __name__ == '__main__':
+    main()
