--- a/rosemarycrank/standins/platform.py
+++ b/rosemarycrank/standins/platform.py
@@ -4,7 +4,7 @@
 import pathlib
 import random
 import re
-from typing import Annotated
+import typing
 
 import attrs
 import falcon
@@ -229,9 +229,11 @@
 
 
 def _run(
-    settings: Annotated[pathlib.Path, typer.Option(help='YAML file')] = None,
-    address: Annotated[str, typer.Option(help='host:port')] = None,
-    version: Annotated[
+    settings: typing.Annotated[
+        pathlib.Path, typer.Option(help='YAML file')
+    ] = None,
+    address: typing.Annotated[str, typer.Option(help='host:port')] = None,
+    version: typing.Annotated[
         bool,
         typer.Option(
             '--version', callback=_server.print_version, is_eager=True
--- a/rosemarycrank/standins/upstream.py
+++ b/rosemarycrank/standins/upstream.py
@@ -2,7 +2,7 @@
 
 import pathlib
 import time
-from typing import Annotated
+import typing
 
 import gevent
 import typer
@@ -99,17 +99,19 @@
 
 
 def _run(
-    settings: Annotated[pathlib.Path, typer.Option(help='YAML file')] = None,
-    address: Annotated[str, typer.Option(help='host:port')] = None,
-    service: Annotated[str, typer.Option()] = None,
-    partner: Annotated[str, typer.Option()] = None,
-    node_admin: Annotated[str, typer.Option(help='host:port')] = None,
-    node_http: Annotated[str, typer.Option(help='host:port')] = None,
-    slots: Annotated[int, typer.Option(help='requests at once')] = None,
-    max_connections: Annotated[int, typer.Option()] = None,
-    runs_file: Annotated[str, typer.Option(help='appended to')] = None,
-    seed: Annotated[int, typer.Option()] = None,
-    version: Annotated[
+    settings: typing.Annotated[
+        pathlib.Path, typer.Option(help='YAML file')
+    ] = None,
+    address: typing.Annotated[str, typer.Option(help='host:port')] = None,
+    service: typing.Annotated[str, typer.Option()] = None,
+    partner: typing.Annotated[str, typer.Option()] = None,
+    node_admin: typing.Annotated[str, typer.Option(help='host:port')] = None,
+    node_http: typing.Annotated[str, typer.Option(help='host:port')] = None,
+    slots: typing.Annotated[int, typer.Option(help='requests at once')] = None,
+    max_connections: typing.Annotated[int, typer.Option()] = None,
+    runs_file: typing.Annotated[str, typer.Option(help='appended to')] = None,
+    seed: typing.Annotated[int, typer.Option()] = None,
+    version: typing.Annotated[
         bool,
         typer.Option(
             '--version', callback=_server.print_version, is_eager=True
