--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -178,9 +178,7 @@
             return results.Result.LEAVING
         if request.token and self.target_calls.running(request.token) is None:
             return results.Result.TOKEN_ENDED
-        request_class = bundle.classify(
-            request.service, request.method, request.path
-        )
+        request_class = _classify(bundle, request)
         if request_class is None:
             return results.Result.UNKNOWN_SERVICE
         if len(request.body) > bundle.policy.max_body_bytes:
@@ -192,9 +190,7 @@
     def _admit(self, request):
         now = self.context.now
         bundle = self.bundle_holder.current
-        request_class = bundle.classify(
-            request.service, request.method, request.path
-        )
+        request_class = _classify(bundle, request)
         deadline = now + min(
             request_class.deadline_s,
             request.deadline_s or request_class.deadline_s,
@@ -614,6 +610,11 @@
         return kernel.Answer(result, retry_after_s=retry_after_s * jitter)
 
 
+def _classify(bundle, request):
+    path = request.path.partition('?')[0]
+    return bundle.classify(request.service, request.method, path)
+
+
 def _shed_hash(request):
     """Return a stable number in [0, 1) for a client request."""
     identity = request.key or request.request_id
--- a/rosemarycrank/messages/__init__.py
+++ b/rosemarycrank/messages/__init__.py
@@ -17,6 +17,7 @@
 
 Codec = _codec.Codec
 DecodeError = _codec.DecodeError
+MAX_FRAME_BYTES = _codec.MAX_FRAME_BYTES
 register = _codec.register
 
 __all__ = [
@@ -30,6 +31,7 @@
     'HelloReply',
     'KeyedCall',
     'KeyedReply',
+    'MAX_FRAME_BYTES',
     'Revoke',
     'RevokeReply',
     'RevokeState',
--- a/rosemarycrank/messages/_codec.py
+++ b/rosemarycrank/messages/_codec.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-MAX_FRAME_BYTES = 4 * 1024 * 1024
+MAX_FRAME_BYTES = 9 * 1024 * 1024
 
 _TYPES_BY_KIND = {}
 _DECODERS_BY_KIND = {}
--- /dev/null
+++ b/rosemarycrank/node/_build.py
@@ -0,0 +1,85 @@
+"""Construction of a node's kernel from its settings."""
+
+import secrets
+
+from rosemarycrank import bundles
+from rosemarycrank import calls
+from rosemarycrank import kernel
+from rosemarycrank import membership
+
+
+def build_kernel(settings, cluster_key, trusted_keys, incarnation=0):
+    """Construct the kernel of a node.
+
+    Parameters
+    ----------
+    settings : rosemarycrank.settings.NodeSettings
+        Checked settings.
+    cluster_key : bytes
+        Key shared by all nodes.
+    trusted_keys : object
+        Signers of bundles that are trusted.
+    incarnation : int, default=0
+        Number of this run; 0 draws a random one.
+
+    Returns
+    -------
+    rosemarycrank.kernel.Kernel
+        The kernel, with all components attached.
+
+    Raises
+    ------
+    ValueError
+        If the settings name a plug-in that is not registered.
+    """
+    context = kernel.Context(
+        settings.address,
+        incarnation or secrets.randbits(63) | 1,
+        settings.seed or secrets.randbits(63),
+    )
+    directory = membership.GossipDirectory(
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        seeds=settings.seeds,
+    )
+    holder = bundles.BundleHolder(
+        directory=directory,
+        trusted_keys=trusted_keys,
+        poll_period_s=settings.bundle_poll_s,
+    )
+    key_ledger = kernel.create(
+        'ledger', settings.ledger, key_secret=cluster_key
+    )
+    target_calls = calls.TargetCalls(
+        failure_domain=settings.failure_domain,
+        directory=directory,
+        controller=kernel.create('admission', settings.admission),
+        bundle_holder=holder,
+    )
+    entry_calls = calls.EntryCalls(
+        directory=directory,
+        balancer=kernel.create(
+            'balancing',
+            settings.balancing,
+            failure_domain=settings.failure_domain,
+            random=context.random,
+        ),
+        budget=kernel.create('retry', settings.retry),
+        bundle_holder=holder,
+        key_ledger=key_ledger,
+        target_calls=target_calls,
+        attempt_timeout_s=settings.attempt_timeout_s,
+    )
+    stopping = (target_calls, entry_calls, key_ledger)
+    lifecycle = calls.Lifecycle(directory, target_calls, stopping)
+    return kernel.Kernel(
+        context,
+        (
+            directory,
+            holder,
+            key_ledger,
+            target_calls,
+            entry_calls,
+            lifecycle,
+        ),
+    )
--- a/rosemarycrank/node/_http.py
+++ b/rosemarycrank/node/_http.py
@@ -1,6 +1,7 @@
 """HTTP interface for clients and for the local upstream's own calls."""
 
 import math
+import select
 import urllib.parse
 import uuid
 
@@ -256,12 +257,10 @@
 
 def _is_gone(connection):
     """Return whether the peer has closed its end."""
-    import socket
-
+    # A poll on the descriptor, since gevent's sockets wait in recv().
+    poll = select.poll()
     try:
-        peeked = connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
+        poll.register(connection.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
         return True
-    return peeked == b''
