Read bundles from YAML and give them canonical content

Cause: operators write bundles in YAML; nodes need one byte form to hash, sign, compare and send in parts. Ruled out: one canonical document hashed as a whole, since each delta would then cost encoding and hashing all of it; msgspec on the YAML data, which reports one error and no line; a linear scan of all rules for each request, replaced by an index by service. Before: the model alone. Conclusion: bundles.load and Content with sections, hash and deltas stand.

--- a/rosemarycrank/bundles/__init__.py
+++ b/rosemarycrank/bundles/__init__.py
@@ -1,5 +1,7 @@
 """Versioned policy bundles: content, signatures, roll-out, spreading."""
 
+from rosemarycrank.bundles import _content
+from rosemarycrank.bundles import _document
 from rosemarycrank.bundles import _model
 
 Bundle = _model.Bundle
@@ -8,12 +10,30 @@
 Policy = _model.Policy
 RequestClass = _model.RequestClass
 Rule = _model.Rule
+UpstreamGroup = _model.UpstreamGroup
+
+Content = _content.Content
+ContentError = _content.ContentError
+Delta = _content.Delta
+content_from_bundle = _content.from_bundle
+content_from_bytes = _content.from_bytes
+
+load = _document.load
+parse = _document.parse
 
 __all__ = [
     'Bundle',
     'BundleAccepted',
+    'Content',
+    'ContentError',
+    'Delta',
     'Partner',
     'Policy',
     'RequestClass',
     'Rule',
+    'UpstreamGroup',
+    'content_from_bundle',
+    'content_from_bytes',
+    'load',
+    'parse',
 ]
--- /dev/null
+++ b/rosemarycrank/bundles/_content.py
@@ -0,0 +1,283 @@
+"""Content of a bundle in sections: canonical bytes, hash and deltas.
+
+A bundle is cut into sections: one for each class, each partner, the rules
+of each service, and the policy. Each section is canonical JSON. The content
+hash covers the digests of the sections, so that a delta costs the work of
+the sections that it changes.
+"""
+
+import hashlib
+
+import attrs
+import msgspec
+
+from rosemarycrank.bundles import _model
+
+_TYPES_BY_KIND = {
+    'classes': _model.RequestClass,
+    'partners': _model.Partner,
+    'policy': _model.Policy,
+    'rules': tuple[_model.Rule, ...],
+}
+_DECODERS_BY_KIND = {
+    kind: msgspec.json.Decoder(section_type)
+    for kind, section_type in _TYPES_BY_KIND.items()
+}
+
+
+class ContentError(ValueError):
+    """Content that is malformed, or not what its hash promises."""
+
+
+@attrs.frozen
+class Delta:
+    """What changes between the contents of two versions.
+
+    Attributes
+    ----------
+    base_hash : str
+        Content hash that the delta applies to.
+    changed : dict of str to bytes
+        New and changed sections by key.
+    removed : tuple of str
+        Keys of removed sections.
+    """
+
+    base_hash: str
+    changed: dict[str, bytes]
+    removed: tuple[str, ...] = ()
+
+
+@attrs.frozen(eq=False)
+class Content:
+    """Sections of one version of a bundle.
+
+    Attributes
+    ----------
+    name : str
+        Name of the bundle line.
+    version : int
+        Version of the bundle.
+    sections : dict of str to bytes
+        Canonical JSON by key, for example ``'classes/renewal'``.
+    digests : dict of str to str
+        SHA-256 of each section in hexadecimal.
+    hash : str
+        Content hash in hexadecimal.
+    """
+
+    name: str
+    version: int
+    sections: dict
+    digests: dict
+    hash: str
+
+    def delta_from(self, base):
+        """Return what changes from an earlier content to this one.
+
+        Parameters
+        ----------
+        base : Content
+            The earlier content.
+
+        Returns
+        -------
+        Delta
+            The changes.
+        """
+        changed = {
+            key: section
+            for key, section in self.sections.items()
+            if base.digests.get(key) != self.digests[key]
+        }
+        removed = tuple(sorted(base.sections.keys() - self.sections.keys()))
+        return Delta(base.hash, changed, removed)
+
+    def apply(self, delta, version):
+        """Return the content after a delta.
+
+        Parameters
+        ----------
+        delta : Delta
+            What changes.
+        version : int
+            Version of the result.
+
+        Returns
+        -------
+        Content
+            The result; its hash is still to be compared.
+
+        Raises
+        ------
+        ContentError
+            If the delta is for another base.
+        """
+        if delta.base_hash != self.hash:
+            raise ContentError(
+                f'base: got {delta.base_hash!r}, allowed {self.hash!r}'
+            )
+        sections = {**self.sections, **delta.changed}
+        digests = {**self.digests, **_digests(delta.changed)}
+        for key in delta.removed:
+            sections.pop(key, None)
+            digests.pop(key, None)
+        return _make(self.name, version, sections, digests)
+
+    def to_bundle(self):
+        """Return the bundle.
+
+        Returns
+        -------
+        Bundle
+            The bundle.
+
+        Raises
+        ------
+        ContentError
+            If a section is malformed or refers to an unknown class.
+        """
+        values_by_kind = {kind: {} for kind in _TYPES_BY_KIND}
+        for key, section in self.sections.items():
+            kind, _, name = key.partition('/')
+            if kind not in _DECODERS_BY_KIND:
+                raise ContentError(f'section: got {key!r}')
+            values_by_kind[kind][name] = _decode(kind, key, section)
+        return _assemble(self, values_by_kind)
+
+    def to_bytes(self):
+        """Return the canonical bytes of the whole content."""
+        sections = {
+            key: msgspec.Raw(section) for key, section in self.sections.items()
+        }
+        return msgspec.json.encode(
+            _Body(self.name, self.version, sections), order='sorted'
+        )
+
+
+@attrs.frozen
+class _Body:
+    name: str
+    version: int
+    sections: dict[str, msgspec.Raw]
+
+
+_BODY_DECODER = msgspec.json.Decoder(_Body)
+
+
+def from_bundle(bundle):
+    """Return the content of a bundle.
+
+    Parameters
+    ----------
+    bundle : Bundle
+        The bundle.
+
+    Returns
+    -------
+    Content
+        Its content.
+    """
+    values = {'policy': bundle.policy}
+    for name, request_class in bundle.classes_by_name.items():
+        values[f'classes/{name}'] = request_class
+    for name, partner in bundle.partners_by_name.items():
+        values[f'partners/{name}'] = partner
+    for service in bundle.services:
+        values[f'rules/{service}'] = [
+            rule for rule in bundle.rules if rule.service == service
+        ]
+    sections = {
+        key: msgspec.json.encode(value) for key, value in values.items()
+    }
+    return from_sections(bundle.name, bundle.version, sections)
+
+
+def from_sections(name, version, sections):
+    """Return the content made of sections.
+
+    Parameters
+    ----------
+    name : str
+        Name of the bundle line.
+    version : int
+        Version of the bundle.
+    sections : dict of str to bytes
+        Canonical JSON by key.
+
+    Returns
+    -------
+    Content
+        The content; its hash is still to be compared.
+    """
+    return _make(name, version, sections, _digests(sections))
+
+
+def from_bytes(body):
+    """Return the content with given canonical bytes.
+
+    Parameters
+    ----------
+    body : bytes
+        As made by `Content.to_bytes`.
+
+    Returns
+    -------
+    Content
+        The content; its hash is still to be compared.
+
+    Raises
+    ------
+    ContentError
+        If the bytes are malformed.
+    """
+    try:
+        decoded = _BODY_DECODER.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ContentError(f'body: {error}') from error
+    sections = {key: bytes(raw) for key, raw in decoded.sections.items()}
+    return from_sections(decoded.name, decoded.version, sections)
+
+
+def _digests(sections):
+    return {
+        key: hashlib.sha256(section).hexdigest()
+        for key, section in sections.items()
+    }
+
+
+def _make(name, version, sections, digests):
+    summary = msgspec.json.encode([name, version, sorted(digests.items())])
+    return Content(
+        name, version, sections, digests, hashlib.sha256(summary).hexdigest()
+    )
+
+
+def _decode(kind, key, section):
+    try:
+        return _DECODERS_BY_KIND[kind].decode(section)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ContentError(f'{key}: {error}') from error
+
+
+def _assemble(content, values_by_kind):
+    rules_by_service = values_by_kind['rules']
+    classes_by_name = values_by_kind['classes']
+    for service, rules in rules_by_service.items():
+        for rule in rules:
+            if rule.service != service:
+                raise ContentError(f'rules/{service}: got {rule.service!r}')
+            if rule.class_name not in classes_by_name:
+                raise ContentError(f'rules/{service}: {rule.class_name!r}')
+    services = sorted(rules_by_service)
+    return _model.Bundle(
+        name=content.name,
+        version=content.version,
+        classes_by_name=classes_by_name,
+        rules=tuple(
+            rule for service in services for rule in rules_by_service[service]
+        ),
+        services=tuple(services),
+        partners_by_name=values_by_kind['partners'],
+        policy=values_by_kind['policy'].get('', _model.Policy()),
+    )
--- a/rosemarycrank/bundles/_model.py
+++ b/rosemarycrank/bundles/_model.py
@@ -1,9 +1,16 @@
-"""Content of a bundle."""
+"""Content of a bundle, and the constraints on its parts."""
 
 import fnmatch
+import typing
 
 import attrs
 
+from rosemarycrank import settings
+
+METHODS = ('*', 'DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT')
+MAX_RANK = 255
+MAX_ALLOWANCE = 16
+
 
 @attrs.frozen
 class RequestClass:
@@ -42,6 +49,15 @@
     method: str = '*'
     path: str = '*'
 
+    constraints: typing.ClassVar[dict] = {
+        'service': settings.NAME,
+        'class_name': settings.NAME,
+        'method': settings.Options(METHODS),
+        'path': settings.Text(
+            r'[/*]\S{0,255}', 'a pattern that starts with / or *'
+        ),
+    }
+
     def matches(self, service, method, path):
         """Return whether the rule applies to a request."""
         return (
@@ -51,12 +67,46 @@
         )
 
 
+@attrs.frozen
+class UpstreamGroup:
+    """Upstreams of one service that a partner runs.
+
+    Attributes
+    ----------
+    service : str
+        Service that they serve.
+    failure_domain : str
+        Failure domain of their VMs; empty when they run in several.
+    targets : int
+        How many there are.
+    slots : int
+        Slots of each; 0 when not known.
+    connections : int
+        Connections that each accepts; 0 when not known.
+    """
+
+    service: str
+    failure_domain: str = ''
+    targets: int = 1
+    slots: int = 0
+    connections: int = 0
+
+    constraints: typing.ClassVar[dict] = {
+        'service': settings.NAME,
+        'failure_domain': settings.NAME,
+        'targets': settings.Interval(int, 1, 100_000),
+        'slots': settings.Interval(int, 0, 100_000),
+        'connections': settings.Interval(int, 0, 1_000_000),
+    }
+
+
 @attrs.frozen
 class Partner:
     """A firm that runs upstreams; ``ended`` once it has left."""
 
     name: str
     ended: bool = False
+    upstreams: tuple[UpstreamGroup, ...] = ()
 
 
 @attrs.frozen
@@ -71,6 +121,19 @@
     max_depth: int = 8
     max_body_bytes: int = 1_048_576
 
+    constraints: typing.ClassVar[dict] = {
+        'goodput_weight': settings.Interval(float, 0.0, 1.0),
+        'max_depth': settings.Interval(int, 1, 32),
+        'max_body_bytes': settings.Interval(int, 1, 64 * 1024 * 1024, 'bytes'),
+    }
+
+
+def _group_by_service(bundle):
+    rules_by_service = {}
+    for rule in bundle.rules:
+        rules_by_service.setdefault(rule.service, []).append(rule)
+    return rules_by_service
+
 
 @attrs.frozen
 class Bundle:
@@ -85,7 +148,7 @@
     classes_by_name : dict of str to RequestClass
         Classes of requests.
     rules : tuple of Rule
-        Rules in order.
+        Rules; their order matters among the rules of one service.
     services : tuple of str
         Names of the services.
     partners_by_name : dict of str to Partner
@@ -101,6 +164,13 @@
     services: tuple
     partners_by_name: dict = attrs.field(factory=dict)
     policy: Policy = Policy()
+    # Every request is classified, so the rules are indexed once.
+    _rules_by_service: dict = attrs.field(
+        init=False,
+        repr=False,
+        eq=False,
+        default=attrs.Factory(_group_by_service, takes_self=True),
+    )
 
     def classify(self, service, method, path):
         """Return the class of a request.
@@ -119,7 +189,7 @@
         RequestClass or None
             None if the service is not in the bundle or no rule matches.
         """
-        for rule in self.rules:
+        for rule in self._rules_by_service.get(service, ()):
             if rule.matches(service, method, path):
                 return self.classes_by_name[rule.class_name]
         return None
--- a/rosemarycrank/settings/__init__.py
+++ b/rosemarycrank/settings/__init__.py
@@ -4,6 +4,7 @@
 from rosemarycrank.settings import _errors
 from rosemarycrank.settings import _loader
 from rosemarycrank.settings import _node
+from rosemarycrank.settings import _yaml
 
 Constraint = _constraints.Constraint
 Flag = _constraints.Flag
@@ -13,8 +14,11 @@
 Nested = _constraints.Nested
 Optional = _constraints.Optional
 Options = _constraints.Options
+Place = _constraints.Place
 Text = _constraints.Text
 
+Located = _yaml.Located
+
 ProblemError = _errors.ProblemError
 SettingsError = _errors.SettingsError
 
@@ -32,12 +36,14 @@
     'Flag',
     'Interval',
     'ListOf',
+    'Located',
     'MapOf',
     'NAME',
     'Nested',
     'NodeSettings',
     'Optional',
     'Options',
+    'Place',
     'ProblemError',
     'SettingsError',
     'Text',
--- a/rosemarycrank/settings/_loader.py
+++ b/rosemarycrank/settings/_loader.py
@@ -7,7 +7,7 @@
 from rosemarycrank.settings import _yaml
 
 
-def load(path, cls):
+def load(path, cls, cross_check=None):
     """Load an instance of a class from a YAML file.
 
     Parameters
@@ -17,6 +17,10 @@
     cls : type
         `attrs` class with a table ``constraints`` of `Constraint` by field
         name. Fields without a default are required.
+    cross_check : callable, optional
+        Called with the content as `Located` and its `Place`; refuses what
+        no single constraint can see. It runs whether or not the values
+        satisfy their constraints.
 
     Returns
     -------
@@ -28,10 +32,10 @@
     SettingsError
         With all problems of the file, if there are any.
     """
-    return parse(_read(path), cls, source=str(path))
+    return parse(_read(path), cls, str(path), cross_check)
 
 
-def parse(text, cls, source):
+def parse(text, cls, source, cross_check=None):
     """Build an instance of a class from YAML text.
 
     Parameters
@@ -42,6 +46,8 @@
         Class as for `load`.
     source : str
         Name of the document for errors.
+    cross_check : callable, optional
+        As for `load`.
 
     Returns
     -------
@@ -57,10 +63,10 @@
     located = _yaml.parse(text, source, problems)
     if located is None:
         raise _group(problems, source)
-    return _convert(located, cls, source, problems)
+    return _convert(located, cls, source, cross_check, problems)
 
 
-def build(cls, mapping, source='mapping'):
+def build(cls, mapping, source='mapping', cross_check=None):
     """Build an instance of a class from a mapping.
 
     Parameters
@@ -71,6 +77,8 @@
         Plain data.
     source : str, default='mapping'
         Name of where it comes from, for errors.
+    cross_check : callable, optional
+        As for `load`.
 
     Returns
     -------
@@ -82,12 +90,14 @@
     SettingsError
         With all problems of the mapping, if there are any.
     """
-    return _convert(_yaml.locate(mapping), cls, source, [])
+    return _convert(_yaml.locate(mapping), cls, source, cross_check, [])
 
 
-def _convert(located, cls, source, problems):
+def _convert(located, cls, source, cross_check, problems):
     place = _constraints.Place(source, '', problems)
     instance = _constraints.Nested(cls).convert(located, place)
+    if cross_check is not None:
+        cross_check(located, place)
     if problems:
         raise _group(problems, source)
     return instance
--- a/rosemarycrank/settings/_yaml.py
+++ b/rosemarycrank/settings/_yaml.py
@@ -33,6 +33,22 @@
             return text[:MAX_SHOWN_CHARS] + '...'
         return text
 
+    def at(self, name):
+        """Return the value under a key, or `EMPTY` when there is none."""
+        return self.by_key().get(name, EMPTY)
+
+    def by_key(self):
+        """Return a mapping's values by key; empty for other values."""
+        return self.data if isinstance(self.data, dict) else {}
+
+    def items(self):
+        """Return a list's items; empty for other values."""
+        return self.data if isinstance(self.data, list) else []
+
+
+#: Stands for a value that is missing.
+EMPTY = Located(None)
+
 
 class _Loader(yaml.SafeLoader):
     """Safe loader without aliases and with bounded nesting.
