--- /dev/null
+++ b/rosemarycrank/keys/__init__.py
@@ -0,0 +1,25 @@
+"""Keys of operators: private keys, signatures and the trusted list."""
+
+from rosemarycrank.keys import _signing
+from rosemarycrank.keys import _trust
+
+KeyFileError = _signing.KeyFileError
+PrivateKey = _signing.PrivateKey
+replace_file = _signing.replace_file
+verify = _signing.verify
+
+PUBLIC_KEY = _trust.PUBLIC_KEY
+TrustedKey = _trust.TrustedKey
+TrustedKeys = _trust.TrustedKeys
+load = _trust.load
+
+__all__ = [
+    'KeyFileError',
+    'PUBLIC_KEY',
+    'PrivateKey',
+    'TrustedKey',
+    'TrustedKeys',
+    'load',
+    'replace_file',
+    'verify',
+]
--- /dev/null
+++ b/rosemarycrank/keys/_trust.py
@@ -0,0 +1,167 @@
+"""List of the operators whose signatures are trusted."""
+
+import typing
+
+import attrs
+import yaml
+
+from rosemarycrank import settings
+
+PUBLIC_KEY = settings.Text(r'[0-9a-f]{64}', '64 hexadecimal digits')
+
+
+@attrs.frozen
+class TrustedKey:
+    """A public key of an operator.
+
+    Attributes
+    ----------
+    public_key : str
+        Raw Ed25519 public key in hexadecimal.
+    revoked : bool
+        Whether its signatures count no more.
+    """
+
+    public_key: str
+    revoked: bool = False
+
+    constraints: typing.ClassVar[dict] = {
+        'public_key': PUBLIC_KEY,
+        'revoked': settings.Flag(),
+    }
+
+
+@attrs.frozen
+class TrustedKeys:
+    """Operators and their public keys.
+
+    Attributes
+    ----------
+    operators : dict of str to tuple of TrustedKey
+        Keys by name of the operator, the oldest first.
+    """
+
+    operators: dict = attrs.field(factory=dict)
+
+    constraints: typing.ClassVar[dict] = {
+        'operators': settings.MapOf(
+            settings.ListOf(settings.Nested(TrustedKey), min_items=1),
+            settings.NAME,
+        ),
+    }
+
+    def trusts(self, operator, public_key):
+        """Return whether a key of an operator is trusted.
+
+        Parameters
+        ----------
+        operator : str
+            Name of the operator.
+        public_key : str
+            Key in hexadecimal.
+
+        Returns
+        -------
+        bool
+            False if the operator or key is unknown, or the key is revoked.
+        """
+        return any(
+            key.public_key == public_key and not key.revoked
+            for key in self.operators.get(operator, ())
+        )
+
+    def with_key(self, operator, public_key):
+        """Return the list with one more key.
+
+        Parameters
+        ----------
+        operator : str
+            Name of the operator, known or new.
+        public_key : str
+            Key in hexadecimal.
+
+        Returns
+        -------
+        TrustedKeys
+            The longer list.
+        """
+        keys = self.operators.get(operator, ())
+        added = (*keys, TrustedKey(public_key))
+        return TrustedKeys({**self.operators, operator: added})
+
+    def with_revoked(self, operator, public_key):
+        """Return the list with one key revoked.
+
+        Parameters
+        ----------
+        operator : str
+            Name of the operator.
+        public_key : str
+            Key in hexadecimal.
+
+        Returns
+        -------
+        TrustedKeys
+            The changed list.
+
+        Raises
+        ------
+        KeyError
+            If the operator has no such key.
+        """
+        keys = self.operators.get(operator, ())
+        if public_key not in [key.public_key for key in keys]:
+            raise KeyError(f'{operator} {public_key}')
+        revoked = tuple(
+            attrs.evolve(key, revoked=True)
+            if key.public_key == public_key
+            else key
+            for key in keys
+        )
+        return TrustedKeys({**self.operators, operator: revoked})
+
+    def to_yaml(self):
+        """Return the list as a YAML document."""
+        operators = {
+            operator: [attrs.asdict(key) for key in keys]
+            for operator, keys in self.operators.items()
+        }
+        return yaml.safe_dump({'operators': operators}, sort_keys=True)
+
+
+def _check_keys_are_unique(document, place):
+    # One key under two names would let its holder approve alone.
+    lines_by_key = {}
+    for operator, keys in document.at('operators').by_key().items():
+        below = place.child('operators').child(operator)
+        for index, key in enumerate(keys.items()):
+            found = key.at('public_key')
+            earlier = lines_by_key.setdefault(str(found.data), found)
+            if earlier is not found:
+                below.item(index).child('public_key').refuse(
+                    found.line,
+                    found.shown(),
+                    f'each key once; it stands on line {earlier.line}',
+                )
+
+
+def load(path):
+    """Load the list of trusted keys.
+
+    Parameters
+    ----------
+    path : str or path-like
+        YAML file.
+
+    Returns
+    -------
+    TrustedKeys
+        The list.
+
+    Raises
+    ------
+    rosemarycrank.settings.SettingsError
+        With all problems of the file; a key that stands under two names is
+        one of them.
+    """
+    return settings.load(path, TrustedKeys, _check_keys_are_unique)
--- a/rosemarycrank/settings/_node.py
+++ b/rosemarycrank/settings/_node.py
@@ -87,7 +87,7 @@
         'region': _constraints.Text(),
         'seeds': _constraints.ListOf(ADDRESS),
         'platform_url': _constraints.Text(
-            r'(https?://[^\s/]+.*)?', 'an http or https URL, or empty'
+            r'(http://[^\s/]+:\d+/?)?', 'http://host:port, or empty'
         ),
         'trusted_keys_file': _constraints.Text(),
         'admission': NAME,
