Run the whole path thin, as separate processes

Ruled out: closing the client port at the start of a planned stop; the local upstream may still call on through it. Before: a node ended with "retry: got 'token-bucket', allowed []".

--- a/rosemarycrank/node/__main__.py
+++ b/rosemarycrank/node/__main__.py
@@ -44,7 +44,7 @@
             settings_file, settings_module.NodeSettings
         )
         cluster_key = _read_cluster_key(settings.cluster_key_file)
-        trusted_keys = keys.load_trusted(settings.trusted_keys_file)
+        trusted_keys = _read_trusted_keys(settings.trusted_keys_file)
         _logging.configure(settings.log_level)
         process = node.Node(settings, cluster_key, trusted_keys)
     except (OSError, ValueError, settings_module.SettingsError) as error:
@@ -83,6 +83,10 @@
     return key
 
 
+def _read_trusted_keys(path):
+    return keys.load(path) if path else keys.TrustedKeys()
+
+
 def _print_errors(error):
     leaves = error.exceptions if isinstance(error, ExceptionGroup) else [error]
     for leaf in leaves:
--- a/rosemarycrank/node/_build.py
+++ b/rosemarycrank/node/_build.py
@@ -2,10 +2,17 @@
 
 import secrets
 
+from rosemarycrank import admission
+from rosemarycrank import balancing
 from rosemarycrank import bundles
 from rosemarycrank import calls
 from rosemarycrank import kernel
+from rosemarycrank import ledger
 from rosemarycrank import membership
+from rosemarycrank import retry
+
+#: Packages whose plug-ins register themselves when they are imported.
+PLUGIN_PACKAGES = (admission, balancing, ledger, retry)
 
 
 def build_kernel(settings, cluster_key, trusted_keys, incarnation=0):
