Add the load driver, the checker and tests of the stand-ins

Requests carry a nonce through the whole chain, and each answer a digest of its request. The checker joins histories and run records by nonce, so it needs none of the nodes' own identifiers. Keys alone were ruled out as the join: reads have none, and a second key for one request would hide a second run.

The stand-ins use the shared HTTP client now; the one that stood beside it is gone.

--- /dev/null
+++ b/rosemarycrank/load/_session.py
@@ -0,0 +1,181 @@
+"""One client request, from its first send to its end."""
+
+import time
+
+import attrs
+import gevent
+
+from rosemarycrank import http_client
+from rosemarycrank.load import _records
+from rosemarycrank.load import _scenario
+
+COMPLETE = 'complete'
+NOT_RUN = 'not-run'
+UNKNOWN = 'unknown'
+
+#: Clients wait longer than the deadline that they give, so that a node can
+#: still tell them what became of the request.
+MARGIN_S = 1.0
+
+MAX_RETRY_AFTER_S = 10.0
+BACKOFF_S = 0.1
+
+
+@attrs.define
+class Session:
+    """Sends one request as often as its client would.
+
+    Parameters
+    ----------
+    arrival : Arrival
+        The request.
+    nodes : list of str
+        Nodes in the order in which the client tries them.
+    clients_by_node : dict of str to http_client.Client
+        Clients of the nodes.
+    keys : KeySource
+        Gives the key.
+    record : callable
+        Takes each `ClientEvent`.
+    due_at : float
+        When the request was due, in seconds since the epoch.
+    """
+
+    arrival: _scenario.Arrival
+    nodes: list
+    clients_by_node: dict
+    keys: object
+    record: object
+    due_at: float
+    key: str = ''
+    sends: int = 0
+    may_have_run: bool = False
+
+    def run(self):
+        """Send the request until its client gives up.
+
+        Returns
+        -------
+        ClientEvent
+            The event of the end.
+        """
+        if self.arrival.kind.paid:
+            self.key = self.keys.key(self.arrival.nonce, self.nodes[0])
+        self.record(self._begin_event())
+        answer = self._send_until_done()
+        outcome = answer.outcome
+        if outcome == NOT_RUN and self.may_have_run:
+            outcome = UNKNOWN
+        end = attrs.evolve(
+            answer,
+            event='end',
+            outcome=outcome,
+            latency_s=time.time() - self.due_at,
+        )
+        self.record(end)
+        return end
+
+    def _begin_event(self):
+        kind = self.arrival.kind
+        nonce = self.arrival.nonce
+        digest = _records.request_digest(
+            kind.service,
+            kind.method,
+            kind.path_of(nonce),
+            kind.body_of(nonce),
+        )
+        return _records.ClientEvent(
+            event='begin',
+            nonce=nonce,
+            at=time.time(),
+            class_name=kind.name,
+            key=self.key,
+            digest=digest,
+            paid=kind.paid,
+        )
+
+    def _send_until_done(self):
+        kind = self.arrival.kind
+        if kind.paid and not self.key:
+            return self._event(NOT_RUN, detail='no key was issued')
+        while True:
+            answer, retry_after_s = self._send_to_reachable()
+            self.sends += 1
+            if answer.outcome != NOT_RUN:
+                self.may_have_run = True
+            if self._is_final(answer):
+                return answer
+            gevent.sleep(retry_after_s)
+
+    def _is_final(self, answer):
+        kind = self.arrival.kind
+        return (
+            answer.outcome == COMPLETE
+            or kind.retries is _scenario.Retries.NONE
+            or self.sends >= kind.max_sends
+        )
+
+    def _send_to_reachable(self):
+        """Send once, moving on while nodes refuse the connection."""
+        for _ in self.nodes:
+            answer, retry_after_s = self._send(self.nodes[0])
+            self.record(answer)
+            if answer.detail:
+                self.nodes.append(self.nodes.pop(0))
+            if answer.detail != 'not sent':
+                break
+        return answer, retry_after_s
+
+    def _send(self, node):
+        kind = self.arrival.kind
+        headers = {'Rosemarycrank-Deadline-Ms': str(kind.deadline_ms)}
+        if self.key:
+            headers['Idempotency-Key'] = self.key
+        nonce = self.arrival.nonce
+        try:
+            response = self.clients_by_node[node].request(
+                kind.method,
+                f'/call/{kind.service}{kind.path_of(nonce)}',
+                kind.body_of(nonce),
+                headers,
+                kind.deadline_ms / 1000 + MARGIN_S,
+            )
+        except http_client.ConnectFailed:
+            return self._event(NOT_RUN, node, detail='not sent'), BACKOFF_S
+        except http_client.HttpError as error:
+            detail = f'no answer: {error}'
+            return self._event(UNKNOWN, node, detail=detail), BACKOFF_S
+        return self._answer_event(node, response), self._pause_s(response)
+
+    def _answer_event(self, node, response):
+        header = response.headers.get
+        return _records.ClientEvent(
+            event='answer',
+            nonce=self.arrival.nonce,
+            at=time.time(),
+            node=node,
+            outcome=header('rosemarycrank-outcome', ''),
+            result=int(header('rosemarycrank-result', '0')),
+            status=response.status,
+            request_id=header('rosemarycrank-request-id', ''),
+            answer_digest=_records.answer_digest(response.body),
+        )
+
+    def _event(self, outcome, node='', detail=''):
+        return _records.ClientEvent(
+            event='answer',
+            nonce=self.arrival.nonce,
+            at=time.time(),
+            node=node,
+            outcome=outcome,
+            detail=detail,
+        )
+
+    def _pause_s(self, response):
+        if self.arrival.kind.retries is _scenario.Retries.HARD:
+            return 0.0
+        header = response.headers.get
+        milliseconds = header('rosemarycrank-retry-after-ms')
+        if milliseconds is not None:
+            return min(int(milliseconds) / 1000, MAX_RETRY_AFTER_S)
+        return BACKOFF_S
--- a/rosemarycrank/standins/_announcer.py
+++ b/rosemarycrank/standins/_announcer.py
@@ -5,7 +5,8 @@
 
 import gevent
 
-from rosemarycrank import load
+from rosemarycrank import http_client
+from rosemarycrank.standins import _server
 
 _LOG = logging.getLogger(__name__)
 _TIMEOUT_S = 2.0
@@ -26,7 +27,7 @@
         self.announced = False
         self._settings = settings
         self._address = address
-        self._client = load.Client(settings.node_admin)
+        self._client = _server.client(settings.node_admin)
         self._task = None
 
     def start(self):
@@ -61,9 +62,9 @@
         body = json.dumps(values).encode()
         try:
             answer = self._client.request(
-                'POST', path, headers, body, _TIMEOUT_S
+                'POST', path, body, headers, _TIMEOUT_S
             )
-        except (load.NotSent, load.NoAnswer):
+        except http_client.HttpError:
             return False
         return answer.status < 300
 
--- a/rosemarycrank/standins/_requests.py
+++ b/rosemarycrank/standins/_requests.py
@@ -7,17 +7,6 @@
 import msgspec
 
 from rosemarycrank import load
-from rosemarycrank.standins import _settings
-
-
-@attrs.frozen
-class Content:
-    """Body of a request; all of it is optional."""
-
-    nonce: str = ''
-    key: str = ''
-    paid: bool = False
-    call: tuple[_settings.Call, ...] = ()
 
 
 @attrs.frozen
@@ -36,7 +25,7 @@
     token: str = ''
     key: str = ''
     paid: bool = False
-    calls: tuple[_settings.Call, ...] = ()
+    calls: tuple[load.NestedCall, ...] = ()
     deadline_at: float | None = None
 
     def remaining_s(self):
@@ -83,8 +72,8 @@
         nonce=content.nonce or request.path.rpartition('/')[2],
         request_id=header('Rosemarycrank-Request-Id') or '',
         token=header('Rosemarycrank-Token') or '',
-        key=header('Idempotency-Key') or content.key,
-        paid=content.paid or bool(content.key),
+        key=header('Idempotency-Key') or '',
+        paid=content.paid,
         calls=content.call or _routed_calls(settings, request),
         deadline_at=_deadline_at(header('Rosemarycrank-Deadline-Ms')),
     )
@@ -95,7 +84,7 @@
 
     Parameters
     ----------
-    call : Call
+    call : NestedCall
         The nested call.
     nonce : str
         Its nonce.
@@ -107,15 +96,15 @@
     """
     if call.method == 'GET':
         return b''
-    content = Content(nonce=nonce, paid=call.paid, call=call.call)
+    content = load.Content(nonce=nonce, paid=call.paid, call=call.call)
     return msgspec.json.encode(content)
 
 
 def _content(body):
     try:
-        return msgspec.json.decode(body, type=Content)
+        return msgspec.json.decode(body, type=load.Content)
     except msgspec.DecodeError:
-        return Content()
+        return load.Content()
 
 
 def _routed_calls(settings, request):
--- a/rosemarycrank/standins/_runner.py
+++ b/rosemarycrank/standins/_runner.py
@@ -10,6 +10,7 @@
 from gevent import event
 from gevent import lock
 
+from rosemarycrank import http_client
 from rosemarycrank import load
 from rosemarycrank.standins import _requests
 
@@ -80,7 +81,7 @@
         self.waiting = 0
         self._run_log = run_log
         self._calls = calls
-        self._durations = Durations(settings)
+        self.durations = Durations(settings)
         self._random = random.Random(settings.seed + 1)
         self._slots = lock.Semaphore(settings.slots)
         self._cancelled_by_token = {}
@@ -160,7 +161,7 @@
         return ending
 
     def _work(self, request, cancelled):
-        duration_s = self._durations.draw(self.behaviour.slow_factor)
+        duration_s = self.durations.draw(self.behaviour.slow_factor)
         remaining_s = request.remaining_s()
         expires = remaining_s is not None and remaining_s < duration_s
         if cancelled.wait(remaining_s if expires else duration_s):
@@ -186,10 +187,18 @@
 class NestedCalls:
     """Makes nested calls through the upstream's own node.
 
-    ``client`` is a client of the node's port for callers, or None.
+    Parameters
+    ----------
+    client : http_client.Client or None
+        Client of the node's port for callers.
+    run_log : RunLog
+        Where calls are recorded.
+    timeout_s : float
+        Longest wait for an answer, in seconds.
     """
 
     client: object
+    run_log: object
     timeout_s: float = 30.0
 
     def make_all(self, request):
@@ -223,29 +232,40 @@
         if self.client is None:
             return Ending.CALL_FAILED
         nonce = f'{request.nonce}.{number}'
+        self.run_log.calling(nonce)
+        ending, told = self._exchange(request, call, nonce)
+        self.run_log.called(nonce, told)
+        return ending
+
+    def _exchange(self, request, call, nonce):
+        """Make one call; return its ending and what was told."""
         path = call.path.replace('{nonce}', nonce)
         body = _requests.child_body(call, nonce)
-        headers = {'Rosemarycrank-Token': request.token}
-        if call.paid or call.key:
-            headers['Idempotency-Key'] = call.key or nonce
-        return self._exchange(call, path, headers, body)
-
-    def _exchange(self, call, path, headers, body):
         try:
             answer = self.client.request(
                 call.method,
                 f'/call/{call.service}{path}',
-                headers,
                 body,
+                _child_headers(request, call, nonce),
                 self.timeout_s,
             )
-        except (load.NotSent, load.NoAnswer):
-            return Ending.CALL_FAILED
-        if answer.headers.get('rosemarycrank-outcome') != 'complete':
-            return Ending.CALL_FAILED
+        except http_client.ConnectFailed:
+            return Ending.CALL_FAILED, 'not-run'
+        except http_client.HttpError:
+            return Ending.CALL_FAILED, 'unknown'
+        outcome = answer.headers.get('rosemarycrank-outcome', '')
+        if outcome != 'complete':
+            return Ending.CALL_FAILED, outcome
         digest = load.request_digest(call.service, call.method, path, body)
         if load.answer_digest(answer.body) != digest:
-            return Ending.WRONG_ANSWER
+            return Ending.WRONG_ANSWER, Ending.WRONG_ANSWER.value
         if answer.status != 200:
-            return Ending.CALL_FAILED
-        return Ending.COMPLETE
+            return Ending.CALL_FAILED, outcome
+        return Ending.COMPLETE, outcome
+
+
+def _child_headers(request, call, nonce):
+    headers = {'Rosemarycrank-Token': request.token}
+    if call.paid:
+        headers['Idempotency-Key'] = call.key or f'key-{nonce}'
+    return headers
--- a/rosemarycrank/standins/_runs.py
+++ b/rosemarycrank/standins/_runs.py
@@ -3,7 +3,6 @@
 import time
 
 import attrs
-import msgspec
 
 from rosemarycrank import load
 
@@ -26,7 +25,7 @@
         self.upstream = upstream
         self.events = []
         self._next_number = 0
-        self._file = open(path, 'ab', buffering=0) if path else None
+        self._writer = load.Writer(path) if path else None
 
     def start(self, request):
         """Record that a request starts to run; return its event."""
@@ -41,6 +40,24 @@
         event = attrs.evolve(start, event='end', at=time.time(), detail=how)
         self._append(event)
 
+    def calling(self, nonce):
+        """Record that a nested call is about to be made."""
+        self._append(self._call_event('calling', nonce))
+
+    def called(self, nonce, told):
+        """Record what the caller of a nested call was told."""
+        self._append(self._call_event('call', nonce, told))
+
+    def _call_event(self, event, nonce, detail=''):
+        return load.RunEvent(
+            event=event,
+            upstream=self.upstream,
+            number=0,
+            at=time.time(),
+            nonce=nonce,
+            detail=detail,
+        )
+
     def _first(self, event, request, detail=''):
         self._next_number += 1
         record = load.RunEvent(
@@ -63,5 +80,5 @@
 
     def _append(self, event):
         self.events.append(event)
-        if self._file is not None:
-            self._file.write(msgspec.json.encode(event) + b'\n')
+        if self._writer is not None:
+            self._writer.append(event)
--- a/rosemarycrank/standins/_server.py
+++ b/rosemarycrank/standins/_server.py
@@ -15,6 +15,7 @@
 import typer
 
 import rosemarycrank
+from rosemarycrank import http_client
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_CONNECTIONS = 10_000
@@ -102,6 +103,12 @@
     return host, int(port)
 
 
+def client(address):
+    """Return an HTTP client of ``host:port``."""
+    host, port = split_address(address)
+    return http_client.Client(host, port, connections=MAX_CONNECTIONS)
+
+
 def print_ready(**fields):
     """Print the line that tells a parent process that this one serves."""
     print(json.dumps({'ready': True, **fields}), flush=True)
--- a/rosemarycrank/standins/_settings.py
+++ b/rosemarycrank/standins/_settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from rosemarycrank import load
+
 
 @attrs.frozen
 class ServiceTime:
@@ -26,27 +28,11 @@
     requests: int = 0
 
 
-@attrs.frozen
-class Call:
-    """A nested call that an upstream makes through its own node.
-
-    ``{nonce}`` in the path stands for the call's nonce. A paid call brings
-    ``key``, or a key made from its nonce.
-    """
-
-    service: str
-    method: str = 'GET'
-    path: str = '/{nonce}'
-    paid: bool = False
-    key: str = ''
-    call: tuple['Call', ...] = ()
-
-
 @attrs.frozen
 class Route:
     """Nested calls of the requests that match a method and a path pattern."""
 
-    calls: tuple[Call, ...]
+    calls: tuple[load.NestedCall, ...]
     method: str = '*'
     path: str = '*'
 
--- a/rosemarycrank/standins/upstream.py
+++ b/rosemarycrank/standins/upstream.py
@@ -7,7 +7,6 @@
 import gevent
 import typer
 
-from rosemarycrank import load
 from rosemarycrank.standins import _announcer
 from rosemarycrank.standins import _runner
 from rosemarycrank.standins import _runs
@@ -27,6 +26,15 @@
     ----------
     settings : UpstreamSettings
         Settings of the upstream.
+
+    Attributes
+    ----------
+    server : Server
+        Its HTTP server.
+    run_log : RunLog
+        Record of what reached it; once started.
+    runner : Runner
+        What runs requests; once started.
     """
 
     def __init__(self, settings):
@@ -35,6 +43,7 @@
             settings.address, None, settings.max_connections
         )
         self.announcer = None
+        self.run_log = None
         self.runner = None
 
     def start(self):
@@ -42,14 +51,11 @@
         self.server.init_socket()
         settings = self.settings
         address = self.server.bound_address
-        run_log = _runs.RunLog(address, settings.runs_file)
-        client = (
-            load.Client(settings.node_http) if settings.node_http else None
-        )
-        calls = _runner.NestedCalls(client)
-        self.runner = _runner.Runner(settings, run_log, calls)
+        self.run_log = _runs.RunLog(address, settings.runs_file)
+        calls = _runner.NestedCalls(_node_client(settings), self.run_log)
+        self.runner = _runner.Runner(settings, self.run_log, calls)
         self.server.application = _upstream_app.application(
-            self.runner, run_log, self._switch_drain
+            self.runner, self.run_log, self._switch_drain
         )
         self.server.start()
         if settings.node_admin:
@@ -82,6 +88,12 @@
                 quiet_since = now
 
 
+def _node_client(settings):
+    if not settings.node_http:
+        return None
+    return _server.client(settings.node_http)
+
+
 def serve(settings):
     """Serve until SIGTERM.
 
--- /dev/null
+++ b/tests/load/test_driver.py
@@ -0,0 +1,137 @@
+"""The load driver against a node that passes calls on."""
+
+import attrs
+import pytest
+
+from rosemarycrank import http_client
+from rosemarycrank import load
+from rosemarycrank.load import _keys
+from rosemarycrank.load import _scenario
+
+REFUSED = '127.0.0.1:1'
+
+
+def _scenario_of(**fields):
+    kinds = (
+        load.RequestKind(name='read', service='s', rate=100),
+        load.RequestKind(
+            name='renewal', service='s', method='POST', rate=50, paid=True
+        ),
+    )
+    return load.Scenario(requests=kinds, duration_s=0.5, seed=3, **fields)
+
+
+@pytest.fixture
+def drive(fake_node, start_upstream):
+    """A function that drives a scenario and returns its records."""
+    upstream, _ = start_upstream(service='s')
+    fake_node.upstreams_by_service['s'] = upstream.server.bound_address
+
+    def drive(scenario, nodes=()):
+        events = []
+        nodes = [fake_node.address, *nodes]
+        driver = load.Driver(scenario, nodes, events.append)
+        driver.run()
+        report = load.check(events, upstream.run_log.events)
+        return driver.statistics, events, report
+
+    return drive
+
+
+def test_arrivals_follow_the_seed():
+    first = list(_scenario.arrivals(_scenario_of()))
+    assert first == list(_scenario.arrivals(_scenario_of()))
+    assert first == sorted(first)
+    assert len({arrival.nonce for arrival in first}) == len(first)
+    other = attrs.evolve(_scenario_of(), seed=4)
+    assert first != list(_scenario.arrivals(other))
+
+
+def test_phases_multiply_rates():
+    phase = _scenario.Phase(10, 20, 4.0, ('read',))
+    scenario = attrs.evolve(_scenario_of(), duration_s=30.0, phases=(phase,))
+    times = [
+        arrival.at_s
+        for arrival in _scenario.arrivals(scenario)
+        if arrival.kind.name == 'read'
+    ]
+    before = sum(at_s < 10 for at_s in times)
+    during = sum(10 <= at_s < 20 for at_s in times)
+    assert 3.5 < during / before < 4.5
+
+
+def test_sound_run(drive):
+    statistics, _, report = drive(_scenario_of())
+    assert report.holds
+    assert report.calls == report.successful == statistics.ended > 40
+    assert statistics.as_dict()['classes']['read']['p99_ms'] > 0
+
+
+@pytest.mark.parametrize('mode', ['obey', 'hard'])
+def test_retries_keep_the_key(drive, fake_node, mode):
+    fake_node.refusals_left = 20
+    scenario = _scenario_of()
+    kinds = tuple(
+        attrs.evolve(kind, retries=_scenario.Retries(mode), max_sends=30)
+        for kind in scenario.requests
+    )
+    _, events, report = drive(attrs.evolve(scenario, requests=kinds))
+    assert report.holds
+    assert report.sends == report.calls + 20
+    assert report.successful == report.calls
+    keys = {e.nonce: e.key for e in events if e.event == 'begin'}
+    sent = {
+        h['IDEMPOTENCY-KEY']
+        for h in fake_node.headers
+        if 'IDEMPOTENCY-KEY' in h
+    }
+    assert sent == set(keys.values()) - {''}
+
+
+def test_client_moves_on_when_refused_a_connection(drive):
+    _, events, report = drive(_scenario_of(), [REFUSED])
+    assert report.holds
+    assert report.successful == report.calls
+    assert any(event.detail == 'not sent' for event in events)
+
+
+def test_all_nodes_refuse(drive):
+    events = []
+    driver = load.Driver(_scenario_of(), [REFUSED], events.append)
+    driver.run()
+    report = load.check(events, [])
+    assert report.holds
+    assert report.not_run == report.calls > 0
+
+
+def test_swapped_answers_are_caught(drive, fake_node):
+    fake_node.swaps_answers = True
+    _, _, report = drive(_scenario_of())
+    assert report.wrong_answers == report.calls > 0
+
+
+def test_unknown_outcomes_are_asked_about(drive, start_upstream, fake_node):
+    gone = start_upstream(service='s')[0]
+    fake_node.upstreams_by_service['s'] = gone.server.bound_address
+    gone.runner.behaviour = attrs.evolve(gone.runner.behaviour, drop_rate=1)
+    _, events, report = drive(_scenario_of())
+    assert report.unknown == report.calls
+    asked = [event.nonce for event in events if event.event == 'asked']
+    paid = [e.nonce for e in events if e.event == 'begin' and e.paid]
+    assert sorted(asked) == sorted(paid)
+
+
+def test_keys_issued_by_nodes(drive, fake_node):
+    scenario = _scenario_of(keys=_scenario.Keys.NODE)
+    _, events, report = drive(scenario)
+    assert report.successful == report.calls
+    paid = [e.key for e in events if e.event == 'begin' and e.paid]
+    assert all(key.startswith('issued-') for key in paid)
+    assert len(set(paid)) == len(paid)
+    source = _keys.NodeKeys({REFUSED: _Refusing()})
+    assert source.key('n', REFUSED) == ''
+
+
+class _Refusing:
+    def request(self, *arguments, **parameters):
+        raise http_client.ConnectFailed
--- /dev/null
+++ b/tests/standins/test_upstream.py
@@ -0,0 +1,160 @@
+"""The upstream stand-in over HTTP."""
+
+import gevent
+import pytest
+
+from rosemarycrank import http_client
+from rosemarycrank import load
+from rosemarycrank.standins import _settings
+
+ALWAYS = 1.0
+SLOW = 1000.0
+
+
+def _events(upstream):
+    return [
+        (event.event, event.detail)
+        for event in upstream.run_log.events
+        if event.event != 'start'
+    ]
+
+
+def _in_background(client, *arguments, **headers):
+    job = gevent.spawn(client.call, *arguments, **headers)
+    gevent.sleep(0.05)
+    return job
+
+
+def test_answer_holds_the_digest_of_its_request(start_upstream):
+    upstream, client = start_upstream(service='cuotas')
+    value = {'nonce': 'n1', 'paid': True}
+    status, answer = client.call(
+        'POST', '/renewals/1', value, Rosemarycrank_Request_Id='r1'
+    )
+    body = b'{"nonce": "n1", "paid": true}'
+    digest = load.request_digest('cuotas', 'POST', '/renewals/1', body)
+    assert (status, answer['digest']) == (200, digest)
+    start, end = upstream.run_log.events
+    assert (start.nonce, start.request_id, start.paid) == ('n1', 'r1', True)
+    assert (end.event, end.detail) == ('end', 'complete')
+
+
+def test_full_queue_is_refused_as_not_run(start_upstream):
+    upstream, client = start_upstream(slots=1, queue_limit=1)
+    client.call('POST', '/control', {'slow_factor': 100})
+    jobs = [_in_background(client, 'GET', '/a') for _ in range(2)]
+    answer = client.client.request('GET', '/b')
+    assert answer.status == 503
+    assert answer.headers['upstream-outcome'] == 'not-run'
+    assert ('refused', 'queue is full') in _events(upstream)
+    assert [job.get()[0] for job in jobs] == [200, 200]
+
+
+def test_cancelled_while_it_runs(start_upstream):
+    upstream, client = start_upstream()
+    client.call('POST', '/control', {'slow_factor': SLOW})
+    job = _in_background(client, 'GET', '/a', Rosemarycrank_Token='t')
+    assert client.call('GET', '/load')[1]['in_flight'] == 1
+    assert client.call('DELETE', '/in-flight/t')[0] == 204
+    assert job.get()[0] == 499
+    assert _events(upstream) == [('end', 'cancelled')]
+    assert client.call('DELETE', '/in-flight/t')[0] == 404
+
+
+def test_deadline_ends_a_run(start_upstream):
+    upstream, client = start_upstream()
+    client.call('POST', '/control', {'slow_factor': SLOW})
+    header = {'Rosemarycrank_Deadline_Ms': '20'}
+    assert client.call('GET', '/a', **header)[0] == 504
+    assert _events(upstream) == [('end', 'expired')]
+    assert client.call('GET', '/a', Rosemarycrank_Deadline_Ms='x')[0] == 400
+
+
+@pytest.mark.parametrize(
+    'switch, error, event',
+    [
+        ('drop_rate', http_client.AnswerLost, 'end'),
+        ('truncate_rate', http_client.AnswerTruncated, 'end'),
+        ('drop_early_rate', http_client.AnswerLost, 'refused'),
+    ],
+)
+def test_faults_on_command(start_upstream, switch, error, event):
+    upstream, client = start_upstream()
+    client.call('POST', '/control', {switch: ALWAYS})
+    with pytest.raises(error):
+        client.call('GET', '/a')
+    assert [name for name, _ in _events(upstream)] == [event]
+
+
+def test_reports_that_lie_and_lag(start_upstream):
+    _, client = start_upstream()
+    client.call('POST', '/control', {'report_lag_s': 60.0, 'load_factor': 2})
+    assert client.call('GET', '/load')[1]['in_flight'] == 0
+    client.call(
+        'POST',
+        '/control',
+        {'slow_factor': SLOW, 'reported_healthy': False},
+    )
+    job = _in_background(client, 'GET', '/a')
+    assert client.call('GET', '/load')[1]['in_flight'] == 0
+    client.call('POST', '/control', {'report_lag_s': 0.0})
+    assert client.call('GET', '/load')[1]['in_flight'] == 2
+    assert client.call('GET', '/health')[1] == {'healthy': False}
+    job.kill()
+
+
+def test_unknown_switch_is_refused(start_upstream):
+    _, client = start_upstream()
+    status, answer = client.call('POST', '/control', {'slow': 2})
+    assert status == 400
+    assert 'slow_factor' in answer['description']
+
+
+def test_cold_start_is_slow_at_first(start_upstream):
+    upstream, _ = start_upstream(
+        cold_start=_settings.ColdStart(factor=100, requests=2)
+    )
+    draws = [upstream.runner.durations.draw(1.0) for _ in range(3)]
+    assert min(draws[:2]) > 10 * draws[2]
+
+
+def test_connections_over_the_limit_are_closed(start_upstream):
+    upstream, client = start_upstream(max_connections=1)
+    client.call('GET', '/a')
+    other = http_client.Client('127.0.0.1', upstream.server.server_port)
+    with pytest.raises(http_client.AnswerLost):
+        other.request('GET', '/b')
+    assert upstream.server.connections_refused == 1
+
+
+def test_draining_upstream_withdraws_and_refuses(start_upstream, fake_node):
+    _, client = start_upstream(
+        service='cuotas', node_admin=fake_node.address, heartbeat_s=0.05
+    )
+    fake_node.wait_for('/upstream/announce', 2)
+    client.call('POST', '/control', {'drain': True})
+    assert fake_node.paths[-1] == '/upstream/withdraw'
+    assert client.call('GET', '/a')[0] == 503
+
+
+def test_nested_calls_copy_the_token(start_upstream, fake_node):
+    leaf, _ = start_upstream(service='leaf')
+    fake_node.upstreams_by_service['leaf'] = leaf.server.bound_address
+    _, client = start_upstream(service='top', node_http=fake_node.address)
+    calls = [{'service': 'leaf', 'method': 'POST', 'paid': True}] * 2
+    value = {'nonce': 'n', 'call': calls}
+    status, _ = client.call('POST', '/a', value, Rosemarycrank_Token='t')
+    assert status == 200
+    starts = [e for e in leaf.run_log.events if e.event == 'start']
+    assert sorted(e.nonce for e in starts) == ['n.0', 'n.1']
+    tokens = {head.get('ROSEMARYCRANK-TOKEN') for head in fake_node.headers}
+    assert tokens == {'t'}
+
+
+def test_swapped_nested_answer_is_seen(start_upstream, fake_node):
+    leaf, _ = start_upstream(service='other')
+    fake_node.upstreams_by_service['leaf'] = leaf.server.bound_address
+    top, client = start_upstream(service='top', node_http=fake_node.address)
+    value = {'nonce': 'n', 'call': [{'service': 'leaf'}]}
+    assert client.call('POST', '/a', value)[0] == 502
+    assert ('call', 'wrong-answer') in _events(top)
