--- a/tests/calls/network.py
+++ b/tests/calls/network.py
@@ -124,6 +124,8 @@
         self.answers_by_request_id = {}
         self.faults = {}
         self.cut = set()
+        self.silent = set()
+        self.stopped = []
         self.message_count = 0
         self.incarnations = itertools.count(1)
         self._events = []
@@ -251,6 +253,11 @@
                 self._send(address, effect.address, effect.message)
             case kernel.Reply():
                 self._reply(effect)
+            case kernel.ResetPeer():
+                self.silent.discard((address, effect.address))
+            case kernel.StopNow():
+                self.stopped.append(address)
+                self.crash(address)
             case kernel.UpstreamCall():
                 service = self._service(host)
                 started = host.upstream is not refuse
@@ -272,7 +279,7 @@
     def _send(self, sender, destination, message):
         index = self.message_count
         self.message_count += 1
-        delays = [LATENCY_S]
+        delays = [] if (sender, destination) in self.silent else [LATENCY_S]
         fault = self.faults.get(index)
         if fault is not None:
             delays = fault(self, sender, destination, message)
@@ -284,6 +291,10 @@
         if frozenset((sender, destination)) not in self.cut:
             self.post(destination, received)
 
+    def silence(self, sender, destination):
+        """Swallow what goes over a connection until it is replaced."""
+        self.silent.add((sender, destination))
+
     def nested_call(self, address, token, service, path, then):
         """Have the upstream of a node call on through that node."""
         request_id = f'nested-{next(self._sequence)}'
--- a/tests/calls/test_explore.py
+++ b/tests/calls/test_explore.py
@@ -83,6 +83,16 @@
     return [0.001]
 
 
+def silence(network, sender, destination, message):
+    network.silence(sender, destination)
+    return []
+
+
+def silence_both(network, sender, destination, message):
+    network.silence(destination, sender)
+    return silence(network, sender, destination, message)
+
+
 FAULTS = (
     drop,
     duplicate,
@@ -95,6 +105,8 @@
     pause_long,
     cut_link,
     cut_and_heal,
+    silence,
+    silence_both,
 )
 UPSTREAMS = (
     network_module.serve,
