Exchange targets between failure domains through bridge nodes

They send each other heartbeats with one digest, read what differs, and pass on targets to the nodes of their domain that call the service.

Before deltas were also passed on to the other bridges of the receiving domain, a leave that moved the ranks of the bridges was missing at two nodes after 2 s.

--- /dev/null
+++ b/rosemarycrank/membership/_bridge.py
@@ -0,0 +1,419 @@
+"""Exchange between failure domains through a few bridge nodes each."""
+
+import attrs
+
+from rosemarycrank.membership import _messages
+from rosemarycrank.membership import _probing
+from rosemarycrank.membership import _table
+
+PULL_RECORDS = 32
+PULL_RETRY_S = 1.0
+PUSHES_PER_TICK = 100
+SUBSCRIPTIONS_PER_S = 17.0
+SUBSCRIBE_PERIOD_S = 5.0
+
+Status = _messages.Status
+
+
+def subscribe_period_s(member_count):
+    """Return how often a node renews its subscriptions.
+
+    Parameters
+    ----------
+    member_count : int
+        Nodes of the domain; they share the few bridge nodes.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return max(SUBSCRIBE_PERIOD_S, member_count / SUBSCRIPTIONS_PER_S)
+
+
+def rank_by_hash(addresses, count):
+    """Return the nodes that rendezvous hashing gives a task to.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        Nodes to choose from.
+    count : int
+        Nodes to choose.
+
+    Returns
+    -------
+    tuple of str
+        At most ``count`` addresses, in order of rank.
+    """
+    ranked = sorted(addresses, key=_table.hash64, reverse=True)
+    return tuple(ranked[:count])
+
+
+@attrs.define
+class _Subscription:
+    services: set
+    expires_at: float
+
+
+@attrs.define
+class _Pull:
+    root: int
+    sender: str
+    asked_at: float = float('-inf')
+    nonce: int = 0
+
+
+class Bridge:
+    """Bridge node's part; idle while other nodes are the bridges.
+
+    Which nodes are bridges follows from each node's view, without a lease:
+    where views differ, more nodes than needed do the work, which is
+    harmless.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    own_domain : OwnDomain
+        Protocol of the own domain.
+    remote : RemoteView
+        What is known of other domains.
+    settings : GossipDirectory
+        Holder of the constructor parameters.
+
+    Attributes
+    ----------
+    active : bool
+        Whether this node is a bridge.
+    """
+
+    def __init__(self, context, own_domain, remote, settings):
+        self.context = context
+        self.own_domain = own_domain
+        self.remote = remote
+        self.settings = settings
+        self.active = False
+        self._started_at = context.now
+        self._bridges = ()
+        self._bridges_version = None
+        self._next_beacon_at = 0.0
+        self._round = 0
+        self._changed_by_address = {}
+        self._pull_by_domain = {}
+        self._subscription_by_address = {}
+        self._pushes_by_address = {}
+        self._state_pushes = set()
+
+    def bridges(self):
+        """Return the bridge nodes of the own domain in order of rank.
+
+        Returns
+        -------
+        tuple of str
+            Addresses.
+        """
+        table = self.own_domain.view.table
+        if self._bridges_version != table.version:
+            self._bridges_version = table.version
+            self._bridges = rank_by_hash(
+                table.up_addresses(), self.settings.bridge_count
+            )
+        return self._bridges
+
+    def contact(self):
+        """Return the own domain with its bridge nodes.
+
+        Returns
+        -------
+        DomainContact
+            The contact.
+        """
+        return _messages.DomainContact(
+            self.settings.failure_domain, list(self.bridges())
+        )
+
+    def tick(self, now):
+        """Do what is due.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        """
+        self._set_active(self._should_be_active(now), now)
+        if not self.active:
+            return
+        self._send_beacons(now)
+        self._check_silence(now)
+        self._pull(now)
+        self._forward_changes()
+        self._push(now)
+
+    def postpone(self, gap_s):
+        """Move the deadlines after a pause of this process.
+
+        Parameters
+        ----------
+        gap_s : float
+            Length of the pause in seconds.
+        """
+        for domain in self.remote.by_domain.values():
+            domain.heard_at += gap_s
+
+    # News
+
+    def own_changed(self, record):
+        """Queue news of the own domain for the other domains."""
+        if self.active and record.status is not Status.SUSPECT:
+            self._changed_by_address[record.address] = record
+
+    def remote_changed(self, record):
+        """Queue news of another domain for the subscribers.
+
+        Parameters
+        ----------
+        record : Record or None
+            The news; None when the reachability of a domain changed.
+        """
+        if not self.active:
+            return
+        if record is None:
+            self._state_pushes.update(self._subscription_by_address)
+            return
+        for address, subscription in self._subscription_by_address.items():
+            if record.service in subscription.services or self._small_site():
+                self._queue_push(address, record)
+        # The sender's bridge of matching rank may be gone or new.
+        for address in self.bridges():
+            if address != self.context.address:
+                self._queue_push(address, record)
+
+    def contacts_changed(self):
+        """Queue the bridges of other domains for the subscribers."""
+        if self.active:
+            self._state_pushes.update(self._subscription_by_address)
+
+    # Messages
+
+    def on_beacon(self, sender, beacon):
+        """Handle a heartbeat of another domain."""
+        name = beacon.failure_domain
+        if name == self.settings.failure_domain:
+            return
+        self.remote.set_contact(_messages.DomainContact(name, beacon.bridges))
+        self._learn_contact(beacon.contact)
+        if not self.active:
+            # The sender's list of bridges is old.
+            self.context.send(
+                sender,
+                _messages.JoinReply(
+                    self.settings.failure_domain, [self.contact()]
+                ),
+            )
+            return
+        self._heard(name)
+        pull = self._pull_by_domain.get(name)
+        if pull is None or pull.root != beacon.root:
+            self._pull_by_domain[name] = _Pull(beacon.root, sender)
+
+    def digest_replied(self, reply):
+        """Handle the answer of another domain; its records are taken."""
+        name = reply.failure_domain
+        pull = self._pull_by_domain.get(name)
+        if not self.active or pull is None or pull.nonce != reply.nonce:
+            return
+        pull.asked_at = float('-inf')
+        self._heard(name)
+        self.remote.confirm(name)
+
+    def on_subscribe(self, sender, message):
+        """Answer a subscription of a node of the own domain."""
+        if self.context.address not in self.bridges():
+            return
+        period_s = subscribe_period_s(len(self._members()))
+        services = set(message.digest_by_service)
+        self._subscription_by_address[sender] = _Subscription(
+            services, self.context.now + 3.5 * period_s
+        )
+        if self._small_site():
+            services = services | self.remote.service_names()
+        differing = [
+            service
+            for service in sorted(services)
+            if self.remote.service_digest(service)
+            != message.digest_by_service.get(service, 0)
+        ]
+        contacts = self.remote.contacts()
+        if message.contacts_digest == self.remote.contacts_digest():
+            contacts = []
+        self.context.send(
+            sender,
+            _messages.SubscribeReply(
+                message.nonce,
+                self.remote.unreachable(),
+                differing,
+                [
+                    record
+                    for service in differing
+                    for record in self.remote.all_records_of(service)
+                ],
+                contacts,
+            ),
+        )
+
+    # Periodic work
+
+    def _should_be_active(self, now):
+        # A node that has just started knows a part of its domain only, and
+        # would take itself for a bridge.
+        age_s = now - self._started_at
+        ready = self.own_domain.complete or age_s >= self.settings.settle_s
+        return ready and self.context.address in self.bridges()
+
+    def _set_active(self, active, now):
+        if active == self.active:
+            return
+        self.active = active
+        self.remote.keeps_all = active
+        self.context.count('membership_bridge_changes')
+        if active:
+            self._next_beacon_at = now
+            for domain in self.remote.by_domain.values():
+                domain.heard_at = now
+        else:
+            self._stand_down()
+
+    def _stand_down(self):
+        self._changed_by_address.clear()
+        self._pull_by_domain.clear()
+        self._subscription_by_address.clear()
+        self._pushes_by_address.clear()
+        self._state_pushes.clear()
+        self.remote.prune()
+
+    def _send_beacons(self, now):
+        if now < self._next_beacon_at:
+            return
+        jitter = self.context.random.uniform(0.9, 1.1)
+        self._next_beacon_at = now + self.settings.beacon_period_s * jitter
+        self._round += 1
+        own = self.contact()
+        root = self.own_domain.view.table.root()
+        for name, domain in self.remote.by_domain.items():
+            beacon = _messages.Beacon(
+                own.failure_domain, root, own.bridges, self._other(name)
+            )
+            for address in self._beacon_receivers(domain):
+                self.context.send(address, beacon)
+
+    def _other(self, name):
+        contacts = [
+            contact
+            for contact in self.remote.contacts()
+            if contact.failure_domain != name
+        ]
+        return self.context.random.choice(contacts) if contacts else None
+
+    def _beacon_receivers(self, domain):
+        if not domain.reachable:
+            # Its bridges may have been replaced while it was cut off.
+            known = domain.bridges + domain.table.up_addresses()
+            return [self.context.random.choice(known)] if known else []
+        if not domain.bridges:
+            return []
+        if self._round % 2:
+            return [self.context.random.choice(domain.bridges)]
+        return self._matching(domain.bridges)
+
+    def _matching(self, bridges):
+        # Bridges of equal rank talk to each other, so that each one hears
+        # of all that happens with one message instead of many.
+        own = self.bridges()
+        rank = own.index(self.context.address)
+        if rank >= len(bridges):
+            return [bridges[rank % len(bridges)]]
+        return bridges[rank :: len(own)]
+
+    def _check_silence(self, now):
+        for name, domain in self.remote.by_domain.items():
+            if now - domain.heard_at > self.settings.domain_timeout_s:
+                if domain.reachable:
+                    self.context.count('membership_domains_lost')
+                self.remote.set_reachable(name, False)
+
+    def _pull(self, now):
+        # One page a tick: a new bridge has to read whole domains, and the
+        # byte budget holds for it as well.
+        for name, pull in self._pull_by_domain.items():
+            domain = self.remote.domain(name)
+            equal = domain.table.root() == pull.root and domain.confirmed
+            if equal or now - pull.asked_at < PULL_RETRY_S:
+                continue
+            pull.asked_at = now
+            pull.nonce = _probing.new_nonce(self.context)
+            self.context.send(
+                pull.sender,
+                _messages.Digest(pull.nonce, name, domain.table.digest()),
+            )
+            self._pull_by_domain[name] = self._pull_by_domain.pop(name)
+            return
+
+    def _forward_changes(self):
+        if not self._changed_by_address:
+            return
+        records = list(self._changed_by_address.values())
+        page = records[:PULL_RECORDS]
+        for record in page:
+            del self._changed_by_address[record.address]
+        for domain in self.remote.by_domain.values():
+            if domain.reachable and domain.bridges:
+                for address in self._matching(domain.bridges):
+                    self.context.send(address, _messages.Gossip(page))
+
+    def _queue_push(self, address, record):
+        pushes = self._pushes_by_address.setdefault(address, {})
+        pushes[record.address] = record
+
+    def _push(self, now):
+        for address, subscription in list(
+            self._subscription_by_address.items()
+        ):
+            if subscription.expires_at <= now:
+                del self._subscription_by_address[address]
+                self._pushes_by_address.pop(address, None)
+                self._state_pushes.discard(address)
+        for address in list(self._pushes_by_address)[:PUSHES_PER_TICK]:
+            records = list(self._pushes_by_address.pop(address).values())
+            self.context.send(address, _messages.Gossip(records))
+        for address in sorted(self._state_pushes)[:PUSHES_PER_TICK]:
+            self._state_pushes.discard(address)
+            self.context.send(
+                address,
+                _messages.SubscribeReply(
+                    0,
+                    self.remote.unreachable(),
+                    contacts=self.remote.contacts(),
+                ),
+            )
+
+    # State
+
+    def _heard(self, name):
+        self.remote.domain(name).heard_at = self.context.now
+        self.remote.set_reachable(name, True)
+
+    def _learn_contact(self, contact):
+        if contact is None:
+            return
+        known = self.remote.by_domain.get(contact.failure_domain)
+        is_own = contact.failure_domain == self.settings.failure_domain
+        if not is_own and (known is None or not known.bridges):
+            self.remote.set_contact(contact)
+
+    def _members(self):
+        return self.own_domain.view.table.up_addresses()
+
+    def _small_site(self):
+        total = len(self._members()) + self.remote.node_count()
+        return total <= self.settings.small_site_nodes
--- a/rosemarycrank/membership/_messages.py
+++ b/rosemarycrank/membership/_messages.py
@@ -56,16 +56,33 @@
     slots: int = 0
 
 
+class DomainContact(msgspec.Struct, array_like=True, frozen=True):
+    """Addresses of the bridge nodes of a failure domain."""
+
+    failure_domain: str
+    bridges: list[str]
+
+
 @messages.register
 @attrs.frozen
 class Join:
-    """Asks any node for contacts; a node of the same domain adds its view.
+    """Asks any node for contacts; ``record`` is the sender's own."""
+
+    record: Record
+
+
+@messages.register
+@attrs.frozen
+class JoinReply:
+    """Answer to `Join`.
 
-    ``nonce`` comes back in the answer.
+    ``known`` is what the answering node believes of the asker, when that
+    is not what the asker said.
     """
 
-    nonce: int
-    record: Record
+    failure_domain: str
+    contacts: list[DomainContact]
+    known: list[Record] = []
 
 
 @messages.register
@@ -108,7 +125,7 @@
 @messages.register
 @attrs.frozen
 class Gossip:
-    """News of nodes; not answered."""
+    """News of nodes of any failure domain; not answered."""
 
     updates: list[Record]
 
@@ -116,21 +133,70 @@
 @messages.register
 @attrs.frozen
 class Digest:
-    """Digests of the sender's view by bucket, 8 bytes each."""
+    """Digests, 8 bytes a bucket, of what the sender knows of a domain."""
 
     nonce: int
+    failure_domain: str
     buckets: bytes
 
 
 @messages.register
 @attrs.frozen
 class DigestReply:
-    """Records of the buckets that differ.
+    """Records of the first buckets that differ.
 
     ``buckets`` are the numbers of these buckets; the receiver returns what
-    it knows better.
+    it knows better. ``more`` is true when other buckets differ as well.
     """
 
     nonce: int
+    failure_domain: str
     buckets: list[int] = []
     updates: list[Record] = []
+    more: bool = False
+
+
+@messages.register
+@attrs.frozen
+class Beacon:
+    """Heartbeat of a bridge node to a bridge node of another domain.
+
+    ``root`` is the digest of what the sender knows of its own domain.
+    ``contact`` tells of one further domain at a time.
+    """
+
+    failure_domain: str
+    root: int
+    bridges: list[str]
+    contact: DomainContact | None = None
+
+
+@messages.register
+@attrs.frozen
+class Subscribe:
+    """Asks a bridge node of the own domain for targets of other domains.
+
+    ``digest_by_service`` holds the digest of what the sender knows of each
+    service; ``contacts_digest`` that of the bridges of other domains.
+    """
+
+    nonce: int
+    digest_by_service: dict[str, int]
+    contacts_digest: int
+
+
+@messages.register
+@attrs.frozen
+class SubscribeReply:
+    """Answer to `Subscribe`; later changes follow as `Gossip`.
+
+    ``services`` are those whose digests differ: all records of them are in
+    ``updates``. ``unreachable`` are the domains that this bridge does not
+    hear from. A reply with nonce 0 only reports a change of these.
+    """
+
+    nonce: int
+    unreachable: list[str]
+    services: list[str] = []
+    updates: list[Record] = []
+    contacts: list[DomainContact] = []
--- /dev/null
+++ b/rosemarycrank/membership/_notices.py
@@ -0,0 +1,60 @@
+"""Notices that follow from a change of a record."""
+
+from rosemarycrank.membership import _base
+from rosemarycrank.membership import _messages
+from rosemarycrank.membership import _table
+
+
+def publish_up(context, record):
+    """Publish that a node runs.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    record : Record
+        Record of the node.
+    """
+    context.publish(
+        _base.MemberUp(
+            record.address, record.incarnation, record.failure_domain
+        )
+    )
+
+
+def publish_failed(context, record):
+    """Publish that a node failed.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    record : Record
+        Record of the node.
+    """
+    context.publish(_base.MemberFailed(record.address, record.incarnation))
+
+
+def publish_change(context, previous, record):
+    """Publish what a new record of an address means.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    previous : Record or None
+        Earlier record.
+    record : Record
+        The record that replaced it.
+    """
+    was_up = previous is not None and _table.is_up(previous)
+    same_run = was_up and previous.incarnation == record.incarnation
+    if was_up and not same_run:
+        publish_failed(context, previous)
+    if _table.is_up(record):
+        if not same_run:
+            publish_up(context, record)
+    elif same_run and record.status is _messages.Status.LEFT:
+        context.publish(_base.MemberLeft(record.address, record.incarnation))
+    elif same_run:
+        publish_failed(context, record)
--- a/rosemarycrank/membership/_probing.py
+++ b/rosemarycrank/membership/_probing.py
@@ -1,4 +1,4 @@
-"""Failure detection: direct and indirect probes, then suspicion."""
+"""Failure detection: direct probes, then probes through other nodes."""
 
 import attrs
 
@@ -23,6 +23,22 @@
     expires_at: float
 
 
+def new_nonce(context):
+    """Return a number that identifies a question of this node.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+
+    Returns
+    -------
+    int
+        Random number of 32 bits, never 0.
+    """
+    return context.random.getrandbits(32) | 1
+
+
 class Prober:
     """Probes one node a period and reports the ones that do not answer.
 
@@ -35,7 +51,7 @@
     ack_timeout_s : float
         Seconds after which others are asked to probe the node.
     make_ping : callable
-        Takes ``(address, nonce)``, returns a `Ping` for that node.
+        Takes a nonce, returns a `Ping`.
     on_silent : callable
         Called with the address of a node that did not answer in a period.
     """
@@ -62,9 +78,7 @@
             Addresses of the other nodes that are taken to run.
         """
         self._check_probes(now, candidates)
-        for nonce, relay in list(self._relay_by_nonce.items()):
-            if relay.expires_at <= now:
-                del self._relay_by_nonce[nonce]
+        self._expire_relays(now)
         if now >= self._next_at:
             jitter = self.context.random.uniform(0.9, 1.1)
             self._next_at = now + self.period_s * jitter
@@ -94,59 +108,35 @@
         now : float
             Current time in seconds.
         """
-        nonce = self.new_nonce()
+        nonce = new_nonce(self.context)
         self._relay_by_nonce[nonce] = _Relay(
             requester, request.nonce, now + RELAY_LIFETIME_S
         )
-        self._ping(request.address, nonce)
+        self.context.send(request.address, self._make_ping(nonce))
 
     def acked(self, ack):
-        """Handle an answer to a probe of this node.
+        """Handle an answer to a probe.
 
         Parameters
         ----------
         ack : Ack
             The answer.
+
+        Returns
+        -------
+        bool
+            Whether it answers a probe of this node in time.
         """
-        self._probe_by_nonce.pop(ack.nonce, None)
         relay = self._relay_by_nonce.pop(ack.nonce, None)
         if relay is not None:
             self.context.send(
                 relay.requester, _messages.Ack(relay.nonce, ack.address)
             )
-
-    def probe(self, address, now):
-        """Probe one node now.
-
-        Parameters
-        ----------
-        address : str
-            Address of the node.
-        now : float
-            Current time in seconds.
-        """
-        nonce = self.new_nonce()
-        self._probe_by_nonce[nonce] = _Probe(
-            address, now + self.ack_timeout_s, now + self.period_s
-        )
-        self._ping(address, nonce)
-
-    def new_nonce(self):
-        """Return a number that identifies a question of this node.
-
-        Returns
-        -------
-        int
-            Random number of 32 bits.
-        """
-        return self.context.random.getrandbits(32)
-
-    def _ping(self, address, nonce):
-        self.context.send(address, self._make_ping(address, nonce))
+        return self._probe_by_nonce.pop(ack.nonce, None) is not None
 
     def _probe_next(self, now, candidates):
         allowed = set(candidates)
-        while self._order or candidates:
+        while candidates:
             if not self._order:
                 # Every node once in random order: a failed node is probed
                 # within a bounded time, unlike with independent choices.
@@ -154,9 +144,16 @@
                 self.context.random.shuffle(self._order)
             address = self._order.pop()
             if address in allowed:
-                self.probe(address, now)
+                self._probe(address, now)
                 return
 
+    def _probe(self, address, now):
+        nonce = new_nonce(self.context)
+        self._probe_by_nonce[nonce] = _Probe(
+            address, now + self.ack_timeout_s, now + self.period_s
+        )
+        self.context.send(address, self._make_ping(nonce))
+
     def _check_probes(self, now, candidates):
         for nonce, probe in list(self._probe_by_nonce.items()):
             if probe.fails_at <= now:
@@ -171,3 +168,8 @@
         count = min(INDIRECT_PROBES, len(helpers))
         for helper in self.context.random.sample(helpers, count):
             self.context.send(helper, _messages.PingRequest(nonce, address))
+
+    def _expire_relays(self, now):
+        for nonce, relay in list(self._relay_by_nonce.items()):
+            if relay.expires_at <= now:
+                del self._relay_by_nonce[nonce]
--- /dev/null
+++ b/rosemarycrank/membership/_remote.py
@@ -0,0 +1,274 @@
+"""What a node knows of the nodes of other failure domains."""
+
+import attrs
+
+from rosemarycrank.membership import _messages
+from rosemarycrank.membership import _notices
+from rosemarycrank.membership import _table
+
+MISSES_BEFORE_DROP = 3
+
+
+@attrs.define
+class RemoteDomain:
+    """One other failure domain.
+
+    Attributes
+    ----------
+    table : RecordTable
+        Records; all of the domain at a bridge node, else those of the
+        services that this node calls.
+    bridges : tuple of str
+        Addresses of its bridge nodes, as last heard.
+    heard_at : float
+        When a message of it last came in, in seconds; only used at a bridge.
+    reachable : bool
+        Whether it is heard from.
+    confirmed : bool
+        False from a pause of this process until the domain is heard again.
+    """
+
+    table: _table.RecordTable = attrs.field(factory=_table.RecordTable)
+    bridges: tuple = ()
+    heard_at: float = 0.0
+    reachable: bool = True
+    confirmed: bool = True
+
+
+class RemoteView:
+    """Records of other failure domains.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    small_site_nodes : int
+        Up to so many nodes, the records of all services are kept.
+    on_change : callable
+        Called with each record that was news, or with None when the
+        reachability of a domain changed.
+    on_contact : callable
+        Called without arguments when the bridges of a domain changed.
+
+    Attributes
+    ----------
+    by_domain : dict of str to RemoteDomain
+        The other domains known.
+    services : set of str
+        Services whose records are kept.
+    keeps_all : bool
+        Whether the records of all services are kept; true at a bridge.
+    """
+
+    def __init__(self, context, small_site_nodes, on_change, on_contact):
+        self.context = context
+        self.small_site_nodes = small_site_nodes
+        self.by_domain = {}
+        self.services = set()
+        self.keeps_all = False
+        self._on_change = on_change
+        self._on_contact = on_contact
+        self._misses_by_address = {}
+
+    def domain(self, name):
+        """Return the state of a domain, created when not known yet."""
+        if name not in self.by_domain:
+            self.by_domain[name] = RemoteDomain(heard_at=self.context.now)
+        return self.by_domain[name]
+
+    def apply(self, record):
+        """Take a record if it is news and of a service that is kept.
+
+        Parameters
+        ----------
+        record : Record
+            News of a node of another domain.
+
+        Returns
+        -------
+        bool
+            Whether it was taken.
+        """
+        table = self.domain(record.failure_domain).table
+        previous = table.by_address.get(record.address)
+        if previous is None and not self._keeps(record):
+            return False
+        if not table.apply(record):
+            return False
+        self._misses_by_address.pop(record.address, None)
+        if self.domain(record.failure_domain).reachable:
+            _notices.publish_change(self.context, previous, record)
+        self._on_change(record)
+        return True
+
+    def records_of(self, service):
+        """Return the records of a service in domains that are in use.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        list of Record
+            Nodes taken to run.
+        """
+        return [
+            record
+            for domain in self.by_domain.values()
+            if domain.reachable and domain.confirmed
+            for record in domain.table.up_by_service.get(service, {}).values()
+        ]
+
+    def all_records_of(self, service):
+        """Return every record of a service, of nodes that stopped too."""
+        return [
+            record
+            for domain in self.by_domain.values()
+            for record in domain.table.by_address.values()
+            if record.service == service
+        ]
+
+    def service_names(self):
+        """Return the services of which running nodes are known."""
+        return {
+            service
+            for domain in self.by_domain.values()
+            for service, records in domain.table.up_by_service.items()
+            if records
+        }
+
+    def service_digest(self, service):
+        """Return the digest of the running nodes of a service."""
+        digest = 0
+        for domain in self.by_domain.values():
+            digest ^= domain.table.service_digest(service)
+        return digest
+
+    def node_count(self):
+        """Return the number of nodes known, stopped ones included."""
+        return sum(len(d.table.by_address) for d in self.by_domain.values())
+
+    def contacts(self):
+        """Return the bridge nodes of the domains known.
+
+        Returns
+        -------
+        list of DomainContact
+            In order of domain.
+        """
+        return [
+            _messages.DomainContact(name, list(domain.bridges))
+            for name, domain in sorted(self.by_domain.items())
+            if domain.bridges
+        ]
+
+    def contacts_digest(self):
+        """Return the digest of `contacts`."""
+        return _table.hash64(
+            ' '.join(
+                f'{contact.failure_domain}={",".join(contact.bridges)}'
+                for contact in self.contacts()
+            )
+        )
+
+    def set_contact(self, contact):
+        """Note the bridge nodes of a domain.
+
+        Parameters
+        ----------
+        contact : DomainContact
+            A domain and its bridges; ignored when it has none.
+        """
+        if not contact.bridges:
+            return
+        domain = self.domain(contact.failure_domain)
+        if domain.bridges != tuple(contact.bridges):
+            domain.bridges = tuple(contact.bridges)
+            self._on_contact()
+
+    def set_reachable(self, name, reachable):
+        """Note whether a domain is heard from.
+
+        Parameters
+        ----------
+        name : str
+            Name of the domain.
+        reachable : bool
+            Whether it is heard from.
+        """
+        domain = self.domain(name)
+        if domain.reachable == reachable:
+            return
+        domain.reachable = reachable
+        publish = _notices.publish_up if reachable else _notices.publish_failed
+        for address in domain.table.up_addresses():
+            publish(self.context, domain.table.by_address[address])
+        self._on_change(None)
+
+    def unreachable(self):
+        """Return the names of the domains that are not heard from."""
+        return sorted(
+            name for name, d in self.by_domain.items() if not d.reachable
+        )
+
+    def distrust(self):
+        """Use no domain until it is confirmed again."""
+        for domain in self.by_domain.values():
+            domain.confirmed = False
+        self._on_change(None)
+
+    def confirm(self, name):
+        """Use a domain again.
+
+        Parameters
+        ----------
+        name : str
+            Name of the domain.
+        """
+        domain = self.domain(name)
+        if not domain.confirmed:
+            domain.confirmed = True
+            self._on_change(None)
+
+    def drop_unlisted(self, services, listed):
+        """Drop nodes that bridges leave out of full lists again and again.
+
+        Parameters
+        ----------
+        services : sequence of str
+            Services that were listed in full.
+        listed : set of str
+            Addresses in the lists.
+        """
+        for domain in self.by_domain.values():
+            for service in services:
+                held = domain.table.up_by_service.get(service, {})
+                for address in set(held) - listed:
+                    self._miss(domain.table, address)
+
+    def prune(self):
+        """Drop the records of services that are not kept."""
+        for domain in self.by_domain.values():
+            for record in list(domain.table.by_address.values()):
+                if not self._keeps(record):
+                    domain.table.forget(record.address)
+
+    def _keeps(self, record):
+        return (
+            self.keeps_all
+            or record.service in self.services
+            or self.node_count() < self.small_site_nodes
+        )
+
+    def _miss(self, table, address):
+        # One bridge may lag behind another, so one list proves little.
+        misses = self._misses_by_address.get(address, 0) + 1
+        self._misses_by_address[address] = misses
+        if misses >= MISSES_BEFORE_DROP:
+            del self._misses_by_address[address]
+            record = table.by_address[address]
+            table.forget(address)
+            _notices.publish_failed(self.context, record)
+            self._on_change(None)
--- /dev/null
+++ b/rosemarycrank/membership/_subscriber.py
@@ -0,0 +1,134 @@
+"""Subscription of a node to targets in other failure domains."""
+
+from rosemarycrank.membership import _bridge
+from rosemarycrank.membership import _probing
+
+BRIDGES_ASKED = 2
+SERVICE_LIFETIME_S = 600.0
+UNANSWERED_RETRY_S = 1.0
+
+
+class Subscriber:
+    """Asks bridge nodes of the own domain for the services it calls.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    remote : RemoteView
+        What is known of other domains.
+    make_request : callable
+        Takes a nonce, returns a `Subscribe`.
+    """
+
+    def __init__(self, context, remote, make_request):
+        self.context = context
+        self.remote = remote
+        self._make_request = make_request
+        self._asked_at_by_service = {}
+        self._bridges = ()
+        self._next_at = 0.0
+        self._period_s = 0.0
+        self._nonces = set()
+        self._unreachable_by_bridge = {}
+
+    def want(self, service):
+        """Note that this node calls a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        """
+        if service not in self._asked_at_by_service:
+            self.remote.services.add(service)
+            self.renew_now()
+        self._asked_at_by_service[service] = self.context.now
+
+    def renew_now(self):
+        """Ask at the next tick."""
+        self._next_at = 0.0
+        self._nonces.clear()
+
+    def tick(self, now, bridges, member_count):
+        """Ask when it is due.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        bridges : sequence of str
+            Bridge nodes of the own domain.
+        member_count : int
+            Nodes of the own domain.
+        """
+        if self.context.address in bridges:
+            self._bridges = ()
+            return
+        chosen = self._choose(bridges)
+        self._period_s = _bridge.subscribe_period_s(member_count)
+        if chosen != self._bridges:
+            self._bridges = chosen
+            # Spread over a while: all nodes of a domain turn to a new
+            # bridge at the same time.
+            spread_s = self._period_s / 10
+            self._next_at = now + self.context.random.uniform(0, spread_s)
+        if chosen and now >= self._next_at:
+            self._next_at = now + UNANSWERED_RETRY_S
+            self._expire(now)
+            self._ask()
+
+    def on_reply(self, sender, reply):
+        """Handle a bridge's answer or report; its records are taken.
+
+        Parameters
+        ----------
+        sender : str
+            The bridge node.
+        reply : SubscribeReply
+            Its answer.
+        """
+        if sender not in self._bridges:
+            return
+        for contact in reply.contacts:
+            self.remote.set_contact(contact)
+        self._unreachable_by_bridge[sender] = set(reply.unreachable)
+        self._update_reachability()
+        listed = {record.address for record in reply.updates}
+        self.remote.drop_unlisted(reply.services, listed)
+        if reply.nonce in self._nonces:
+            jitter = self.context.random.uniform(0.9, 1.1)
+            self._next_at = self.context.now + self._period_s * jitter
+            for name in list(self.remote.by_domain):
+                self.remote.confirm(name)
+
+    def _choose(self, bridges):
+        if not bridges:
+            return ()
+        first = sum(self.context.address.encode()) % len(bridges)
+        rotated = tuple(bridges[first:]) + tuple(bridges[:first])
+        return rotated[:BRIDGES_ASKED]
+
+    def _ask(self):
+        self._nonces.clear()
+        for bridge in self._bridges:
+            nonce = _probing.new_nonce(self.context)
+            self._nonces.add(nonce)
+            self.context.send(bridge, self._make_request(nonce))
+
+    def _expire(self, now):
+        for service, at in list(self._asked_at_by_service.items()):
+            if at + SERVICE_LIFETIME_S <= now:
+                del self._asked_at_by_service[service]
+                self.remote.services.discard(service)
+
+    def _update_reachability(self):
+        # One bridge alone may be cut off from a domain, or lag behind.
+        reports = [
+            self._unreachable_by_bridge[bridge]
+            for bridge in self._bridges
+            if bridge in self._unreachable_by_bridge
+        ]
+        for name in list(self.remote.by_domain):
+            unreachable = all(name in report for report in reports)
+            self.remote.set_reachable(name, not unreachable)
--- a/rosemarycrank/membership/_table.py
+++ b/rosemarycrank/membership/_table.py
@@ -31,14 +31,15 @@
     return record.status <= Status.SUSPECT
 
 
-def _hash(text):
+def hash64(text):
+    """Return a hash of 64 bits that all nodes agree on."""
     digest = hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
     return int.from_bytes(digest, 'big')
 
 
 def bucket_of(address):
     """Return the number of the bucket that an address falls into."""
-    return _hash(address) % BUCKETS
+    return hash64(address) % BUCKETS
 
 
 def record_hash(record):
@@ -59,7 +60,7 @@
     """
     if not is_up(record):
         return 0
-    return _hash(f'{record.address} {record.incarnation} {record.sequence}')
+    return hash64(f'{record.address} {record.incarnation} {record.sequence}')
 
 
 class RecordTable:
@@ -69,12 +70,15 @@
     ----------
     by_address : dict of str to Record
         Latest record of each address.
+    up_by_service : dict of str to dict of str to Record
+        Running nodes by service, then by address.
     version : int
         Grows with each change of the set of running nodes.
     """
 
     def __init__(self):
         self.by_address = {}
+        self.up_by_service = {}
         self.version = 0
         self._digest_by_bucket = [0] * BUCKETS
         self._up_addresses = ()
@@ -137,6 +141,37 @@
             for value in self._digest_by_bucket
         )
 
+    def root(self):
+        """Return one digest of the whole table.
+
+        Returns
+        -------
+        int
+            Hash of 64 bits.
+        """
+        root = 0
+        for digest in self._digest_by_bucket:
+            root ^= digest
+        return root
+
+    def service_digest(self, service):
+        """Return the digest of the running nodes of a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        int
+            Hash of 64 bits; 0 when there are none.
+        """
+        digest = 0
+        for record in self.up_by_service.get(service, {}).values():
+            digest ^= record_hash(record)
+        return digest
+
     def differing_buckets(self, digest):
         """Compare the digests of another table.
 
@@ -158,35 +193,74 @@
             != digest[number * DIGEST_BYTES : (number + 1) * DIGEST_BYTES]
         ]
 
-    def records_in(self, buckets):
-        """Return the records of some buckets.
+    def page(self, buckets, limit):
+        """Return the records of the first buckets, about ``limit`` in all.
 
         Parameters
         ----------
         buckets : sequence of int
             Numbers of buckets.
+        limit : int
+            Number of records after which no further bucket is begun.
+
+        Returns
+        -------
+        tuple of (list of int, list of Record)
+            The buckets that were taken, and their records, nodes that do
+            not run included.
+        """
+        by_bucket = {number: [] for number in buckets}
+        for address, record in self.by_address.items():
+            number = bucket_of(address)
+            if number in by_bucket:
+                by_bucket[number].append(record)
+        taken, records = [], []
+        for number in buckets:
+            if len(records) >= limit:
+                break
+            taken.append(number)
+            records.extend(by_bucket[number])
+        return taken, records
+
+    def better_than(self, buckets, records):
+        """Return what is known better here than in another table.
+
+        Parameters
+        ----------
+        buckets : sequence of int
+            Numbers of the buckets to compare.
+        records : sequence of Record
+            All records of these buckets in the other table.
 
         Returns
         -------
         list of Record
-            Their records, nodes that do not run included.
+            Records that the other table lacks or has an older one of.
         """
-        wanted = set(buckets)
+        received = {record.address: record for record in records}
+        _, own = self.page(buckets, len(self.by_address) + 1)
         return [
             record
-            for address, record in self.by_address.items()
-            if bucket_of(address) in wanted
+            for record in own
+            if (
+                record.address in received
+                and precedence(received[record.address]) < precedence(record)
+            )
+            or (record.address not in received and is_up(record))
         ]
 
     def _replace(self, address, old, new):
         change = 0
         if old is not None:
             change ^= record_hash(old)
+            self.up_by_service.get(old.service, {}).pop(address, None)
         if new is None:
             del self.by_address[address]
         else:
             change ^= record_hash(new)
             self.by_address[address] = new
+            if is_up(new):
+                self.up_by_service.setdefault(new.service, {})[address] = new
         self._digest_by_bucket[bucket_of(address)] ^= change
         was_up = old is not None and is_up(old)
         if was_up != (new is not None and is_up(new)):
--- /dev/null
+++ b/rosemarycrank/membership/_view.py
@@ -0,0 +1,170 @@
+"""What a node knows of the nodes of its own failure domain."""
+
+import msgspec
+
+from rosemarycrank.membership import _messages
+from rosemarycrank.membership import _notices
+from rosemarycrank.membership import _table
+
+Status = _messages.Status
+
+
+class DomainView:
+    """Records of the own failure domain, with suspicion and forgetting.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context of the kernel.
+    suspicion_s : float
+        Seconds from suspicion to failure.
+    forget_s : float
+        Seconds after which a node that does not run is forgotten.
+    on_change : callable
+        Called with each record that was news.
+
+    Attributes
+    ----------
+    table : RecordTable
+        The records.
+    """
+
+    def __init__(self, context, suspicion_s, forget_s, on_change):
+        self.context = context
+        self.suspicion_s = suspicion_s
+        self.forget_s = forget_s
+        self.table = _table.RecordTable()
+        self._on_change = on_change
+        self._fails_at_by_address = {}
+        self._down_since_by_address = {}
+
+    def record(self, address):
+        """Return the record of an address, or None."""
+        return self.table.by_address.get(address)
+
+    def is_up(self, address):
+        """Return whether a node is known and taken to run."""
+        record = self.record(address)
+        return record is not None and _table.is_up(record)
+
+    def others_up(self):
+        """Return the addresses of the other nodes taken to run.
+
+        Returns
+        -------
+        list of str
+            In order of address.
+        """
+        own = self.context.address
+        return [a for a in self.table.up_addresses() if a != own]
+
+    def failed(self):
+        """Return the addresses of nodes that failed and may come back.
+
+        Returns
+        -------
+        list of str
+            Nodes that left are not among them.
+        """
+        return [
+            address
+            for address in self._down_since_by_address
+            if self.record(address).status is Status.FAILED
+        ]
+
+    def apply(self, record):
+        """Take a record if it is news.
+
+        Parameters
+        ----------
+        record : Record
+            News of a node of this domain.
+
+        Returns
+        -------
+        bool
+            Whether it was news.
+        """
+        previous = self.record(record.address)
+        if not self.table.apply(record):
+            return False
+        self._track(record)
+        if record.address != self.context.address:
+            _notices.publish_change(self.context, previous, record)
+        self._on_change(record)
+        return True
+
+    def suspect(self, address):
+        """Suspect a node that did not answer.
+
+        Parameters
+        ----------
+        address : str
+            Address of the node.
+
+        Returns
+        -------
+        Record or None
+            The new record; None if the node is not one to suspect.
+        """
+        record = self.record(address)
+        if record is None or record.status is not Status.ALIVE:
+            return None
+        self.context.count('membership_suspicions')
+        suspected = msgspec.structs.replace(record, status=Status.SUSPECT)
+        self.apply(suspected)
+        return suspected
+
+    def fail(self, address):
+        """Take a node to have failed.
+
+        Parameters
+        ----------
+        address : str
+            Address of a known node.
+        """
+        record = self.record(address)
+        self.context.count('membership_failures')
+        self.apply(msgspec.structs.replace(record, status=Status.FAILED))
+
+    def tick(self, now):
+        """Fail the suspects whose time is up, and forget the long gone.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        """
+        for address, fails_at in list(self._fails_at_by_address.items()):
+            if fails_at <= now:
+                self.fail(address)
+        for address, since in list(self._down_since_by_address.items()):
+            if since + self.forget_s <= now and address != self._own_address():
+                del self._down_since_by_address[address]
+                self.table.forget(address)
+
+    def postpone(self, gap_s):
+        """Move the ends of suspicions after a pause of this process.
+
+        Parameters
+        ----------
+        gap_s : float
+            Length of the pause in seconds.
+        """
+        for address in self._fails_at_by_address:
+            self._fails_at_by_address[address] += gap_s
+
+    def _own_address(self):
+        return self.context.address
+
+    def _track(self, record):
+        address = record.address
+        self._fails_at_by_address.pop(address, None)
+        if record.status is Status.SUSPECT:
+            self._fails_at_by_address[address] = (
+                self.context.now + self.suspicion_s
+            )
+        if _table.is_up(record):
+            self._down_since_by_address.pop(address, None)
+        else:
+            self._down_since_by_address.setdefault(address, self.context.now)
