--- a/benchmarks/_deployment.py
+++ b/benchmarks/_deployment.py
@@ -2,6 +2,7 @@
 
 import json
 import secrets
+import time
 
 import attrs
 import msgspec
@@ -10,6 +11,8 @@
 from rosemarycrank import http_client
 
 CONTROL_TIMEOUT_S = 5.0
+CONDITION_TIMEOUT_S = 30.0
+_POLL_S = 0.05
 
 
 @attrs.frozen
@@ -136,6 +139,59 @@
         target.node = self._start_node(target.plan, addresses).node
         target.node.wait_ready()
 
+    def wait_until_known(self, services):
+        """Wait until every node knows a live target of each service.
+
+        Parameters
+        ----------
+        services : iterable of str
+            Names of the services.
+
+        Returns
+        -------
+        float
+            Seconds waited.
+
+        Raises
+        ------
+        TimeoutError
+            If that does not come about.
+        """
+        wanted = set(services)
+        return self._wait_until(lambda d: wanted <= _known_services(d))
+
+    def wait_until_in_force(self, version):
+        """Wait until a version of the bundle is in force at every node.
+
+        Parameters
+        ----------
+        version : int
+            The version, or a later one.
+
+        Returns
+        -------
+        float
+            Seconds waited.
+
+        Raises
+        ------
+        TimeoutError
+            If that does not come about.
+        """
+        return self._wait_until(lambda d: d['bundle']['version'] >= version)
+
+    def _wait_until(self, holds):
+        """Wait until a condition holds for the dumps of all live nodes."""
+        began_at = time.monotonic()
+        for target in self.targets:
+            while target.node.exit_status is None:
+                if holds(request(target.admin_address, 'GET', '/dump')[1]):
+                    break
+                if time.monotonic() - began_at > CONDITION_TIMEOUT_S:
+                    raise TimeoutError(f'{target.plan.name}: not in time')
+                time.sleep(_POLL_S)
+        return time.monotonic() - began_at
+
     def run_files(self):
         """Return the files in which upstreams record their runs."""
         return sorted(self._folder.glob('*.runs'))
@@ -208,6 +264,14 @@
         return self._processes.start(name, module, ['--settings', str(path)])
 
 
+def _known_services(dump):
+    return {
+        record['service']
+        for record in dump['membership']['records'].values()
+        if record['status'] == 'alive'
+    }
+
+
 def request(address, method, path, value=None):
     """Send a request to a process and return its status and JSON answer.
 
--- a/rosemarycrank/load/_driver.py
+++ b/rosemarycrank/load/_driver.py
@@ -13,7 +13,9 @@
 from rosemarycrank.load import _session
 from rosemarycrank.load import _statistics
 
-_ASK_TIMEOUT_S = 3.0
+# Nodes may themselves wait some seconds for the owner of a key.
+_ASK_TIMEOUT_S = 8.0
+_ASK_NODES = 3
 
 
 class Driver:
@@ -95,7 +97,7 @@
 
     def _ask(self, session):
         """Ask the nodes in turn what became of a key."""
-        for node in session.nodes:
+        for node in session.nodes[:_ASK_NODES]:
             client = self._clients_by_node[node]
             try:
                 response = client.request(
--- a/rosemarycrank/load/_keys.py
+++ b/rosemarycrank/load/_keys.py
@@ -29,6 +29,9 @@
             The key; empty if none could be had.
         """
 
+    def forget(self, node):
+        """Drop keys that a node issued; it cannot be reached."""
+
 
 class ClientKeys(KeySource):
     """Keys that clients make themselves."""
@@ -59,6 +62,9 @@
             keys.extend(self._issue(node))
         return keys.pop() if keys else ''
 
+    def forget(self, node):
+        self._keys_by_node.pop(node, None)
+
     def _issue(self, node):
         client = self._clients_by_node[node]
         target = f'/keys?count={self._batch}'
--- a/rosemarycrank/load/_records.py
+++ b/rosemarycrank/load/_records.py
@@ -94,8 +94,11 @@
         Nonce of the request.
     at : float
         When it happened.
-    class_name, key, digest, paid
+    class_name, digest, paid
         The request; on ``'begin'``.
+    key : str
+        Idempotency key. A request that could not be sent at all may change
+        it, so ``'begin'`` holds the first and ``'answer'`` each one used.
     node : str
         ``host:port`` that was sent to; on ``'answer'`` and ``'asked'``.
     outcome : str
--- a/rosemarycrank/load/_session.py
+++ b/rosemarycrank/load/_session.py
@@ -12,6 +12,7 @@
 COMPLETE = 'complete'
 NOT_RUN = 'not-run'
 UNKNOWN = 'unknown'
+NOT_SENT = 'not sent'
 
 #: Clients wait longer than the deadline that they give, so that a node can
 #: still tell them what became of the request.
@@ -59,8 +60,7 @@
         ClientEvent
             The event of the end.
         """
-        if self.arrival.kind.paid:
-            self.key = self.keys.key(self.arrival.nonce, self.nodes[0])
+        self._choose_key()
         self.record(self._begin_event())
         answer = self._send_until_done()
         outcome = answer.outcome
@@ -95,10 +95,9 @@
         )
 
     def _send_until_done(self):
-        kind = self.arrival.kind
-        if kind.paid and not self.key:
-            return self._event(NOT_RUN, detail='no key was issued')
         while True:
+            if self._lacks_key():
+                return self._event(NOT_RUN, detail='no key was issued')
             answer, retry_after_s = self._send_to_reachable()
             self.sends += 1
             if answer.outcome != NOT_RUN:
@@ -120,12 +119,30 @@
         for _ in self.nodes:
             answer, retry_after_s = self._send(self.nodes[0])
             self.record(answer)
-            if answer.detail:
+            if answer.status == 0:
                 self.nodes.append(self.nodes.pop(0))
-            if answer.detail != 'not sent':
+            if answer.detail != NOT_SENT:
+                break
+            self.keys.forget(answer.node)
+            if not self.sends:
+                # Nothing was ever sent under the key, so a request whose
+                # key's owner is gone may still take another.
+                self._choose_key()
+            if self._lacks_key():
                 break
         return answer, retry_after_s
 
+    def _lacks_key(self):
+        return self.arrival.kind.paid and not self.key
+
+    def _choose_key(self):
+        if not self.arrival.kind.paid:
+            return
+        for node in self.nodes:
+            self.key = self.keys.key(self.arrival.nonce, node)
+            if self.key:
+                return
+
     def _send(self, node):
         kind = self.arrival.kind
         headers = {'Rosemarycrank-Deadline-Ms': str(kind.deadline_ms)}
@@ -141,7 +158,7 @@
                 kind.deadline_ms / 1000 + MARGIN_S,
             )
         except http_client.ConnectFailed:
-            return self._event(NOT_RUN, node, detail='not sent'), BACKOFF_S
+            return self._event(NOT_RUN, node, detail=NOT_SENT), BACKOFF_S
         except http_client.HttpError as error:
             detail = f'no answer: {error}'
             return self._event(UNKNOWN, node, detail=detail), BACKOFF_S
@@ -153,6 +170,7 @@
             event='answer',
             nonce=self.arrival.nonce,
             at=time.time(),
+            key=self.key,
             node=node,
             outcome=header('rosemarycrank-outcome', ''),
             result=int(header('rosemarycrank-result', '0')),
@@ -166,6 +184,7 @@
             event='answer',
             nonce=self.arrival.nonce,
             at=time.time(),
+            key=self.key,
             node=node,
             outcome=outcome,
             detail=detail,
--- a/tests/load/test_driver.py
+++ b/tests/load/test_driver.py
@@ -3,9 +3,7 @@
 import attrs
 import pytest
 
-from rosemarycrank import http_client
 from rosemarycrank import load
-from rosemarycrank.load import _keys
 from rosemarycrank.load import _scenario
 
 REFUSED = '127.0.0.1:1'
@@ -128,10 +126,23 @@
     paid = [e.key for e in events if e.event == 'begin' and e.paid]
     assert all(key.startswith('issued-') for key in paid)
     assert len(set(paid)) == len(paid)
-    source = _keys.NodeKeys({REFUSED: _Refusing()})
-    assert source.key('n', REFUSED) == ''
 
 
-class _Refusing:
-    def request(self, *arguments, **parameters):
-        raise http_client.ConnectFailed
+def test_key_of_a_node_that_cannot_be_reached_is_replaced(drive, fake_node):
+    scenario = _scenario_of(keys=_scenario.Keys.NODE)
+    _, _, report = drive(scenario, [REFUSED])
+    assert report.successful == report.calls
+    sent = [
+        h['IDEMPOTENCY-KEY']
+        for h in fake_node.headers
+        if 'IDEMPOTENCY-KEY' in h
+    ]
+    assert all(key.startswith('issued-') for key in sent)
+
+
+def test_no_node_issues_keys():
+    events = []
+    scenario = _scenario_of(keys=_scenario.Keys.NODE)
+    load.Driver(scenario, [REFUSED], events.append).run()
+    ends = [event for event in events if event.event == 'end']
+    assert {event.outcome for event in ends} == {'not-run'}
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,10 +1,21 @@
 """Real processes for tests of failures."""
 
+import pathlib
+
 import pytest
 
 from benchmarks import _deployment
+from benchmarks import _operators
 from benchmarks import _processes
 
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+OFICINA_PLANS = (
+    _deployment.TargetPlan('hemeroteca', 'escazu', 'valle-uno'),
+    _deployment.TargetPlan('cuotas', 'alajuela', 'valle-uno'),
+    _deployment.TargetPlan('registro-socios', 'paraiso', 'valle-dos'),
+    _deployment.TargetPlan('mesa-edicion', 'escazu', 'valle-uno'),
+)
+
 
 @pytest.fixture
 def processes(tmp_path):
@@ -22,3 +33,25 @@
         return _deployment.Deployment(processes, name, plans, **parameters)
 
     return deploy
+
+
+@pytest.fixture
+def operators(tmp_path):
+    """Two operators whose keys are trusted."""
+    return _operators.Operators(tmp_path)
+
+
+@pytest.fixture
+def oficina(deploy, operators):
+    """Four targets of the Oficina in three domains, with its bundle."""
+    deployment = deploy(
+        *OFICINA_PLANS,
+        name='oficina',
+        trusted_keys_file=str(operators.trusted_keys_path),
+    )
+    deployment.start()
+    platform_url = f'http://{deployment.platform_address}'
+    operators.roll_out(EXAMPLES / 'oficina.bundle.yaml', platform_url)
+    deployment.wait_until_known(plan.service for plan in OFICINA_PLANS)
+    deployment.wait_until_in_force(1)
+    return deployment
