Roll bundles out by one conditional write

Cause: operators race each other, and the answer to the write may be lost after it took effect; each must be told what is true. Ruled out: reading back alone after a lost answer, since a read that comes before the write, or lags, looks like a write that never ran; the conditional write is sent again under its write_id, and at most one copy takes effect. A roll-out that can't be settled in four attempts is told so. Before: no roll-out. Conclusion: bundles.roll_out, read_current, read_content and diff stand.

--- a/rosemarycrank/bundles/__init__.py
+++ b/rosemarycrank/bundles/__init__.py
@@ -1,10 +1,12 @@
 """Versioned policy bundles: content, signatures, roll-out, spreading."""
 
 from rosemarycrank.bundles import _content
+from rosemarycrank.bundles import _diff
 from rosemarycrank.bundles import _document
 from rosemarycrank.bundles import _holder
 from rosemarycrank.bundles import _messages
 from rosemarycrank.bundles import _model
+from rosemarycrank.bundles import _roll_out
 from rosemarycrank.bundles import _signed
 from rosemarycrank.bundles import _table
 
@@ -38,6 +40,18 @@
 CurrentRow = _table.CurrentRow
 body_name = _table.body_name
 
+LostRaceError = _roll_out.LostRaceError
+NotNextError = _roll_out.NotNextError
+OutcomeUnknownError = _roll_out.OutcomeUnknownError
+RollOut = _roll_out.RollOut
+RollOutError = _roll_out.RollOutError
+read_content = _roll_out.read_content
+read_current = _roll_out.read_current
+roll_out = _roll_out.roll_out
+
+Change = _diff.Change
+diff = _diff.diff
+
 load = _document.load
 parse = _document.parse
 
@@ -49,14 +63,20 @@
     'BundleHolder',
     'BundlePull',
     'BundleWhole',
+    'Change',
     'Content',
     'ContentError',
     'CurrentRow',
     'Delta',
     'Head',
+    'LostRaceError',
+    'NotNextError',
+    'OutcomeUnknownError',
     'Partner',
     'Policy',
     'RequestClass',
+    'RollOut',
+    'RollOutError',
     'Rule',
     'Signature',
     'SignatureError',
@@ -65,8 +85,12 @@
     'body_name',
     'content_from_bundle',
     'content_from_bytes',
+    'diff',
     'head_of',
     'load',
     'parse',
+    'read_content',
+    'read_current',
+    'roll_out',
     'signed_from_bytes',
 ]
--- a/rosemarycrank/bundles/_holder.py
+++ b/rosemarycrank/bundles/_holder.py
@@ -45,7 +45,7 @@
         Tells the other nodes.
     trusted_keys : rosemarycrank.keys.TrustedKeys
         Whose signatures count.
-    poll_s : float, default=1.0
+    poll_period_s : float, default=1.0
         Seconds between two reads of the table by a poller.
     pollers : int, default=3
         Pollers in one failure domain.
@@ -60,9 +60,11 @@
         _messages.BundleWhole: 'on_whole',
     }
 
-    def __init__(self, directory, trusted_keys, poll_s=1.0, pollers=POLLERS):
+    def __init__(
+        self, directory, trusted_keys, poll_period_s=1.0, pollers=POLLERS
+    ):
         self.directory = directory
-        self.poll_s = poll_s
+        self.poll_period_s = poll_period_s
         self._store = _store.Store(trusted_keys)
         self._pollers = _pollers.Pollers(pollers)
         self._accepted_at = None
@@ -82,7 +84,7 @@
         )
         self._puller = _pull.Puller(context, self._store)
         timers = context.timers
-        timers.after(self._jittered(self.poll_s), self._on_poll_due)
+        timers.after(self._jittered(self.poll_period_s), self._on_poll_due)
         timers.after(
             context.random.uniform(0, COMPARE_PERIOD_S), self._on_compare_due
         )
@@ -210,7 +212,7 @@
 
     def _on_poll_due(self, now):
         self.context.timers.after(
-            self._jittered(self.poll_s), self._on_poll_due
+            self._jittered(self.poll_period_s), self._on_poll_due
         )
         # A node without a bundle asks its peers first: a whole domain that
         # starts at once must not read the platform at once.
@@ -240,7 +242,9 @@
             self._platform_delay_s = min(
                 BOOTSTRAP_LONGEST_S, self._platform_delay_s * BOOTSTRAP_BACKOFF
             )
-        delay_s = self.poll_s if self._is_poller() else self._platform_delay_s
+        delay_s = (
+            self.poll_period_s if self._is_poller() else self._platform_delay_s
+        )
         self.context.timers.after(
             self._jittered(delay_s), self._on_bootstrap_platform_due
         )
--- /dev/null
+++ b/tests/bundles/test_roll_out.py
@@ -0,0 +1,159 @@
+"""Roll-out against a table whose answers get lost, and racing operators."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from rosemarycrank import bundles
+from rosemarycrank import platform
+from rosemarycrank import standins
+from tests.bundles import conftest
+
+OPERATORS = conftest.make_operators('ana', 'berta')
+
+
+class Client:
+    """Platform whose table writes fail as planned.
+
+    ``faults`` are taken one a table write: 'ok', 'lost-before' and
+    'lost-after' (the write's effect), 'down'. ``before_write`` is called
+    once, just before the first table write.
+    """
+
+    def __init__(self, tables, faults=(), before_write=None):
+        self.tables = tables
+        self.faults = list(faults)
+        self.before_write = before_write
+
+    def execute(self, operation):
+        if not isinstance(operation, platform.TableWrite):
+            return self.tables.execute(operation)
+        if self.before_write is not None:
+            callback, self.before_write = self.before_write, None
+            callback()
+        fault = self.faults.pop(0) if self.faults else 'ok'
+        if fault == 'down':
+            raise platform.PlatformUnavailable('down')
+        if fault == 'lost-before':
+            raise platform.PlatformAnswerLost('lost')
+        result = self.tables.execute(operation)
+        if fault == 'lost-after':
+            raise platform.PlatformAnswerLost('lost')
+        return result
+
+
+@pytest.fixture
+def tables():
+    return standins.Tables()
+
+
+def signed(version, mark=0):
+    content = conftest.make_content(version, mark=mark)
+    return bundles.SignedBundle(OPERATORS.head(content), content)
+
+
+def roll_out(client, bundle, write_id='w'):
+    return bundles.roll_out(
+        client, bundle, OPERATORS.trusted, write_id, sleep=lambda s: None
+    )
+
+
+def standing(tables):
+    current, _ = bundles.read_current(tables)
+    return current.head if current else None
+
+
+def test_roll_out_stores_row_body_and_delta(tables):
+    first, second = signed(1), signed(2)
+    assert roll_out(tables, first, 'a').changed
+    assert roll_out(tables, second, 'b').changed
+    assert standing(tables) == second.head
+    stored = bundles.read_content(tables, second.head)
+    assert stored.to_bytes() == second.content.to_bytes()
+    current, _ = bundles.read_current(tables)
+    assert current.base_hash == first.head.hash
+
+
+def test_second_roll_out_of_the_same_bundle_changes_nothing(tables):
+    roll_out(tables, signed(1), 'a')
+    assert not roll_out(tables, signed(1), 'b').changed
+
+
+@pytest.mark.parametrize('version', [1, 3])
+def test_bundle_that_does_not_follow_is_refused(tables, version):
+    roll_out(tables, signed(1), 'a')
+    with pytest.raises(bundles.NotNextError) as caught:
+        roll_out(tables, signed(version, mark=4), 'b')
+    assert caught.value.standing.version == 1
+
+
+def test_loser_of_a_race_is_told_what_stands(tables):
+    roll_out(tables, signed(1), 'a')
+    winner, loser = signed(2, mark=1), signed(2, mark=2)
+    client = Client(tables, before_write=lambda: roll_out(tables, winner, 'b'))
+    with pytest.raises(bundles.LostRaceError) as caught:
+        roll_out(client, loser, 'c')
+    assert caught.value.standing == winner.head
+    assert standing(tables) == winner.head
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [['lost-after'], ['lost-before'], ['lost-before', 'lost-after', 'down']],
+)
+def test_lost_answer_is_read_back(tables, faults):
+    assert roll_out(Client(tables, faults), signed(1)).changed
+    assert standing(tables) == signed(1).head
+
+
+def test_lost_answer_of_a_lost_race_is_a_lost_race(tables):
+    winner = signed(1, mark=1)
+    client = Client(
+        tables, ['lost-after'], lambda: roll_out(tables, winner, 'b')
+    )
+    with pytest.raises(bundles.LostRaceError):
+        roll_out(client, signed(1, mark=2), 'c')
+
+
+def test_platform_that_is_down_is_no_effect(tables):
+    with pytest.raises(platform.PlatformUnavailable):
+        roll_out(Client(tables, ['down']), signed(1))
+    assert standing(tables) is None
+
+
+def test_lost_answer_without_read_back_is_unknown(tables):
+    client = Client(tables, ['lost-before'] * 9)
+    with pytest.raises(bundles.OutcomeUnknownError):
+        roll_out(client, signed(1))
+
+
+def test_unapproved_bundle_never_reaches_the_platform(tables):
+    content = conftest.make_content(1)
+    head = bundles.head_of(content).sign('ana', OPERATORS.private_keys['ana'])
+    with pytest.raises(bundles.SignatureError):
+        roll_out(tables, bundles.SignedBundle(head, content))
+    assert tables.writes == 0
+
+
+@hypothesis.given(
+    faults=strategies.lists(
+        strategies.sampled_from(['ok', 'lost-before', 'lost-after', 'down']),
+        max_size=6,
+    ),
+    raced=strategies.booleans(),
+)
+def test_what_is_said_is_true(faults, raced):
+    tables = standins.Tables()
+    rival = signed(1, mark=1)
+    before = (lambda: roll_out(tables, rival, 'r')) if raced else None
+    mine = signed(1, mark=2)
+    try:
+        roll_out(Client(tables, faults, before), mine, 'm')
+    except (bundles.LostRaceError, platform.PlatformUnavailable):
+        assert standing(tables) != mine.head
+    except bundles.OutcomeUnknownError:
+        # Each of the four attempts failed, the first with a lost answer.
+        assert 'ok' not in faults[:4]
+        assert faults[0].startswith('lost')
+    else:
+        assert standing(tables) == mine.head
