--- a/rosemarycrank/admission/_adaptive.py
+++ b/rosemarycrank/admission/_adaptive.py
@@ -79,6 +79,7 @@
         self._service_times = _service_time.ServiceTimes()
         self._report_factor = 1.0
         self._report_until = 0.0
+        self._granted = initial_limit
 
     def offer(self, ticket, now):
         """Admit, queue or refuse the ticket."""
@@ -97,7 +98,7 @@
         self._learn(ticket, sample, now)
         self.in_flight_ -= 1
         admitted = []
-        limit = self._limit_value(now)
+        limit = self._granted = self._fresh_limit(now)
         while self._queue and self.in_flight_ < limit:
             waiting = self._queue.pop_first()
             if self._is_late(waiting, now):
@@ -193,6 +194,14 @@
         return ticket.deadline - now <= needed_s
 
     def _limit_value(self, now):
+        # While tickets wait, a higher limit takes effect in `release`
+        # only: slots that open elsewhere would go to newcomers first.
+        fresh = self._fresh_limit(now)
+        if not self._queue or fresh < self._granted:
+            self._granted = fresh
+        return self._granted
+
+    def _fresh_limit(self, now):
         limit = self._limit.value(now)
         if now < self._report_until:
             return max(1, int(limit * self._report_factor))
