Pass the context of keyed calls to the key's owner

Cause: a keyed call that another node runs lost its rank and its share of the retry allowance, and questions about keys ran outside of the kernel's task, so their effects were carried out only with the next event. Ruled out: a fresh allowance at the owner; it would multiply by hop. Conclusion: what is given back is at most what was lent.

--- a/rosemarycrank/calls/_allowance.py
+++ b/rosemarycrank/calls/_allowance.py
@@ -51,6 +51,17 @@
         self.left -= lent
         return lent
 
+    def lend_all(self):
+        """Lend everything, to whoever runs the whole request.
+
+        Returns
+        -------
+        int
+            Retries lent.
+        """
+        lent, self.left = self.left, 0
+        return lent
+
     def give_back(self, amount):
         """Take back an unspent part of what was lent.
 
--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -244,12 +244,13 @@
         )
 
     def _submit_keyed(self, request, context, deadline, allowance):
-        lent = allowance.lend() if request.token else allowance.left
+        # The owner runs the request and spends what it is lent.
+        lent = allowance.lend() if request.token else allowance.lend_all()
         self.keyed_waiting_ += 1
 
         def finish(answer):
             self.keyed_waiting_ -= 1
-            allowance.give_back(answer.allowance_left)
+            allowance.give_back(min(lent, answer.allowance_left))
             self._reply(request.request_id, answer)
 
         self.key_ledger.submit(
--- a/rosemarycrank/ledger/_claims.py
+++ b/rosemarycrank/ledger/_claims.py
@@ -257,6 +257,7 @@
             message.headers,
             message.body,
             deadline,
+            message.context,
         )
         digest = _keys.request_digest(request)
         return self._open(
--- a/rosemarycrank/ledger/_forwarding.py
+++ b/rosemarycrank/ledger/_forwarding.py
@@ -148,6 +148,7 @@
         answer.headers,
         answer.body,
         answer.retry_after_s,
+        answer.allowance_left,
     )
 
 
@@ -158,7 +159,12 @@
         # A code of a later release: nothing can be said about the key.
         result = results.Result.ANSWER_LOST
     return kernel.Answer(
-        result, reply.status, reply.headers, reply.body, reply.retry_after_s
+        result,
+        reply.status,
+        reply.headers,
+        reply.body,
+        reply.retry_after_s,
+        allowance_left=reply.allowance_left,
     )
 
 
@@ -177,4 +183,5 @@
         request.headers,
         request.body,
         remaining_s,
+        context=request.context,
     )
--- a/rosemarycrank/node/_http.py
+++ b/rosemarycrank/node/_http.py
@@ -64,23 +64,24 @@
     ----------
     post : callable
         Hands an event to the kernel.
+    ask : callable
+        Calls a function between two events of the kernel.
     key_ledger : rosemarycrank.ledger.Ledger
         Issues and looks up idempotency keys.
     max_body_bytes : int
         Longest request body.
     """
 
-    def __init__(self, post, key_ledger, max_body_bytes):
+    def __init__(self, post, ask, key_ledger, max_body_bytes):
         self.post = post
-        self.key_ledger = key_ledger
         self.max_body_bytes = max_body_bytes
         self._waiting_by_request_id = {}
         self.wsgi = falcon.App()
         self.wsgi.add_sink(
             self._on_call, r'/call/(?P<service>[^/]+)(?P<path>/.*)?'
         )
-        self.wsgi.add_route('/keys', _Keys(key_ledger))
-        self.wsgi.add_route('/keys/{key}', _Key(key_ledger))
+        self.wsgi.add_route('/keys', _Keys(ask, key_ledger))
+        self.wsgi.add_route('/keys/{key}', _Key(ask, key_ledger))
 
     def reply(self, effect):
         """Give a waiting client its answer.
@@ -172,7 +173,8 @@
 class _Keys:
     """Issues keys."""
 
-    def __init__(self, key_ledger):
+    def __init__(self, ask, key_ledger):
+        self.ask = ask
         self.key_ledger = key_ledger
 
     def on_post(self, req, resp):
@@ -182,18 +184,20 @@
                 description=f'count: got {count}, allowed 1 to '
                 f'{MAX_KEYS_PER_REQUEST}'
             )
-        resp.media = {'keys': self.key_ledger.issue(count)}
+        keys = self.ask(lambda: self.key_ledger.issue(count))
+        resp.media = {'keys': keys}
 
 
 class _Key:
     """Tells what became of a key."""
 
-    def __init__(self, key_ledger):
+    def __init__(self, ask, key_ledger):
+        self.ask = ask
         self.key_ledger = key_ledger
 
     def on_get(self, req, resp, key):
         waiting = event.AsyncResult()
-        self.key_ledger.query(key, waiting.set)
+        self.ask(lambda: self.key_ledger.query(key, waiting.set))
         try:
             answer = waiting.get(timeout=ANSWER_GRACE_S)
         except gevent.Timeout:
--- a/rosemarycrank/node/_kernel_task.py
+++ b/rosemarycrank/node/_kernel_task.py
@@ -13,6 +13,9 @@
 #: Events handled before other tasks get to run.
 EVENT_BATCH = 32
 
+#: Longest wait for the answer to a question, in seconds.
+QUESTION_TIMEOUT_S = 5.0
+
 
 @attrs.frozen
 class _Question:
@@ -66,9 +69,29 @@
         dict
             Sections by name.
         """
-        question = _Question(self.kernel.dump, event.AsyncResult())
+        return self.ask(self.kernel.dump)
+
+    def ask(self, function):
+        """Call a function between two events, and return its result.
+
+        Parameters
+        ----------
+        function : callable
+            Takes no arguments; may use components of the kernel.
+
+        Returns
+        -------
+        object
+            What the function returned.
+
+        Raises
+        ------
+        gevent.Timeout
+            If the kernel did not get to it in time.
+        """
+        question = _Question(function, event.AsyncResult())
         self._queue.put(question)
-        return question.answer.get(timeout=5.0)
+        return question.answer.get(timeout=QUESTION_TIMEOUT_S)
 
     def start(self):
         """Start the greenlet."""
@@ -102,7 +125,7 @@
                 effects = self.kernel.advance(now)
             elif isinstance(message, _Question):
                 message.answer.set(message.ask())
-                return
+                effects = self.kernel.context.take_effects()
             else:
                 effects = self.kernel.handle(message, now)
         except Exception:
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -57,7 +57,7 @@
             part for part in self.kernel.components if part.name == 'ledger'
         )
         self._clients = _http.ClientApplication(
-            self.post, ledger, settings.max_body_bytes
+            self.post, self._task.ask, ledger, settings.max_body_bytes
         )
         self._client_server = _web.Server(
             settings.http_address,
