Add the operators' command

Cause: operators check, sign, approve and roll out bundles, manage keys and look at nodes; scripts need JSON and exit codes that tell a lost race from an unreachable platform and from an unknown outcome. Ruled out: one exit code for all failures; one partner leave for each node, since an operator in a hurry would stop at the first that does not answer; geventhttpclient used directly, which sends a request again by itself. Before: no command.

--- a/rosemarycrank/bundles/_roll_out.py
+++ b/rosemarycrank/bundles/_roll_out.py
@@ -200,8 +200,15 @@
     # The name says what the object holds, so a second put does no harm.
     try:
         client.execute(operation)
+        return
     except platform.PlatformAnswerLost:
+        pass
+    try:
         client.execute(operation)
+    except platform.PlatformAnswerLost as error:
+        raise platform.PlatformUnavailable(
+            f'object {operation.name}: no answer; no row was written'
+        ) from error
 
 
 def _write_current(client, write, sleep):
--- /dev/null
+++ b/rosemarycrank/cli/_partner.py
@@ -0,0 +1,58 @@
+"""Command that ends a partner directly at nodes."""
+
+import typing
+from urllib import parse
+
+import typer
+
+from rosemarycrank.cli import _admin
+from rosemarycrank.cli import _exit_codes
+from rosemarycrank.cli import _output
+
+application = typer.Typer(
+    help='Partners that run upstreams.', no_args_is_help=True
+)
+
+
+@application.callback()
+def _group():
+    """Keep ``leave`` a subcommand."""
+
+
+@application.command()
+def leave(
+    partner: typing.Annotated[str, typer.Argument(help='Name.')],
+    node: typing.Annotated[
+        list[str],
+        typer.Option(help='Admin address of a node; give several.'),
+    ],
+    as_json: _output.AsJson = False,
+):
+    """Have nodes refuse new work for a partner that has left.
+
+    Every node is tried. Roll out a bundle with the partner ended as well:
+    a node that starts later learns it from there.
+    """
+    errors_by_node = {}
+    target = f'/partners/{parse.quote(partner, safe="")}/leave'
+    for address in node:
+        try:
+            _admin.request(address, 'POST', target)
+        except _output.NODE_ERRORS as error:
+            errors_by_node[address] = error
+    told = [address for address in node if address not in errors_by_node]
+    codes = [_output.exit_code_of(e) for e in errors_by_node.values()]
+    _output.show(
+        as_json,
+        {
+            'ok': not errors_by_node,
+            'partner': partner,
+            'told': told,
+            'errors': {a: str(e) for a, e in errors_by_node.items()},
+        },
+        [
+            *(f'{address}: {partner} has left' for address in told),
+            *(f'{address}: {e}' for address, e in errors_by_node.items()),
+        ],
+    )
+    raise typer.Exit(max(codes, default=_exit_codes.ExitCode.OK).value)
--- a/rosemarycrank/keys/__init__.py
+++ b/rosemarycrank/keys/__init__.py
@@ -12,6 +12,7 @@
 TrustedKey = _trust.TrustedKey
 TrustedKeys = _trust.TrustedKeys
 load = _trust.load
+parse = _trust.parse
 
 __all__ = [
     'KeyFileError',
@@ -20,6 +21,7 @@
     'TrustedKey',
     'TrustedKeys',
     'load',
+    'parse',
     'replace_file',
     'verify',
 ]
--- a/rosemarycrank/keys/_trust.py
+++ b/rosemarycrank/keys/_trust.py
@@ -165,3 +165,21 @@
         one of them.
     """
     return settings.load(path, TrustedKeys, _check_keys_are_unique)
+
+
+def parse(text, source):
+    """Build the list from YAML text; errors as for `load`.
+
+    Parameters
+    ----------
+    text : bytes
+        The document.
+    source : str
+        Name of the document for errors.
+
+    Returns
+    -------
+    TrustedKeys
+        The list.
+    """
+    return settings.parse(text, TrustedKeys, source, _check_keys_are_unique)
