--- a/benchmarks/transport.py
+++ b/benchmarks/transport.py
@@ -68,7 +68,10 @@
         """Answer attempts until the process is ended."""
         codec = messages.Codec(KEY, SERVER)
         transport = _transport.Transport(
-            SERVER, codec, lambda received: self._answer(transport, received)
+            SERVER,
+            SERVER,
+            codec,
+            lambda received: self._answer(transport, received),
         )
         transport.start()
         ready.set()
@@ -78,7 +81,9 @@
         """Open the client's side."""
         self._waiting = {}
         codec = messages.Codec(KEY, CLIENT)
-        self._transport = _transport.Transport(CLIENT, codec, self._take)
+        self._transport = _transport.Transport(
+            CLIENT, CLIENT, codec, self._take
+        )
         self._transport.start()
 
     def call(self, number):
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -46,7 +46,10 @@
         self._task = _kernel_task.KernelTask(self.kernel)
         codec = messages.Codec(cluster_key, settings.address)
         self._transport = _transport.Transport(
-            settings.address, codec, self.post
+            settings.address,
+            settings.listen_address or settings.address,
+            codec,
+            self.post,
         )
         self._upstream = _upstream.UpstreamTask(self.post)
         client = None
--- a/rosemarycrank/node/_transport.py
+++ b/rosemarycrank/node/_transport.py
@@ -41,7 +41,9 @@
     Parameters
     ----------
     address : str
-        ``host:port`` to listen on and to give as sender.
+        ``host:port`` at which other nodes reach this one.
+    listen_address : str
+        ``host:port`` to listen on.
     codec : rosemarycrank.messages.Codec
         Encoding of messages.
     deliver : callable
@@ -54,8 +56,9 @@
         Bytes sent by class name of the message.
     """
 
-    def __init__(self, address, codec, deliver):
+    def __init__(self, address, listen_address, codec, deliver):
         self.address = address
+        self.listen_address = listen_address
         self.codec = codec
         self.deliver = deliver
         self.bytes_by_kind_ = {}
@@ -77,7 +80,7 @@
             If the address cannot be listened on.
         """
         self._pull = pynng.Pull0(
-            listen=f'tcp://{self.address}',
+            listen=f'tcp://{self.listen_address}',
             recv_buffer_size=RECEIVE_BUFFER_MESSAGES,
             recv_max_size=messages.MAX_FRAME_BYTES,
         )
--- a/rosemarycrank/settings/_node.py
+++ b/rosemarycrank/settings/_node.py
@@ -25,6 +25,9 @@
     ----------
     address : str
         ``host:port`` of the messaging socket, as other nodes reach it.
+    listen_address : str
+        ``host:port`` that the messaging socket listens on, where it is
+        not ``address``; for example behind address translation.
     http_address : str
         ``host:port`` for clients and the local upstream's own calls.
     admin_address : str
@@ -63,6 +66,7 @@
     admin_address: str
     failure_domain: str
     cluster_key_file: str
+    listen_address: str = ''
     region: str = ''
     seeds: tuple = ()
     platform_url: str = ''
@@ -84,6 +88,9 @@
         'admin_address': ADDRESS,
         'failure_domain': NAME,
         'cluster_key_file': _constraints.Text('.+', 'the path of a file'),
+        'listen_address': _constraints.Text(
+            r'([^\s:/]+:\d{1,5})?', 'host:port, or empty'
+        ),
         'region': _constraints.Text(),
         'seeds': _constraints.ListOf(ADDRESS),
         'platform_url': _constraints.Text(
