--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -137,6 +137,7 @@
         self.attempt_timeout_s = attempt_timeout_s
         self.draining_ = False
         self.calls_by_request_id_ = {}
+        self._calls_by_parent_token = {}
         self._outgoing_by_id = {}
         self._peers = _peers.Peers(target_calls.attempt_validity_s)
         self._waiting_by_address = {}
@@ -288,12 +289,7 @@
             self._cancel(call)
 
     def _cancel_nested(self, token):
-        nested = [
-            call
-            for call in self.calls_by_request_id_.values()
-            if call.parent_token == token
-        ]
-        for call in nested:
+        for call in list(self._calls_by_parent_token.get(token, ())):
             self._cancel(call)
 
     def _cancel(self, call):
@@ -305,6 +301,11 @@
 
     def _start(self, call):
         self.calls_by_request_id_[call.request_id] = call
+        if call.parent_token:
+            siblings = self._calls_by_parent_token.setdefault(
+                call.parent_token, set()
+            )
+            siblings.add(call)
         call.timer = self.context.timers.after(
             max(0.0, call.deadline - self.context.now),
             lambda now: self._on_deadline(call),
@@ -585,7 +586,7 @@
             return
         call.done = True
         call.timer.cancel()
-        del self.calls_by_request_id_[call.request_id]
+        self._forget(call)
         if (
             call.may_have_run
             and answer.result.outcome is results.Outcome.NOT_RUN
@@ -602,6 +603,14 @@
             )
         )
 
+    def _forget(self, call):
+        del self.calls_by_request_id_[call.request_id]
+        siblings = self._calls_by_parent_token.get(call.parent_token)
+        if siblings is not None:
+            siblings.discard(call)
+            if not siblings:
+                del self._calls_by_parent_token[call.parent_token]
+
     def _reply(self, request_id, answer):
         self.context.count(f'entry.answers.{answer.result.name}')
         self.context.emit(kernel.Reply(request_id, answer))
