--- a/rosemarycrank/membership/_bridge.py
+++ b/rosemarycrank/membership/_bridge.py
@@ -9,7 +9,7 @@
 PULL_RECORDS = 32
 PULL_RETRY_S = 1.0
 PUSHES_PER_TICK = 100
-SUBSCRIPTIONS_PER_S = 17.0
+SUBSCRIPTIONS_PER_S = 8.5
 SUBSCRIBE_PERIOD_S = 5.0
 
 Status = _messages.Status
@@ -232,18 +232,11 @@
         if self.context.address not in self.bridges():
             return
         period_s = subscribe_period_s(len(self._members()))
-        services = set(message.digest_by_service)
         self._subscription_by_address[sender] = _Subscription(
-            services, self.context.now + 3.5 * period_s
+            set(message.digest_by_service),
+            self.context.now + 3.5 * period_s,
         )
-        if self._small_site():
-            services = services | self.remote.service_names()
-        differing = [
-            service
-            for service in sorted(services)
-            if self.remote.service_digest(service)
-            != message.digest_by_service.get(service, 0)
-        ]
+        differing = self._differing_services(message)
         contacts = self.remote.contacts()
         if message.contacts_digest == self.remote.contacts_digest():
             contacts = []
@@ -252,6 +245,7 @@
             _messages.SubscribeReply(
                 message.nonce,
                 self.remote.unreachable(),
+                self._small_site(),
                 differing,
                 [
                     record
@@ -262,6 +256,20 @@
             ),
         )
 
+    def _differing_services(self, message):
+        if not self._small_site():
+            digest_by_service = message.digest_by_service
+            return [
+                service
+                for service, digest in digest_by_service.items()
+                if self.remote.service_digest(service) != digest
+            ]
+        if message.whole_digest == self.remote.whole_digest():
+            return []
+        return sorted(
+            self.remote.service_names() | set(message.digest_by_service)
+        )
+
     # Periodic work
 
     def _should_be_active(self, now):
@@ -275,7 +283,7 @@
         if active == self.active:
             return
         self.active = active
-        self.remote.keeps_all = active
+        self.remote.is_bridge = active
         self.context.count('membership_bridge_changes')
         if active:
             self._next_beacon_at = now
@@ -316,21 +324,24 @@
         return self.context.random.choice(contacts) if contacts else None
 
     def _beacon_receivers(self, domain):
-        if not domain.reachable:
-            # Its bridges may have been replaced while it was cut off.
-            known = domain.bridges + domain.table.up_addresses()
-            return [self.context.random.choice(known)] if known else []
-        if not domain.bridges:
-            return []
         if self._round % 2:
-            return [self.context.random.choice(domain.bridges)]
+            return self._one_of(domain.bridges)
+        if not domain.reachable:
+            # Its bridges may have been replaced while it was cut off. Any
+            # of its nodes answers with the present ones.
+            return self._one_of(domain.table.up_addresses())
         return self._matching(domain.bridges)
 
+    def _one_of(self, addresses):
+        return [self.context.random.choice(addresses)] if addresses else []
+
     def _matching(self, bridges):
         # Bridges of equal rank talk to each other, so that each one hears
         # of all that happens with one message instead of many.
         own = self.bridges()
         rank = own.index(self.context.address)
+        if not bridges:
+            return []
         if rank >= len(bridges):
             return [bridges[rank % len(bridges)]]
         return bridges[rank :: len(own)]
@@ -393,6 +404,7 @@
                 _messages.SubscribeReply(
                     0,
                     self.remote.unreachable(),
+                    self._small_site(),
                     contacts=self.remote.contacts(),
                 ),
             )
--- a/rosemarycrank/membership/_broadcast.py
+++ b/rosemarycrank/membership/_broadcast.py
@@ -59,6 +59,16 @@
             record, transmissions(node_count)
         )
 
+    def discard(self, address):
+        """Drop the record of an address; a later one is known.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the node.
+        """
+        self._by_address.pop(address, None)
+
     def take(self, limit):
         """Return records for one message and count them as sent once.
 
--- a/rosemarycrank/membership/_gossip.py
+++ b/rosemarycrank/membership/_gossip.py
@@ -80,6 +80,7 @@
         _messages.Gossip: 'on_gossip',
         _messages.Digest: 'on_digest',
         _messages.DigestReply: 'on_digest_reply',
+        _messages.Repair: 'on_repair',
         _messages.Beacon: 'on_beacon',
         _messages.Subscribe: 'on_subscribe',
         _messages.SubscribeReply: 'on_subscribe_reply',
@@ -129,6 +130,7 @@
         """Take the context, start the timers and join through the seeds."""
         super().attach(context)
         self._targets_by_service = {}
+        self._passes_on = True
         own = _messages.Record(
             context.address,
             context.incarnation,
@@ -141,7 +143,6 @@
         )
         self._remote = _remote.RemoteView(
             context,
-            self.small_site_nodes,
             self._remote_changed,
             lambda: self._bridge.contacts_changed(),
         )
@@ -208,6 +209,21 @@
         record = self._view.record(address)
         return '' if record is None else record.status.name.lower()
 
+    def record(self):
+        """Return this node's own record."""
+        return self._own_domain.own
+
+    def node_count(self):
+        """Return the number of running nodes known in all domains."""
+        remote = self._remote.by_domain.values()
+        return len(self._view.table.up_addresses()) + sum(
+            len(domain.table.up_addresses()) for domain in remote
+        )
+
+    def unreachable(self):
+        """Return the names of the other domains that are not heard from."""
+        return self._remote.unreachable()
+
     def is_bridge(self):
         """Return whether this node exchanges news with other domains."""
         return self._bridge.active
@@ -348,14 +364,18 @@
         if table is None:
             return
         better = table.better_than(message.buckets, message.updates)
-        self._learn(sender, message.updates)
+        self._repair(sender, message.updates)
         if better:
-            self.context.send(sender, _messages.Gossip(better))
+            self.context.send(sender, _messages.Repair(better))
         if message.failure_domain == self.failure_domain:
             self._own_domain.digest_replied(sender, message)
         else:
             self._bridge.digest_replied(message)
 
+    def on_repair(self, sender, message):
+        """Take records that a comparison showed to be missing here."""
+        self._repair(sender, message.updates)
+
     def on_beacon(self, sender, message):
         """Handle a heartbeat of another domain."""
         self._own_domain.heard()
@@ -368,6 +388,7 @@
 
     def on_subscribe_reply(self, sender, message):
         """Take records of other domains from a bridge node."""
+        self._remote.set_whole(message.whole)
         self._learn(sender, message.updates)
         self._subscriber.on_reply(sender, message)
 
@@ -395,10 +416,19 @@
             else:
                 self._remote.apply(record)
 
+    def _repair(self, sender, records):
+        self._passes_on = False
+        self._learn(sender, records)
+        self._passes_on = True
+
     def _own_changed(self, record):
         self._clear_targets()
-        node_count = len(self._view.table.up_addresses())
-        self._own_domain.queue.add(record, node_count)
+        is_own = record.address == self.context.address
+        if self._passes_on or is_own:
+            node_count = len(self._view.table.up_addresses())
+            self._own_domain.queue.add(record, node_count)
+        else:
+            self._own_domain.queue.discard(record.address)
         self._bridge.own_changed(record)
 
     def _remote_changed(self, record):
@@ -428,10 +458,11 @@
         return tuple(_target(record) for record in sure or records)
 
     def _make_subscribe(self, nonce):
-        services = self._remote.services | self._remote.service_names()
+        services = sorted(self._remote.services)
         return _messages.Subscribe(
             nonce,
-            {s: self._remote.service_digest(s) for s in sorted(services)},
+            {s: self._remote.service_digest(s) for s in services},
+            self._remote.whole_digest(),
             self._remote.contacts_digest(),
         )
 
--- a/rosemarycrank/membership/_messages.py
+++ b/rosemarycrank/membership/_messages.py
@@ -156,6 +156,18 @@
     more: bool = False
 
 
+@messages.register
+@attrs.frozen
+class Repair:
+    """Records that a comparison showed to be missing; not answered.
+
+    Unlike `Gossip`, they are not passed on: views that miss them as well
+    find out by comparing.
+    """
+
+    updates: list[Record]
+
+
 @messages.register
 @attrs.frozen
 class Beacon:
@@ -177,11 +189,13 @@
     """Asks a bridge node of the own domain for targets of other domains.
 
     ``digest_by_service`` holds the digest of what the sender knows of each
-    service; ``contacts_digest`` that of the bridges of other domains.
+    service that it calls, ``whole_digest`` of all services together, and
+    ``contacts_digest`` of the bridges of other domains.
     """
 
     nonce: int
     digest_by_service: dict[str, int]
+    whole_digest: int
     contacts_digest: int
 
 
@@ -192,11 +206,14 @@
 
     ``services`` are those whose digests differ: all records of them are in
     ``updates``. ``unreachable`` are the domains that this bridge does not
-    hear from. A reply with nonce 0 only reports a change of these.
+    hear from. ``whole`` is true on a small site, where every node keeps
+    the targets of all services. A reply with nonce 0 only reports a change
+    of domains.
     """
 
     nonce: int
     unreachable: list[str]
+    whole: bool
     services: list[str] = []
     updates: list[Record] = []
     contacts: list[DomainContact] = []
--- a/rosemarycrank/membership/_remote.py
+++ b/rosemarycrank/membership/_remote.py
@@ -42,8 +42,6 @@
     ----------
     context : rosemarycrank.kernel.Context
         Context of the kernel.
-    small_site_nodes : int
-        Up to so many nodes, the records of all services are kept.
     on_change : callable
         Called with each record that was news, or with None when the
         reachability of a domain changed.
@@ -56,16 +54,18 @@
         The other domains known.
     services : set of str
         Services whose records are kept.
-    keeps_all : bool
-        Whether the records of all services are kept; true at a bridge.
+    is_bridge : bool
+        Whether this node is a bridge and keeps all records.
+    whole : bool
+        Whether the site is so small that every node keeps all records.
     """
 
-    def __init__(self, context, small_site_nodes, on_change, on_contact):
+    def __init__(self, context, on_change, on_contact):
         self.context = context
-        self.small_site_nodes = small_site_nodes
         self.by_domain = {}
         self.services = set()
-        self.keeps_all = False
+        self.is_bridge = False
+        self.whole = False
         self._on_change = on_change
         self._on_contact = on_contact
         self._misses_by_address = {}
@@ -146,6 +146,25 @@
             digest ^= domain.table.service_digest(service)
         return digest
 
+    def whole_digest(self):
+        """Return the digest of all running nodes that are known."""
+        digest = 0
+        for domain in self.by_domain.values():
+            digest ^= domain.table.root()
+        return digest
+
+    def set_whole(self, whole):
+        """Note whether every node keeps the records of all services.
+
+        Parameters
+        ----------
+        whole : bool
+            Whether the site is that small.
+        """
+        was_whole, self.whole = self.whole, whole
+        if was_whole and not whole:
+            self.prune()
+
     def node_count(self):
         """Return the number of nodes known, stopped ones included."""
         return sum(len(d.table.by_address) for d in self.by_domain.values())
@@ -256,11 +275,7 @@
                     domain.table.forget(record.address)
 
     def _keeps(self, record):
-        return (
-            self.keeps_all
-            or record.service in self.services
-            or self.node_count() < self.small_site_nodes
-        )
+        return self.is_bridge or self.whole or record.service in self.services
 
     def _miss(self, table, address):
         # One bridge may lag behind another, so one list proves little.
