Test membership in virtual time; end a wrong cut-off state

The state machine found a node that was paused while its only peer in the domain died: on waking nobody of its domain could answer, so that it took itself to be cut off for good and used its own target only. The state now ends once no other node of the domain is taken to run.

--- a/benchmarks/_scale_network.py
+++ b/benchmarks/_scale_network.py
@@ -202,6 +202,10 @@
             self.run(step_s)
         return self.now - start
 
+    def hand(self, member, event):
+        """Hand an event to a member and carry out the effects."""
+        self._carry_out(member, member.kernel.handle(event, self.now))
+
     def reset_usage(self):
         """Start measuring anew."""
         for member in self.by_address.values():
--- a/rosemarycrank/membership/_gossip.py
+++ b/rosemarycrank/membership/_gossip.py
@@ -213,6 +213,16 @@
         """Return this node's own record."""
         return self._own_domain.own
 
+    def records(self):
+        """Return what is known of the nodes of this failure domain.
+
+        Returns
+        -------
+        list of Record
+            Nodes that failed or left included.
+        """
+        return list(self._view.table.by_address.values())
+
     def node_count(self):
         """Return the number of running nodes known in all domains."""
         remote = self._remote.by_domain.values()
--- a/rosemarycrank/membership/_own_domain.py
+++ b/rosemarycrank/membership/_own_domain.py
@@ -97,6 +97,9 @@
         if self.pause.cut_off(now):
             self._set_cut_off(True)
         others = self.view.others_up()
+        if not others:
+            # Nobody is left whose old record could be acted on.
+            self._set_cut_off(False)
         isolated = self._isolated(now, others)
         if isolated:
             self._set_cut_off(True)
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -4,6 +4,8 @@
 
 from benchmarks import _scale_network
 
+SEEDS = ('a0:1', 'b0:1', 'c0:1')
+
 
 @pytest.fixture
 def network():
@@ -11,5 +13,35 @@
 
 
 @pytest.fixture
-def lossy_network():
-    return _scale_network.Network(loss=0.05)
+def start_site():
+    """Starts domains a, b and c with ``size`` targets of gallery each."""
+
+    def start(network, size, **parameters):
+        for domain in 'abc':
+            for number in range(size):
+                address = f'{domain}{number}:1'
+                member = network.start(address, domain, SEEDS, **parameters)
+                member.announce('gallery')
+        network.run(8)
+        return network
+
+    return start
+
+
+@pytest.fixture
+def site(network, start_site):
+    return start_site(network, 4)
+
+
+@pytest.fixture
+def start_domain():
+    """Starts one domain of ``size`` targets of gallery."""
+
+    def start(network, size, **parameters):
+        for number in range(size):
+            member = network.start(f'a{number}:1', 'a', SEEDS, **parameters)
+            member.announce('gallery')
+        network.run(8)
+        return network
+
+    return start
--- /dev/null
+++ b/tests/membership/test_bootstrap.py
@@ -0,0 +1,73 @@
+"""Joining through the platform's table."""
+
+import pytest
+
+from rosemarycrank import kernel
+from rosemarycrank import platform
+
+
+class Table:
+    """The platform's table of seeds, with conditional writes."""
+
+    def __init__(self, network):
+        self.network = network
+        self.by_key = {}
+        self.error = ''
+        self.writes = 0
+
+    def handle(self, member, effect):
+        value = None if self.error else self._apply(effect.operation)
+        reply = kernel.PlatformReply(
+            effect.operation_id, self.error, value=value
+        )
+        self.network.hand(member, reply)
+
+    def _apply(self, operation):
+        if isinstance(operation, platform.TableList):
+            return list(self.by_key.values())
+        row = self.by_key.get(operation.key)
+        version = 0 if row is None else row.version
+        if operation.expected_version != version:
+            return platform.WriteResult(False, row)
+        self.writes += 1
+        self.by_key[operation.key] = platform.Row(
+            operation.key, operation.value, version + 1, operation.write_id
+        )
+        return platform.WriteResult(True, self.by_key[operation.key])
+
+
+@pytest.fixture
+def table(network):
+    table = Table(network)
+    network.platform = table.handle
+    return table
+
+
+def test_nodes_without_seeds_meet_through_the_table(network, table):
+    for domain in 'ab':
+        for number in range(4):
+            address = f'{domain}{number}:1'
+            network.start(address, domain, seeds=()).announce('gallery')
+    network.run(120)
+    for member in network.by_address.values():
+        assert len(member.target_addresses('gallery')) == 8
+
+
+def test_bridges_that_stay_write_once(network, table, start_domain):
+    start_domain(network, 4)
+    network.run(3600)
+    assert sorted(table.by_key) == ['a.0', 'a.1', 'a.2']
+    assert table.writes == 3
+
+
+def test_seeds_suffice_while_the_platform_is_down(network, table, start_site):
+    table.error = 'down'
+    start_site(network, 4)
+    for member in network.by_address.values():
+        assert len(member.target_addresses('gallery')) == 12
+
+
+def test_answers_to_other_components_are_ignored(network, table):
+    member = network.start('a0:1', 'a', seeds=())
+    reply = kernel.PlatformReply('bundles-1', value=[object()])
+    assert member.kernel.handle(reply, network.now) == []
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -1,21 +1,147 @@
-"""Membership within one failure domain."""
+"""Membership within one failure domain, in virtual time."""
 
 import pytest
 
+from benchmarks import _scale_network
+from rosemarycrank import kernel
+from rosemarycrank import membership
+from rosemarycrank.membership import _messages
+
+DETECTION_S = 12
+
+
+def listing(network, address):
+    return [
+        member.address
+        for member in network.by_address.values()
+        if address in member.target_addresses('gallery')
+    ]
+
+
+def notices_of(network, notice_type):
+    return {
+        notice.address
+        for member in network.by_address.values()
+        for _, notice in member.notices
+        if isinstance(notice, notice_type)
+    }
+
 
 @pytest.fixture
-def eight(network):
-    for number in range(8):
-        network.start(f'n{number}:1').announce('gallery')
-    network.run(5)
-    return network
+def eight(network, start_domain):
+    return start_domain(network, 8)
 
 
-def everyone(network):
-    return sorted(network.by_address)
+def test_parameters_are_stored_unchanged():
+    directory = kernel.create(
+        'membership', 'gossip', failure_domain='a', seeds=['x:1']
+    )
+    assert directory.seeds == ['x:1']
+    assert directory.failure_domain == 'a'
+    assert directory.probe_period_s == 1.0
 
 
 def test_nodes_that_join_know_all_targets(eight):
+    everyone = sorted(eight.by_address)
+    for member in eight.by_address.values():
+        assert sorted(member.directory.members()) == everyone
+        assert member.target_addresses('gallery') == everyone
+
+
+def test_withdrawn_target_is_dropped(eight):
+    eight.by_address['a3:1'].directory.set_local_target(None)
+    eight.run(3)
+    assert listing(eight, 'a3:1') == []
+    assert 'a3:1' in eight.by_address['a0:1'].directory.members()
+
+
+def test_failure_is_noticed(eight):
+    eight.kill('a3:1')
+    eight.run(DETECTION_S)
+    assert listing(eight, 'a3:1') == []
+    assert notices_of(eight, membership.MemberFailed) == {'a3:1'}
+
+
+def test_false_suspicion_is_refuted(eight):
+    eight.cut = lambda sender, receiver: 'a3:1' in (sender, receiver)
+    eight.run_until(
+        lambda: eight.by_address['a0:1'].directory.status('a3:1') == 'suspect',
+        limit_s=5,
+    )
+    eight.cut = lambda sender, receiver: False
+    eight.run(DETECTION_S)
+    assert notices_of(eight, membership.MemberFailed) == set()
+    assert len(listing(eight, 'a3:1')) == 8
+
+
+def test_late_joiner_is_probed_within_seconds(network, start_domain):
+    start_domain(network, 40)
+    network.start('late:1', 'a')
+    network.run(3)
+    network.kill('late:1')
+    elapsed_s = network.run_until(
+        lambda: (
+            network.by_address['a0:1'].directory.status('late:1') == 'failed'
+        ),
+        limit_s=60,
+    )
+    assert elapsed_s < DETECTION_S
+
+
+def test_restart_replaces_the_former_incarnation(eight):
+    old = eight.kill('a3:1').context.incarnation
+    new = eight.start('a3:1', 'a', seeds=('a0:1',))
+    new.announce('gallery')
+    eight.run(4)
+    for member in eight.by_address.values():
+        found = {
+            target.address: target.incarnation
+            for target in member.directory.targets('gallery')
+        }
+        assert found['a3:1'] == new.context.incarnation != old
+
+
+def test_old_news_does_not_override_newer(eight):
+    old = eight.by_address['a3:1'].directory.record()
+    eight.by_address['a3:1'].directory.set_local_target(None)
+    eight.run(3)
     for member in eight.by_address.values():
-        assert sorted(member.directory.members()) == everyone(eight)
-        assert member.target_addresses('gallery') == everyone(eight)
+        event = kernel.Received('a1:1', _messages.Gossip([old]))
+        member.kernel.handle(event, eight.now)
+    assert listing(eight, 'a3:1') == []
+
+
+def test_node_cut_off_alone_declares_nobody_failed(network, start_domain):
+    start_domain(network, 20)
+    network.cut = lambda sender, receiver: 'a3:1' in (sender, receiver)
+    network.run(30)
+    alone = network.by_address['a3:1']
+    assert alone.directory.members() == ('a3:1',)
+    assert alone.target_addresses('gallery') == ['a3:1']
+    network.cut = lambda sender, receiver: False
+    network.run(15)
+    # At most the few that it probed before it noticed.
+    failed = notices_of(network, membership.MemberFailed) - {'a3:1'}
+    assert len(failed) <= 3
+    assert len(alone.directory.members()) == 20
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_leave_is_known_within_3_s_despite_loss(seed, start_site):
+    network = _scale_network.Network(seed=seed, loss=0.05)
+    start_site(network, 8)
+    leaver = network.by_address['b3:1']
+    leaver.directory.leave()
+    network.run(3)
+    assert listing(network, 'b3:1') == []
+    assert leaver.directory.idle()
+    assert 'b3:1' in notices_of(network, membership.MemberLeft)
+
+
+def test_callers_are_told_directly(eight, monkeypatch):
+    told = []
+    eight.by_address['a3:1'].directory.on_attempt('z:1', None)
+    eight.on_send = lambda member, effect: told.append(effect.address)
+    eight.by_address['a3:1'].directory.leave()
+    eight.run(0.5)
+    assert 'z:1' in told
