--- a/rosemarycrank/admission/_adaptive.py
+++ b/rosemarycrank/admission/_adaptive.py
@@ -43,7 +43,7 @@
     goodput_weight : float, default=0.5
         In [0, 1]; 1 favours goodput by longer queues, 0 a quick recovery.
         It may be assigned at any time.
-    window_samples : int, default=64
+    window_samples : int, default=32
         Samples between two decisions on the limit.
     cold_s : float, default=2.0
         Time over which a cold upstream may reach its slots, in seconds.
@@ -60,7 +60,7 @@
         min_limit=1,
         max_limit=4096,
         goodput_weight=0.5,
-        window_samples=64,
+        window_samples=32,
         cold_s=2.0,
     ):
         self.initial_limit = initial_limit
@@ -178,11 +178,11 @@
         return _base.Decision(_base.Verdict.QUEUE, displaced=tuple(displaced))
 
     def _learn(self, ticket, sample, now):
-        tolerance = TOLERANCE + TOLERANCE_GAIN * self.goodput_weight
-        self._limit.record(sample, self.in_flight_, tolerance, now)
-        if sample.refused:
-            self._shedding.refused(ticket, now)
-        elif sample.complete:
+        self._shedding.ended(ticket, sample.refused, now)
+        if not sample.refused or not self._shedding.explains_refusals():
+            tolerance = TOLERANCE + TOLERANCE_GAIN * self.goodput_weight
+            self._limit.record(sample, self.in_flight_, tolerance, now)
+        if sample.complete:
             self._service_times.record(ticket.rank, sample.latency_s, now)
 
     def _expire_queue(self, now):
--- a/rosemarycrank/admission/_limit.py
+++ b/rosemarycrank/admission/_limit.py
@@ -4,22 +4,32 @@
 
 import attrs
 
-#: Change of the limit in one trial.
-GROWTH = 1.2
-CUT = 0.8
-#: Growth per window of a cold upstream, without a trial.
-COLD_GROWTH = 1.5
+#: Growth in a first trial, and the factor by which the step grows with
+#: each one that helped, up to the maximum.
+GROWTH = 1.3
+GROWTH_STEP = 1.3
+MAX_GROWTH = 2.0
+#: Least and greatest cut in one trial.
+CUT = 0.7
+MAX_CUT = 0.5
+#: Share of the slots that a cold upstream is given at first.
+COLD_SHARE = 0.1
+#: Weight of a window's latency in the baseline, by direction.
+RISE_WEIGHT = 0.05
+FALL_WEIGHT = 0.3
 #: Least share of in-flight attempts for which the limit counts as used.
 USED_SHARE = 0.8
-#: Change of latency over change of limit above which attempts queue at
-#: the upstream: 0 well below its capacity, 1 well above.
-QUEUEING_ELASTICITY = 0.5
+#: Relative change of latency over that of the limit, 0 well below the
+#: capacity of the upstream and 1 well above: most for a higher limit to
+#: stay, and least for a lower one.
+MAX_UP_ELASTICITY = 0.35
+MIN_DOWN_ELASTICITY = 0.7
+#: Change of the attempts in flight below which a trial shows nothing.
+MIN_CHANGE = 0.1
 #: Share of refusals by the upstream that calls for a lower limit.
 REFUSED_SHARE = 0.02
-#: Share by which the limit falls at most for refusals in one window.
-MAX_REFUSAL_CUT = 0.5
 #: Wait after a trial that did not help, doubled up to the maximum.
-MIN_WAIT_S = 0.25
+MIN_WAIT_S = 1.0
 MAX_WAIT_S = 4.0
 #: Least length of a window.
 MIN_WINDOW_S = 0.02
@@ -37,6 +47,7 @@
 class _Trial:
     direction: _Direction
     limit: float
+    in_flight: float
     latency_s: float
     refused_share: float
 
@@ -63,7 +74,8 @@
     answers: int = 0
     refusals: int = 0
     latency_sum_s: float = 0.0
-    peak_in_flight: int = 0
+    in_flight_sum: int = 0
+    counted: int = 0
 
     @property
     def count(self):
@@ -75,6 +87,11 @@
         """Mean latency of the answers."""
         return self.latency_sum_s / self.answers
 
+    @property
+    def in_flight(self):
+        """Mean of the attempts that ran when others ended."""
+        return self.in_flight_sum / self.counted
+
     @property
     def refused_share(self):
         """Share of the samples that the upstream refused."""
@@ -119,6 +136,7 @@
         self._slots = 0
         self._cold_since = None
         self._trial = None
+        self._growth = GROWTH
         self._up = _Wait()
         self._down = _Wait()
         self._window = _Window(0.0)
@@ -134,10 +152,11 @@
             Current time in seconds.
         """
         self._slots = slots
-        self._limit = max(self.smallest, 0.1 * (slots or self.initial))
+        self._limit = float(slots or self.initial)
         self._cold_since = now
         self.baseline_s_ = None
         self._trial = None
+        self._growth = GROWTH
         self._up = _Wait()
         self._down = _Wait()
         self._window = _Window(now)
@@ -173,10 +192,11 @@
             Current time in seconds.
         """
         window = self._window
-        window.peak_in_flight = max(window.peak_in_flight, in_flight)
         # What was admitted under an earlier limit says nothing about this.
         if now - sample.latency_s < window.start and self._trial:
             return
+        window.in_flight_sum += in_flight
+        window.counted += 1
         if sample.refused:
             window.refusals += 1
         elif sample.complete or self._is_long(sample.latency_s):
@@ -197,67 +217,85 @@
         share = (now - self._cold_since) / max(self.cold_s, 1e-9)
         if share >= 1.0:
             return self.largest
-        slots = self._slots or self.initial
-        return max(self.smallest, slots * (0.1 + 0.9 * share))
+        return max(
+            self.smallest,
+            self._limit * (COLD_SHARE + (1 - COLD_SHARE) * share),
+        )
 
     def _close(self, tolerance, now):
         window, self._window = self._window, _Window(now)
         if not window.answers:
-            self._set(self._limit * MAX_REFUSAL_CUT)
-        elif self._trial:
-            self._judge(window, now)
-        else:
-            self._lower_baseline(window)
+            self._set(self._limit * MAX_CUT)
+        elif self._trial is None or self._judge(window, now):
+            self._follow_baseline(window, tolerance)
             self._decide(window, tolerance, now)
 
     def _judge(self, window, now):
         trial, self._trial = self._trial, None
-        change = self._limit / trial.limit - 1.0
+        change = window.in_flight / trial.in_flight - 1.0
+        if abs(change) < MIN_CHANGE:
+            self._set(trial.limit)
+            return True
         rise = window.latency_s / trial.latency_s - 1.0
-        queueing = rise / change >= QUEUEING_ELASTICITY
+        elasticity = rise / change
         refused_more = window.refused_share > (
             trial.refused_share + REFUSED_SHARE
         )
         refused_less = window.refused_share < trial.refused_share / 2
         if trial.direction is _Direction.UP:
-            if queueing or refused_more:
-                self._set(trial.limit)
-                self._up.fail(now)
-            else:
-                self._up.succeed()
-            return
-        if queueing or refused_less:
-            self._down.succeed()
+            helped = elasticity <= MAX_UP_ELASTICITY and not refused_more
+            wait = self._up
         else:
-            self._set(trial.limit)
-            self._down.fail(now)
+            helped = elasticity >= MIN_DOWN_ELASTICITY or refused_less
+            wait = self._down
+        if helped:
+            wait.succeed()
+            return True
+        self._set(trial.limit)
+        wait.fail(now)
+        self._growth = GROWTH
+        if trial.direction is _Direction.DOWN:
+            # The service itself is slower: this latency is its own.
             self.baseline_s_ = window.latency_s
+        return False
 
-    def _lower_baseline(self, window):
-        if self.baseline_s_ is None or window.latency_s < self.baseline_s_:
-            self.baseline_s_ = window.latency_s
+    def _follow_baseline(self, window, tolerance):
+        latency_s = window.latency_s
+        if self.baseline_s_ is None:
+            self.baseline_s_ = latency_s
+        elif latency_s < self.baseline_s_:
+            self.baseline_s_ += FALL_WEIGHT * (latency_s - self.baseline_s_)
+        elif latency_s <= tolerance * self.baseline_s_:
+            self.baseline_s_ += RISE_WEIGHT * (latency_s - self.baseline_s_)
 
     def _decide(self, window, tolerance, now):
-        if window.peak_in_flight < USED_SHARE * self.value(now):
+        if self._ceiling(now) < self._limit:
+            return
+        if window.in_flight < USED_SHARE * self.value(now):
             return
         refused = window.refused_share > REFUSED_SHARE
         inflated = window.latency_s > tolerance * self.baseline_s_
         if (refused or inflated) and now >= self._down.until:
-            cut = max(MAX_REFUSAL_CUT, min(CUT, 1 - window.refused_share))
-            self._try(_Direction.DOWN, cut, window)
+            excess = tolerance * self.baseline_s_ / window.latency_s
+            cut = min(CUT, 1 - window.refused_share, excess)
+            self._growth = GROWTH
+            self._try(_Direction.DOWN, max(MAX_CUT, cut), window)
         elif refused or inflated:
             return
-        elif self._limit < self._slots and self._cold_since is not None:
-            self._set(min(self._slots, self._limit * COLD_GROWTH))
         elif now >= self._up.until:
-            self._try(_Direction.UP, GROWTH, window)
+            self._try(_Direction.UP, self._growth, window)
+            self._growth = min(MAX_GROWTH, self._growth * GROWTH_STEP)
 
     def _try(self, direction, factor, window):
         before = self._limit
         self._set(before * factor)
         if self._limit != before:
             self._trial = _Trial(
-                direction, before, window.latency_s, window.refused_share
+                direction,
+                before,
+                window.in_flight,
+                window.latency_s,
+                window.refused_share,
             )
 
     def _set(self, limit):
--- a/rosemarycrank/admission/_shedding.py
+++ b/rosemarycrank/admission/_shedding.py
@@ -5,8 +5,6 @@
 same client requests, so requests that survive are whole.
 """
 
-import attrs
-
 from rosemarycrank.admission import _base
 
 #: Length of a window in seconds.
@@ -17,22 +15,66 @@
 MAX_RANKS = 64
 #: First rise of the level, in ranks, after a window that shed nothing;
 #: doubled with each further one.
-FIRST_RISE = 0.02
+FIRST_RISE = 0.05
 #: Windows without a call that are made up for at most.
 MAX_IDLE_WINDOWS = 64
-#: Share of shed tickets in a window up to which the level rises.
-CLEAN_SHARE = 0.005
+#: Share of tickets lost in a window up to which the level rises.
+CLEAN_SHARE = 0.01
 
 
-@attrs.define
 class _Histogram:
-    offered: list = attrs.field(factory=lambda: [0] * BUCKETS)
-    refused: list = attrs.field(factory=lambda: [0] * BUCKETS)
+    """Tickets of one window by index of the rank and bucket of the hash."""
+
+    def __init__(self):
+        self.total = 0
+        self.lost = 0
+        self._counts_by_index = {}
+        self._lost_by_index = {}
+
+    def add(self, position):
+        """Count a ticket."""
+        self.total += 1
+        _count(self._counts_by_index, position)
+
+    def lose(self, position):
+        """Count a ticket as lost."""
+        self.lost += 1
+        _count(self._lost_by_index, position)
+
+    def quantile(self):
+        """Return the position above which as many tickets lie as were lost.
+
+        Returns
+        -------
+        float
+            Index of a rank plus hash.
+        """
+        excess = self.lost
+        for index in sorted(self._counts_by_index, reverse=True):
+            counts = self._counts_by_index[index]
+            for bucket in range(BUCKETS - 1, -1, -1):
+                count = counts[bucket]
+                if count >= excess:
+                    return index + (bucket + 1 - excess / count) / BUCKETS
+                excess -= count
+        return 0.0
+
+    def lost_above(self, position):
+        """Return how many of the lost tickets lie above a position."""
+        return sum(
+            count
+            for index, counts in self._lost_by_index.items()
+            for bucket, count in enumerate(counts)
+            if index + (bucket + 1) / BUCKETS > position
+        )
 
 
 class ShedEstimator:
     """Finds the level above which tickets are shed.
 
+    Tickets above the level of the moment say nothing about where it should
+    be: they were sent before it was known. Only the others count.
+
     Attributes
     ----------
     ranks_ : list of int
@@ -46,7 +88,8 @@
         self.position_ = 0.0
         self._rise = FIRST_RISE
         self._window_end = 0.0
-        self._clear()
+        self._arrived = _Histogram()
+        self._ended = _Histogram()
 
     def offered(self, ticket, now):
         """Count a ticket that arrived.
@@ -59,9 +102,9 @@
             Current time in seconds.
         """
         self._roll(now)
-        histogram = self._histogram(ticket.rank)
-        histogram.offered[int(ticket.shed_hash * BUCKETS)] += 1
-        self._offered += 1
+        position = self._position(ticket)
+        if position < self.position_:
+            self._arrived.add(position)
 
     def shed(self, ticket, now):
         """Count a ticket that this node shed.
@@ -74,22 +117,41 @@
             Current time in seconds.
         """
         self._roll(now)
-        self._shed += 1
+        position = self._position(ticket)
+        if position < self.position_:
+            self._arrived.lose(position)
 
-    def refused(self, ticket, now):
-        """Count an admitted ticket that the upstream refused.
+    def ended(self, ticket, refused, now):
+        """Count the end of an admitted ticket.
 
         Parameters
         ----------
         ticket : Ticket
             The ticket.
+        refused : bool
+            Whether the upstream refused it.
         now : float
             Current time in seconds.
         """
         self._roll(now)
-        histogram = self._histogram(ticket.rank)
-        histogram.refused[int(ticket.shed_hash * BUCKETS)] += 1
-        self._refused += 1
+        position = self._position(ticket)
+        if position < self.position_:
+            self._ended.add(position)
+            if refused:
+                self._ended.lose(position)
+
+    def explains_refusals(self):
+        """Return whether what the upstream refuses is shed by importance.
+
+        A service further down does that; an upstream that is full itself
+        refuses requests of any importance.
+
+        Returns
+        -------
+        bool
+            True also when there are no refusals.
+        """
+        return self._ended.lost == 0 or self._falls_on_least(self._ended)
 
     def level(self, now):
         """Return the shedding level.
@@ -128,31 +190,27 @@
         top = len(self.ranks_)
         return 1.0 - self.position_ / top if top else 0.0
 
-    def _histogram(self, rank):
-        histogram = self._by_rank.get(rank)
-        if histogram is None:
-            rank = self._known(rank)
-            histogram = self._by_rank.setdefault(rank, _Histogram())
-        return histogram
+    def _position(self, ticket):
+        if ticket.rank not in self.ranks_:
+            self._add_rank(ticket.rank)
+        index = len(self.ranks_) - 1
+        if ticket.rank in self.ranks_:
+            index = self.ranks_.index(ticket.rank)
+        return index + ticket.shed_hash
 
-    def _known(self, rank):
-        if rank in self.ranks_:
-            return rank
+    def _add_rank(self, rank):
         if len(self.ranks_) >= MAX_RANKS:
-            return self.ranks_[-1]
-        level = self.position_ >= len(self.ranks_)
-        self.ranks_.append(rank)
-        self.ranks_.sort()
-        index = self.ranks_.index(rank)
-        if level or index <= self.position_:
+            return
+        is_top = self.position_ >= len(self.ranks_)
+        self.ranks_ = sorted([*self.ranks_, rank])
+        if is_top or self.ranks_.index(rank) <= self.position_:
             self.position_ += 1.0
-        return rank
+        # Indices of the window's counts have moved.
+        self._clear()
 
     def _clear(self):
-        self._by_rank = {}
-        self._offered = 0
-        self._shed = 0
-        self._refused = 0
+        self._arrived = _Histogram()
+        self._ended = _Histogram()
 
     def _roll(self, now):
         if now < self._window_end:
@@ -164,46 +222,41 @@
         self._window_end = now + WINDOW_S
 
     def _close(self):
-        excess = self._shed + self._confirmed_refusals()
-        if excess > CLEAN_SHARE * self._offered:
+        goals = [
+            histogram.quantile()
+            for histogram in (self._arrived, self._ended)
+            if self._is_short(histogram)
+        ]
+        if goals:
             self._rise = FIRST_RISE
-            self.position_ = min(self.position_, self._quantile(excess))
+            self.position_ = min(self.position_, *goals)
         else:
             self._raise_level()
         self._clear()
 
+    def _is_short(self, histogram):
+        # What is lost must be the least important. Otherwise a service
+        # below that not all classes call is short: a level here would
+        # shed classes that could be served.
+        if histogram.lost <= CLEAN_SHARE * histogram.total:
+            return False
+        return self._falls_on_least(histogram)
+
+    def _falls_on_least(self, histogram):
+        above = histogram.lost_above(histogram.quantile())
+        return 2 * above >= histogram.lost
+
     def _raise_level(self):
-        top = len(self.ranks_)
-        self.position_ = min(float(top), self.position_ + self._rise)
+        top = float(len(self.ranks_))
+        self.position_ = min(top, self.position_ + self._rise)
         self._rise = min(1.0, 2 * self._rise)
         if self.position_ >= top:
             self._rise = FIRST_RISE
 
-    def _confirmed_refusals(self):
-        # Refusals below count only if they fall on the least important
-        # tickets; others mean that a service further down, which not all
-        # classes call, is short, and this level can't tell them apart.
-        if not self._refused:
-            return 0
-        position = self._quantile(self._refused)
-        above = sum(
-            histogram.refused[bucket]
-            for index, bucket, histogram in self._buckets()
-            if index + (bucket + 1) / BUCKETS > position
-        )
-        return self._refused if 2 * above >= self._refused else 0
-
-    def _buckets(self):
-        for index in range(len(self.ranks_) - 1, -1, -1):
-            histogram = self._by_rank.get(self.ranks_[index])
-            if histogram is not None:
-                for bucket in range(BUCKETS - 1, -1, -1):
-                    yield index, bucket, histogram
-
-    def _quantile(self, excess):
-        for index, bucket, histogram in self._buckets():
-            count = histogram.offered[bucket]
-            if count >= excess:
-                return index + (bucket + 1 - excess / count) / BUCKETS
-            excess -= count
-        return 0.0
+
+def _count(counts_by_index, position):
+    index = int(position)
+    counts = counts_by_index.get(index)
+    if counts is None:
+        counts = counts_by_index[index] = [0] * BUCKETS
+    counts[int((position - index) * BUCKETS)] += 1
