--- a/rosemarycrank/messages/__init__.py
+++ b/rosemarycrank/messages/__init__.py
@@ -5,6 +5,7 @@
 
 Attempt = _types.Attempt
 AttemptReply = _types.AttemptReply
+CallContext = _types.CallContext
 Cancel = _types.Cancel
 Hello = _types.Hello
 HelloReply = _types.HelloReply
@@ -16,11 +17,13 @@
 
 Codec = _codec.Codec
 DecodeError = _codec.DecodeError
+MAX_FRAME_BYTES = _codec.MAX_FRAME_BYTES
 register = _codec.register
 
 __all__ = [
     'Attempt',
     'AttemptReply',
+    'CallContext',
     'Cancel',
     'Codec',
     'DecodeError',
@@ -28,6 +31,7 @@
     'HelloReply',
     'KeyedCall',
     'KeyedReply',
+    'MAX_FRAME_BYTES',
     'Revoke',
     'RevokeReply',
     'RevokeState',
--- /dev/null
+++ b/rosemarycrank/settings/_loader.py
@@ -0,0 +1,118 @@
+"""Loading of checked `attrs` classes from YAML files and mappings."""
+
+import pathlib
+
+from rosemarycrank.settings import _constraints
+from rosemarycrank.settings import _errors
+from rosemarycrank.settings import _yaml
+
+
+def load(path, cls, cross_check=None):
+    """Load an instance of a class from a YAML file.
+
+    Parameters
+    ----------
+    path : str or path-like
+        The file.
+    cls : type
+        `attrs` class with a table ``constraints`` of `Constraint` by field
+        name. Fields without a default are required.
+    cross_check : callable, optional
+        Called with the content as `Located` and its `Place`; refuses what
+        no single constraint can see. It runs whether or not the values
+        satisfy their constraints.
+
+    Returns
+    -------
+    object
+        Instance of the class.
+
+    Raises
+    ------
+    SettingsError
+        With all problems of the file, if there are any.
+    """
+    return parse(_read(path), cls, str(path), cross_check)
+
+
+def parse(text, cls, source, cross_check=None):
+    """Build an instance of a class from YAML text.
+
+    Parameters
+    ----------
+    text : bytes
+        The document.
+    cls : type
+        Class as for `load`.
+    source : str
+        Name of the document for errors.
+    cross_check : callable, optional
+        As for `load`.
+
+    Returns
+    -------
+    object
+        Instance of the class.
+
+    Raises
+    ------
+    SettingsError
+        With all problems of the text, if there are any.
+    """
+    problems = []
+    located = _yaml.parse(text, source, problems)
+    if located is None:
+        raise _group(problems, source)
+    return _convert(located, cls, source, cross_check, problems)
+
+
+def build(cls, mapping, source='mapping', cross_check=None):
+    """Build an instance of a class from a mapping.
+
+    Parameters
+    ----------
+    cls : type
+        Class as for `load`.
+    mapping : dict
+        Plain data.
+    source : str, default='mapping'
+        Name of where it comes from, for errors.
+    cross_check : callable, optional
+        As for `load`.
+
+    Returns
+    -------
+    object
+        Instance of the class.
+
+    Raises
+    ------
+    SettingsError
+        With all problems of the mapping, if there are any.
+    """
+    return _convert(_yaml.locate(mapping), cls, source, cross_check, [])
+
+
+def _convert(located, cls, source, cross_check, problems):
+    place = _constraints.Place(source, '', problems)
+    instance = _constraints.Nested(cls).convert(located, place)
+    if cross_check is not None:
+        cross_check(located, place)
+    if problems:
+        raise _group(problems, source)
+    return instance
+
+
+def _read(path):
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as error:
+        problem = _errors.ProblemError(
+            str(path), 0, '', error.strerror, 'a readable file'
+        )
+        raise _group([problem], str(path)) from error
+
+
+def _group(problems, source):
+    ordered = sorted(problems, key=lambda problem: problem.line)
+    return _errors.SettingsError(f'{source}: not valid', ordered)
