Take listening ports below those of outgoing connections

Ruled out: a fault of the node's own start; the address was in use. Conclusion: two runs at once can still choose one port, by a small chance.

--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -1,6 +1,7 @@
 """Starts, stops, kills and pauses the processes of a scenario."""
 
 import json
+import random
 import select
 import signal
 import socket
@@ -11,6 +12,7 @@
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 KILL_TIMEOUT_S = 10.0
+LISTENING_PORTS = range(12000, 32000)
 _POLL_S = 0.02
 _STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
@@ -22,6 +24,9 @@
 def free_addresses(count):
     """Return addresses on the loopback interface whose ports are free.
 
+    The ports lie below those that the system gives to outgoing
+    connections, so that none of these takes one before it is listened on.
+
     Parameters
     ----------
     count : int
@@ -32,14 +37,22 @@
     list of str
         Different ``host:port``.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for opened in sockets:
-            opened.bind(('127.0.0.1', 0))
-        return [f'127.0.0.1:{s.getsockname()[1]}' for s in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+    chooser = random.SystemRandom()
+    ports = set()
+    while len(ports) < count:
+        port = chooser.choice(LISTENING_PORTS)
+        if port not in ports and _is_free(port):
+            ports.add(port)
+    return [f'127.0.0.1:{port}' for port in ports]
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 class Process:
--- a/rosemarycrank/node/__main__.py
+++ b/rosemarycrank/node/__main__.py
@@ -7,6 +7,7 @@
 import typing
 
 import gevent
+import pynng
 import typer
 
 import rosemarycrank
@@ -47,10 +48,15 @@
         trusted_keys = _read_trusted_keys(settings.trusted_keys_file)
         _logging.configure(settings.log_level)
         process = node.Node(settings, cluster_key, trusted_keys)
-    except (OSError, ValueError, settings_module.SettingsError) as error:
+        process.start()
+    except (
+        OSError,
+        ValueError,
+        pynng.NNGException,
+        settings_module.SettingsError,
+    ) as error:
         _print_errors(error)
         raise typer.Exit(EXIT_REFUSED) from error
-    process.start()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, process.request_stop)
     typer.echo(
--- a/rosemarycrank/node/_kernel_task.py
+++ b/rosemarycrank/node/_kernel_task.py
@@ -99,7 +99,8 @@
 
     def stop(self):
         """Stop the greenlet."""
-        self._greenlet.kill()
+        if self._greenlet is not None:
+            self._greenlet.kill()
 
     def _run(self):
         while True:
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -4,6 +4,7 @@
 import logging
 
 from gevent import event
+import pynng
 
 from rosemarycrank import kernel
 from rosemarycrank import messages
@@ -87,12 +88,22 @@
         return f'{host}:{port}'
 
     def start(self):
-        """Start all tasks and listen."""
-        self._transport.start()
-        self._platform.start()
-        self._task.start()
-        self._admin_server.start()
-        self._client_server.start()
+        """Start all tasks and listen.
+
+        Raises
+        ------
+        OSError, pynng.NNGException
+            If an address cannot be listened on; nothing is left open.
+        """
+        try:
+            self._transport.start()
+            self._platform.start()
+            self._task.start()
+            self._admin_server.start()
+            self._client_server.start()
+        except (OSError, pynng.NNGException):
+            self.close()
+            raise
         # Objects made at start live as long as the process; the collector
         # need not visit them during calls.
         gc.collect()
--- a/rosemarycrank/node/_transport.py
+++ b/rosemarycrank/node/_transport.py
@@ -101,7 +101,8 @@
         for push in self._push_by_address.values():
             push.close()
         self._push_by_address.clear()
-        self._pull.close()
+        if self._pull is not None:
+            self._pull.close()
 
     def send(self, effect):
         """Send a message; a message that cannot leave is reported.
