--- a/rosemarycrank/bundles/__init__.py
+++ b/rosemarycrank/bundles/__init__.py
@@ -39,6 +39,7 @@
 
 CurrentRow = _table.CurrentRow
 body_name = _table.body_name
+delta_name = _table.delta_name
 
 LostRaceError = _roll_out.LostRaceError
 NotNextError = _roll_out.NotNextError
@@ -85,6 +86,7 @@
     'body_name',
     'content_from_bundle',
     'content_from_bytes',
+    'delta_name',
     'diff',
     'head_of',
     'load',
--- a/rosemarycrank/bundles/_content.py
+++ b/rosemarycrank/bundles/_content.py
@@ -71,6 +71,9 @@
     sections: dict
     digests: dict
     hash: str
+    # Decoded sections by key. A delta hands on what it does not change, so
+    # that accepting it costs no decoding of the whole.
+    _values: dict = attrs.field(factory=dict, repr=False)
 
     def delta_from(self, base):
         """Return what changes from an earlier content to this one.
@@ -119,10 +122,14 @@
             )
         sections = {**self.sections, **delta.changed}
         digests = {**self.digests, **_digests(delta.changed)}
+        values = dict(self._values)
+        for key in delta.changed:
+            values.pop(key, None)
         for key in delta.removed:
             sections.pop(key, None)
             digests.pop(key, None)
-        return _make(self.name, version, sections, digests)
+            values.pop(key, None)
+        return _make(self.name, version, sections, digests, values)
 
     def to_bundle(self):
         """Return the bundle.
@@ -137,13 +144,9 @@
         ContentError
             If a section is malformed or refers to an unknown class.
         """
-        values_by_kind = {kind: {} for kind in _TYPES_BY_KIND}
-        for key, section in self.sections.items():
-            kind, _, name = key.partition('/')
-            if kind not in _DECODERS_BY_KIND:
-                raise ContentError(f'section: got {key!r}')
-            values_by_kind[kind][name] = _decode(kind, key, section)
-        return _assemble(self, values_by_kind)
+        for key in self.sections.keys() - self._values.keys():
+            self._values[key] = _decode(key, self.sections[key])
+        return _assemble(self, self._values)
 
     def to_bytes(self):
         """Return the canonical bytes of the whole content."""
@@ -246,42 +249,55 @@
     }
 
 
-def _make(name, version, sections, digests):
+def _make(name, version, sections, digests, values=None):
     summary = msgspec.json.encode([name, version, sorted(digests.items())])
+    content_hash = hashlib.sha256(summary).hexdigest()
     return Content(
-        name, version, sections, digests, hashlib.sha256(summary).hexdigest()
+        name, version, sections, digests, content_hash, values or {}
     )
 
 
-def _decode(kind, key, section):
+def _decode(key, section):
+    kind, _, name = key.partition('/')
+    if kind not in _DECODERS_BY_KIND:
+        raise ContentError(f'section: got {key!r}')
     try:
-        return _DECODERS_BY_KIND[kind].decode(section)
+        value = _DECODERS_BY_KIND[kind].decode(section)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ContentError(f'{key}: {error}') from error
-
-
-def _assemble(content, values_by_kind):
-    rules_by_service = values_by_kind['rules']
-    classes_by_name = values_by_kind['classes']
-    for kind in ('classes', 'partners'):
-        for name, value in values_by_kind[kind].items():
-            if value.name != name:
-                raise ContentError(f'{kind}/{name}: got {value.name!r}')
-    for service, rules in rules_by_service.items():
-        for rule in rules:
-            if rule.service != service:
-                raise ContentError(f'rules/{service}: got {rule.service!r}')
-            if rule.class_name not in classes_by_name:
-                raise ContentError(f'rules/{service}: {rule.class_name!r}')
-    services = sorted(rules_by_service)
+    _check_name(kind, name, value)
+    return value
+
+
+def _check_name(kind, name, value):
+    if kind == 'rules':
+        found = {rule.service for rule in value}
+    elif kind == 'policy':
+        found = {''}
+    else:
+        found = {value.name}
+    if found != {name}:
+        raise ContentError(f'{kind}/{name}: got {sorted(found)}')
+
+
+def _assemble(content, values):
+    by_kind = {kind: {} for kind in _DECODERS_BY_KIND}
+    for key, value in values.items():
+        kind, _, name = key.partition('/')
+        by_kind[kind][name] = value
+    services = sorted(by_kind['rules'])
+    rules = tuple(
+        rule for service in services for rule in by_kind['rules'][service]
+    )
+    unknown = {rule.class_name for rule in rules} - by_kind['classes'].keys()
+    if unknown:
+        raise ContentError(f'rules: got unknown classes {sorted(unknown)}')
     return _model.Bundle(
         name=content.name,
         version=content.version,
-        classes_by_name=classes_by_name,
-        rules=tuple(
-            rule for service in services for rule in rules_by_service[service]
-        ),
+        classes_by_name=by_kind['classes'],
+        rules=rules,
         services=tuple(services),
-        partners_by_name=values_by_kind['partners'],
-        policy=values_by_kind['policy'].get('', _model.Policy()),
+        partners_by_name=by_kind['partners'],
+        policy=by_kind['policy'].get('', _model.Policy()),
     )
--- a/rosemarycrank/bundles/_holder.py
+++ b/rosemarycrank/bundles/_holder.py
@@ -159,6 +159,7 @@
             'accepted_at_s': self._accepted_at,
             'is_poller': self._is_poller(),
             'table_reads': self._source.reads,
+            'platform_waiting': self._source.waiting,
             'platform_failures': self._source.failures,
             'last_error': self._store.last_error,
         }
--- a/rosemarycrank/bundles/_platform_source.py
+++ b/rosemarycrank/bundles/_platform_source.py
@@ -49,6 +49,11 @@
         self._fetching_hash = ''
         self._fetching_since = 0.0
 
+    @property
+    def waiting(self):
+        """Operations that wait for an answer."""
+        return len(self._callbacks_by_id)
+
     def poll(self):
         """Read the row, unless too many reads wait already."""
         read = platform.TableRead(_table.TABLE, _table.CURRENT_KEY)
@@ -118,16 +123,23 @@
         self._request(platform.ObjectGet(name), callback)
 
     def _on_delta(self, head, body):
-        content = None
-        if body is not None:
-            delta = _table.decode_delta(body)
-            content = self.store.apply(head, delta)
+        content = self._apply(head, body)
         if content is None:
             self._fetch_whole(head)
             return
         self._fetching_hash = ''
         self.take(head, content)
 
+    def _apply(self, head, body):
+        if body is None:
+            return None
+        try:
+            return self.store.apply(head, _table.decode_delta(body))
+        except _content.ContentError:
+            # The whole body may still be good.
+            self.context.count('bundle.deltas_malformed')
+            return None
+
     def _on_whole(self, head, body):
         self._fetching_hash = ''
         if body is None:
--- a/rosemarycrank/bundles/_roll_out.py
+++ b/rosemarycrank/bundles/_roll_out.py
@@ -50,7 +50,8 @@
     head : Head
         Head of the bundle in force.
     changed : bool
-        False if it was in force before.
+        False if it was in force already, or another operator brought the
+        same bundle into force.
     """
 
     head: object
@@ -164,8 +165,8 @@
         expected_version=row.version if row else 0,
         write_id=write_id,
     )
-    _write_current(client, write, sleep)
-    return RollOut(signed.head, changed=True)
+    changed = _write_current(client, write, sleep)
+    return RollOut(signed.head, changed)
 
 
 def _check_follows(head, current):
@@ -217,7 +218,7 @@
         sleep(WRITE_BACKOFF_S * attempt)
         try:
             if may_have_run and _is_written(client, write):
-                return
+                return True
             # The write is conditional, so of two copies at most one takes
             # effect. A read alone could not tell that the lost one never
             # will: it may lag, or come before the write does.
@@ -228,8 +229,7 @@
             if not may_have_run:
                 raise
         else:
-            _judge(row, write, may_have_run)
-            return
+            return _judge(row, write, may_have_run)
     raise OutcomeUnknownError(
         'the answer to the write was lost and could not be read back'
     )
@@ -251,12 +251,13 @@
     if row is None:
         raise OutcomeUnknownError('the table says that no bundle stands')
     if row.write_id == write.write_id:
-        return
+        return True
     current = _table.read_row(row.value)
     head = _table.read_row(write.value).head
     if head.hash in (current.head.hash, current.base_hash):
-        # It is in force, or was until the next roll-out replaced it.
-        return
+        # It is in force, or was until the next roll-out replaced it. The
+        # lost write may have done so, or another operator's.
+        return may_have_run
     message = f'version {current.head.version} stands'
     if may_have_run and current.head.version > head.version:
         raise OutcomeUnknownError(message, current.head)
--- a/tests/bundles/simulation.py
+++ b/tests/bundles/simulation.py
@@ -1,7 +1,8 @@
 """Bundle holders of some failure domains in virtual time.
 
-Links between domains and to the platform can be cut, nodes paused and
-restarted, table reads made to lag, and the platform's answers lost.
+Links between domains and to the platform can be cut, nodes isolated,
+paused and restarted, table reads made to lag, and the platform's answers
+lost.
 """
 
 import heapq
@@ -22,14 +23,19 @@
 
 
 class Directory:
-    """Membership view in which every node is known."""
+    """Membership view of one node; failures are known at once."""
 
-    def __init__(self, cluster, domain):
+    def __init__(self, cluster, address, domain):
         self._cluster = cluster
+        self._address = address
         self._domain = domain
 
     def members(self):
-        return self._cluster.addresses(lambda d: d == self._domain)
+        others = self._cluster.addresses(lambda d: d == self._domain)
+        out = self._cluster.out() - {self._address}
+        if self._address in self._cluster.isolated:
+            return [self._address]
+        return [a for a in others if a not in out]
 
     def remote_members(self):
         return self._cluster.addresses(lambda d: d != self._domain)
@@ -92,6 +98,7 @@
         self.platform = Platform()
         self.cuts = set()
         self.paused = set()
+        self.isolated = set()
         self.sent = []
         self.nodes = {}
         self._trusted = trusted
@@ -107,11 +114,16 @@
     def addresses(self, wanted):
         return [a for a, n in self.nodes.items() if wanted(n.domain)]
 
+    def out(self):
+        """Return the nodes that take no part: paused or isolated."""
+        return self.paused | self.isolated
+
     def start(self, address, domain):
         """Start or restart a node, which then holds nothing."""
         context = kernel.Context(address, 1, seed=self._random.getrandbits(32))
         context.timers.advance(self.now)
-        holder = self._make_holder(Directory(self, domain), self._trusted)
+        directory = Directory(self, address, domain)
+        holder = self._make_holder(directory, self._trusted)
         node = Node(
             domain,
             kernel.Kernel(context, [holder]),
@@ -146,7 +158,11 @@
 
     def components(self):
         """Return the sets of connected domains, the platform among them."""
-        left = {node.domain for node in self.nodes.values()}
+        left = {
+            node.domain
+            for address, node in self.nodes.items()
+            if address not in self.out()
+        }
         if not (self.platform.down or self.platform.loses_answers):
             left.add(PLATFORM)
         while left:
@@ -183,14 +199,17 @@
         frame = sender.codec.encode(effect.message)
         self.sent.append((effect.message, len(frame)))
         target = self.nodes[effect.address]
-        if self.connected(sender.domain, target.domain):
+        alone = not self.isolated.isdisjoint((address, effect.address))
+        if not alone and self.connected(sender.domain, target.domain):
             event = kernel.Received(*target.codec.decode(frame))
             self.deliver_later(effect.address, event)
 
     def _ask_platform(self, address, effect):
         operation_id = effect.operation_id
         domain = self.nodes[address].domain
-        if self.platform.down or not self.connected(domain, PLATFORM):
+        alone = address in self.isolated
+        reachable = not alone and self.connected(domain, PLATFORM)
+        if self.platform.down or not reachable:
             reply = kernel.PlatformReply(operation_id, error='unavailable')
         elif self.platform.loses_answers:
             return
--- a/tests/bundles/test_holder.py
+++ b/tests/bundles/test_holder.py
@@ -90,6 +90,7 @@
     @stateful.rule()
     def heal(self):
         self.cluster.cuts.clear()
+        self.cluster.isolated = set()
 
     @stateful.rule(address=strategies.sampled_from(ADDRESSES))
     def restart(self, address):
@@ -104,6 +105,12 @@
     def pause(self, address):
         self.cluster.paused = {address}
 
+    @stateful.rule(
+        addresses=strategies.sets(strategies.sampled_from(ADDRESSES))
+    )
+    def isolate(self, addresses):
+        self.cluster.isolated = addresses
+
     @stateful.rule()
     def wake(self):
         self.cluster.paused = set()
@@ -146,16 +153,14 @@
     @stateful.rule(heal_first=strategies.booleans())
     def settle(self, heal_first):
         if heal_first:
-            self.cluster.cuts.clear()
+            self.heal()
             self.disturb_platform(False, False, 0.0)
             self.wake()
         expected = list(self._expected())
         self.cluster.run(IN_FORCE_S)
         for component, version in expected:
-            for address, node in self.cluster.nodes.items():
-                if node.domain in component:
-                    if address not in self.cluster.paused:
-                        assert node.version >= version, address
+            for address, node in self._reachable(component):
+                assert node.version >= version, address
 
     @stateful.invariant()
     def never_an_older_version(self):
@@ -163,14 +168,19 @@
 
     def _expected(self):
         for component in self.cluster.components():
-            known = [
-                node.version
-                for node in self.cluster.nodes.values()
-                if node.domain in component
-            ]
+            reachable = self._reachable(component)
+            known = [node.version for _, node in reachable]
             if simulation.PLATFORM in component:
                 known.append(self.oracle.newest)
-            yield component, max(known)
+            yield component, max(known, default=0)
+
+    def _reachable(self, component):
+        out = self.cluster.out()
+        return [
+            (address, node)
+            for address, node in self.cluster.nodes.items()
+            if node.domain in component and address not in out
+        ]
 
 
 TestMachine = Machine.TestCase
@@ -304,6 +314,44 @@
     assert sum(reads) < 60
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_news_reaches_a_large_domain_in_time(seed):
+    cluster = simulation.Cluster({'escazu': 100}, OPERATORS.trusted, seed)
+    publish(cluster, conftest.make_content(1))
+    cluster.run(IN_FORCE_S)
+    publish(cluster, conftest.make_content(2), conftest.make_content(1))
+    cluster.run(2.5)
+    assert versions(cluster) == {2}
+
+
+def test_isolated_node_catches_up_once_healed():
+    cluster = simulation.Cluster({'escazu': 60}, OPERATORS.trusted, 1)
+    publish(cluster, conftest.make_content(1))
+    cluster.run(IN_FORCE_S)
+    # One that polls would find the news in the table itself.
+    cluster.isolated = {
+        next(
+            address
+            for address, node in cluster.nodes.items()
+            if not node.holder.dump()['is_poller']
+        )
+    }
+    publish(cluster, conftest.make_content(2), conftest.make_content(1))
+    cluster.run(IN_FORCE_S)
+    assert versions(cluster) == {1, 2}
+    cluster.isolated = set()
+    cluster.run(IN_FORCE_S)
+    assert versions(cluster) == {2}
+
+
+def test_platform_that_never_answers_holds_few_reads():
+    cluster = make_cluster(1)
+    cluster.platform.loses_answers = True
+    cluster.run(60.0)
+    dumps = [n.holder.dump() for n in cluster.nodes.values()]
+    assert 0 < max(dump['platform_waiting'] for dump in dumps) <= 4
+
+
 def test_few_nodes_poll_once_in_force():
     cluster = simulation.Cluster({'escazu': 30}, OPERATORS.trusted, 1)
     publish(cluster, conftest.make_content(1))
--- a/tests/bundles/test_roll_out.py
+++ b/tests/bundles/test_roll_out.py
@@ -97,6 +97,13 @@
     assert standing(tables) == winner.head
 
 
+def test_same_bundle_rolled_out_by_another_operator(tables):
+    client = Client(
+        tables, before_write=lambda: roll_out(tables, signed(1), 'b')
+    )
+    assert not roll_out(client, signed(1), 'c').changed
+
+
 @pytest.mark.parametrize(
     'faults',
     [['lost-after'], ['lost-before'], ['lost-before', 'lost-after', 'down']],
@@ -106,6 +113,12 @@
     assert standing(tables) == signed(1).head
 
 
+def test_write_that_took_effect_is_not_sent_again(tables):
+    roll_out(Client(tables, ['lost-after']), signed(1))
+    body_and_row = 2
+    assert tables.writes == body_and_row
+
+
 def test_lost_answer_of_a_lost_race_is_a_lost_race(tables):
     winner = signed(1, mark=1)
     client = Client(
