Check the settings of stand-ins and load like all others

Settings of the stand-ins named only the first wrong key.

Constraints follow from the types of the fields by a decorator, so that each class states its fields once; a second table by hand was ruled out, as it repeats every field. All problems of a file are printed with line, value and what is allowed. A checker's fault ends with 3.

Nested paid calls of paid requests can bring keys that the node issues.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -241,6 +241,7 @@
             settings = {
                 'seed': seed + len(plans),
                 'service_time': {'median_ms': MEDIAN_MS},
+                'nested_keys': 'node',
                 'routes': ROUTES_BY_SERVICE.get(group.service, []),
             }
             plan = _deployment.TargetPlan(
--- a/rosemarycrank/load/__init__.py
+++ b/rosemarycrank/load/__init__.py
@@ -5,14 +5,21 @@
 """
 
 from rosemarycrank.load import _checker
+from rosemarycrank.load import _constraints
 from rosemarycrank.load import _driver
+from rosemarycrank.load import _keys
 from rosemarycrank.load import _records
 from rosemarycrank.load import _scenario
 
+FRACTION = _constraints.FRACTION
+
 ClientEvent = _records.ClientEvent
+ClientKeys = _keys.ClientKeys
 Content = _records.Content
 Driver = _driver.Driver
+Keys = _scenario.Keys
 NestedCall = _records.NestedCall
+NodeKeys = _keys.NodeKeys
 Report = _checker.Report
 RequestKind = _scenario.RequestKind
 RunEvent = _records.RunEvent
@@ -20,6 +27,8 @@
 Writer = _records.Writer
 answer_digest = _records.answer_digest
 check = _checker.check
+checked = _constraints.checked
+constrained = _constraints.constrained
 check_files = _checker.check_files
 extra_attempts = _checker.extra_attempts
 read_lines = _records.read_lines
@@ -27,9 +36,13 @@
 
 __all__ = [
     'ClientEvent',
+    'ClientKeys',
     'Content',
     'Driver',
+    'FRACTION',
+    'Keys',
     'NestedCall',
+    'NodeKeys',
     'Report',
     'RequestKind',
     'RunEvent',
@@ -38,6 +51,8 @@
     'answer_digest',
     'check',
     'check_files',
+    'checked',
+    'constrained',
     'extra_attempts',
     'read_lines',
     'request_digest',
--- a/rosemarycrank/load/__main__.py
+++ b/rosemarycrank/load/__main__.py
@@ -7,7 +7,6 @@
 
 import attrs
 import gevent
-import msgspec
 import typer
 
 import rosemarycrank
@@ -15,11 +14,12 @@
 from rosemarycrank.load import _driver
 from rosemarycrank.load import _records
 from rosemarycrank.load import _scenario
+from rosemarycrank import settings
 
-EXIT_FAULT = 1
-EXIT_USAGE = 2
+EXIT_REFUSED = 1
+EXIT_FAULT = 3
 
-_APP = typer.Typer(
+APP = typer.Typer(
     add_completion=False,
     pretty_exceptions_enable=False,
     help='Drive open-loop load, or check what came of it.',
@@ -32,7 +32,7 @@
         raise typer.Exit
 
 
-@_APP.callback()
+@APP.callback()
 def _options(
     version: typing.Annotated[
         bool, typer.Option('--version', callback=_print_version, is_eager=True)
@@ -41,10 +41,11 @@
     pass
 
 
-@_APP.command()
+@APP.command()
 def run(
-    settings: typing.Annotated[
-        pathlib.Path, typer.Option(help='YAML file of the scenario')
+    settings_file: typing.Annotated[
+        pathlib.Path,
+        typer.Option('--settings', help='YAML file of the scenario'),
     ],
     node: typing.Annotated[
         list[str], typer.Option(help='host:port of an entry node; repeat')
@@ -58,7 +59,7 @@
     quiet: typing.Annotated[bool, typer.Option(help='no progress')] = False,
 ):
     """Send the requests of a scenario; print counts and latencies."""
-    scenario = _load_scenario(settings, seed)
+    scenario = _load_scenario(settings_file, seed)
     writer = _records.Writer(history)
     driver = _driver.Driver(scenario, node, writer.append)
     if not quiet:
@@ -68,7 +69,7 @@
     print(json.dumps(driver.statistics.as_dict()))
 
 
-@_APP.command()
+@APP.command()
 def check(
     history: typing.Annotated[list[pathlib.Path], typer.Option()],
     runs: typing.Annotated[list[pathlib.Path], typer.Option()],
@@ -82,12 +83,11 @@
 
 def _load_scenario(path, seed):
     try:
-        scenario = msgspec.yaml.decode(
-            path.read_bytes(), type=_scenario.Scenario
-        )
-    except (OSError, ValueError) as error:
-        print(f'{path}: {error}', file=sys.stderr)
-        raise typer.Exit(EXIT_USAGE) from error
+        scenario = settings.load(path, _scenario.Scenario)
+    except settings.SettingsError as error:
+        for problem in error.exceptions:
+            print(problem, file=sys.stderr)
+        raise typer.Exit(EXIT_REFUSED) from error
     if seed is None:
         return scenario
     return attrs.evolve(scenario, seed=seed)
@@ -99,7 +99,7 @@
 
 def main():
     """Run the program."""
-    _APP()
+    APP()
 
 
 if __name__ == '__main__':
--- a/rosemarycrank/load/_records.py
+++ b/rosemarycrank/load/_records.py
@@ -11,7 +11,10 @@
 import attrs
 import msgspec
 
+from rosemarycrank.load import _constraints
 
+
+@_constraints.checked
 @attrs.frozen
 class NestedCall:
     """A call that an upstream makes while it serves a request.
--- a/rosemarycrank/load/_scenario.py
+++ b/rosemarycrank/load/_scenario.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 
+from rosemarycrank.load import _constraints
 from rosemarycrank.load import _records
 
 
@@ -30,6 +31,7 @@
     NODE = 'node'
 
 
+@_constraints.checked
 @attrs.frozen
 class RequestKind:
     """A kind of request and its arrival rate.
@@ -86,6 +88,7 @@
         return msgspec.json.encode(content)
 
 
+@_constraints.checked
 @attrs.frozen
 class Phase:
     """Multiplies arrival rates from ``start_s`` to ``end_s``.
@@ -106,6 +109,7 @@
         return 1.0
 
 
+@_constraints.checked
 @attrs.frozen
 class Scenario:
     """A run of the load driver.
--- a/rosemarycrank/standins/_runner.py
+++ b/rosemarycrank/standins/_runner.py
@@ -193,12 +193,18 @@
         Client of the node's port for callers.
     run_log : RunLog
         Where calls are recorded.
+    issued_keys : load.NodeKeys or None
+        Keys issued by the node, for paid calls of paid requests.
+    node : str
+        ``host:port`` of that port.
     timeout_s : float
         Longest wait for an answer, in seconds.
     """
 
     client: object
     run_log: object
+    issued_keys: object = None
+    node: str = ''
     timeout_s: float = 30.0
 
     def make_all(self, request):
@@ -246,7 +252,7 @@
                 call.method,
                 f'/call/{call.service}{path}',
                 body,
-                _child_headers(request, call, nonce),
+                self._headers(request, call, nonce),
                 self.timeout_s,
             )
         except http_client.ConnectFailed:
@@ -263,9 +269,17 @@
             return Ending.CALL_FAILED, outcome
         return Ending.COMPLETE, outcome
 
-
-def _child_headers(request, call, nonce):
-    headers = {'Rosemarycrank-Token': request.token}
-    if call.paid:
-        headers['Idempotency-Key'] = call.key or f'key-{nonce}'
-    return headers
+    def _headers(self, request, call, nonce):
+        headers = {'Rosemarycrank-Token': request.token}
+        if call.paid:
+            headers['Idempotency-Key'] = self._key(request, call, nonce)
+        return headers
+
+    def _key(self, request, call, nonce):
+        if call.key:
+            return call.key
+        if request.paid and self.issued_keys is not None:
+            issued = self.issued_keys.key(nonce, self.node)
+            if issued:
+                return issued
+        return f'key-{nonce}'
--- a/rosemarycrank/standins/_settings.py
+++ b/rosemarycrank/standins/_settings.py
@@ -5,6 +5,7 @@
 from rosemarycrank import load
 
 
+@load.checked
 @attrs.frozen
 class ServiceTime:
     """Log-normal distribution of service times.
@@ -16,6 +17,7 @@
     sigma: float = 0.3
 
 
+@load.checked
 @attrs.frozen
 class ColdStart:
     """Service times are ``factor`` times longer at first.
@@ -28,6 +30,7 @@
     requests: int = 0
 
 
+@load.checked
 @attrs.frozen
 class Route:
     """Nested calls of the requests that match a method and a path pattern."""
@@ -37,6 +40,7 @@
     path: str = '*'
 
 
+@load.checked
 @attrs.frozen
 class Behaviour:
     """Switches that `POST /control` changes; rates are in [0, 1].
@@ -64,17 +68,18 @@
 
     slow_factor: float = 1.0
     shed: bool = False
-    shed_rate: float = 0.0
+    shed_rate: float = load.constrained(load.FRACTION, 0.0)
     drain: bool = False
-    drop_early_rate: float = 0.0
-    drop_rate: float = 0.0
-    truncate_rate: float = 0.0
-    hang_rate: float = 0.0
+    drop_early_rate: float = load.constrained(load.FRACTION, 0.0)
+    drop_rate: float = load.constrained(load.FRACTION, 0.0)
+    truncate_rate: float = load.constrained(load.FRACTION, 0.0)
+    hang_rate: float = load.constrained(load.FRACTION, 0.0)
     reported_healthy: bool = True
     load_factor: float = 1.0
     report_lag_s: float = 0.0
 
 
+@load.checked
 @attrs.frozen
 class UpstreamSettings:
     """Settings of the upstream stand-in.
@@ -95,6 +100,10 @@
         How long requests take and what goes wrong.
     routes : tuple of Route
         Nested calls; the first route that matches decides.
+    nested_keys : Keys
+        Where keys of nested paid calls come from. Keys issued by the node
+        are used only in requests that are paid themselves: another run of
+        the same request would bring another key.
     answer_bytes : int
         Padding of answers, in bytes.
     runs_file : str
@@ -118,6 +127,7 @@
     cold_start: ColdStart = ColdStart()
     behaviour: Behaviour = Behaviour()
     routes: tuple[Route, ...] = ()
+    nested_keys: load.Keys = load.Keys.CLIENT
     answer_bytes: int = 300
     runs_file: str = ''
     heartbeat_s: float = 1.0
--- a/rosemarycrank/standins/platform.py
+++ b/rosemarycrank/standins/platform.py
@@ -12,6 +12,7 @@
 import msgspec
 import typer
 
+from rosemarycrank import load
 from rosemarycrank import platform
 from rosemarycrank.standins import _server
 from rosemarycrank.standins import _tables
@@ -28,6 +29,7 @@
     LOSE_ANSWERS = 'lose-answers'
 
 
+@load.checked
 @attrs.frozen
 class Control:
     """Switches of the stand-in.
@@ -38,9 +40,10 @@
 
     mode: Mode = Mode.UP
     delay_s: float = 1.0
-    rate: float = 1.0
+    rate: float = load.constrained(load.FRACTION, 1.0)
 
 
+@load.checked
 @attrs.frozen
 class Settings:
     """Settings of the stand-in."""
@@ -120,7 +123,7 @@
 
     def on_post(self, request, response):
         body = _server.read_body(request) or b''
-        self._application.control = _decode(body, Control)
+        self._application.control = _server.switches(body, Control())
         self.on_get(request, response)
 
 
--- a/rosemarycrank/standins/upstream.py
+++ b/rosemarycrank/standins/upstream.py
@@ -7,6 +7,7 @@
 import gevent
 import typer
 
+from rosemarycrank import load
 from rosemarycrank.standins import _announcer
 from rosemarycrank.standins import _runner
 from rosemarycrank.standins import _runs
@@ -52,7 +53,7 @@
         settings = self.settings
         address = self.server.bound_address
         self.run_log = _runs.RunLog(address, settings.runs_file)
-        calls = _runner.NestedCalls(_node_client(settings), self.run_log)
+        calls = _nested_calls(settings, self.run_log)
         self.runner = _runner.Runner(settings, self.run_log, calls)
         self.server.application = _upstream_app.application(
             self.runner, self.run_log, self._switch_drain
@@ -88,10 +89,15 @@
                 quiet_since = now
 
 
-def _node_client(settings):
-    if not settings.node_http:
-        return None
-    return _server.client(settings.node_http)
+def _nested_calls(settings, run_log):
+    node = settings.node_http
+    if not node:
+        return _runner.NestedCalls(None, run_log)
+    client = _server.client(node)
+    issued_keys = None
+    if settings.nested_keys is load.Keys.NODE:
+        issued_keys = load.NodeKeys({node: client})
+    return _runner.NestedCalls(client, run_log, issued_keys, node)
 
 
 def serve(settings):
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -151,6 +151,24 @@
     assert tokens == {'t'}
 
 
+@pytest.mark.parametrize('paid, prefix', [(True, 'issued'), (False, 'key')])
+def test_issued_keys_only_in_paid_requests(
+    start_upstream, fake_node, paid, prefix
+):
+    leaf, _ = start_upstream(service='leaf')
+    fake_node.upstreams_by_service['leaf'] = leaf.server.bound_address
+    _, client = start_upstream(
+        service='top',
+        node_http=fake_node.address,
+        nested_keys=load.Keys.NODE,
+    )
+    calls = [{'service': 'leaf', 'method': 'POST', 'paid': True}]
+    value = {'nonce': 'n', 'paid': paid, 'call': calls}
+    assert client.call('POST', '/a', value)[0] == 200
+    (headers,) = fake_node.headers
+    assert headers['IDEMPOTENCY-KEY'].startswith(prefix)
+
+
 def test_swapped_nested_answer_is_seen(start_upstream, fake_node):
     leaf, _ = start_upstream(service='other')
     fake_node.upstreams_by_service['leaf'] = leaf.server.bound_address
