--- a/benchmarks/_deployment.py
+++ b/benchmarks/_deployment.py
@@ -19,7 +19,8 @@
 class TargetPlan:
     """One upstream with its node.
 
-    ``settings`` are further settings of the upstream stand-in.
+    ``settings`` are further settings of the upstream stand-in,
+    ``node_settings`` of the node.
     """
 
     service: str
@@ -28,6 +29,7 @@
     slots: int = 20
     max_connections: int = 100
     settings: dict = attrs.field(factory=dict)
+    node_settings: dict = attrs.field(factory=dict)
 
     @property
     def name(self):
@@ -246,6 +248,7 @@
             'cluster_key_file': str(self._folder / 'cluster.key'),
             'trusted_keys_file': self._trusted_keys_file,
             **self._node_settings,
+            **plan.node_settings,
         }
         if self.platform_address:
             settings['platform_url'] = f'http://{self.platform_address}'
--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -39,6 +39,11 @@
 #: has been sent by then, in seconds.
 HELLO_TIMEOUT_S = 0.2
 
+#: How long after a service was first asked for its targets may still be on
+#: their way from another failure domain, and how often to look, in seconds.
+LOOKUP_S = 0.5
+LOOKUP_PERIOD_S = 0.05
+
 #: Growth of the interval between questions about a running attempt.
 CHECK_BACKOFF = 2.0
 
@@ -148,6 +153,7 @@
         self._outgoing_by_id = {}
         self._peers = _peers.Peers(target_calls.attempt_validity_s)
         self._waiting_by_address = {}
+        self._asked_at_by_service = {}
         self._sequence = itertools.count(1)
         self.keyed_waiting_ = 0
         key_ledger.run = self._run_keyed
@@ -326,11 +332,13 @@
     def _next_attempt(self, call):
         now = self.context.now
         bundle = self.bundle_holder.current
-        candidates = [
-            target
-            for target in self.directory.targets(call.request.service)
-            if not bundle.partner_ended(target.partner)
-        ]
+        known = self.directory.targets(call.request.service)
+        if not known and self._is_looked_up(call.request.service):
+            self.context.timers.after(
+                LOOKUP_PERIOD_S, lambda now: self._look_again(call)
+            )
+            return
+        candidates = [t for t in known if not bundle.partner_ended(t.partner)]
         target = self.balancer.choose(
             candidates, call.context.rank, call.tried, now
         )
@@ -363,6 +371,15 @@
         else:
             self._send(outgoing, peer)
 
+    def _is_looked_up(self, service):
+        now = self.context.now
+        asked_at = self._asked_at_by_service.setdefault(service, now)
+        return now - asked_at < LOOKUP_S
+
+    def _look_again(self, call):
+        if not call.done:
+            self._next_attempt(call)
+
     def _send(self, outgoing, peer):
         call = outgoing.call
         self._schedule_check(outgoing, outgoing.check_s)
