--- a/rosemarycrank/bundles/_roll_out.py
+++ b/rosemarycrank/bundles/_roll_out.py
@@ -11,6 +11,7 @@
 #: Attempts to learn what became of a write whose answer was lost.
 WRITE_ATTEMPTS = 4
 WRITE_BACKOFF_S = 0.5
+PUT_ATTEMPTS = 2
 
 
 class RollOutError(Exception):
@@ -199,17 +200,17 @@
 
 def _put(client, operation):
     # The name says what the object holds, so a second put does no harm.
-    try:
-        client.execute(operation)
-        return
-    except platform.PlatformAnswerLost:
-        pass
-    try:
-        client.execute(operation)
-    except platform.PlatformAnswerLost as error:
-        raise platform.PlatformUnavailable(
-            f'object {operation.name}: no answer; no row was written'
-        ) from error
+    for _ in range(PUT_ATTEMPTS):
+        try:
+            client.execute(operation)
+            return
+        except platform.PlatformAnswerLost:
+            stored = client.execute(platform.ObjectGet(operation.name))
+            if stored == operation.body:
+                return
+    raise platform.PlatformUnavailable(
+        f'object {operation.name}: not stored; no row was written'
+    )
 
 
 def _write_current(client, write, sleep):
--- a/tests/bundles/test_roll_out.py
+++ b/tests/bundles/test_roll_out.py
@@ -17,15 +17,18 @@
 
     ``faults`` are taken one a table write: 'ok', 'lost-before' and
     'lost-after' (the write's effect), 'down'. ``before_write`` is called
-    once, just before the first table write.
+    once, just before the first table write. ``puts`` are faults of puts.
     """
 
-    def __init__(self, tables, faults=(), before_write=None):
+    def __init__(self, tables, faults=(), before_write=None, puts=()):
         self.tables = tables
+        self.puts = list(puts)
         self.faults = list(faults)
         self.before_write = before_write
 
     def execute(self, operation):
+        if isinstance(operation, platform.ObjectPut) and self.puts:
+            return self._put(operation, self.puts.pop(0))
         if not isinstance(operation, platform.TableWrite):
             return self.tables.execute(operation)
         if self.before_write is not None:
@@ -41,6 +44,11 @@
             raise platform.PlatformAnswerLost('lost')
         return result
 
+    def _put(self, operation, fault):
+        if fault == 'lost-after':
+            self.tables.execute(operation)
+        raise platform.PlatformAnswerLost('lost')
+
 
 @pytest.fixture
 def tables():
@@ -119,6 +127,19 @@
     assert tables.writes == body_and_row
 
 
+@pytest.mark.parametrize('puts', [['lost-after'], ['lost-before']])
+def test_lost_answer_to_a_body_is_read_back(tables, puts):
+    assert roll_out(Client(tables, puts=puts), signed(1)).changed
+    assert bundles.read_content(tables, signed(1).head) is not None
+
+
+def test_body_that_cannot_be_stored_leaves_the_row_alone(tables):
+    client = Client(tables, puts=['lost-before'] * 2)
+    with pytest.raises(platform.PlatformUnavailable, match='no row'):
+        roll_out(client, signed(1))
+    assert standing(tables) is None
+
+
 def test_lost_answer_of_a_lost_race_is_a_lost_race(tables):
     winner = signed(1, mark=1)
     client = Client(
