--- a/benchmarks/_overload_model.py
+++ b/benchmarks/_overload_model.py
@@ -17,7 +17,7 @@
 import attrs
 import typer
 
-from benchmarks import _limit_variants
+from benchmarks import _overload_limits
 from rosemarycrank import admission
 from rosemarycrank import balancing
 from rosemarycrank import kernel
@@ -526,7 +526,7 @@
             retry.Unlimited,
         ),
         Variant('trials', lambda slots: adaptive()),
-        *_limit_variants.variants(Variant),
+        *_overload_limits.variants(Variant),
     ]
 
 
--- a/rosemarycrank/admission/_adaptive.py
+++ b/rosemarycrank/admission/_adaptive.py
@@ -47,6 +47,8 @@
         Samples between two decisions on the limit.
     cold_s : float, default=2.0
         Time over which a cold upstream may reach its slots, in seconds.
+    min_queue : int, default=8
+        Places in the queue of an upstream with few slots.
 
     Attributes
     ----------
@@ -62,6 +64,7 @@
         goodput_weight=0.5,
         window_samples=32,
         cold_s=2.0,
+        min_queue=8,
     ):
         self.initial_limit = initial_limit
         self.min_limit = min_limit
@@ -69,6 +72,7 @@
         self.goodput_weight = goodput_weight
         self.window_samples = window_samples
         self.cold_s = cold_s
+        self.min_queue = min_queue
         self.in_flight_ = 0
         self._limit = _limit.ConcurrencyLimit(
             initial_limit, min_limit, max_limit, window_samples, cold_s
@@ -150,7 +154,7 @@
         return MIN_RETRY_AFTER_S + span_s * overload
 
     def service_time_s(self, now):
-        """Return the low estimate of the quickest rank."""
+        """Return the estimate of the quickest rank."""
         return self._service_times.shortest_s(now)
 
     def _may_run(self, ticket, now):
@@ -209,7 +213,7 @@
 
     def _queue_bound(self, now):
         share = QUEUE_SHARE + QUEUE_SHARE_GAIN * self.goodput_weight
-        return max(1, int(share * self._limit_value(now)))
+        return max(self.min_queue, int(share * self._limit_value(now)))
 
 
 def _is_before(ticket, other):
--- a/rosemarycrank/admission/_baselines.py
+++ b/rosemarycrank/admission/_baselines.py
@@ -4,6 +4,9 @@
 from rosemarycrank import kernel
 from rosemarycrank import results
 
+#: Limit where none is set and no slots are announced.
+DEFAULT_LIMIT = 64
+
 
 @kernel.register('admission', 'pass-through')
 class PassThrough(_base.AdmissionController):
@@ -50,20 +53,31 @@
 
     Parameters
     ----------
-    limit : int, default=64
-        Attempts that may run at once.
+    limit : int, default=0
+        Attempts that may run at once; 0 takes the announced slots, and 64
+        where none are announced.
+
+    Attributes
+    ----------
+    limit_ : int
+        The limit in use.
     """
 
-    def __init__(self, limit=64):
+    def __init__(self, limit=0):
         super().__init__()
         self.limit = limit
+        self.limit_ = limit or DEFAULT_LIMIT
+
+    def start_cold(self, slots, now):
+        """Take the announced slots, unless a limit is set."""
+        self.limit_ = self.limit or slots or DEFAULT_LIMIT
 
     def offer(self, ticket, now):
         """Admit the ticket below the limit."""
-        if self.in_flight_ >= self.limit:
+        if self.in_flight_ >= self.limit_:
             return _base.Decision(_base.Verdict.REFUSE, results.Result.SHED)
         return super().offer(ticket, now)
 
     def load(self, now):
         """Return the attempts running and the limit."""
-        return _base.Load(self.in_flight_, self.limit, 0)
+        return _base.Load(self.in_flight_, self.limit_, 0)
--- a/rosemarycrank/admission/_service_time.py
+++ b/rosemarycrank/admission/_service_time.py
@@ -4,6 +4,8 @@
 
 #: Weight of a new sample in the moving averages.
 WEIGHT = 0.05
+#: Mean deviations that an attempt needs beyond the mean.
+MARGIN = 1.0
 #: Without samples the estimate halves in this time, so that one which
 #: refuses everything can't last.
 HALF_LIFE_S = 0.5
@@ -19,7 +21,7 @@
 
 
 class ServiceTimes:
-    """Low estimate of the service time of each rank."""
+    """Estimate of the service time of each rank."""
 
     def __init__(self):
         self._by_rank = {}
@@ -47,7 +49,7 @@
         estimate.updated = now
 
     def needed_s(self, rank, now):
-        """Return the time that an attempt needs at least.
+        """Return the time that an attempt needs.
 
         Parameters
         ----------
@@ -59,14 +61,14 @@
         Returns
         -------
         float
-            Mean less mean deviation, in seconds; 0 when not known.
+            Mean with its margin, in seconds; 0 when not known.
         """
         estimate = self._by_rank.get(rank)
         if estimate is None:
             return 0.0
         idle_s = max(0.0, now - estimate.updated)
-        low_s = max(0.0, estimate.mean_s - estimate.deviation_s)
-        return low_s * 0.5 ** (idle_s / HALF_LIFE_S)
+        needed_s = estimate.mean_s + MARGIN * estimate.deviation_s
+        return max(0.0, needed_s) * 0.5 ** (idle_s / HALF_LIFE_S)
 
     def shortest_s(self, now):
         """Return the least of the ranks' estimates.
--- a/rosemarycrank/admission/_shedding.py
+++ b/rosemarycrank/admission/_shedding.py
@@ -5,17 +5,26 @@
 same client requests, so requests that survive are whole.
 """
 
+import math
+
 from rosemarycrank.admission import _base
 
-#: Length of a window in seconds.
+#: Least length of a window in seconds.
 WINDOW_S = 0.1
+#: Tickets below which a window goes on, up to the greatest length: what is
+#: lost of a few shows little about the demand.
+MIN_TICKETS = 10
+MAX_WINDOW_S = 0.4
 #: Buckets of the hash within a rank.
 BUCKETS = 32
 #: Ranks that are told apart; more are counted as the least important.
 MAX_RANKS = 64
-#: First rise of the level, in ranks, after a window that shed nothing;
-#: doubled with each further one.
+#: Lost tickets that count as a burst, as a multiple of their square root.
+BURST = 1.0
+#: First rise of the level, in ranks, after a window that lost nothing, and
+#: its growth with each further one.
 FIRST_RISE = 0.05
+RISE_GROWTH = 2.0
 #: Windows without a call that are made up for at most.
 MAX_IDLE_WINDOWS = 64
 #: Share of tickets lost in a window up to which the level rises.
@@ -42,14 +51,17 @@
         _count(self._lost_by_index, position)
 
     def quantile(self):
-        """Return the position above which as many tickets lie as were lost.
+        """Return the position above which the excess tickets lie.
 
         Returns
         -------
         float
             Index of a rank plus hash.
         """
-        excess = self.lost
+        # A few lost tickets may be a burst: only what is beyond it counts.
+        excess = self.lost - BURST * math.sqrt(self.lost)
+        if excess <= 0.0:
+            return math.inf
         for index in sorted(self._counts_by_index, reverse=True):
             counts = self._counts_by_index[index]
             for bucket in range(BUCKETS - 1, -1, -1):
@@ -87,7 +99,7 @@
         self.ranks_ = []
         self.position_ = 0.0
         self._rise = FIRST_RISE
-        self._window_end = 0.0
+        self._window_start = 0.0
         self._arrived = _Histogram()
         self._ended = _Histogram()
 
@@ -213,13 +225,17 @@
         self._ended = _Histogram()
 
     def _roll(self, now):
-        if now < self._window_end:
+        age_s = now - self._window_start
+        if age_s < WINDOW_S:
+            return
+        tickets = self._arrived.total + self._ended.total
+        if 0 < tickets < MIN_TICKETS and age_s < MAX_WINDOW_S:
             return
         self._close()
-        idle = int((now - self._window_end) / WINDOW_S)
+        idle = int(age_s / WINDOW_S) - 1
         for _ in range(min(idle, MAX_IDLE_WINDOWS)):
             self._raise_level()
-        self._window_end = now + WINDOW_S
+        self._window_start = now
 
     def _close(self):
         goals = [
@@ -243,13 +259,16 @@
         return self._falls_on_least(histogram)
 
     def _falls_on_least(self, histogram):
-        above = histogram.lost_above(histogram.quantile())
-        return 2 * above >= histogram.lost
+        goal = histogram.quantile()
+        if goal == math.inf:
+            # Too few to tell.
+            return True
+        return 2 * histogram.lost_above(goal) >= histogram.lost
 
     def _raise_level(self):
         top = float(len(self.ranks_))
         self.position_ = min(top, self.position_ + self._rise)
-        self._rise = min(1.0, 2 * self._rise)
+        self._rise = min(1.0, RISE_GROWTH * self._rise)
         if self.position_ >= top:
             self._rise = FIRST_RISE
 
--- a/rosemarycrank/balancing/_local_first.py
+++ b/rosemarycrank/balancing/_local_first.py
@@ -53,7 +53,7 @@
         Utilisation of the own targets from which on a request may leave.
     cold_s : float, default=2.0
         Time over which a new target comes to its full share, in seconds.
-    probe_share : float, default=0.02
+    probe_share : float, default=0.005
         Share of the requests to be shed early that are sent all the same,
         so that the end of an overload is noticed.
     """
@@ -65,7 +65,7 @@
         subset_size=16,
         spill_at=0.8,
         cold_s=2.0,
-        probe_share=0.02,
+        probe_share=0.005,
     ):
         super().__init__(failure_domain, random)
         self.subset_size = subset_size
