Verify a bundle's signatures once and share unchanged parts

Cause: a delta was checked before its content was built and again with it, and the bundle was put together from all sections. Ruled out: handing the index of rules from bundle to bundle; attrs.evolve with other rules would then keep a stale index.

--- a/rosemarycrank/bundles/_content.py
+++ b/rosemarycrank/bundles/_content.py
@@ -7,6 +7,7 @@
 """
 
 import hashlib
+import itertools
 
 import attrs
 import msgspec
@@ -71,9 +72,11 @@
     sections: dict
     digests: dict
     hash: str
-    # Decoded sections by key. A delta hands on what it does not change, so
-    # that accepting it costs no decoding of the whole.
-    _values: dict = attrs.field(factory=dict, repr=False)
+    # Decoded sections by kind and name, and the keys still to be decoded. A
+    # delta hands on what it does not change, so that accepting it costs no
+    # decoding of the whole.
+    _values_by_kind: dict = attrs.field(repr=False)
+    _undecoded: set = attrs.field(repr=False)
 
     def delta_from(self, base):
         """Return what changes from an earlier content to this one.
@@ -122,14 +125,15 @@
             )
         sections = {**self.sections, **delta.changed}
         digests = {**self.digests, **_digests(delta.changed)}
-        values = dict(self._values)
-        for key in delta.changed:
-            values.pop(key, None)
         for key in delta.removed:
             sections.pop(key, None)
             digests.pop(key, None)
-            values.pop(key, None)
-        return _make(self.name, version, sections, digests, values)
+        undecoded = self._undecoded | delta.changed.keys()
+        undecoded.difference_update(delta.removed)
+        values_by_kind = self._values_after(delta)
+        return _make(
+            self.name, version, sections, digests, undecoded, values_by_kind
+        )
 
     def to_bundle(self):
         """Return the bundle.
@@ -144,9 +148,13 @@
         ContentError
             If a section is malformed or refers to an unknown class.
         """
-        for key in self.sections.keys() - self._values.keys():
-            self._values[key] = _decode(key, self.sections[key])
-        return _assemble(self, self._values)
+        while self._undecoded:
+            key = next(iter(self._undecoded))
+            kind, name = _split(key)
+            value = _decode(kind, name, self.sections[key])
+            self._values_by_kind.setdefault(kind, {})[name] = value
+            self._undecoded.discard(key)
+        return _assemble(self, self._values_by_kind)
 
     def to_bytes(self):
         """Return the canonical bytes of the whole content."""
@@ -157,6 +165,19 @@
             _Body(self.name, self.version, sections), order='sorted'
         )
 
+    def _values_after(self, delta):
+        """Return the decoded values that a delta leaves as they are."""
+        touched = [_split(key) for key in (*delta.changed, *delta.removed)]
+        kinds = {kind for kind, _ in touched}
+        # Kinds that the delta leaves alone are shared, not copied.
+        values_by_kind = {
+            kind: dict(values) if kind in kinds else values
+            for kind, values in self._values_by_kind.items()
+        }
+        for kind, name in touched:
+            values_by_kind.get(kind, {}).pop(name, None)
+        return values_by_kind
+
 
 @attrs.frozen
 class _Body:
@@ -213,7 +234,7 @@
     Content
         The content; its hash is still to be compared.
     """
-    return _make(name, version, sections, _digests(sections))
+    return _make(name, version, sections, _digests(sections), set(sections))
 
 
 def from_bytes(body):
@@ -249,22 +270,31 @@
     }
 
 
-def _make(name, version, sections, digests, values=None):
+def _make(name, version, sections, digests, undecoded, values_by_kind=None):
     summary = msgspec.json.encode([name, version, sorted(digests.items())])
-    content_hash = hashlib.sha256(summary).hexdigest()
     return Content(
-        name, version, sections, digests, content_hash, values or {}
+        name,
+        version,
+        sections,
+        digests,
+        hashlib.sha256(summary).hexdigest(),
+        values_by_kind or {},
+        undecoded,
     )
 
 
-def _decode(key, section):
+def _split(key):
     kind, _, name = key.partition('/')
+    return kind, name
+
+
+def _decode(kind, name, section):
     if kind not in _DECODERS_BY_KIND:
-        raise ContentError(f'section: got {key!r}')
+        raise ContentError(f'section: got kind {kind!r}')
     try:
         value = _DECODERS_BY_KIND[kind].decode(section)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise ContentError(f'{key}: {error}') from error
+        raise ContentError(f'{kind}/{name}: {error}') from error
     _check_name(kind, name, value)
     return value
 
@@ -280,24 +310,24 @@
         raise ContentError(f'{kind}/{name}: got {sorted(found)}')
 
 
-def _assemble(content, values):
-    by_kind = {kind: {} for kind in _DECODERS_BY_KIND}
-    for key, value in values.items():
-        kind, _, name = key.partition('/')
-        by_kind[kind][name] = value
-    services = sorted(by_kind['rules'])
+def _assemble(content, values_by_kind):
+    rules_by_service = values_by_kind.get('rules', {})
+    classes_by_name = values_by_kind.get('classes', {})
+    services = tuple(sorted(rules_by_service))
     rules = tuple(
-        rule for service in services for rule in by_kind['rules'][service]
+        itertools.chain.from_iterable(
+            rules_by_service[service] for service in services
+        )
     )
-    unknown = {rule.class_name for rule in rules} - by_kind['classes'].keys()
+    unknown = {rule.class_name for rule in rules} - classes_by_name.keys()
     if unknown:
         raise ContentError(f'rules: got unknown classes {sorted(unknown)}')
     return _model.Bundle(
         name=content.name,
         version=content.version,
-        classes_by_name=by_kind['classes'],
+        classes_by_name=classes_by_name,
         rules=rules,
-        services=tuple(services),
-        partners_by_name=by_kind['partners'],
-        policy=by_kind['policy'].get('', _model.Policy()),
+        services=services,
+        partners_by_name=values_by_kind.get('partners', {}),
+        policy=values_by_kind.get('policy', {}).get('', _model.Policy()),
     )
--- a/rosemarycrank/bundles/_store.py
+++ b/rosemarycrank/bundles/_store.py
@@ -52,6 +52,7 @@
         self.trusted_keys = trusted_keys
         self.held = None
         self.last_error = ''
+        self._verified_head = None
         self._contents_by_hash = collections.OrderedDict()
         self._deltas_by_base_hash = {}
 
@@ -107,7 +108,7 @@
         if self.held and head.name != self.held.head.name:
             return self._refuse(f'name: got {head.name!r}')
         try:
-            head.verify(self.trusted_keys)
+            self._verify(head)
         except _signed.SignatureError as error:
             return self._refuse(str(error))
         return Verdict.ACCEPTED
@@ -182,6 +183,13 @@
             self._deltas_by_base_hash[base_hash] = delta
         return self._deltas_by_base_hash[base_hash]
 
+    def _verify(self, head):
+        # A head is checked before its content is fetched and again with
+        # it; the signatures need verifying once.
+        if head != self._verified_head:
+            head.verify(self.trusted_keys)
+            self._verified_head = head
+
     def _replace(self, held):
         self.held = held
         self._contents_by_hash[held.head.hash] = held.content
--- a/tests/bundles/test_document.py
+++ b/tests/bundles/test_document.py
@@ -149,6 +149,28 @@
     assert base.apply(delta, 4).hash == newer.hash
 
 
+def test_bundle_after_a_delta_equals_the_one_decoded_anew(bundle):
+    base = bundles.content_from_bundle(bundle)
+    before = base.to_bundle()
+    wiki_is_gone = attrs.evolve(
+        bundle,
+        version=4,
+        services=('shop',),
+        rules=bundle.rules[:2],
+        classes_by_name={
+            **bundle.classes_by_name,
+            'read': bundles.RequestClass('read', rank=5),
+            'new': bundles.RequestClass('new', rank=6),
+        },
+    )
+    newer = bundles.content_from_bundle(wiki_is_gone)
+    after = base.apply(newer.delta_from(base), 4).to_bundle()
+    assert after == newer.to_bundle() == wiki_is_gone
+    assert after.classify('wiki', 'GET', '/') is None
+    assert after.classify('shop', 'GET', '/').rank == 5
+    assert base.to_bundle() == before == bundle
+
+
 def test_delta_for_another_base_is_refused(bundle):
     base = bundles.content_from_bundle(bundle)
     other = bundles.content_from_bundle(attrs.evolve(bundle, version=9))
