Bound the attempts of a key over all its sends

Cause: the sends under one key are one client request, but each run got the whole retry allowance that came with its send. The entry of a key now keeps what is left; a run after one that reached an upstream is a retry and costs one. What a send was lent and did not spend goes back with its answer. Ruled out: a limit of the ledger's own, which knew nothing of the bundle's allowance and is gone.

Also: the closing record of an ended owner is looked for three times in 0.6 s before the answer is unknown, since it may be on its way; at most 128 operations wait for a platform that hangs.

--- a/rosemarycrank/ledger/_claims.py
+++ b/rosemarycrank/ledger/_claims.py
@@ -30,6 +30,8 @@
 _SWEEP_PERIOD_S = 1.0
 _DRAIN_CHECK_PERIOD_S = 0.1
 _RETRY_AFTER_S = 1.0
+_MAX_LOOKS = 3
+_LOOK_AGAIN_S = 0.3
 
 _RESULTS_BY_CLOSING = {
     _closing.Closing.ABSENT: results.Result.OWNER_ENDED,
@@ -74,8 +76,6 @@
     closing_timeout_s : float, default=5.0
         Longest time that a planned stop waits to write the closing
         record, in seconds.
-    max_upstream_attempts : int, default=3
-        Attempts of one key that may reach an upstream, over all sends.
     max_keys : int, default=100000
         Keys that this node may own at one time.
     max_kept_bytes : int, default=64 MiB
@@ -98,7 +98,6 @@
         resend_s=0.3,
         silence_s=1.0,
         closing_timeout_s=5.0,
-        max_upstream_attempts=3,
         max_keys=100_000,
         max_kept_bytes=64 * 1024 * 1024,
     ):
@@ -110,7 +109,6 @@
         self.resend_s = resend_s
         self.silence_s = silence_s
         self.closing_timeout_s = closing_timeout_s
-        self.max_upstream_attempts = max_upstream_attempts
         self.max_keys = max_keys
         self.max_kept_bytes = max_kept_bytes
 
@@ -124,7 +122,6 @@
             context,
             self._entries,
             lambda request, finish: self.run(request, finish),
-            self.max_upstream_attempts,
         )
         self._platform = _platform_client.PlatformClient(
             context, self.platform_timeout_s
@@ -445,7 +442,7 @@
             return
         if ownership.owner == self.context.address:
             # An earlier run at this address; it has ended.
-            self._find_closing(send, ownership, None)
+            self._owner_ended(send, ownership)
             return
         send.overdue_result = results.Result.OWNER_UNREACHABLE
         call_id = self._forwarder.forward(
@@ -460,48 +457,64 @@
         if not send.is_open:
             return
         if answer.result is results.Result.OWNER_ENDED:
-            self._find_closing(send, ownership, None)
+            self._owner_ended(send, ownership)
         else:
             send.finish(answer)
 
+    def _owner_ended(self, send, ownership, looks=1, _now=None):
+        """Look for the closing record of an owner that has ended.
+
+        The record may be on its way, so it is looked for more than once.
+        """
+
+        def found(closing, closed_key):
+            if not send.is_open:
+                return
+            if closing in _RESULTS_BY_CLOSING and looks < _MAX_LOOKS:
+                again = functools.partial(
+                    self._owner_ended, send, ownership, looks + 1
+                )
+                self.context.timers.after(_LOOK_AGAIN_S, again)
+            else:
+                self._closing_found(send, ownership, closing, closed_key)
+
+        self._find_closing(send, ownership, found)
+
     def _watch_for_silence(self, send, ownership, call_id, delay_s):
         def check(_now):
-            if send.is_open and self._forwarder.is_waiting(call_id):
-                self._find_closing(send, ownership, call_id)
+            if self._forwarder.is_waiting(call_id):
+                self._find_closing(send, ownership, found)
                 self._watch_for_silence(send, ownership, call_id, 2 * delay_s)
 
-        self.context.timers.after(delay_s, check)
+        def found(closing, closed_key):
+            if closing in _RESULTS_BY_CLOSING:
+                return
+            if send.is_open and self._forwarder.is_waiting(call_id):
+                self._forwarder.abandon(call_id)
+                self._closing_found(send, ownership, closing, closed_key)
 
-    def _find_closing(self, send, ownership, call_id):
-        """Look for the closing record of an owner.
+        self.context.timers.after(delay_s, check)
 
-        ``call_id`` is the call that still waits for the owner, or None
-        if the owner has certainly ended.
-        """
+    def _find_closing(self, send, ownership, found):
         self._closing_reader.find(
             _closing.record_name(ownership.owner, ownership.incarnation),
             send.key_hash,
-            functools.partial(self._closing_found, send, ownership, call_id),
+            found,
         )
 
-    def _closing_found(self, send, ownership, call_id, closing, closed_key):
-        if not send.is_open:
-            return
-        if call_id is not None and not self._forwarder.is_waiting(call_id):
-            return
+    def _closing_found(self, send, ownership, closing, closed_key):
         if closing is _closing.Closing.RAN:
             self._finish_from_record(send, closed_key)
         elif closing is _closing.Closing.NEVER_RAN:
-            self._forwarder.abandon(call_id)
             self._claim(send, ownership.version)
-        elif call_id is None:
+        else:
             self._refuse(send, _RESULTS_BY_CLOSING[closing])
 
     def _finish_from_record(self, send, closed_key):
         if not send.is_question and send.digest != closed_key.digest:
             self._refuse(send, results.Result.KEY_REUSED)
         else:
-            send.finish(closed_key.answer())
+            send.finish(closed_key.answer(send.allowance))
 
     def _refuse(self, send, result):
         retry_after_s = _RETRY_AFTER_S * (1.0 + self.context.random.random())
--- a/rosemarycrank/ledger/_closing.py
+++ b/rosemarycrank/ledger/_closing.py
@@ -11,9 +11,9 @@
 import attrs
 import msgspec
 
+from rosemarycrank import kernel
 from rosemarycrank.ledger import _codes
 from rosemarycrank.ledger import _entries
-from rosemarycrank.ledger import _owner
 from rosemarycrank.ledger import _rows
 from rosemarycrank import platform
 from rosemarycrank import results
@@ -45,13 +45,32 @@
     headers: dict[str, str] = attrs.field(factory=dict)
     body: bytes = b''
 
-    def answer(self):
-        """Return the `kernel.Answer` for a send under the key."""
+    def answer(self, allowance_left):
+        """Return the answer for a send under the key.
+
+        Parameters
+        ----------
+        allowance_left : int
+            Retries that the send was lent.
+
+        Returns
+        -------
+        kernel.Answer
+            The answer, marked as kept.
+        """
         try:
             result = results.describe(self.result)
         except KeyError:
             result = _codes.NOT_KEPT
-        return _owner.kept_answer(result, self.status, self.headers, self.body)
+        if result is results.Result.OK:
+            result = results.Result.OK_KEPT
+        return kernel.Answer(
+            result,
+            self.status,
+            self.headers,
+            self.body,
+            allowance_left=allowance_left,
+        )
 
 
 @attrs.frozen
--- a/rosemarycrank/ledger/_entries.py
+++ b/rosemarycrank/ledger/_entries.py
@@ -32,8 +32,10 @@
         Running, not run, or an outcome that is kept.
     answer : kernel.Answer or None
         Last answer; None before the first.
-    upstream_attempts : int
-        Attempts so far that reached an upstream.
+    allowance_left : int or None
+        Retries that the key may still spend; None before its first run.
+    reached_upstream : bool
+        Whether a run reached an upstream, so that the next is a retry.
     waiting : list of Send
         Sends to answer when the running request ends.
     refused_call_ids : set of str
@@ -45,7 +47,8 @@
     expires: float
     state: State = State.NOT_RUN
     answer: kernel.Answer | None = None
-    upstream_attempts: int = 0
+    allowance_left: int | None = None
+    reached_upstream: bool = False
     waiting: list = attrs.field(factory=list)
     refused_call_ids: set = attrs.field(factory=set)
 
--- a/rosemarycrank/ledger/_owner.py
+++ b/rosemarycrank/ledger/_owner.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from rosemarycrank import kernel
 from rosemarycrank.ledger import _codes
 from rosemarycrank.ledger import _entries
 from rosemarycrank import results
@@ -25,8 +24,6 @@
         Keys that this node owns.
     run : callable
         Runs a request; takes it and a callback for its answer.
-    max_upstream_attempts : int
-        Attempts of one key that may reach an upstream, over all sends.
 
     Attributes
     ----------
@@ -34,11 +31,10 @@
         Whether nothing may run any more; never reset.
     """
 
-    def __init__(self, context, entries, run, max_upstream_attempts):
+    def __init__(self, context, entries, run):
         self._context = context
         self._entries = entries
         self._run = run
-        self._max_upstream_attempts = max_upstream_attempts
         self.closed = False
 
     def take(self, entry, send):
@@ -56,7 +52,7 @@
         elif entry.state is _State.RUNNING:
             self._join(entry, send)
         elif entry.state is _State.KEPT:
-            send.finish(_repeated(entry.answer))
+            send.finish(_repeated(entry.answer, send))
         elif send.is_question:
             _tell_not_run(entry, send)
         else:
@@ -86,7 +82,7 @@
         """Return why the send must not run, or None."""
         if self.closed or not send.may_run:
             return results.Result.LEAVING
-        if entry.upstream_attempts >= self._max_upstream_attempts:
+        if entry.reached_upstream and entry.allowance_left < 1:
             return results.Result.ALLOWANCE_SPENT
         if len(entry.refused_call_ids) >= _MAX_REFUSED_CALLS:
             return results.Result.ALLOWANCE_SPENT
@@ -99,14 +95,16 @@
         entry.state = _State.RUNNING
         entry.waiting.append(send)
         self._entries.running += 1
-        self._run(send.request, functools.partial(self._ended, entry))
+        request = _with_allowance(send.request, _spend(entry, send))
+        self._run(request, functools.partial(self._ended, entry))
 
     def _ended(self, entry, answer):
         if entry.state is not _State.RUNNING:
             self._context.count('ledger_double_answers')
             return
         self._entries.running -= 1
-        entry.upstream_attempts += answer.upstream_attempts
+        entry.allowance_left = min(entry.allowance_left, answer.allowance_left)
+        entry.reached_upstream |= answer.upstream_attempts > 0
         waiting, entry.waiting = entry.waiting, []
         if answer.result.outcome is results.Outcome.NOT_RUN:
             entry.state = _State.NOT_RUN
@@ -116,8 +114,10 @@
         else:
             entry.state = _State.KEPT
             self._entries.keep(entry, answer)
-        for position, send in enumerate(waiting):
-            send.finish(_repeated(answer) if position else answer)
+        first, *joined = waiting
+        first.finish(answer)
+        for send in joined:
+            send.finish(_repeated(answer, send))
 
 
 def _note_refused(entry, send):
@@ -129,33 +129,32 @@
     if entry.answer is None:
         send.refuse(_codes.NEVER_RAN)
     else:
-        send.finish(entry.answer)
+        send.finish(_repeated(entry.answer, send))
 
 
-def _repeated(answer):
-    """Return an answer as sends after the first get it."""
-    if answer.result is not results.Result.OK:
-        return answer
-    return attrs.evolve(answer, result=results.Result.OK_KEPT)
+def _spend(entry, send):
+    """Return the retries that a run may spend.
 
+    All sends under a key are one client request: what one run spent is
+    gone for the next, and a run after one that reached an upstream is
+    itself a retry.
+    """
+    if entry.allowance_left is None:
+        entry.allowance_left = send.allowance
+    elif entry.reached_upstream:
+        entry.allowance_left -= 1
+    entry.allowance_left = min(entry.allowance_left, send.allowance)
+    return entry.allowance_left
 
-def kept_answer(result, status, headers, body):
-    """Return an answer restored from a record.
 
-    Parameters
-    ----------
-    result : Result
-        Code of the answer.
-    status : int
-        HTTP status.
-    headers : dict of str to str
-        HTTP headers.
-    body : bytes
-        Whole body.
-
-    Returns
-    -------
-    kernel.Answer
-        The answer, marked as kept.
-    """
-    return _repeated(kernel.Answer(result, status, headers, body))
+def _with_allowance(request, allowance):
+    context = attrs.evolve(request.context, allowance=allowance)
+    return attrs.evolve(request, context=context)
+
+
+def _repeated(answer, send):
+    """Return an answer as sends other than the one that ran get it."""
+    result = answer.result
+    if result is results.Result.OK:
+        result = results.Result.OK_KEPT
+    return attrs.evolve(answer, result=result, allowance_left=send.allowance)
--- a/rosemarycrank/ledger/_platform_client.py
+++ b/rosemarycrank/ledger/_platform_client.py
@@ -7,6 +7,9 @@
 
 _PREFIX = 'ledger'
 
+#: Keeps a platform that hangs from being asked ever more.
+_MAX_PENDING = 128
+
 
 class PlatformClient:
     """Matches answers of the platform to operations, within a time.
@@ -40,6 +43,10 @@
             Called once with the `kernel.PlatformReply`.
         """
         operation_id = f'{_PREFIX}-{next(self._sequence)}'
+        if len(self._pending) >= _MAX_PENDING:
+            self._context.count('ledger_platform_overloaded')
+            done(kernel.PlatformReply(operation_id, error='too many wait'))
+            return
         timer = self._context.timers.after(
             self._timeout_s, functools.partial(self._overdue, operation_id)
         )
--- a/rosemarycrank/ledger/_sends.py
+++ b/rosemarycrank/ledger/_sends.py
@@ -53,6 +53,11 @@
         """Whether the answer is still due."""
         return self._on_answer is not None
 
+    @property
+    def allowance(self):
+        """Retries that whoever runs it was lent."""
+        return 0 if self.is_question else self.request.context.allowance
+
     @property
     def is_question(self):
         """Whether nothing may be run for it."""
@@ -96,9 +101,13 @@
         retry_after_s : float, default=0.0
             When to come back, in seconds.
         """
+        not_run = result.outcome is results.Outcome.NOT_RUN
         self.finish(
             kernel.Answer(
-                result, result.http_status, retry_after_s=retry_after_s
+                result,
+                result.http_status,
+                retry_after_s=retry_after_s,
+                allowance_left=self.allowance if not_run else 0,
             )
         )
 
