--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -76,6 +76,15 @@
     assert len(world.runs) == 3
 
 
+@pytest.mark.parametrize('issued', [False, True])
+def test_kept_answers_need_no_platform(world, nodes, issued):
+    key = issue(world, nodes[0]) if issued else KEY
+    answers(world, world.submit(nodes[0], key))
+    again = world.submit(nodes[0], key)
+    platform_down(world, 1.0)
+    assert again.answers[0].result is R.OK_KEPT
+
+
 @pytest.mark.parametrize('ask', [False, True])
 def test_client_keys_are_not_run_without_the_platform(world, nodes, ask):
     if ask:
@@ -168,11 +177,14 @@
     assert answers(world, sent) == [R.OWNER_UNREACHABLE]
 
 
-def test_planned_stop_waits_for_what_runs(world, nodes):
-    key, other = issue(world, nodes[0]), issue(world, nodes[0])
+@pytest.mark.parametrize('issued', [False, True])
+def test_planned_stop_waits_for_what_runs(world, nodes, issued):
+    key = issue(world, nodes[0])
+    other = issue(world, nodes[0]) if issued else KEY
     sent = world.submit(nodes[0], key, timeout_s=60.0)
     world.act(nodes[0], nodes[0].ledger.start_drain)
     late = world.submit(nodes[0], other)
+    world.deliver_all()
     world.advance(30.0)
     assert not nodes[0].ledger.idle()
     world.finish_run(world.open_runs()[0], worlds.COMPLETE)
