--- a/rosemarycrank/load/_records.py
+++ b/rosemarycrank/load/_records.py
@@ -11,7 +11,10 @@
 import attrs
 import msgspec
 
+from rosemarycrank.load import _constraints
 
+
+@_constraints.checked
 @attrs.frozen
 class NestedCall:
     """A call that an upstream makes while it serves a request.
@@ -114,6 +117,8 @@
         Digest in the answer; empty if its body holds none.
     detail : str
         Why there was no answer.
+    elapsed_s : float
+        Seconds from the send to its answer, or to the last answer.
     latency_s : float
         Seconds since the request was due; on ``'end'``.
     """
@@ -132,6 +137,7 @@
     request_id: str = ''
     answer_digest: str = ''
     detail: str = ''
+    elapsed_s: float = 0.0
     latency_s: float = 0.0
 
 
--- a/tests/bundles/test_roll_out.py
+++ b/tests/bundles/test_roll_out.py
@@ -17,15 +17,18 @@
 
     ``faults`` are taken one a table write: 'ok', 'lost-before' and
     'lost-after' (the write's effect), 'down'. ``before_write`` is called
-    once, just before the first table write.
+    once, just before the first table write. ``puts`` are faults of puts.
     """
 
-    def __init__(self, tables, faults=(), before_write=None):
+    def __init__(self, tables, faults=(), before_write=None, puts=()):
         self.tables = tables
+        self.puts = list(puts)
         self.faults = list(faults)
         self.before_write = before_write
 
     def execute(self, operation):
+        if isinstance(operation, platform.ObjectPut) and self.puts:
+            return self._put(operation, self.puts.pop(0))
         if not isinstance(operation, platform.TableWrite):
             return self.tables.execute(operation)
         if self.before_write is not None:
@@ -41,6 +44,11 @@
             raise platform.PlatformAnswerLost('lost')
         return result
 
+    def _put(self, operation, fault):
+        if fault == 'lost-after':
+            self.tables.execute(operation)
+        raise platform.PlatformAnswerLost('lost')
+
 
 @pytest.fixture
 def tables():
@@ -97,6 +105,13 @@
     assert standing(tables) == winner.head
 
 
+def test_same_bundle_rolled_out_by_another_operator(tables):
+    client = Client(
+        tables, before_write=lambda: roll_out(tables, signed(1), 'b')
+    )
+    assert not roll_out(client, signed(1), 'c').changed
+
+
 @pytest.mark.parametrize(
     'faults',
     [['lost-after'], ['lost-before'], ['lost-before', 'lost-after', 'down']],
@@ -106,6 +121,25 @@
     assert standing(tables) == signed(1).head
 
 
+def test_write_that_took_effect_is_not_sent_again(tables):
+    roll_out(Client(tables, ['lost-after']), signed(1))
+    body_and_row = 2
+    assert tables.writes == body_and_row
+
+
+@pytest.mark.parametrize('puts', [['lost-after'], ['lost-before']])
+def test_lost_answer_to_a_body_is_read_back(tables, puts):
+    assert roll_out(Client(tables, puts=puts), signed(1)).changed
+    assert bundles.read_content(tables, signed(1).head) is not None
+
+
+def test_body_that_cannot_be_stored_leaves_the_row_alone(tables):
+    client = Client(tables, puts=['lost-before'] * 2)
+    with pytest.raises(platform.PlatformUnavailable, match='no row'):
+        roll_out(client, signed(1))
+    assert standing(tables) is None
+
+
 def test_lost_answer_of_a_lost_race_is_a_lost_race(tables):
     winner = signed(1, mark=1)
     client = Client(
