--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -19,7 +19,7 @@
 
 RESULTS = pathlib.Path(__file__).parent / 'results' / 'scale.json'
 NODES = (16, 64, 256, 511)
-SITES = ('3x4', '18x16', '18x64', '18x256')
+SITES = ('3x16', '18x16', '18x64', '18x256')
 STEADY_S = 60.0
 SETTLE_S = 20.0
 
