Test each mechanism of membership against its absence

Each mechanism was switched off in a scratch copy and the tests run. Seen failing: no refutation (8 tests), order without sequence (8), older news taken (3), no pause detection (4), buffered answers ending staleness (1), leave not announced (10), callers not told (1), joiners waiting a round of probing (2), isolated node declaring failures (1), no reading of other domains (10), cut-off state without end (1), no suspicion time (3).

Five passed at first: failed nodes not tried again, views not compared, no deltas between domains, no indirect probes, silence of domains ignored (run ended by its time limit). Other mechanisms made up for the first three. New or sharper tests now fail for each.

--- a/tests/membership/test_domains.py
+++ b/tests/membership/test_domains.py
@@ -83,9 +83,17 @@
     for domain in 'abc':
         for number in range(8):
             address = f'{domain}{number}:1'
-            member = network.start(address, domain, SEEDS, small_site_nodes=10)
+            # Rare heartbeats: changes must not wait for them.
+            member = network.start(
+                address,
+                domain,
+                SEEDS,
+                small_site_nodes=10,
+                beacon_period_s=10.0,
+                domain_timeout_s=60.0,
+            )
             member.announce('gallery' if number % 2 else 'orders')
-    network.run(10)
+    network.run(30)
     return network
 
 
@@ -114,7 +122,7 @@
         if t.address[0] != member.address[0]
     )
     subscribed.by_address[other].directory.leave()
-    subscribed.run(2)
+    subscribed.run(1.5)
     assert other not in member.target_addresses('gallery')
 
 
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -145,3 +145,49 @@
     eight.by_address['a3:1'].directory.leave()
     eight.run(0.5)
     assert 'z:1' in told
+
+
+def test_one_broken_link_raises_no_suspicion(eight):
+    eight.cut = lambda sender, receiver: (
+        {sender, receiver}
+        == {
+            'a0:1',
+            'a3:1',
+        }
+    )
+    eight.run(60)
+    assert not any(
+        member.context.counters.get('membership_suspicions')
+        for member in eight.by_address.values()
+    )
+
+
+def test_missed_news_is_found_by_comparing_views(network, start_domain):
+    start_domain(network, 16)
+    network.cut = lambda sender, receiver: 'a3:1' in (sender, receiver)
+    network.by_address['a5:1'].directory.leave()
+    # Long enough for the gossip to end, too short for a failure.
+    network.run(1.8)
+    network.kill('a5:1')
+    network.cut = lambda sender, receiver: False
+    network.run(15)
+    directory = network.by_address['a3:1'].directory
+    assert directory.status('a5:1') == 'left'
+
+
+def test_halves_of_a_domain_find_each_other_without_seeds(network):
+    for number in range(8):
+        member = network.start(f'a{number}:1', 'a', ('a0:1',))
+        member.announce('gallery')
+    network.run(8)
+    half = {f'a{number}:1' for number in range(4)}
+    network.cut = lambda sender, receiver: (
+        (sender in half) != (receiver in half)
+    )
+    network.kill('a0:1')
+    network.run(20)
+    assert len(network.by_address['a5:1'].directory.members()) == 4
+    network.cut = lambda sender, receiver: False
+    network.run(30)
+    for member in network.by_address.values():
+        assert len(member.target_addresses('gallery')) == 7
