--- a/rosemarycrank/load/__init__.py
+++ b/rosemarycrank/load/__init__.py
@@ -1,1 +1,59 @@
-"""TODO."""
+"""Load driver, and the checker of histories.
+
+`rosemarycrank.load.__main__` is the program. The records of what clients
+were told and of what upstreams ran are shared with the stand-ins.
+"""
+
+from rosemarycrank.load import _checker
+from rosemarycrank.load import _constraints
+from rosemarycrank.load import _driver
+from rosemarycrank.load import _keys
+from rosemarycrank.load import _records
+from rosemarycrank.load import _scenario
+
+FRACTION = _constraints.FRACTION
+
+ClientEvent = _records.ClientEvent
+ClientKeys = _keys.ClientKeys
+Content = _records.Content
+Driver = _driver.Driver
+Keys = _scenario.Keys
+NestedCall = _records.NestedCall
+NodeKeys = _keys.NodeKeys
+Report = _checker.Report
+RequestKind = _scenario.RequestKind
+RunEvent = _records.RunEvent
+Scenario = _scenario.Scenario
+Writer = _records.Writer
+answer_digest = _records.answer_digest
+check = _checker.check
+checked = _constraints.checked
+constrained = _constraints.constrained
+check_files = _checker.check_files
+extra_attempts = _checker.extra_attempts
+read_lines = _records.read_lines
+request_digest = _records.request_digest
+
+__all__ = [
+    'ClientEvent',
+    'ClientKeys',
+    'Content',
+    'Driver',
+    'FRACTION',
+    'Keys',
+    'NestedCall',
+    'NodeKeys',
+    'Report',
+    'RequestKind',
+    'RunEvent',
+    'Scenario',
+    'Writer',
+    'answer_digest',
+    'check',
+    'check_files',
+    'checked',
+    'constrained',
+    'extra_attempts',
+    'read_lines',
+    'request_digest',
+]
