--- a/benchmarks/_scale_network.py
+++ b/benchmarks/_scale_network.py
@@ -135,9 +135,18 @@
         self._queue = []
 
     def start(
-        self, address, failure_domain='a', seeds=None, others=(), **parameters
+        self,
+        address,
+        failure_domain='a',
+        seeds=None,
+        make_others=lambda directory: (),
+        **parameters,
     ):
-        """Start a member; seeds default to two members that run."""
+        """Start a member; seeds default to two members that run.
+
+        ``make_others`` takes the directory and returns the components that
+        the member has besides.
+        """
         directory = membership.GossipDirectory(
             failure_domain,
             seeds=tuple(self.by_address)[:2] if seeds is None else seeds,
@@ -147,7 +156,7 @@
             address,
             self.random.getrandbits(64),
             directory,
-            others,
+            make_others(directory),
             self.random.getrandbits(32),
             self.now,
         )
