See planted faults of a node caught from end to end

Cause: the checker was shown its faults in made-up records only.

A node of the tests dispatches each call twice, or tells callers that a call which ran was not run, under the real load driver and upstream: every paid request is counted as a duplicate run, every call as run though told otherwise. The upstream keeps its last 200,000 run records instead of all.

--- a/rosemarycrank/standins/_runs.py
+++ b/rosemarycrank/standins/_runs.py
@@ -1,14 +1,17 @@
 """Record of what reached an upstream."""
 
+import collections
 import time
 
 import attrs
 
 from rosemarycrank import load
 
+MAX_KEPT_EVENTS = 200_000
+
 
 class RunLog:
-    """Appends run events to a file, and keeps them.
+    """Appends run events to a file, and keeps the last ones.
 
     A start is written before the run, so that the record holds it even if
     the process is killed.
@@ -23,7 +26,7 @@
 
     def __init__(self, upstream, path=''):
         self.upstream = upstream
-        self.events = []
+        self.events = collections.deque(maxlen=MAX_KEPT_EVENTS)
         self._next_number = 0
         self._writer = load.Writer(path) if path else None
 
--- a/rosemarycrank/standins/_upstream_app.py
+++ b/rosemarycrank/standins/_upstream_app.py
@@ -162,7 +162,7 @@
 
     def on_get(self, request, response):
         response.content_type = falcon.MEDIA_JSON
-        response.data = msgspec.json.encode(self._run_log.events)
+        response.data = msgspec.json.encode(list(self._run_log.events))
 
 
 class _InFlightResource:
--- a/tests/load/test_driver.py
+++ b/tests/load/test_driver.py
@@ -108,6 +108,20 @@
     assert report.wrong_answers == report.calls > 0
 
 
+def test_second_dispatches_are_caught(drive, fake_node):
+    fake_node.dispatches_twice = True
+    _, events, report = drive(_scenario_of())
+    paid = sum(e.event == 'begin' and e.paid for e in events)
+    assert report.duplicate_paid_runs == paid > 0
+    assert report.attempts_by_depth[0].most_attempts == 2
+
+
+def test_forged_not_run_answers_are_caught(drive, fake_node):
+    fake_node.forges_not_run = True
+    _, _, report = drive(_scenario_of())
+    assert report.runs_reported_not_run == report.calls > 0
+
+
 def test_unknown_outcomes_are_asked_about(drive, start_upstream, fake_node):
     gone = start_upstream(service='s')[0]
     fake_node.upstreams_by_service['s'] = gone.server.bound_address
--- a/tests/standins/_fake_node.py
+++ b/tests/standins/_fake_node.py
@@ -26,6 +26,10 @@
         Calls that are refused as not run before others are passed on.
     swaps_answers : bool
         Whether each caller gets the answer to the call before its own.
+    dispatches_twice : bool
+        Whether each call is passed on twice.
+    forges_not_run : bool
+        Whether callers are told that their call was not run.
     """
 
     def __init__(self):
@@ -34,6 +38,8 @@
         self.headers = []
         self.refusals_left = 0
         self.swaps_answers = False
+        self.dispatches_twice = False
+        self.forges_not_run = False
         self._last_body = b'{}'
         app = falcon.App()
         # The sink that was added last is matched first.
@@ -81,11 +87,14 @@
         path = request.path.removeprefix(f'/call/{service}')
         body = _server.read_body(request)
         try:
+            if self.dispatches_twice:
+                client.request(request.method, path, body, headers)
             answer = client.request(request.method, path, body, headers)
         except http_client.HttpError:
             _answer(response, 'unknown', 600, 502)
             return
-        if answer.headers.get('upstream-outcome') == 'not-run':
+        refused = answer.headers.get('upstream-outcome') == 'not-run'
+        if refused or self.forges_not_run:
             _answer(response, 'not-run', 403, 503)
             return
         _answer(response, 'complete', 100, answer.status)
