Read the outcomes of renewals as the driver reports them

Ruled out: a fault of the nodes; no renewal was refused or unknown. Before: KeyError. After: the tests check that no renewal ended as not run, unknown or unaccounted. Conclusion: as strict as before, for the class that is never shed.

--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -190,7 +190,7 @@
     scenario.drive(fail, keys=keys)
     if keys == 'node':
         renewals = scenario.classes['renewal']
-        assert renewals['not-run'] + renewals['unknown'] == 0
+        assert set(renewals) & {'not-run', 'unknown', 'unaccounted'} == set()
 
 
 def test_connections_go_silent(scenario):
