Carry shedding thresholds up the call graph with answers

Change: an answer brings the lowest rank plus hash that the services below shed; entry nodes keep a mean by service and class, and refuse at the front.

--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -6,6 +6,7 @@
 import attrs
 
 from rosemarycrank.calls import _allowance
+from rosemarycrank.calls import _path_levels
 from rosemarycrank.calls import _peers
 from rosemarycrank import kernel
 from rosemarycrank import ledger
@@ -66,7 +67,9 @@
     allowance: _allowance.Allowance
     finish: object
     request_id: str
+    class_name: str
     parent_token: str = ''
+    threshold: float = _path_levels.NO_THRESHOLD
     tried: set = attrs.field(factory=set)
     redirects: int = 0
     upstream_attempts: int = 0
@@ -154,6 +157,7 @@
         self._peers = _peers.Peers(target_calls.attempt_validity_s)
         self._waiting_by_address = {}
         self._asked_at_by_service = {}
+        self._path_levels = _path_levels.PathLevels()
         self._sequence = itertools.count(1)
         self.keyed_waiting_ = 0
         key_ledger.run = self._run_keyed
@@ -175,6 +179,7 @@
             ),
             'peers': len(self._peers),
             'balancer': self.balancer.dump(),
+            'thresholds_below': self._path_levels.dump(),
         }
 
     # Client requests
@@ -233,32 +238,58 @@
             answer = self._refuse(results.Result.TOO_DEEP)
             self._reply(request.request_id, answer)
             return
-        retry_after_s = self.balancer.sheds(
-            request.service, context.rank, context.shed_hash, now
+        retry_after_s = self._early_refusal_s(
+            request.service, request_class.name, context
         )
         if retry_after_s > 0.0:
             self.context.count('entry.early_refusals')
+            key = (request.service, request_class.name)
+            self._shed_for(parent, context, key)
             answer = self._refuse(results.Result.SHED, retry_after_s)
             self._reply(request.request_id, answer)
             return
         if request_class.idempotent:
-            self._start_client_call(request, context, deadline, allowance)
+            self._start(
+                Call(
+                    request=request,
+                    idempotent=True,
+                    context=context,
+                    deadline=deadline,
+                    allowance=allowance,
+                    finish=lambda answer: self._reply(
+                        request.request_id, answer
+                    ),
+                    request_id=request.request_id,
+                    class_name=request_class.name,
+                    parent_token=request.token,
+                )
+            )
         else:
             self._submit_keyed(request, context, deadline, allowance)
 
-    def _start_client_call(self, request, context, deadline, allowance):
-        self._start(
-            Call(
-                request=request,
-                idempotent=True,
-                context=context,
-                deadline=deadline,
-                allowance=allowance,
-                finish=lambda answer: self._reply(request.request_id, answer),
-                request_id=request.request_id,
-                parent_token=request.token,
-            )
+    def _early_refusal_s(self, service, class_name, context):
+        """Return when to come back if the call would be shed; else 0."""
+        now = self.context.now
+        retry_after_s = self.balancer.sheds(
+            service, context.rank, context.shed_hash, now
         )
+        if retry_after_s > 0.0:
+            return retry_after_s
+        if self._path_levels.sheds(
+            (service, class_name), _score(context), now, self.context.random
+        ):
+            self.context.count('entry.early_refusals_below')
+            return DEFAULT_RETRY_AFTER_S
+        return 0.0
+
+    def _shed_for(self, parent, context, key):
+        """Note at the attempt that needed a call that the call was shed."""
+        if parent is not None:
+            parent.threshold_below = min(
+                parent.threshold_below,
+                _score(context),
+                self._path_levels.threshold(key),
+            )
 
     def _submit_keyed(self, request, context, deadline, allowance):
         # The owner runs the request and spends what it is lent.
@@ -296,6 +327,7 @@
                 allowance=_allowance.Allowance(request.context.allowance),
                 finish=finish,
                 request_id=f'{self.context.incarnation:016x}-k{number}',
+                class_name=_classify(self.bundle_holder.current, request).name,
             )
         )
 
@@ -435,6 +467,7 @@
             min(message.allowance_left, max(0, outgoing.lent))
         )
         call.upstream_attempts += message.upstream_reached
+        self._hear_threshold(call, message)
         answer = kernel.Answer(
             result=results.describe(message.result),
             status=message.status,
@@ -450,6 +483,16 @@
         else:
             self._lost(call, answer)
 
+    def _hear_threshold(self, call, message):
+        key = (call.request.service, call.class_name)
+        classes = self.bundle_holder.current.classes_by_name.values()
+        highest = 1.0 + max(each.rank for each in classes)
+        self._path_levels.heard(
+            key, message.threshold_below, highest, self.context.now
+        )
+        own = message.shed_rank + 1.0 - message.shed_fraction
+        call.threshold = min(own, message.threshold_below)
+
     def _attempt_refused(self, outgoing, result):
         self._end_attempt(outgoing, None)
         outgoing.call.allowance.give_back(outgoing.lent)
@@ -626,6 +669,13 @@
             # An earlier attempt may have run, so the last refusal alone
             # says nothing about the request.
             answer = attrs.evolve(answer, result=results.Result.ANSWER_LOST)
+        parent = self.target_calls.running(call.parent_token)
+        if parent is not None:
+            if answer.result is results.Result.SHED:
+                call.threshold = min(call.threshold, _score(call.context))
+            parent.threshold_below = min(
+                parent.threshold_below, call.threshold
+            )
         left = call.allowance.left if not call.parent_token else 0
         call.finish(
             attrs.evolve(
@@ -657,6 +707,10 @@
     return bundle.classify(request.service, request.method, path)
 
 
+def _score(context):
+    return context.rank + context.shed_hash
+
+
 def _shed_hash(request):
     """Return a stable number in [0, 1) for a client request."""
     identity = request.key or request.request_id
--- a/rosemarycrank/calls/_target.py
+++ b/rosemarycrank/calls/_target.py
@@ -8,6 +8,7 @@
 from rosemarycrank import balancing
 from rosemarycrank import bundles
 from rosemarycrank.calls import _allowance
+from rosemarycrank.calls import _path_levels
 from rosemarycrank import kernel
 from rosemarycrank import messages
 from rosemarycrank import results
@@ -24,7 +25,11 @@
 
 @attrs.define(eq=False)
 class RunningAttempt:
-    """An attempt that is queued or running at the local upstream."""
+    """An attempt that is queued or running at the local upstream.
+
+    ``threshold_below`` is the lowest threshold among the services that the
+    upstream called for it.
+    """
 
     sender: str
     message: messages.Attempt
@@ -33,6 +38,7 @@
     allowance: _allowance.Allowance
     started: float | None = None
     cancelled: bool = False
+    threshold_below: float = _path_levels.NO_THRESHOLD
 
 
 @attrs.frozen
@@ -402,6 +408,7 @@
             allowance_left=attempt.allowance.left,
             retry_after_s=event.retry_after_s,
             upstream_reached=reached,
+            threshold_below=attempt.threshold_below,
         )
         self._keep(attempt.message.attempt_id, reply)
         self.context.send(attempt.sender, reply)
--- a/rosemarycrank/messages/_types.py
+++ b/rosemarycrank/messages/_types.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -91,7 +92,9 @@
 
     ``result`` is the number of a result code. ``body`` is whole whenever
     the outcome is complete. ``upstream_reached`` tells whether the upstream
-    was sent the request, even if it then refused it.
+    was sent the request, even if it then refused it. ``threshold_below``
+    is the lowest ``rank + shed_hash`` that is shed by the services that
+    the request needed further down.
     """
 
     attempt_id: str
@@ -108,6 +111,7 @@
     in_flight: int = 0
     limit: int = 0
     upstream_reached: bool = False
+    threshold_below: float = math.inf
 
 
 @_codec.register
