--- a/benchmarks/_scale_fit.py
+++ b/benchmarks/_scale_fit.py
@@ -1,4 +1,52 @@
-"""Straight lines through measured points, and the table of results."""
+"""Straight lines through measured points, and tables of results."""
+
+QUANTITIES_BY_PART = {
+    'domains': (
+        ('wire_bytes_s', ('steady', 'wire_bytes_s')),
+        ('sent_bytes_s', ('steady', 'sent_bytes_s')),
+        ('cpu_us_s', ('steady', 'cpu_us_s')),
+        ('cold_start_bytes', ('cold_start', 'bytes_a_node')),
+    ),
+    'sites': (
+        ('bridge_wire_bytes_s', ('steady', 'bridge', 'wire_bytes_s')),
+        ('bridge_cpu_us_s', ('steady', 'bridge', 'cpu_us_s')),
+        ('node_wire_bytes_s', ('steady', 'node', 'wire_bytes_s')),
+        ('node_cpu_us_s', ('steady', 'node', 'cpu_us_s')),
+    ),
+    'bundles': (
+        ('wire_bytes_s', ('usage', 'wire_bytes_s')),
+        ('cpu_us_s', ('usage', 'cpu_us_s')),
+    ),
+    'processes': (
+        ('sent_bytes_s', ('idle', 'sent_bytes_s')),
+        ('cpu_share', ('idle', 'cpu_share')),
+        ('resident_mb', ('resident_mb',)),
+    ),
+}
+COLUMNS_BY_PART = {
+    **QUANTITIES_BY_PART,
+    'domains': (
+        *QUANTITIES_BY_PART['domains'],
+        ('join_s', ('news', 'join_s', 'max')),
+        ('leave_s', ('news', 'leave_s', 'max')),
+        ('suspected_s', ('news', 'suspected_s', 'max')),
+        ('failed_s', ('news', 'failed_s', 'max')),
+    ),
+    'sites': (
+        *QUANTITIES_BY_PART['sites'],
+        ('domain_lost_s', ('lost_domain', 'noticed_s')),
+        ('domain_healed_s', ('lost_domain', 'healed_s')),
+    ),
+    'bundles': (
+        *QUANTITIES_BY_PART['bundles'],
+        ('in_force_s', ('in_force_s',)),
+    ),
+    'processes': (
+        *QUANTITIES_BY_PART['processes'],
+        ('suspected_s', ('suspected_s',)),
+        ('left_s', ('left_s',)),
+    ),
+}
 
 
 def line(points):
@@ -7,7 +55,7 @@
     Parameters
     ----------
     points : sequence of (float, float)
-        At least two points.
+        At least two points of different ``x``.
 
     Returns
     -------
@@ -22,79 +70,63 @@
     base = mean_y - slope * mean_x
     error = max(abs(base + slope * x - y) for x, y in points)
     return {
-        'base': round(base, 3),
-        'slope': round(slope, 5),
-        'error': round(error, 3),
+        'base': round(base, 4),
+        'slope': round(slope, 6),
+        'error': round(error, 4),
     }
 
 
-def fits(results):
-    """Return the slopes in the size of a domain.
+def _look_up(figures, path):
+    for key in path:
+        figures = figures[key]
+    return figures
+
+
+def fits(part, measured):
+    """Return lines in the number of nodes of a domain.
 
     Parameters
     ----------
-    results : dict
-        Results of the benchmark.
+    part : str
+        Part of the benchmark.
+    measured : list of dict
+        Its figures at several sizes; of sites, those with most domains
+        count.
 
     Returns
     -------
     dict
         Line by name of the quantity; empty below two sizes.
     """
-    domains = results['domains']
-    found = {}
-    if len(domains) > 1:
-        for name in ('wire_bytes_s', 'sent_bytes_s', 'cpu_us_s'):
-            found[f'domain {name} by nodes'] = line(
-                [(d['nodes'], d['steady'][name]) for d in domains]
-            )
-    sites = [s for s in results['sites'] if s['domains'] == 18]
-    if len(sites) > 1:
-        for role in ('bridge', 'node'):
-            for name in ('wire_bytes_s', 'cpu_us_s'):
-                found[f'18 domains, {role} {name} by nodes'] = line(
-                    [(s['nodes'], s['steady'][role][name]) for s in sites]
-                )
-    return found
+    most = max(figures.get('domains', 1) for figures in measured)
+    same = [f for f in measured if f.get('domains', 1) == most]
+    if len({figures['nodes'] for figures in same}) < 2:
+        return {}
+    return {
+        name: line([(f['nodes'], _look_up(f, path)) for f in same])
+        for name, path in QUANTITIES_BY_PART[part]
+    }
 
 
-def table(results):
-    """Return the results as a table in Markdown.
+def table(part, measured):
+    """Return figures as a table in Markdown.
 
     Parameters
     ----------
-    results : dict
-        Results of the benchmark.
+    part : str
+        Part of the benchmark.
+    measured : list of dict
+        Its figures.
 
     Returns
     -------
     str
         Lines of text.
     """
-    lines = [
-        '| nodes | B/s | B/s with TCP | us CPU/s | join s | leave s '
-        '| suspected s | failed s | cold start s |',
-        '|--:|--:|--:|--:|--:|--:|--:|--:|--:|',
-    ]
-    for figures in results['domains']:
-        steady, news = figures['steady'], figures['news']
-        lines.append(
-            f'| {figures["nodes"]}'
-            f' | {steady["sent_bytes_s"] + steady["received_bytes_s"]:.0f}'
-            f' | {steady["wire_bytes_s"]:.0f} | {steady["cpu_us_s"]:.0f}'
-            f' | {news["join_s"]["max"]} | {news["leave_s"]["max"]}'
-            f' | {news["suspected_s"]["max"]} | {news["failed_s"]["max"]}'
-            f' | {figures["cold_start"]["complete_s_after_last_start"]} |'
-        )
-    for figures in results['sites']:
-        steady = figures['steady']
-        lines.append(
-            f'{figures["domains"]}x{figures["nodes"]}:'
-            f' bridge {steady["bridge"]["wire_bytes_s"]:.0f} B/s'
-            f' {steady["bridge"]["cpu_us_s"]:.0f} us/s,'
-            f' node {steady["node"]["wire_bytes_s"]:.0f} B/s'
-            f' {steady["node"]["cpu_us_s"]:.0f} us/s,'
-            f' leave {figures["news"]["leave_s"]} s,'
-            f' domain lost {figures["lost_domain"]}'
-        )
-    return '\n'.join(lines)
+    columns = COLUMNS_BY_PART[part]
+    names = ('domains', 'nodes', *(name for name, _ in columns))
+    rows = [names, ['--:'] * len(names)]
+    for figures in measured:
+        values = [_look_up(figures, path) for _, path in columns]
+        rows.append([figures.get('domains', 1), figures['nodes'], *values])
+    return '\n'.join(f'| {" | ".join(map(str, cells))} |' for cells in rows)
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -1,7 +1,9 @@
-"""Membership at scale, in virtual time: ``make scale``.
+"""Membership at scale: ``make scale``.
 
-Writes ``benchmarks/results/scale.json`` and prints a small table. Sizes can
-be chosen: ``python -m benchmarks.scale --nodes 16 64 --sites 18x16``.
+Parts are ``domains`` (one failure domain), ``sites`` (many), ``bundles``
+(all three in virtual time) and ``processes`` (real nodes on this machine).
+Each writes ``benchmarks/results/scale_<part>.json``. One part at other
+sizes: ``python -m benchmarks.scale --part domains --sizes 16 64``.
 """
 
 import argparse
@@ -12,16 +14,22 @@
 import subprocess
 import sys
 
+from benchmarks import _scale_bundles
 from benchmarks import _scale_domains
 from benchmarks import _scale_fit
 from benchmarks import _scale_memory
+from benchmarks import _scale_processes
 from benchmarks import _scale_scenarios
 
-RESULTS = pathlib.Path(__file__).parent / 'results' / 'scale.json'
-NODES = (16, 64, 256, 511)
-SITES = ('3x16', '18x16', '18x64', '18x256')
+RESULTS = pathlib.Path(__file__).parent / 'results'
 STEADY_S = 60.0
 SETTLE_S = 20.0
+SIZES_BY_PART = {
+    'domains': ('16', '64', '256', '511'),
+    'sites': ('3x16', '18x16', '18x64', '18x256'),
+    'bundles': ('16', '64', '256', '511'),
+    'processes': ('8', '32', '64'),
+}
 
 
 def _domain(nodes, seed):
@@ -45,6 +53,21 @@
     return figures
 
 
+def _site(size, seed):
+    domains, nodes = map(int, size.split('x'))
+    return _scale_domains.measure(domains, nodes, seed)
+
+
+def _measure(part, size, seed):
+    if part == 'domains':
+        return _domain(int(size), seed)
+    if part == 'sites':
+        return _site(size, seed)
+    if part == 'bundles':
+        return _scale_bundles.measure(int(size), seed)
+    return _scale_processes.measure(int(size))
+
+
 def _commit():
     found = subprocess.run(
         ['git', 'rev-parse', '--short', 'HEAD'],
@@ -55,44 +78,41 @@
     return found.stdout.strip()
 
 
+def _run(part, sizes, seed, folder):
+    results = {
+        'command': f'python -m benchmarks.scale --part {part}',
+        'commit': _commit(),
+        'seed': seed,
+        'python': platform.python_version(),
+        'cores': os.cpu_count(),
+        part: [],
+    }
+    if part == 'domains':
+        results['memory'] = _scale_memory.measure()
+    for size in sizes:
+        results[part].append(_measure(part, size, seed))
+        results['fits'] = _scale_fit.fits(part, results[part])
+        folder.mkdir(exist_ok=True)
+        text = json.dumps(results, indent=1)
+        (folder / f'scale_{part}.json').write_text(text + '\n')
+    print(_scale_fit.table(part, results[part]))
+
+
 def _parse(argv):
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--nodes', type=int, nargs='*', default=NODES)
-    parser.add_argument('--sites', nargs='*', default=SITES)
+    parser.add_argument('--part', choices=SIZES_BY_PART)
+    parser.add_argument('--sizes', nargs='+')
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--results', type=pathlib.Path, default=RESULTS)
     return parser.parse_args(argv)
 
 
 def main(argv=None):
-    """Measure, write the results and print a table."""
+    """Measure, write the results and print a table of each part."""
     options = _parse(argv)
-    results = {
-        'command': 'python -m benchmarks.scale',
-        'commit': _commit(),
-        'seed': options.seed,
-        'python': platform.python_version(),
-        'cores': os.cpu_count(),
-        'memory': _scale_memory.measure(),
-        'domains': [],
-        'sites': [],
-    }
-    for nodes in options.nodes:
-        results['domains'].append(_domain(nodes, options.seed))
-        _write(options.results, results)
-    for size in options.sites:
-        domains, nodes = map(int, size.split('x'))
-        results['sites'].append(
-            _scale_domains.measure(domains, nodes, options.seed)
-        )
-        _write(options.results, results)
-    print(_scale_fit.table(results))
-
-
-def _write(path, results):
-    results['fits'] = _scale_fit.fits(results)
-    path.parent.mkdir(exist_ok=True)
-    path.write_text(json.dumps(results, indent=1) + '\n')
+    for part in (options.part,) if options.part else SIZES_BY_PART:
+        sizes = options.sizes or SIZES_BY_PART[part]
+        _run(part, sizes, options.seed, options.results)
 
 
 if __name__ == '__main__':
