--- a/benchmarks/_overload_latency.py
+++ b/benchmarks/_overload_latency.py
@@ -90,12 +90,12 @@
     at_s = 0.0
     number = 0
     while at_s < duration_s + WARM_UP_S:
-        at_s += source.expovariate(rate)
+        gap_s = source.expovariate(rate)
         for name, (client, path) in ways.items():
             gevent.sleep(max(0.0, began + at_s - time.perf_counter()))
             kept = latencies[name] if at_s > WARM_UP_S else []
             jobs.spawn(_call, client, f'{path}{name}-{number}', kept)
-            at_s += 0.5 / rate / len(ways)
+            at_s += gap_s / len(ways)
             number += 1
     jobs.join()
     return latencies
--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -4,7 +4,7 @@
 import pathlib
 import typing
 
-from matplotlib import pyplot
+import matplotlib.pyplot as pyplot
 import typer
 
 RESULTS = pathlib.Path(__file__).parent / 'results'
