Ask operators for a token on the admin address

Cause: whoever reaches the admin address could drain a node, end a partner or read the state dump. With operator_token_file set, /dump, /drain and /partners/*/leave answer 401 without a valid bearer token and do nothing; /health, /metrics and the upstream's announce and withdraw stay open.

A file may hold several tokens, so that one is rotated without a moment at which operators are locked out. A resource that is added later asks for a token unless it says otherwise. Ruled out: one token and a restart of all nodes at once (no such moment exists), and users with passwords (nodes keep nothing, and the platform may be down when a node has to be drained).

--- a/rosemarycrank/cli/_admin.py
+++ b/rosemarycrank/cli/_admin.py
@@ -1,19 +1,80 @@
 """Requests to the admin address of a node."""
 
 import json
+import pathlib
+import typing
+
+import attrs
+import typer
 
 from rosemarycrank.cli import _output
 from rosemarycrank import http_client
 
 TIMEOUT_S = 5.0
 _OK = 200
+_UNAUTHORIZED = 401
+
+#: Type of the option for the operator's token.
+TokenFile = typing.Annotated[
+    pathlib.Path | None,
+    typer.Option('--token-file', help="File with the operator's token."),
+]
+
+
+@attrs.frozen
+class Credentials:
+    """What the command shows to nodes.
+
+    Attributes
+    ----------
+    token : str
+        Operator's token; empty to show none.
+    """
 
+    token: str = attrs.field(default='', repr=False)
 
-def request(address, method, target):
+    def headers(self):
+        """Return the headers that authenticate a request."""
+        if not self.token:
+            return {}
+        return {http_client.AUTHORIZATION: http_client.bearer(self.token)}
+
+
+def read_credentials(token_file):
+    """Read the files that options name.
+
+    Parameters
+    ----------
+    token_file : pathlib.Path or None
+        File with tokens, of which the first is shown.
+
+    Returns
+    -------
+    Credentials
+        What to show.
+
+    Raises
+    ------
+    OSError
+        If a file cannot be read.
+    RefusedError
+        If a file is malformed.
+    """
+    if token_file is None:
+        return Credentials()
+    try:
+        return Credentials(http_client.read_tokens(token_file)[0])
+    except ValueError as error:
+        raise _output.RefusedError(str(error)) from error
+
+
+def request(credentials, address, method, target):
     """Send one request to a node and return its JSON answer.
 
     Parameters
     ----------
+    credentials : Credentials
+        What to show to the node.
     address : str
         ``host:port`` of the node's admin address.
     method : str
@@ -42,7 +103,12 @@
         )
     client = http_client.Client(host, int(port), connections=1)
     try:
-        response = client.request(method, target, timeout_s=TIMEOUT_S)
+        response = client.request(
+            method,
+            target,
+            headers=credentials.headers(),
+            timeout_s=TIMEOUT_S,
+        )
     except http_client.HttpError as error:
         no_effect = method == 'GET' or isinstance(
             error, http_client.ConnectFailed
@@ -57,6 +123,11 @@
 
 
 def _read(address, response):
+    if response.status == _UNAUTHORIZED:
+        raise _output.RefusedError(
+            f'{address}: operator token: missing or not valid; nothing was '
+            'done; give --token-file with a token of this node'
+        )
     if response.status != _OK:
         raise _output.RefusedError(
             f'{address}: status {response.status}, '
--- a/rosemarycrank/cli/_node.py
+++ b/rosemarycrank/cli/_node.py
@@ -25,10 +25,15 @@
 
 
 @application.command()
-def dump(address: _Address, as_json: _output.AsJson = False):
+def dump(
+    address: _Address,
+    token_file: _admin.TokenFile = None,
+    as_json: _output.AsJson = False,
+):
     """Print the state of every part of a node."""
     with _output.reporting(as_json):
-        state = _admin.request(address, 'GET', '/dump')
+        credentials = _admin.read_credentials(token_file)
+        state = _admin.request(credentials, address, 'GET', '/dump')
         _output.show(
             as_json,
             {'dump': state},
@@ -37,10 +42,15 @@
 
 
 @application.command()
-def status(address: _Address, as_json: _output.AsJson = False):
+def status(
+    address: _Address,
+    token_file: _admin.TokenFile = None,
+    as_json: _output.AsJson = False,
+):
     """Print a node's address, incarnation and bundle."""
     with _output.reporting(as_json):
-        state = _admin.request(address, 'GET', '/dump')
+        credentials = _admin.read_credentials(token_file)
+        state = _admin.request(credentials, address, 'GET', '/dump')
         found = {
             title: state.get(section, {}).get(key)
             for section, key, title in _STATUS_FIELDS
@@ -58,12 +68,14 @@
     stop: typing.Annotated[
         bool, typer.Option('--stop', help='Exit once nothing is in flight.')
     ] = False,
+    token_file: _admin.TokenFile = None,
     as_json: _output.AsJson = False,
 ):
     """Have a node take no new work and finish what is in flight."""
     with _output.reporting(as_json):
+        credentials = _admin.read_credentials(token_file)
         query = '?stop=true' if stop else ''
-        _admin.request(address, 'POST', f'/drain{query}')
+        _admin.request(credentials, address, 'POST', f'/drain{query}')
         _output.show(
             as_json,
             {'address': address, 'draining': True, 'stop': stop},
--- a/rosemarycrank/cli/_partner.py
+++ b/rosemarycrank/cli/_partner.py
@@ -26,6 +26,7 @@
         list[str],
         typer.Option(help='Admin address of a node; give several.'),
     ],
+    token_file: _admin.TokenFile = None,
     as_json: _output.AsJson = False,
 ):
     """Have nodes refuse new work for a partner that has left.
@@ -33,11 +34,13 @@
     Every node is tried. Roll out a bundle with the partner ended as well:
     a node that starts later learns it from there.
     """
+    with _output.reporting(as_json):
+        credentials = _admin.read_credentials(token_file)
     errors_by_node = {}
     target = f'/partners/{parse.quote(partner, safe="")}/leave'
     for address in node:
         try:
-            _admin.request(address, 'POST', target)
+            _admin.request(credentials, address, 'POST', target)
         except _output.NODE_ERRORS as error:
             errors_by_node[address] = error
     told = [address for address in node if address not in errors_by_node]
--- a/rosemarycrank/http_client/__init__.py
+++ b/rosemarycrank/http_client/__init__.py
@@ -1,6 +1,7 @@
 """HTTP client that sends each request once."""
 
 from rosemarycrank.http_client import _client
+from rosemarycrank.http_client import _token
 
 AnswerLost = _client.AnswerLost
 AnswerTruncated = _client.AnswerTruncated
@@ -9,11 +10,18 @@
 HttpError = _client.HttpError
 Response = _client.Response
 
+AUTHORIZATION = _token.HEADER
+bearer = _token.bearer
+read_tokens = _token.read_tokens
+
 __all__ = [
+    'AUTHORIZATION',
     'AnswerLost',
     'AnswerTruncated',
     'Client',
     'ConnectFailed',
     'HttpError',
     'Response',
+    'bearer',
+    'read_tokens',
 ]
--- a/rosemarycrank/node/_admin.py
+++ b/rosemarycrank/node/_admin.py
@@ -1,7 +1,10 @@
 """HTTP interface for operators, metrics and the local upstream."""
 
+import hmac
+
 import falcon
 
+from rosemarycrank import http_client
 from rosemarycrank import kernel
 from rosemarycrank.node import _metrics
 
@@ -22,11 +25,14 @@
     ----------
     node : Node
         The node that it serves.
+    operator_tokens : tuple of str, default=()
+        Tokens of which operators have to show one; empty asks for none.
     """
 
-    def __init__(self, node):
+    def __init__(self, node, operator_tokens=()):
         self.node = node
-        self.wsgi = falcon.App()
+        self.operator_tokens = operator_tokens
+        self.wsgi = falcon.App(middleware=_Authentication(operator_tokens))
         self.wsgi.add_route('/dump', _Dump(node))
         self.wsgi.add_route('/health', _Health(node))
         self.wsgi.add_route('/metrics', _Metrics(node))
@@ -36,7 +42,31 @@
         self.wsgi.add_route('/upstream/withdraw', _Withdraw(node))
 
 
+class _Authentication:
+    """Refuses requests for operators that show no valid token."""
+
+    def __init__(self, operator_tokens):
+        self._accepted = [
+            http_client.bearer(token).encode() for token in operator_tokens
+        ]
+
+    def process_resource(self, req, resp, resource, params):
+        if not self._accepted or not resource.for_operators:
+            return
+        shown = (req.get_header(http_client.AUTHORIZATION) or '').encode()
+        # Each comparison takes as long whichever character differs first.
+        matches = [hmac.compare_digest(shown, a) for a in self._accepted]
+        if not any(matches):
+            raise falcon.HTTPUnauthorized(
+                description='operator token: missing or not valid',
+                challenges=['Bearer'],
+            )
+
+
 class _Resource:
+    # A new resource is closed unless it says otherwise.
+    for_operators = True
+
     def __init__(self, node):
         self.node = node
 
@@ -47,11 +77,15 @@
 
 
 class _Health(_Resource):
+    for_operators = False
+
     def on_get(self, req, resp):
         resp.media = {'healthy': True}
 
 
 class _Metrics(_Resource):
+    for_operators = False
+
     def on_get(self, req, resp):
         body, headers = _metrics.render(self.node.dump(), req.get_header)
         resp.data = body
@@ -73,6 +107,8 @@
 
 
 class _Announce(_Resource):
+    for_operators = False
+
     def on_post(self, req, resp):
         announced = _read_announcement(req.get_media(default_when_empty=None))
         self.node.upstream_announced(announced)
@@ -80,6 +116,8 @@
 
 
 class _Withdraw(_Resource):
+    for_operators = False
+
     def on_post(self, req, resp):
         self.node.post(kernel.UpstreamWithdrawn())
         resp.media = {'announced': False}
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -6,6 +6,7 @@
 from gevent import event
 import pynng
 
+from rosemarycrank import http_client
 from rosemarycrank import kernel
 from rosemarycrank import messages
 from rosemarycrank.node import _admin
@@ -38,6 +39,11 @@
         Key shared by all nodes.
     trusted_keys : object
         Signers of bundles that are trusted.
+
+    Raises
+    ------
+    OSError, ValueError
+        If a file that the settings name cannot be used.
     """
 
     def __init__(self, settings, cluster_key, trusted_keys):
@@ -68,9 +74,14 @@
             self._clients.wsgi,
             settings.max_connections,
         )
+        operator_tokens = ()
+        if settings.operator_token_file:
+            operator_tokens = http_client.read_tokens(
+                settings.operator_token_file
+            )
         self._admin_server = _web.Server(
             settings.admin_address,
-            _admin.AdminApplication(self).wsgi,
+            _admin.AdminApplication(self, operator_tokens).wsgi,
             ADMIN_CONNECTIONS,
         )
         self._connect_effects()
--- a/rosemarycrank/settings/_node.py
+++ b/rosemarycrank/settings/_node.py
@@ -45,6 +45,9 @@
         Base URL of the platform; empty to run without it.
     trusted_keys_file : str
         List of bundle signers; empty to accept no bundle.
+    operator_token_file : str
+        File with the operators' tokens; empty to ask operators for none,
+        which suits only an admin address on loopback.
     admission, balancing, retry, ledger : str
         Names of registered plug-ins.
     bundle_poll_s : float
@@ -71,6 +74,7 @@
     seeds: tuple = ()
     platform_url: str = ''
     trusted_keys_file: str = ''
+    operator_token_file: str = ''
     admission: str = 'adaptive'
     balancing: str = 'local-first'
     retry: str = 'token-bucket'
@@ -97,6 +101,7 @@
             r'(http://[^\s/]+:\d+/?)?', 'http://host:port, or empty'
         ),
         'trusted_keys_file': _constraints.Text(),
+        'operator_token_file': _constraints.Text(),
         'admission': NAME,
         'balancing': NAME,
         'retry': NAME,
