Serve clients and operators over TLS

Cause: calls, operators' tokens and state dumps crossed the network in clear. tls_certificate_file and tls_key_file put both HTTP listeners on TLS 1.2 or later; one without the other is refused with file, line and key, by the node and by settings check. http_client.Client takes a TLS context and the node and partner commands take --ca-file.

The server sets no limit on a handshake, so a silent peer would hold one of the connections for good; it now has 5 s. Refused connections are counted in the dump (process.failed_handshakes) and not logged. gevent's create_default_context is the standard library's and makes sockets that block all greenlets, so contexts are made from gevent.ssl.SSLContext.

Not covered: the stand-ins, the load driver and the benchmarks speak plain HTTP only. Found beside it, with and without TLS: _http.py looks for the connection at wsgi.input.socket, which gevent sets only for requests with Expect: 100-continue, so a client that closes its connection is not noticed.

--- a/rosemarycrank/cli/_admin.py
+++ b/rosemarycrank/cli/_admin.py
@@ -14,6 +14,14 @@
 _OK = 200
 _UNAUTHORIZED = 401
 
+#: Type of the option for the authorities of nodes that take TLS.
+CaFile = typing.Annotated[
+    pathlib.Path | None,
+    typer.Option(
+        '--ca-file', help='Trusted authorities in PEM; turns on TLS.'
+    ),
+]
+
 #: Type of the option for the operator's token.
 TokenFile = typing.Annotated[
     pathlib.Path | None,
@@ -23,15 +31,18 @@
 
 @attrs.frozen
 class Credentials:
-    """What the command shows to nodes.
+    """What the command shows to nodes, and asks of them.
 
     Attributes
     ----------
     token : str
         Operator's token; empty to show none.
+    tls_context : gevent.ssl.SSLContext or None
+        Context that verifies nodes; None for plain connections.
     """
 
     token: str = attrs.field(default='', repr=False)
+    tls_context: object = None
 
     def headers(self):
         """Return the headers that authenticate a request."""
@@ -40,13 +51,15 @@
         return {http_client.AUTHORIZATION: http_client.bearer(self.token)}
 
 
-def read_credentials(token_file):
+def read_credentials(token_file, ca_file):
     """Read the files that options name.
 
     Parameters
     ----------
     token_file : pathlib.Path or None
         File with tokens, of which the first is shown.
+    ca_file : pathlib.Path or None
+        Authorities of the nodes' certificates.
 
     Returns
     -------
@@ -55,17 +68,18 @@
 
     Raises
     ------
-    OSError
-        If a file cannot be read.
-    RefusedError
-        If a file is malformed.
+    OSError, RefusedError
+        If a file cannot be read or is malformed.
     """
-    if token_file is None:
-        return Credentials()
+    token, tls_context = '', None
     try:
-        return Credentials(http_client.read_tokens(token_file)[0])
+        if token_file is not None:
+            token = http_client.read_tokens(token_file)[0]
+        if ca_file is not None:
+            tls_context = http_client.client_tls_context(ca_file)
     except ValueError as error:
         raise _output.RefusedError(str(error)) from error
+    return Credentials(token, tls_context)
 
 
 def request(credentials, address, method, target):
@@ -101,7 +115,9 @@
         raise _output.RefusedError(
             f'address: got {address!r}, allowed host:port'
         )
-    client = http_client.Client(host, int(port), connections=1)
+    client = http_client.Client(
+        host, int(port), connections=1, tls_context=credentials.tls_context
+    )
     try:
         response = client.request(
             method,
--- a/rosemarycrank/cli/_node.py
+++ b/rosemarycrank/cli/_node.py
@@ -28,11 +28,12 @@
 def dump(
     address: _Address,
     token_file: _admin.TokenFile = None,
+    ca_file: _admin.CaFile = None,
     as_json: _output.AsJson = False,
 ):
     """Print the state of every part of a node."""
     with _output.reporting(as_json):
-        credentials = _admin.read_credentials(token_file)
+        credentials = _admin.read_credentials(token_file, ca_file)
         state = _admin.request(credentials, address, 'GET', '/dump')
         _output.show(
             as_json,
@@ -45,11 +46,12 @@
 def status(
     address: _Address,
     token_file: _admin.TokenFile = None,
+    ca_file: _admin.CaFile = None,
     as_json: _output.AsJson = False,
 ):
     """Print a node's address, incarnation and bundle."""
     with _output.reporting(as_json):
-        credentials = _admin.read_credentials(token_file)
+        credentials = _admin.read_credentials(token_file, ca_file)
         state = _admin.request(credentials, address, 'GET', '/dump')
         found = {
             title: state.get(section, {}).get(key)
@@ -69,11 +71,12 @@
         bool, typer.Option('--stop', help='Exit once nothing is in flight.')
     ] = False,
     token_file: _admin.TokenFile = None,
+    ca_file: _admin.CaFile = None,
     as_json: _output.AsJson = False,
 ):
     """Have a node take no new work and finish what is in flight."""
     with _output.reporting(as_json):
-        credentials = _admin.read_credentials(token_file)
+        credentials = _admin.read_credentials(token_file, ca_file)
         query = '?stop=true' if stop else ''
         _admin.request(credentials, address, 'POST', f'/drain{query}')
         _output.show(
--- a/rosemarycrank/cli/_partner.py
+++ b/rosemarycrank/cli/_partner.py
@@ -27,6 +27,7 @@
         typer.Option(help='Admin address of a node; give several.'),
     ],
     token_file: _admin.TokenFile = None,
+    ca_file: _admin.CaFile = None,
     as_json: _output.AsJson = False,
 ):
     """Have nodes refuse new work for a partner that has left.
@@ -35,7 +36,7 @@
     a node that starts later learns it from there.
     """
     with _output.reporting(as_json):
-        credentials = _admin.read_credentials(token_file)
+        credentials = _admin.read_credentials(token_file, ca_file)
     errors_by_node = {}
     target = f'/partners/{parse.quote(partner, safe="")}/leave'
     for address in node:
--- a/rosemarycrank/cli/_settings.py
+++ b/rosemarycrank/cli/_settings.py
@@ -28,7 +28,7 @@
 ):
     """Check the settings of a node; print all problems at once."""
     with _output.reporting(as_json):
-        node = settings.load(file, settings.NodeSettings, _check_plugins)
+        node = settings.load(file, settings.NodeSettings, _cross_check)
         _output.show(
             as_json,
             {'file': str(file), 'address': node.address},
@@ -36,6 +36,11 @@
         )
 
 
+def _cross_check(document, place):
+    settings.NodeSettings.cross_check(document, place)
+    _check_plugins(document, place)
+
+
 def _check_plugins(document, place):
     for kind in PLUGIN_KINDS:
         importlib.import_module(f'rosemarycrank.{kind}')
--- a/rosemarycrank/http_client/__init__.py
+++ b/rosemarycrank/http_client/__init__.py
@@ -1,6 +1,7 @@
 """HTTP client that sends each request once."""
 
 from rosemarycrank.http_client import _client
+from rosemarycrank.http_client import _tls
 from rosemarycrank.http_client import _token
 
 AnswerLost = _client.AnswerLost
@@ -12,6 +13,7 @@
 
 AUTHORIZATION = _token.HEADER
 bearer = _token.bearer
+client_tls_context = _tls.client_tls_context
 read_tokens = _token.read_tokens
 
 __all__ = [
@@ -23,5 +25,6 @@
     'HttpError',
     'Response',
     'bearer',
+    'client_tls_context',
     'read_tokens',
 ]
--- a/rosemarycrank/http_client/_client.py
+++ b/rosemarycrank/http_client/_client.py
@@ -35,8 +35,11 @@
     body: bytes
 
 
-class _Pool(connectionpool.ConnectionPool):
-    """Pool that tells a failed connect from a failed send.
+class _PoolMixin:
+    """What the pools with and without TLS have in common.
+
+    It tells a failed connect, of which a failed TLS handshake is part, from
+    a failed send.
 
     Attributes
     ----------
@@ -60,6 +63,14 @@
             raise ConnectFailed(f'{address}: {error}') from error
 
 
+class _Pool(_PoolMixin, connectionpool.ConnectionPool):
+    """Pool of plain connections."""
+
+
+class _TlsPool(_PoolMixin, connectionpool.SSLConnectionPool):
+    """Pool of TLS connections."""
+
+
 class Client:
     """HTTP client of one server.
 
@@ -75,6 +86,9 @@
         Longest wait for a connection.
     read_timeout_s : float, default=30.0
         Longest wait for one read.
+    tls_context : gevent.ssl.SSLContext, optional
+        Context for TLS, from `client_tls_context`; without it connections
+        are plain.
     """
 
     def __init__(
@@ -84,22 +98,16 @@
         connections=64,
         connect_timeout_s=1.0,
         read_timeout_s=30.0,
+        tls_context=None,
     ):
         self.host = host
         self.port = port
         self.connections = connections
         self.connect_timeout_s = connect_timeout_s
         self.read_timeout_s = read_timeout_s
+        self.tls_context = tls_context
         self._client = geventhttpclient.HTTPClient(host, port=port)
-        self._pool = _Pool(
-            host,
-            port,
-            host,
-            port,
-            size=connections,
-            connection_timeout=connect_timeout_s,
-            network_timeout=read_timeout_s,
-        )
+        self._pool = self._make_pool()
         # The library sends a request up to size + 1 more times when a
         # connection closes; a size of -1 leaves the one send.
         self._pool.size = -1
@@ -154,6 +162,23 @@
         """Close the idle connections."""
         self._client.close()
 
+    def _make_pool(self):
+        server = (self.host, self.port)
+        parameters = {
+            'size': self.connections,
+            'connection_timeout': self.connect_timeout_s,
+            'network_timeout': self.read_timeout_s,
+        }
+        if self.tls_context is None:
+            return _Pool(*server, *server, **parameters)
+        return _TlsPool(
+            *server,
+            *server,
+            # The context has its authorities already.
+            ssl_context_factory=lambda cafile: self.tls_context,
+            **parameters,
+        )
+
     def _exchange(self, method, target, body, headers):
         answer = self._client.request(
             method, target, body=body, headers=headers or {}
--- a/rosemarycrank/node/__main__.py
+++ b/rosemarycrank/node/__main__.py
@@ -42,7 +42,9 @@
     """Run the node of one upstream VM until it is told to stop."""
     try:
         settings = settings_module.load(
-            settings_file, settings_module.NodeSettings
+            settings_file,
+            settings_module.NodeSettings,
+            settings_module.NodeSettings.cross_check,
         )
         cluster_key = _read_cluster_key(settings.cluster_key_file)
         trusted_keys = _read_trusted_keys(settings.trusted_keys_file)
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -69,10 +69,16 @@
         self._clients = _http.ClientApplication(
             self.post, self._task.ask, ledger, settings.max_body_bytes
         )
+        tls_context = None
+        if settings.tls_certificate_file or settings.tls_key_file:
+            tls_context = _web.server_tls_context(
+                settings.tls_certificate_file, settings.tls_key_file
+            )
         self._client_server = _web.Server(
             settings.http_address,
             self._clients.wsgi,
             settings.max_connections,
+            tls_context,
         )
         operator_tokens = ()
         if settings.operator_token_file:
@@ -83,6 +89,7 @@
             settings.admin_address,
             _admin.AdminApplication(self, operator_tokens).wsgi,
             ADMIN_CONNECTIONS,
+            tls_context,
         )
         self._connect_effects()
 
@@ -155,6 +162,8 @@
         sections['process'] = {
             'waiting_clients': self._clients.waiting(),
             'kernel_errors': self._task.errors_,
+            'failed_handshakes': self._client_server.failed_handshakes_
+            + self._admin_server.failed_handshakes_,
             'http_address': self.http_address,
             'admin_address': self.admin_address,
         }
--- a/rosemarycrank/settings/_node.py
+++ b/rosemarycrank/settings/_node.py
@@ -15,6 +15,7 @@
 )
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 MAX_SEED = 2**63 - 1
+TLS_KEYS = ('tls_certificate_file', 'tls_key_file')
 
 
 @attrs.frozen
@@ -48,6 +49,9 @@
     operator_token_file : str
         File with the operators' tokens; empty to ask operators for none,
         which suits only an admin address on loopback.
+    tls_certificate_file, tls_key_file : str
+        Certificate and private key in PEM for the HTTP and admin
+        listeners; both empty to serve without TLS.
     admission, balancing, retry, ledger : str
         Names of registered plug-ins.
     bundle_poll_s : float
@@ -75,6 +79,8 @@
     platform_url: str = ''
     trusted_keys_file: str = ''
     operator_token_file: str = ''
+    tls_certificate_file: str = ''
+    tls_key_file: str = ''
     admission: str = 'adaptive'
     balancing: str = 'local-first'
     retry: str = 'token-bucket'
@@ -102,6 +108,8 @@
         ),
         'trusted_keys_file': _constraints.Text(),
         'operator_token_file': _constraints.Text(),
+        'tls_certificate_file': _constraints.Text(),
+        'tls_key_file': _constraints.Text(),
         'admission': NAME,
         'balancing': NAME,
         'retry': NAME,
@@ -115,3 +123,23 @@
         'log_level': _constraints.Options(LOG_LEVELS),
         'seed': _constraints.Interval(int, 0, MAX_SEED),
     }
+
+    @staticmethod
+    def cross_check(document, place):
+        """Refuse a TLS certificate without a key, or the reverse.
+
+        Parameters
+        ----------
+        document : Located
+            Content of the file.
+        place : Place
+            Its place; takes the problem.
+        """
+        given = [name for name in TLS_KEYS if document.at(name).data]
+        if len(given) == 1:
+            found = document.at(given[0])
+            place.child(given[0]).refuse(
+                found.line,
+                f'{found.shown()} alone',
+                f'{" and ".join(TLS_KEYS)} together, or neither',
+            )
