--- a/rosemarycrank/http_client/__init__.py
+++ b/rosemarycrank/http_client/__init__.py
@@ -1,6 +1,8 @@
 """HTTP client that sends each request once."""
 
 from rosemarycrank.http_client import _client
+from rosemarycrank.http_client import _tls
+from rosemarycrank.http_client import _token
 
 AnswerLost = _client.AnswerLost
 AnswerTruncated = _client.AnswerTruncated
@@ -9,11 +11,20 @@
 HttpError = _client.HttpError
 Response = _client.Response
 
+AUTHORIZATION = _token.HEADER
+bearer = _token.bearer
+client_tls_context = _tls.client_tls_context
+read_tokens = _token.read_tokens
+
 __all__ = [
+    'AUTHORIZATION',
     'AnswerLost',
     'AnswerTruncated',
     'Client',
     'ConnectFailed',
     'HttpError',
     'Response',
+    'bearer',
+    'client_tls_context',
+    'read_tokens',
 ]
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -6,6 +6,7 @@
 from gevent import event
 import pynng
 
+from rosemarycrank import http_client
 from rosemarycrank import kernel
 from rosemarycrank import messages
 from rosemarycrank.node import _admin
@@ -38,6 +39,11 @@
         Key shared by all nodes.
     trusted_keys : object
         Signers of bundles that are trusted.
+
+    Raises
+    ------
+    OSError, ValueError
+        If a file that the settings name cannot be used.
     """
 
     def __init__(self, settings, cluster_key, trusted_keys):
@@ -63,15 +69,27 @@
         self._clients = _http.ClientApplication(
             self.post, self._task.ask, ledger, settings.max_body_bytes
         )
+        tls_context = None
+        if settings.tls_certificate_file or settings.tls_key_file:
+            tls_context = _web.server_tls_context(
+                settings.tls_certificate_file, settings.tls_key_file
+            )
         self._client_server = _web.Server(
             settings.http_address,
             self._clients.wsgi,
             settings.max_connections,
+            tls_context,
         )
+        operator_tokens = ()
+        if settings.operator_token_file:
+            operator_tokens = http_client.read_tokens(
+                settings.operator_token_file
+            )
         self._admin_server = _web.Server(
             settings.admin_address,
-            _admin.AdminApplication(self).wsgi,
+            _admin.AdminApplication(self, operator_tokens).wsgi,
             ADMIN_CONNECTIONS,
+            tls_context,
         )
         self._connect_effects()
 
@@ -144,6 +162,8 @@
         sections['process'] = {
             'waiting_clients': self._clients.waiting(),
             'kernel_errors': self._task.errors_,
+            'failed_handshakes': self._client_server.failed_handshakes_
+            + self._admin_server.failed_handshakes_,
             'http_address': self.http_address,
             'admin_address': self.admin_address,
         }
