Never call a re-send not run when its key may have run

Cause: a node that stops, that holds no bundle yet, that is asked under an ended token or that sheds early refused a keyed re-send as not run without looking at its key, although an earlier send may have run. Ruled out: answering "unknown" to every such send; most are first sends. Change: the first three ask the ledger what became of the key and refuse only what it knows not to have run; early shedding of keyed requests moved behind the ledger, to the key's owner. Conclusion: a client's own key costs a read of the table in these cases.

--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -27,6 +27,16 @@
 #: Refusals after which another attempt would be no use.
 _FINAL_REFUSALS = frozenset({results.Result.DEADLINE_TOO_SHORT})
 
+#: Refusals that speak of one send only: an earlier send of the same
+#: non-idempotent request may have run.
+_REFUSALS_OF_ONE_SEND = frozenset(
+    {
+        results.Result.LEAVING,
+        results.Result.NO_BUNDLE,
+        results.Result.TOKEN_ENDED,
+    }
+)
+
 #: Most targets that one call may be redirected to at no cost.
 MAX_FREE_REDIRECTS = 4
 
@@ -187,10 +197,31 @@
     def _on_client_request(self, request):
         self.context.count('entry.requests')
         refusal = self._refusal(request)
-        if refusal is not None:
+        if refusal is None:
+            self._admit(request)
+        elif refusal in _REFUSALS_OF_ONE_SEND and self._may_be_keyed(request):
+            self._refuse_keyed(request, refusal)
+        else:
             self._reply(request.request_id, self._refuse(refusal))
-            return
-        self._admit(request)
+
+    def _may_be_keyed(self, request):
+        bundle = self.bundle_holder.current
+        if not request.key or bundle is None:
+            return bool(request.key)
+        request_class = _classify(bundle, request)
+        return request_class is not None and not request_class.idempotent
+
+    def _refuse_keyed(self, request, refusal):
+        """Refuse a send, or say what became of its key before."""
+        self.keyed_waiting_ += 1
+
+        def finish(answer):
+            self.keyed_waiting_ -= 1
+            if answer.result.outcome is results.Outcome.NOT_RUN:
+                answer = self._refuse(refusal)
+            self._reply(request.request_id, answer)
+
+        self.key_ledger.query(request.key, finish)
 
     def _refusal(self, request):
         bundle = self.bundle_holder.current
@@ -238,34 +269,22 @@
             answer = self._refuse(results.Result.TOO_DEEP)
             self._reply(request.request_id, answer)
             return
-        retry_after_s = self._early_refusal_s(
-            request.service, request_class.name, context
-        )
-        if retry_after_s > 0.0:
-            self.context.count('entry.early_refusals')
-            key = (request.service, request_class.name)
-            self._shed_for(parent, context, key)
-            answer = self._refuse(results.Result.SHED, retry_after_s)
-            self._reply(request.request_id, answer)
+        if not request_class.idempotent:
+            self._submit_keyed(request, context, deadline, allowance)
             return
-        if request_class.idempotent:
-            self._start(
-                Call(
-                    request=request,
-                    idempotent=True,
-                    context=context,
-                    deadline=deadline,
-                    allowance=allowance,
-                    finish=lambda answer: self._reply(
-                        request.request_id, answer
-                    ),
-                    request_id=request.request_id,
-                    class_name=request_class.name,
-                    parent_token=request.token,
-                )
+        self._start(
+            Call(
+                request=request,
+                idempotent=True,
+                context=context,
+                deadline=deadline,
+                allowance=allowance,
+                finish=lambda answer: self._reply(request.request_id, answer),
+                request_id=request.request_id,
+                class_name=request_class.name,
+                parent_token=request.token,
             )
-        else:
-            self._submit_keyed(request, context, deadline, allowance)
+        )
 
     def _early_refusal_s(self, service, class_name, context):
         """Return when to come back if the call would be shed; else 0."""
@@ -282,12 +301,14 @@
             return DEFAULT_RETRY_AFTER_S
         return 0.0
 
-    def _shed_for(self, parent, context, key):
+    def _shed_for(self, call):
         """Note at the attempt that needed a call that the call was shed."""
+        parent = self.target_calls.running(call.parent_token)
         if parent is not None:
+            key = (call.request.service, call.class_name)
             parent.threshold_below = min(
                 parent.threshold_below,
-                _score(context),
+                _score(call.context),
                 self._path_levels.threshold(key),
             )
 
@@ -348,6 +369,18 @@
     # Attempts
 
     def _start(self, call):
+        """Begin a call, unless it would be shed further on."""
+        retry_after_s = self._early_refusal_s(
+            call.request.service, call.class_name, call.context
+        )
+        if retry_after_s > 0.0:
+            self.context.count('entry.early_refusals')
+            self._shed_for(call)
+            answer = self._refuse(results.Result.SHED, retry_after_s)
+            call.finish(
+                attrs.evolve(answer, allowance_left=call.allowance.left)
+            )
+            return
         self.calls_by_request_id_[call.request_id] = call
         if call.parent_token:
             siblings = self._calls_by_parent_token.setdefault(
--- a/tests/calls/network.py
+++ b/tests/calls/network.py
@@ -67,13 +67,21 @@
 
 
 class DirectLedger(ledger.Ledger):
-    """Runs every keyed request; for tests of the call path alone."""
+    """Runs every keyed request; for tests of the call path alone.
+
+    It knows what ran anywhere in the network.
+    """
+
+    def __init__(self, network):
+        self.network = network
 
     def submit(self, request, finish):
         self.run(request, finish)
 
     def query(self, key, finish):
-        raise NotImplementedError
+        ran = self.network.runs_of(f'/{key}')
+        result = results.Result.ANSWER_LOST if ran else results.Result.REVOKED
+        finish(kernel.Answer(result))
 
     def issue(self, count):
         raise NotImplementedError
@@ -132,20 +140,28 @@
         self._sequence = itertools.count()
         self._waiting_nested = {}
 
-    def add(self, address, service, upstream=None, controller=None):
+    def add(
+        self,
+        address,
+        service,
+        upstream=None,
+        controller=None,
+        bundle=BUNDLE,
+    ):
         """Start a node whose upstream serves a service."""
         incarnation = next(self.incarnations)
         context = kernel.Context(address, incarnation, self.seed + incarnation)
         directory = Directory(self)
+        holder = Holder(bundle)
         target = calls.TargetCalls(
-            'a', directory, controller or admission.PassThrough(), Holder()
+            'a', directory, controller or admission.PassThrough(), holder
         )
-        key_ledger = DirectLedger()
+        key_ledger = DirectLedger(self)
         entry = calls.EntryCalls(
             directory,
             balancing.RandomChoice('a', context.random),
             retry.Unlimited(),
-            Holder(),
+            holder,
             key_ledger,
             target,
         )
