Notice clients that close their connection

Cause: the node looked for the connection where gevent keeps it only for requests with "Expect: 100-continue", so cancellation never began. Ruled out: waiting for the failed write of the answer; by then the work is done. Conclusion: an idempotent call of a client that left is cancelled down the graph; a keyed one runs on, and its outcome is kept.

--- a/rosemarycrank/node/_http.py
+++ b/rosemarycrank/node/_http.py
@@ -10,6 +10,7 @@
 from gevent import event
 
 from rosemarycrank import kernel
+from rosemarycrank.node import _web
 from rosemarycrank import results
 
 #: Longest wait for a request body, in seconds.
@@ -158,7 +159,7 @@
     def _wait(self, req, request, waiting):
         longest_s = (request.deadline_s or LONGEST_DEADLINE_S) + ANSWER_GRACE_S
         waited_s = 0.0
-        connection = getattr(req.env['wsgi.input'], 'socket', None)
+        connection = req.env.get(_web.SOCKET_KEY)
         while waited_s < longest_s:
             if waiting.wait(PRESENCE_CHECK_S) is not None:
                 return waiting.get()
--- a/rosemarycrank/node/_web.py
+++ b/rosemarycrank/node/_web.py
@@ -16,6 +16,19 @@
 READ_TIMEOUT_S = 60.0
 
 
+#: Key of the connection's socket in the WSGI environment.
+SOCKET_KEY = 'rosemarycrank.socket'
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Handler that tells the application its connection's socket."""
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+
 class Server(pywsgi.WSGIServer):
     """WSGI server for one application.
 
@@ -51,6 +64,7 @@
             (host, int(port)),
             application,
             spawn=pool.Pool(max_connections),
+            handler_class=_Handler,
             log=None,
             error_log=None,
             **tls_parameters,
