Part the way in of requests from the making of calls

A keyed call that reached its owner before the owner held a bundle, or for a service that its bundle does not know, raised in the kernel and was never answered. Ruled out: a third base class; the two components share the Call alone. Conclusion: no other change of behaviour.

--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -1,6 +1,5 @@
 """Calls at the entry node: admission of client requests and attempts."""
 
-import hashlib
 import itertools
 
 import attrs
@@ -9,7 +8,6 @@
 from rosemarycrank.calls import _path_levels
 from rosemarycrank.calls import _peers
 from rosemarycrank import kernel
-from rosemarycrank import ledger
 from rosemarycrank import messages
 from rosemarycrank import results
 
@@ -27,16 +25,6 @@
 #: Refusals after which another attempt would be no use.
 _FINAL_REFUSALS = frozenset({results.Result.DEADLINE_TOO_SHORT})
 
-#: Refusals that speak of one send only: an earlier send of the same
-#: non-idempotent request may have run.
-_REFUSALS_OF_ONE_SEND = frozenset(
-    {
-        results.Result.LEAVING,
-        results.Result.NO_BUNDLE,
-        results.Result.TOKEN_ENDED,
-    }
-)
-
 #: Most targets that one call may be redirected to at no cost.
 MAX_FREE_REDIRECTS = 4
 
@@ -61,6 +49,9 @@
 #: Advice to clients when a node cannot tell when to come back, in seconds.
 DEFAULT_RETRY_AFTER_S = 1.0
 
+#: Spread of that advice, so that refused clients do not come back at once.
+RETRY_JITTER = 0.5
+
 
 @attrs.define(eq=False)
 class Call:
@@ -107,7 +98,7 @@
 
 
 class EntryCalls(kernel.Component):
-    """Takes requests of clients and of the local upstream.
+    """Makes calls: attempts at targets, until there is a final answer.
 
     Parameters
     ----------
@@ -119,8 +110,6 @@
         Retry budget by service.
     bundle_holder : object
         Its ``current`` is the bundle in force, or None.
-    key_ledger : rosemarycrank.ledger.Ledger
-        Runs non-idempotent requests at most once.
     target_calls : TargetCalls
         Gives the context of nested calls.
     attempt_timeout_s : float, default=0.5
@@ -134,8 +123,6 @@
 
     name = 'entry'
     handles = {
-        kernel.ClientGone: '_on_client_gone',
-        kernel.ClientRequest: '_on_client_request',
         kernel.PeerLost: '_on_peer_lost',
         kernel.SendFailed: '_on_send_failed',
         messages.AttemptReply: '_on_attempt_reply',
@@ -149,7 +136,6 @@
         balancer,
         budget,
         bundle_holder,
-        key_ledger,
         target_calls,
         attempt_timeout_s=0.5,
     ):
@@ -157,10 +143,8 @@
         self.balancer = balancer
         self.budget = budget
         self.bundle_holder = bundle_holder
-        self.key_ledger = key_ledger
         self.target_calls = target_calls
         self.attempt_timeout_s = attempt_timeout_s
-        self.draining_ = False
         self.calls_by_request_id_ = {}
         self._calls_by_parent_token = {}
         self._outgoing_by_id = {}
@@ -169,20 +153,14 @@
         self._asked_at_by_service = {}
         self._path_levels = _path_levels.PathLevels()
         self._sequence = itertools.count(1)
-        self.keyed_waiting_ = 0
-        key_ledger.run = self._run_keyed
         target_calls.cancel_nested = self._cancel_nested
 
-    def start_drain(self):
-        self.draining_ = True
-
     def idle(self):
-        return not self.calls_by_request_id_ and self.keyed_waiting_ == 0
+        return not self.calls_by_request_id_
 
     def dump(self):
         return {
             'calls': len(self.calls_by_request_id_),
-            'keyed_waiting': self.keyed_waiting_,
             'attempts': len(self._outgoing_by_id),
             'waiting_for_clock': sum(
                 map(len, self._waiting_by_address.values())
@@ -192,100 +170,6 @@
             'thresholds_below': self._path_levels.dump(),
         }
 
-    # Client requests
-
-    def _on_client_request(self, request):
-        self.context.count('entry.requests')
-        refusal = self._refusal(request)
-        if refusal is None:
-            self._admit(request)
-        elif refusal in _REFUSALS_OF_ONE_SEND and self._may_be_keyed(request):
-            self._refuse_keyed(request, refusal)
-        else:
-            self._reply(request.request_id, self._refuse(refusal))
-
-    def _may_be_keyed(self, request):
-        bundle = self.bundle_holder.current
-        if not request.key or bundle is None:
-            return bool(request.key)
-        request_class = _classify(bundle, request)
-        return request_class is not None and not request_class.idempotent
-
-    def _refuse_keyed(self, request, refusal):
-        """Refuse a send, or say what became of its key before."""
-        self.keyed_waiting_ += 1
-
-        def finish(answer):
-            self.keyed_waiting_ -= 1
-            if answer.result.outcome is results.Outcome.NOT_RUN:
-                answer = self._refuse(refusal)
-            self._reply(request.request_id, answer)
-
-        self.key_ledger.query(request.key, finish)
-
-    def _refusal(self, request):
-        bundle = self.bundle_holder.current
-        if bundle is None:
-            return results.Result.NO_BUNDLE
-        if self.draining_ and not request.token:
-            return results.Result.LEAVING
-        if request.token and self.target_calls.running(request.token) is None:
-            return results.Result.TOKEN_ENDED
-        request_class = _classify(bundle, request)
-        if request_class is None:
-            return results.Result.UNKNOWN_SERVICE
-        if len(request.body) > bundle.policy.max_body_bytes:
-            return results.Result.BODY_TOO_LARGE
-        if not request_class.idempotent and not request.key:
-            return results.Result.KEY_REQUIRED
-        return None
-
-    def _admit(self, request):
-        now = self.context.now
-        bundle = self.bundle_holder.current
-        request_class = _classify(bundle, request)
-        deadline = now + min(
-            request_class.deadline_s,
-            request.deadline_s or request_class.deadline_s,
-        )
-        parent = self.target_calls.running(request.token)
-        if parent is None:
-            allowance = _allowance.Allowance(request_class.allowance)
-            context = messages.CallContext(
-                rank=request_class.rank,
-                shed_hash=_shed_hash(request),
-                depth=0,
-            )
-        else:
-            deadline = min(deadline, parent.ticket.deadline)
-            allowance = parent.allowance
-            # A call for an important request is as important as that.
-            context = messages.CallContext(
-                rank=min(request_class.rank, parent.ticket.rank),
-                shed_hash=parent.ticket.shed_hash,
-                depth=parent.message.context.depth + 1,
-            )
-        if context.depth > bundle.policy.max_depth:
-            answer = self._refuse(results.Result.TOO_DEEP)
-            self._reply(request.request_id, answer)
-            return
-        if not request_class.idempotent:
-            self._submit_keyed(request, context, deadline, allowance)
-            return
-        self._start(
-            Call(
-                request=request,
-                idempotent=True,
-                context=context,
-                deadline=deadline,
-                allowance=allowance,
-                finish=lambda answer: self._reply(request.request_id, answer),
-                request_id=request.request_id,
-                class_name=request_class.name,
-                parent_token=request.token,
-            )
-        )
-
     def _early_refusal_s(self, service, class_name, context):
         """Return when to come back if the call would be shed; else 0."""
         now = self.context.now
@@ -312,64 +196,32 @@
                 self._path_levels.threshold(key),
             )
 
-    def _submit_keyed(self, request, context, deadline, allowance):
-        # The owner runs the request and spends what it is lent.
-        lent = allowance.lend() if request.token else allowance.lend_all()
-        self.keyed_waiting_ += 1
-
-        def finish(answer):
-            self.keyed_waiting_ -= 1
-            allowance.give_back(min(lent, answer.allowance_left))
-            self._reply(request.request_id, answer)
-
-        self.key_ledger.submit(
-            ledger.KeyedRequest(
-                key=request.key,
-                service=request.service,
-                method=request.method,
-                path=request.path,
-                headers=request.headers,
-                body=request.body,
-                deadline=deadline,
-                context=attrs.evolve(context, allowance=lent),
-            ),
-            finish,
-        )
-
-    def _run_keyed(self, request, finish):
-        """Run a keyed request whose owner is this node."""
-        number = next(self._sequence)
-        self._start(
-            Call(
-                request=request,
-                idempotent=False,
-                context=request.context,
-                deadline=request.deadline,
-                allowance=_allowance.Allowance(request.context.allowance),
-                finish=finish,
-                request_id=f'{self.context.incarnation:016x}-k{number}',
-                class_name=_classify(self.bundle_holder.current, request).name,
-            )
-        )
-
-    def _on_client_gone(self, event):
-        call = self.calls_by_request_id_.get(event.request_id)
-        if call is not None and call.idempotent:
-            self._cancel(call)
-
     def _cancel_nested(self, token):
         for call in list(self._calls_by_parent_token.get(token, ())):
-            self._cancel(call)
+            self.cancel(call)
 
-    def _cancel(self, call):
+    def cancel(self, call):
+        """End a call that nobody waits for.
+
+        Parameters
+        ----------
+        call : Call
+            A call without a final answer.
+        """
         self.context.count('entry.cancelled')
         self._abandon_attempt(call)
         self._finish(call, kernel.Answer(results.Result.CANCELLED))
 
     # Attempts
 
-    def _start(self, call):
-        """Begin a call, unless it would be shed further on."""
+    def start(self, call):
+        """Begin a call, unless it would be shed further on.
+
+        Parameters
+        ----------
+        call : Call
+            The call; its ``finish`` is called exactly once.
+        """
         retry_after_s = self._early_refusal_s(
             call.request.service, call.class_name, call.context
         )
@@ -731,26 +583,30 @@
             if not siblings:
                 del self._calls_by_parent_token[call.parent_token]
 
-    def _reply(self, request_id, answer):
-        self.context.count(f'entry.answers.{answer.result.name}')
-        self.context.emit(kernel.Reply(request_id, answer))
-
     def _refuse(self, result, retry_after_s=DEFAULT_RETRY_AFTER_S):
-        jitter = 1.0 + 0.5 * self.context.random.random()
-        return kernel.Answer(result, retry_after_s=retry_after_s * jitter)
+        return refuse(self.context, result, retry_after_s)
 
 
-def _classify(bundle, request):
-    path = request.path.partition('?')[0]
-    return bundle.classify(request.service, request.method, path)
+def refuse(context, result, retry_after_s=DEFAULT_RETRY_AFTER_S):
+    """Return a refusal with advice when to come back.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Its random source spreads the advice.
+    result : rosemarycrank.results.Result
+        Why.
+    retry_after_s : float
+        Seconds to wait at least.
+
+    Returns
+    -------
+    rosemarycrank.kernel.Answer
+        The refusal.
+    """
+    jitter = 1.0 + RETRY_JITTER * context.random.random()
+    return kernel.Answer(result, retry_after_s=retry_after_s * jitter)
 
 
 def _score(context):
     return context.rank + context.shed_hash
-
-
-def _shed_hash(request):
-    """Return a stable number in [0, 1) for a client request."""
-    identity = request.key or request.request_id
-    digest = hashlib.blake2b(identity.encode(), digest_size=8).digest()
-    return int.from_bytes(digest) / 2.0**64
--- a/rosemarycrank/node/_build.py
+++ b/rosemarycrank/node/_build.py
@@ -78,11 +78,16 @@
         ),
         budget=kernel.create('retry', settings.retry),
         bundle_holder=holder,
-        key_ledger=key_ledger,
         target_calls=target_calls,
         attempt_timeout_s=settings.attempt_timeout_s,
     )
-    stopping = (target_calls, entry_calls, key_ledger)
+    requests = calls.ClientRequests(
+        bundle_holder=holder,
+        key_ledger=key_ledger,
+        target_calls=target_calls,
+        entry_calls=entry_calls,
+    )
+    stopping = (target_calls, requests, entry_calls, key_ledger)
     lifecycle = calls.Lifecycle(directory, target_calls, stopping)
     return kernel.Kernel(
         context,
@@ -91,6 +96,7 @@
             holder,
             key_ledger,
             target_calls,
+            requests,
             entry_calls,
             lifecycle,
         ),
--- a/tests/calls/network.py
+++ b/tests/calls/network.py
@@ -162,12 +162,13 @@
             balancing.RandomChoice('a', context.random),
             retry.Unlimited(),
             holder,
-            key_ledger,
             target,
         )
-        lifecycle = calls.Lifecycle(directory, target, (target, entry))
+        requests = calls.ClientRequests(holder, key_ledger, target, entry)
+        stopping = (target, requests, entry)
+        lifecycle = calls.Lifecycle(directory, target, stopping)
         node = kernel.Kernel(
-            context, (directory, key_ledger, target, entry, lifecycle)
+            context, (directory, key_ledger, *stopping, lifecycle)
         )
         self.hosts_by_address[address] = Host(node, upstream or serve)
         announced = kernel.UpstreamAnnounced(service, f'{address}-up')
--- a/tests/calls/test_keyed_refusals.py
+++ b/tests/calls/test_keyed_refusals.py
@@ -3,6 +3,7 @@
 import pytest
 
 from rosemarycrank import kernel
+from rosemarycrank import ledger
 from rosemarycrank import results
 from tests.calls import network as network_module
 
@@ -49,3 +50,22 @@
     answer = network.answers_by_request_id['first']
     assert answer.result is results.Result.LEAVING
     assert network.runs_of('/first') == 0
+
+
+@pytest.mark.parametrize(
+    'bundle, service, expected',
+    [
+        (None, 's', results.Result.NO_BUNDLE),
+        (network_module.BUNDLE, 'none', results.Result.UNKNOWN_SERVICE),
+    ],
+)
+def test_an_owner_that_cannot_classify_refuses(bundle, service, expected):
+    # Another node passes the call on to the key's owner.
+    network = network_module.Network()
+    network.add('new:1', 'front', bundle=bundle)
+    owner = network.hosts_by_address['new:1'].kernel
+    key_ledger = next(p for p in owner.components if p.name == 'ledger')
+    answers = []
+    request = ledger.KeyedRequest('k', service, 'POST', '/k', {}, b'', 5.0)
+    key_ledger.run(request, answers.append)
+    assert [answer.result for answer in answers] == [expected]
