--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,8 @@
 
 scale: venv
 	$(PYTHON) -m benchmarks.scale
+
+plots: venv
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+		-c constraints.txt -e '.[plots]'
+	$(PYTHON) -m benchmarks.plots
