--- a/benchmarks/_scale_bundles.py
+++ b/benchmarks/_scale_bundles.py
@@ -7,7 +7,7 @@
 from rosemarycrank.bundles import _table
 from rosemarycrank import kernel
 from rosemarycrank import keys
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 SERVICES = 1400
 CHANGE_PERIOD_S = 86400 / 9800
@@ -58,11 +58,11 @@
         """Answer a request of a member at once."""
         self.reads += 1
         operation, value = effect.operation, None
-        if isinstance(operation, platform.ObjectGet):
+        if isinstance(operation, table_service.ObjectGet):
             value = self.by_name.get(operation.name)
-        elif isinstance(operation, platform.TableList):
+        elif isinstance(operation, table_service.TableList):
             value = []
-        elif isinstance(operation, platform.TableRead):
+        elif isinstance(operation, table_service.TableRead):
             value = self.row
         reply = kernel.PlatformReply(effect.operation_id, value=value)
         self.network.hand(member, reply)
@@ -79,7 +79,7 @@
         self._content = content
         version = 1 if self.row is None else self.row.version + 1
         value = bundles.CurrentRow(head, base_hash).to_value()
-        self.row = platform.Row('current', value, version, 'w')
+        self.row = table_service.Row('current', value, version, 'w')
 
 
 def _holder(member):
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -14,9 +14,9 @@
 from rosemarycrank import kernel
 from rosemarycrank import ledger
 from rosemarycrank import messages
-from rosemarycrank import platform
 from rosemarycrank import results
 from rosemarycrank.standins import _tables
+from rosemarycrank import table_service
 
 SECRET = b's' * 32
 BODY = b'b' * 300
@@ -178,7 +178,7 @@
     stored_bytes = 0
 
     def execute(self, operation):
-        if isinstance(operation, platform.ObjectPut):
+        if isinstance(operation, table_service.ObjectPut):
             self.stored_bytes += len(operation.body)
         return super().execute(operation)
 
--- a/rosemarycrank/bundles/_platform_source.py
+++ b/rosemarycrank/bundles/_platform_source.py
@@ -6,7 +6,7 @@
 from rosemarycrank.bundles import _store
 from rosemarycrank.bundles import _table
 from rosemarycrank import kernel
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 #: Reads that may wait for an answer at once.
 MAX_PENDING = 4
@@ -56,7 +56,7 @@
 
     def poll(self):
         """Read the row, unless too many reads wait already."""
-        read = platform.TableRead(_table.TABLE, _table.CURRENT_KEY)
+        read = table_service.TableRead(_table.TABLE, _table.CURRENT_KEY)
         self._request(read, self._on_row)
 
     def on_reply(self, reply):
@@ -112,7 +112,7 @@
         if current.base_hash and current.base_hash == self.store.hash:
             name = _table.delta_name(current.base_hash, current.head.hash)
             callback = functools.partial(self._on_delta, current.head)
-            self._request(platform.ObjectGet(name), callback)
+            self._request(table_service.ObjectGet(name), callback)
         else:
             self._fetch_whole(current.head)
 
@@ -120,7 +120,7 @@
         self.context.count('bundle.wholes_fetched')
         name = _table.body_name(head.hash)
         callback = functools.partial(self._on_whole, head)
-        self._request(platform.ObjectGet(name), callback)
+        self._request(table_service.ObjectGet(name), callback)
 
     def _on_delta(self, head, body):
         content = self._apply(head, body)
--- a/rosemarycrank/bundles/_roll_out.py
+++ b/rosemarycrank/bundles/_roll_out.py
@@ -6,7 +6,7 @@
 
 from rosemarycrank.bundles import _content
 from rosemarycrank.bundles import _table
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 #: Attempts to learn what became of a write whose answer was lost.
 WRITE_ATTEMPTS = 4
@@ -65,11 +65,11 @@
     Parameters
     ----------
     client : object
-        Has ``execute(operation)``, as `rosemarycrank.platform.HttpPlatform`.
+        Has ``execute(operation)``, as `table_service.HttpPlatform`.
 
     Returns
     -------
-    tuple of (CurrentRow or None, rosemarycrank.platform.Row or None)
+    tuple of (CurrentRow or None, table_service.Row or None)
         The bundle, and the row that names it; None before the first
         roll-out.
 
@@ -77,10 +77,10 @@
     ------
     ContentError
         If the row is malformed.
-    rosemarycrank.platform.PlatformError
+    rosemarycrank.table_service.PlatformError
         If the platform does not answer.
     """
-    read = platform.TableRead(_table.TABLE, _table.CURRENT_KEY)
+    read = table_service.TableRead(_table.TABLE, _table.CURRENT_KEY)
     row = client.execute(read)
     return (None, None) if row is None else (_table.read_row(row.value), row)
 
@@ -104,10 +104,10 @@
     ------
     ContentError
         If the object is malformed or does not have the head's hash.
-    rosemarycrank.platform.PlatformError
+    rosemarycrank.table_service.PlatformError
         If the platform does not answer.
     """
-    body = client.execute(platform.ObjectGet(_table.body_name(head.hash)))
+    body = client.execute(table_service.ObjectGet(_table.body_name(head.hash)))
     if body is None:
         return None
     content = _content.from_bytes(body)
@@ -149,7 +149,7 @@
         If another roll-out came first; this one had no effect.
     OutcomeUnknownError
         If it may or may not have taken effect.
-    rosemarycrank.platform.PlatformError
+    rosemarycrank.table_service.PlatformError
         If the platform does not answer; the roll-out had no effect.
     """
     signed.head.verify(trusted_keys)
@@ -159,7 +159,7 @@
     _check_follows(signed.head, current)
     _store_content(client, signed, current)
     base_hash = current.head.hash if current else ''
-    write = platform.TableWrite(
+    write = table_service.TableWrite(
         table=_table.TABLE,
         key=_table.CURRENT_KEY,
         value=_table.CurrentRow(signed.head, base_hash).to_value(),
@@ -187,7 +187,7 @@
 
 def _store_content(client, signed, current):
     content = signed.content
-    body = platform.ObjectPut(
+    body = table_service.ObjectPut(
         _table.body_name(content.hash), content.to_bytes()
     )
     _put(client, body)
@@ -195,7 +195,7 @@
     if base is not None:
         name = _table.delta_name(base.hash, content.hash)
         delta = _table.encode_delta(content.delta_from(base))
-        _put(client, platform.ObjectPut(name, delta))
+        _put(client, table_service.ObjectPut(name, delta))
 
 
 def _put(client, operation):
@@ -204,11 +204,11 @@
         try:
             client.execute(operation)
             return
-        except platform.PlatformAnswerLost:
-            stored = client.execute(platform.ObjectGet(operation.name))
+        except table_service.PlatformAnswerLost:
+            stored = client.execute(table_service.ObjectGet(operation.name))
             if stored == operation.body:
                 return
-    raise platform.PlatformUnavailable(
+    raise table_service.PlatformUnavailable(
         f'object {operation.name}: not stored; no row was written'
     )
 
@@ -224,9 +224,9 @@
             # effect. A read alone could not tell that the lost one never
             # will: it may lag, or come before the write does.
             row = _written_row(client, write)
-        except platform.PlatformAnswerLost:
+        except table_service.PlatformAnswerLost:
             may_have_run = True
-        except platform.PlatformError:
+        except table_service.PlatformError:
             if not may_have_run:
                 raise
         else:
@@ -237,7 +237,7 @@
 
 
 def _is_written(client, write):
-    row = client.execute(platform.TableRead(write.table, write.key))
+    row = client.execute(table_service.TableRead(write.table, write.key))
     return row is not None and row.write_id == write.write_id
 
 
@@ -245,7 +245,7 @@
     result = client.execute(write)
     if result.row is not None:
         return result.row
-    return client.execute(platform.TableRead(write.table, write.key))
+    return client.execute(table_service.TableRead(write.table, write.key))
 
 
 def _judge(row, write, may_have_run):
--- a/rosemarycrank/cli/_bundle.py
+++ b/rosemarycrank/cli/_bundle.py
@@ -10,7 +10,7 @@
 from rosemarycrank import bundles
 from rosemarycrank.cli import _output
 from rosemarycrank import keys
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 application = typer.Typer(help='Bundles of policy.', no_args_is_help=True)
 
@@ -115,7 +115,7 @@
     with _output.reporting(as_json):
         signed = bundles.signed_from_bytes(file.read_bytes())
         rolled_out = bundles.roll_out(
-            platform.HttpPlatform(platform_url),
+            table_service.HttpPlatform(platform_url),
             signed,
             keys.load(trusted_keys),
             uuid.uuid4().hex,
@@ -138,7 +138,7 @@
 ):
     """Tell which bundle stands; verify it when given the trusted keys."""
     with _output.reporting(as_json):
-        client = platform.HttpPlatform(platform_url)
+        client = table_service.HttpPlatform(platform_url)
         current, _ = bundles.read_current(client)
         if current is None:
             _output.show(
@@ -197,7 +197,7 @@
 
 
 def _standing_content(platform_url):
-    client = platform.HttpPlatform(platform_url)
+    client = table_service.HttpPlatform(platform_url)
     current, _ = bundles.read_current(client)
     if current is None:
         raise _output.RefusedError('no bundle was rolled out yet')
--- a/rosemarycrank/cli/_output.py
+++ b/rosemarycrank/cli/_output.py
@@ -9,8 +9,8 @@
 from rosemarycrank import bundles
 from rosemarycrank.cli import _exit_codes
 from rosemarycrank import keys
-from rosemarycrank import platform
 from rosemarycrank import settings
+from rosemarycrank import table_service
 
 #: Type of the option that every command has.
 AsJson = typing.Annotated[
@@ -44,8 +44,8 @@
     (bundles.ContentError, _Code.REFUSED),
     (bundles.SignatureError, _Code.REFUSED),
     (keys.KeyFileError, _Code.REFUSED),
-    (platform.PlatformAnswerLost, _Code.UNKNOWN),
-    (platform.PlatformError, _Code.UNREACHABLE),
+    (table_service.PlatformAnswerLost, _Code.UNKNOWN),
+    (table_service.PlatformError, _Code.UNREACHABLE),
     (UnreachableError, _Code.UNREACHABLE),
     (AnswerLostError, _Code.UNKNOWN),
     (RefusedError, _Code.REFUSED),
--- /dev/null
+++ b/rosemarycrank/dataplane/__init__.py
@@ -0,0 +1,48 @@
+"""The data path: requests from clients to targets through two nodes.
+
+Both interfaces, the product's own and the platform's, are served by the same
+parts; an adapter gives them the names of header fields, the configuration
+and a store.
+"""
+
+from rosemarycrank.dataplane import _balance
+from rosemarycrank.dataplane import _discovery
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _http_client
+from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _process
+from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _registration
+from rosemarycrank.dataplane import _routes
+from rosemarycrank.dataplane import _small_server
+
+Adapter = _process.Adapter
+BudgetSettings = _node.BudgetSettings
+CALL_TIMEOUT_S = _discovery.CALL_TIMEOUT_S
+Configuration = _routes.Configuration
+ExpectedFinish = _balance.ExpectedFinish
+HeaderNames = _names.HeaderNames
+Heartbeat = _registration.Heartbeat
+HttpClient = _http_client.HttpClient
+HttpReply = _http_client.HttpReply
+Limits = _http1.Limits
+Message = _http1.Message
+Node = _node.Node
+NodeProcess = _process.NodeProcess
+PATIENCE_S = _discovery.PATIENCE_S
+ProcessSettings = _process.ProcessSettings
+RandomTarget = _balance.RandomTarget
+Reactor = _reactor.Reactor
+Reply = _small_server.Reply
+ReplyKind = _discovery.ReplyKind
+Route = _routes.Route
+SmallServer = _small_server.SmallServer
+Store = _discovery.Store
+StoredRow = _discovery.StoredRow
+StoreReply = _discovery.StoreReply
+TargetChooser = _balance.TargetChooser
+TargetRecord = _frames.TargetRecord
+WeightedService = _routes.WeightedService
+parse_address = _reactor.parse_address
--- /dev/null
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -0,0 +1,254 @@
+"""How a node follows the configuration and the targets in a store."""
+
+import abc
+import enum
+import logging
+
+import attrs
+
+#: Seconds that the store may hold a question open until something changes.
+WAIT_S = 10.0
+
+#: Seconds beyond that after which an unanswered question is asked anew.
+PATIENCE_S = 2.0
+
+#: Longest time for a plain read or write, in seconds.
+CALL_TIMEOUT_S = 2.0
+
+#: Seconds until a failed call is tried again: first, and at most.
+FIRST_RETRY_S = 0.1
+LAST_RETRY_S = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+
+class ReplyKind(enum.Enum):
+    """How a call of the store ended."""
+
+    OK = 'ok'
+    CONFLICT = 'conflict'
+    COMPACTED = 'compacted'
+    REFUSED = 'refused'
+    FAILED = 'failed'
+
+
+@attrs.frozen
+class StoredRow:
+    """A row of a table.
+
+    Attributes
+    ----------
+    key : str
+        Its key.
+    version : int
+        Version at which it was written.
+    value : bytes or None
+        Its content; None when it was removed.
+    """
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@attrs.frozen
+class StoreReply:
+    """End of a call.
+
+    Attributes
+    ----------
+    kind : ReplyKind
+        How it ended.
+    rows : tuple of StoredRow
+        Rows that were read, or that contradict a condition.
+    version : int
+        Newest version of the store.
+    detail : str
+        Status or error, for the log.
+    """
+
+    kind: ReplyKind
+    rows: tuple = ()
+    version: int = 0
+    detail: str = ''
+
+
+class Store(abc.ABC):
+    """Calls of a store of rows; each calls back once."""
+
+    @abc.abstractmethod
+    def read(self, table, on_reply):
+        """Read all rows of a table."""
+
+    @abc.abstractmethod
+    def follow(self, table, after, wait_s, on_reply):
+        """Wait for rows that changed after a version."""
+
+    @abc.abstractmethod
+    def write(self, table, row, on_reply):
+        """Write a row if it stands at ``row.version``; 0 means absent."""
+
+
+class _Backoff:
+    def __init__(self, random):
+        self._random = random
+        self._delay_s = FIRST_RETRY_S
+
+    def reset(self):
+        self._delay_s = FIRST_RETRY_S
+
+    def next_s(self):
+        delay_s = self._delay_s * (0.5 + self._random.random())
+        self._delay_s = min(LAST_RETRY_S, self._delay_s * 2.0)
+        return delay_s
+
+
+class TableFollower:
+    """Reads a table once and then follows its changes.
+
+    Parameters
+    ----------
+    reactor : Reactor
+        The loop.
+    store : Store
+        The store.
+    table : str
+        Table to follow.
+    on_row : callable
+        Called with each `StoredRow`.
+    random : random.Random
+        Random source.
+
+    Attributes
+    ----------
+    has_read : bool
+        Whether the table has been read once.
+    """
+
+    def __init__(self, reactor, store, table, on_row, random):
+        self.reactor = reactor
+        self.store = store
+        self.table = table
+        self.on_row = on_row
+        self.has_read = False
+        self._after = None
+        self._backoff = _Backoff(random)
+        self._answering = True
+
+    def start(self):
+        """Begin to read."""
+        if self._after is None:
+            self.store.read(self.table, self._take)
+        else:
+            self.store.follow(self.table, self._after, WAIT_S, self._take)
+
+    def _take(self, reply):
+        if reply.kind is ReplyKind.OK:
+            if not self._answering:
+                self._answering = True
+                _LOG.warning(
+                    'store answers again',
+                    extra={'event': 'store_regained', 'table': self.table},
+                )
+            self._backoff.reset()
+            self._after = reply.version
+            for row in reply.rows:
+                self.on_row(row)
+            self.has_read = True
+            self.reactor.call_soon(self.start)
+            return
+        if reply.kind is ReplyKind.COMPACTED:
+            # What changed meanwhile can only be read anew.
+            _LOG.info(
+                'history of the store is gone; table read anew',
+                extra={'event': 'store_compacted', 'table': self.table},
+            )
+            self._after = None
+        elif self._answering:
+            self._answering = False
+            _LOG.warning(
+                'store does not answer: %s',
+                reply.detail,
+                extra={'event': 'store_lost', 'table': self.table},
+            )
+        self.reactor.timers.after(
+            self._backoff.next_s(), lambda _now: self.start()
+        )
+
+
+class RowPublisher:
+    """Keeps one row of a table at what this node says.
+
+    A write carries the version that it replaces, so that one whose answer
+    was lost and that takes effect late cannot replace a later one.
+
+    Parameters
+    ----------
+    reactor : Reactor
+        The loop.
+    store : Store
+        The store.
+    table, key : str
+        The row.
+    random : random.Random
+        Random source.
+    """
+
+    def __init__(self, reactor, store, table, key, random):
+        self.reactor = reactor
+        self.store = store
+        self.table = table
+        self.key = key
+        self._version = 0
+        self._wanted = None
+        self._writing = False
+        self._waiting = False
+        self._backoff = _Backoff(random)
+
+    def seen(self, row):
+        """Take the row as it stands in the store."""
+        if row.key == self.key:
+            self._version = 0 if row.value is None else row.version
+
+    def publish(self, value):
+        """Write a value, as soon as the store takes it."""
+        self._wanted = value
+        if not self._writing and not self._waiting:
+            self._write()
+
+    def _write(self):
+        self._writing = True
+        value = self._wanted
+        row = StoredRow(self.key, self._version, value)
+        self.store.write(
+            self.table, row, lambda reply: self._take(reply, value)
+        )
+
+    def _take(self, reply, value):
+        self._writing = False
+        if reply.kind is ReplyKind.OK:
+            self._version = reply.version
+        elif reply.kind is ReplyKind.CONFLICT:
+            stands = next(
+                (row for row in reply.rows if row.key == self.key), None
+            )
+            self._version = stands.version if stands else 0
+            if stands is not None and stands.value == value:
+                reply = attrs.evolve(reply, kind=ReplyKind.OK)
+        if reply.kind is ReplyKind.OK and self._wanted == value:
+            self._backoff.reset()
+            return
+        self._waiting = True
+        delay_s = self._backoff.next_s()
+        _LOG.info(
+            'row %s not written: %s',
+            self.key,
+            reply.detail or reply.kind.value,
+            extra={'event': 'publish_retry', 'retry_s': round(delay_s, 3)},
+        )
+        self.reactor.timers.after(delay_s, self._again)
+
+    def _again(self, _now):
+        self._waiting = False
+        if not self._writing:
+            self._write()
--- /dev/null
+++ b/rosemarycrank/dataplane/_http1.py
@@ -0,0 +1,371 @@
+"""HTTP/1.1 messages, read with `httptools` and written as bytes."""
+
+import attrs
+import httptools
+
+#: Headers that concern one connection only (RFC 9110, 7.6.1), and those
+#: whose work is done by the reader of the message.
+_CONNECTION_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    )
+)
+
+REASONS_BY_STATUS = {
+    200: b'OK',
+    400: b'Bad Request',
+    404: b'Not Found',
+    405: b'Method Not Allowed',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    421: b'Misdirected Request',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class MessageError(Exception):
+    """A message that cannot be accepted.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status that answers it.
+    reason : str
+        What is wrong with it.
+    """
+
+    def __init__(self, status, reason):
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+@attrs.define(eq=False, slots=True)
+class Limits:
+    """Bounds on what a client may send.
+
+    Attributes
+    ----------
+    header_bytes, body_bytes : int
+        Largest header section and body, in bytes.
+    header_timeout_s, idle_timeout_s : float
+        Longest time for a header section, and between requests, in seconds.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 64 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@attrs.define(eq=False, slots=True)
+class Message:
+    """A whole request or response.
+
+    Attributes
+    ----------
+    method, target : bytes
+        Of a request; empty in a response.
+    status : int
+        Of a response; 0 in a request.
+    headers : list of (bytes, bytes)
+        Header fields in order, names in lower case.
+    values_by_name : dict of bytes to bytes
+        Last value of each header field.
+    body : bytes
+        The body, decoded from chunks.
+    keep_alive : bool
+        Whether the connection may carry another message.
+    """
+
+    method: bytes = b''
+    target: bytes = b''
+    status: int = 0
+    headers: list = attrs.field(factory=list)
+    values_by_name: dict = attrs.field(factory=dict)
+    body: bytes = b''
+    keep_alive: bool = True
+
+
+def forwarded_headers(message, dropped):
+    """Return the encoded header fields that are passed on.
+
+    Parameters
+    ----------
+    message : Message
+        The message.
+    dropped : frozenset of bytes
+        Further names, in lower case, that are not passed on.
+
+    Returns
+    -------
+    bytes
+        Lines that each end with CRLF.
+    """
+    named = message.values_by_name.get(b'connection')
+    listed = ()
+    if named is not None and named.lower() not in (b'close', b'keep-alive'):
+        listed = {name.strip().lower() for name in named.split(b',')}
+    return b''.join(
+        [
+            b'%b: %b\r\n' % (name, value)
+            for name, value in message.headers
+            if name not in _CONNECTION_HEADERS
+            and name not in dropped
+            and name not in listed
+        ]
+    )
+
+
+class _Reader:
+    def __init__(self):
+        self.message = Message()
+        self._chunks = []
+        self._in_headers = True
+
+    def on_message_begin(self):
+        self.message = Message()
+        self._chunks = []
+        self._in_headers = True
+
+    def on_header(self, name, value):
+        if self._in_headers:
+            name = name.lower()
+            self.message.headers.append((name, value))
+            self.message.values_by_name[name] = value
+
+    def on_body(self, data):
+        self._chunks.append(data)
+
+    def _finish_body(self):
+        if self._chunks:
+            self.message.body = b''.join(self._chunks)
+
+
+class RequestReader(_Reader):
+    """Reads the requests of one connection.
+
+    Parameters
+    ----------
+    limits : Limits
+        Bounds on header section and body.
+    on_request : callable
+        Called with each whole `Message`.
+    on_continue : callable
+        Called when a client waits for leave to send its body.
+
+    Attributes
+    ----------
+    started : bool
+        Whether part of a request has been read.
+    """
+
+    def __init__(self, limits, on_request, on_continue=None):
+        super().__init__()
+        self.limits = limits
+        self.started = False
+        self.in_body = False
+        self._on_request = on_request
+        self._on_continue = on_continue
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._error = None
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data):
+        """Read bytes.
+
+        Raises
+        ------
+        MessageError
+            If a request is malformed or over a limit; nothing after it can
+            be read.
+        """
+        if not self.in_body:
+            self._header_bytes += len(data)
+        self.started = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.message.keep_alive = False
+        except httptools.HttpParserError as error:
+            if self._error is not None:
+                raise self._error from error
+            raise MessageError(400, f'malformed request: {error}') from error
+        if self._error is not None:
+            raise self._error
+        if not self.in_body and self._header_bytes > self.limits.header_bytes:
+            raise MessageError(431, 'header section over the limit')
+
+    def on_url(self, url):
+        self.message.target += url
+
+    def on_headers_complete(self):
+        message = self.message
+        self._in_headers = False
+        self.in_body = True
+        self._body_bytes = 0
+        message.method = self._parser.get_method()
+        values = message.values_by_name
+        size = len(message.target) + sum(
+            len(name) + len(value) + 4 for name, value in message.headers
+        )
+        if size > self.limits.header_bytes:
+            self._refuse(431, 'header section over the limit')
+        length = values.get(b'content-length')
+        if length is not None:
+            if b'transfer-encoding' in values:
+                # Either could be meant (RFC 9112, 6.1).
+                self._refuse(400, 'both Content-Length and Transfer-Encoding')
+            if int(length) > self.limits.body_bytes:
+                self._refuse(413, 'body over the limit')
+        hosts = sum(1 for name, _ in message.headers if name == b'host')
+        if hosts != 1:
+            self._refuse(400, f'{hosts} Host headers')
+        expectation = values.get(b'expect')
+        if expectation is not None and self._on_continue is not None:
+            if expectation.lower() == b'100-continue':
+                self._on_continue()
+
+    def on_body(self, data):
+        self._chunks.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self.limits.body_bytes:
+            self._refuse(413, 'body over the limit')
+
+    def on_message_complete(self):
+        self._finish_body()
+        message = self.message
+        # Only valid here: afterwards the parser says no.
+        message.keep_alive = self._parser.should_keep_alive()
+        self.in_body = False
+        self.started = False
+        self._header_bytes = 0
+        if self._error is None:
+            self._on_request(message)
+
+    def _refuse(self, status, reason):
+        if self._error is None:
+            self._error = MessageError(status, reason)
+        raise self._error
+
+
+class ResponseReader(_Reader):
+    """Reads the responses of one connection.
+
+    Parameters
+    ----------
+    on_response : callable
+        Called with each whole `Message`.
+    """
+
+    def __init__(self, on_response):
+        super().__init__()
+        self.expects_no_body = False
+        self._on_response = on_response
+        self._headers_complete = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def incomplete(self):
+        """Whether part of a response has been read."""
+        return self._headers_complete or bool(self.message.headers)
+
+    def feed(self, data):
+        """Read bytes.
+
+        Raises
+        ------
+        MessageError
+            If they are not a response.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise MessageError(502, 'unexpected upgrade') from error
+        except httptools.HttpParserError as error:
+            raise MessageError(502, f'malformed response: {error}') from error
+
+    def end_of_stream(self):
+        """Take the end of the connection as the end of a response.
+
+        Returns
+        -------
+        bool
+            Whether it completed a response that has no length.
+        """
+        values = self.message.values_by_name
+        if (
+            not self._headers_complete
+            or b'content-length' in values
+            or b'transfer-encoding' in values
+        ):
+            return False
+        self._complete(keep_alive=False)
+        return True
+
+    def on_headers_complete(self):
+        self._in_headers = False
+        self._headers_complete = True
+        self.message.status = self._parser.get_status_code()
+        if self.expects_no_body:
+            self._complete(keep_alive=False)
+
+    def on_message_complete(self):
+        if self._headers_complete:
+            self._complete(keep_alive=self._parser.should_keep_alive())
+
+    def _complete(self, keep_alive):
+        self._headers_complete = False
+        message = self.message
+        self._finish_body()
+        message.keep_alive = keep_alive
+        self.message = Message()
+        if message.status >= 200:
+            self._on_response(message)
+
+
+def response(status, headers=b'', body=b'', close=False):
+    """Encode a response with a length.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : bytes, default=b''
+        Encoded header lines.
+    body : bytes, default=b''
+        The body.
+    close : bool, default=False
+        Whether the connection ends after it.
+
+    Returns
+    -------
+    bytes
+        The response.
+    """
+    return b'HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b' % (
+        status,
+        REASONS_BY_STATUS.get(status, b'Status'),
+        headers,
+        len(body),
+        b'Connection: close\r\n' if close else b'',
+        body,
+    )
--- /dev/null
+++ b/rosemarycrank/dataplane/_limit.py
@@ -0,0 +1,67 @@
+"""How many requests run at the local target at once."""
+
+#: Weight of a new sample in the usual time of a run.
+SAMPLE_WEIGHT = 0.05
+
+#: Usual time of a run before the first sample, in seconds.
+FIRST_SERVICE_S = 0.02
+
+#: Slots assumed of a target that states none.
+DEFAULT_SLOTS = 32
+
+
+class ConcurrencyLimit:
+    """Limit from the slots that the target states.
+
+    Attributes
+    ----------
+    value : int
+        Requests that may run at once.
+    service_s : float
+        Usual seconds from sending a request to its answer.
+    """
+
+    def __init__(self):
+        self.value = DEFAULT_SLOTS
+        self.service_s = 0.0
+
+    def reset(self, slots):
+        """Start anew for a target that has just started.
+
+        Parameters
+        ----------
+        slots : int
+            Slots that it states; 0 for none.
+        """
+        self.value = slots if slots > 0 else DEFAULT_SLOTS
+        self.service_s = 0.0
+
+    def observe(self, took_s, complete, _running):
+        """Learn from the end of a run.
+
+        Parameters
+        ----------
+        took_s : float
+            Seconds from sending to the answer.
+        complete : bool
+            Whether it gave a whole answer.
+        """
+        if not complete:
+            return
+        if self.service_s == 0.0:
+            self.service_s = took_s
+        else:
+            self.service_s += SAMPLE_WEIGHT * (took_s - self.service_s)
+
+    def expected_wait_s(self, running, waiting):
+        """Return the seconds until a new attempt would be answered.
+
+        Parameters
+        ----------
+        running, waiting : int
+            Attempts at work and in the queue.
+        """
+        service_s = self.service_s
+        if running < self.value:
+            return 0.0
+        return service_s * (waiting + 1) / self.value
--- /dev/null
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -0,0 +1,193 @@
+"""Metrics page and state dump."""
+
+import aioprometheus
+from aioprometheus import renderer
+import msgspec
+
+from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _small_server
+
+_PREFIX = 'rosemarycrank_'
+
+
+def _counter(registry, name, doc, values):
+    metric = aioprometheus.Counter(_PREFIX + name, doc)
+    for labels, value in values:
+        metric.set(labels, value)
+    registry.register(metric)
+
+
+def _gauge(registry, name, doc, values):
+    metric = aioprometheus.Gauge(_PREFIX + name, doc)
+    for labels, value in values:
+        metric.set(labels, value)
+    registry.register(metric)
+
+
+def _histogram(registry, name, doc, histogram):
+    buckets = []
+    count = 0
+    bounds = [*map(str, _counters.LATENCY_BOUNDS_S), '+Inf']
+    for bound, number in zip(bounds, histogram.counts):
+        count += number
+        buckets.append(({'le': bound}, count))
+    _counter(registry, f'{name}_bucket', doc, buckets)
+    _counter(registry, f'{name}_sum', doc, [({}, histogram.total_s)])
+    _counter(registry, f'{name}_count', doc, [({}, count)])
+
+
+def _reasons(by_reason):
+    return [
+        ({'reason': _frames.Reason(reason).name.lower()}, count)
+        for reason, count in by_reason.items()
+    ]
+
+
+def _labelled(name, by_key):
+    return [({name: str(key)}, count) for key, count in by_key.items()]
+
+
+def collect(process):
+    """Return the registry with all counts of a node.
+
+    Parameters
+    ----------
+    process : NodeProcess
+        The node.
+    """
+    registry = aioprometheus.Registry()
+    counters = process.counters
+    load = process.target_side.load()
+    _counter(
+        registry,
+        'requests_total',
+        'Requests read.',
+        [({}, counters.requests)],
+    )
+    _counter(
+        registry,
+        'answers_total',
+        'Answers given, by status.',
+        _labelled('status', counters.answers_by_status),
+    )
+    _counter(
+        registry,
+        'refusals_total',
+        'Answers of the node itself, by reason.',
+        _labelled('reason', counters.refusals_by_reason),
+    )
+    _counter(
+        registry,
+        'retries_total',
+        'Further attempts, by the reason that the last one ended.',
+        _labelled('reason', counters.retries_by_reason),
+    )
+    _counter(
+        registry,
+        'cancelled_total',
+        'Requests whose client left.',
+        [({}, counters.cancelled)],
+    )
+    _counter(
+        registry,
+        'target_sends_total',
+        'Requests sent to the local target.',
+        [({}, counters.target_sends)],
+    )
+    _counter(
+        registry,
+        'target_failures_total',
+        'Attempts at the local target without an answer, by reason.',
+        _reasons(counters.target_ends_by_reason),
+    )
+    _counter(
+        registry,
+        'target_connections_total',
+        'Connections opened to the local target.',
+        [({}, process.pool.opened)],
+    )
+    _gauge(
+        registry,
+        'target_attempts',
+        'Attempts at the local target, by state.',
+        [
+            ({'state': 'running'}, load.running),
+            ({'state': 'waiting'}, load.waiting),
+        ],
+    )
+    _gauge(
+        registry,
+        'target_limit',
+        'Attempts that may run at the local target at once.',
+        [({}, load.limit)],
+    )
+    _gauge(
+        registry,
+        'requests_under_way',
+        'Requests that wait for an answer.',
+        [({}, process.entry.under_way)],
+    )
+    _gauge(
+        registry,
+        'configuration_version',
+        'Version in force; -1 for none.',
+        [({}, process.node.configuration_version())],
+    )
+    handler = process.log_handler
+    if handler is not None:
+        _counter(
+            registry,
+            'log_lines_total',
+            'Lines of the log, by what became of them.',
+            [
+                ({'end': 'written'}, handler.written),
+                ({'end': 'dropped'}, handler.dropped),
+            ],
+        )
+    _histogram(
+        registry,
+        'request_seconds',
+        'Seconds from request to answer.',
+        counters.request_time,
+    )
+    _histogram(
+        registry,
+        'target_seconds',
+        'Seconds of runs at the local target.',
+        counters.service_time,
+    )
+    return registry
+
+
+def dump(process):
+    """Return the state of a node as plain data."""
+    node = process.node
+    return {
+        'node': process.settings.node_name,
+        'incarnation': process.incarnation,
+        'ready': process.ready(),
+        'stopping': process.stopping,
+        'configuration': node.configuration_version(),
+        'target': process.target_side.record,
+        'load': process.target_side.load(),
+        'targets': node.directory.records(),
+        'peers': {
+            address: {
+                'reachable': peer.reachable,
+                'leaving': peer.leaving,
+                'outstanding': peer.outstanding,
+                'load': peer.load,
+            }
+            for address, peer in node.peers_by_node.items()
+        },
+        'under_way': process.entry.under_way,
+    }
+
+
+def answer(process, message):
+    """Answer a request for metrics or for the state dump."""
+    if message.target.startswith(b'/state'):
+        return _small_server.Reply(200, msgspec.json.encode(dump(process)))
+    text, _ = renderer.render(collect(process), ['text/plain'])
+    return _small_server.Reply(200, text, b'text/plain; version=0.0.4')
--- /dev/null
+++ b/rosemarycrank/dataplane/_node.py
@@ -0,0 +1,233 @@
+"""One node of the data path: both sides of a call, and what they share."""
+
+import logging
+
+import attrs
+import msgspec
+
+from rosemarycrank.dataplane import _directory
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _local_peer
+from rosemarycrank.dataplane import _peers
+from rosemarycrank.dataplane import _reactor
+
+#: Seconds between checks of the connections to other nodes.
+CHECK_S = 0.1
+
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class BudgetSettings:
+    """Bounds on repeats, over all nodes.
+
+    Attributes
+    ----------
+    ratio : float
+        Repeats for each request to a service.
+    slack : float
+        Repeats beyond that.
+    """
+
+    ratio: float = 0.2
+    slack: float = 48.0
+
+
+class Node:
+    """State that both sides of a call share.
+
+    Parameters
+    ----------
+    reactor : Reactor
+        The loop.
+    address : str
+        ``host:port`` at which this node takes attempts.
+    incarnation : int
+        Random number of this run.
+    decode_configuration : callable
+        Returns the `Configuration` of a document; raises ValueError.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        Version in force.
+    directory : Directory
+        Known targets.
+    peers_by_node : dict of str to Peer
+        Nodes that were called.
+    visitors : set of Visitor
+        Connections that others opened.
+    next_number : int
+        Number of the newest attempt.
+    """
+
+    def __init__(self, reactor, address, incarnation, decode_configuration):
+        self.reactor = reactor
+        self.address = address
+        self.incarnation = incarnation
+        self.decode_configuration = decode_configuration
+        self.configuration = None
+        self.directory = _directory.Directory()
+        self.peers_by_node = {}
+        self.visitors = set()
+        self.next_number = 0
+        self.target_side = None
+        self.on_configuration = []
+        self._listener = None
+        reactor.timers.every(CHECK_S, self._check)
+
+    def listen(self):
+        """Accept connections of other nodes."""
+        self._listener = _reactor.Listener(
+            self.reactor,
+            _reactor.parse_address(self.address),
+            lambda sock, _ip: self.visitors.add(_peers.Visitor(self, sock)),
+        )
+
+    def serve(self, target_side):
+        """Set the side that runs attempts at the local target."""
+        self.target_side = target_side
+        self.peers_by_node[self.address] = _local_peer.LocalPeer(
+            target_side, target_side.caller(self.incarnation)
+        )
+
+    def peer(self, address):
+        """Return the peer at an address."""
+        peer = self.peers_by_node.get(address)
+        if peer is None:
+            peer = _peers.Peer(address, self)
+            self.peers_by_node[address] = peer
+        return peer
+
+    def hello(self, generation):
+        """Return the first frame of a connection."""
+        return _frames.Hello(
+            _frames.PROTOCOL_VERSION,
+            self.address,
+            self.incarnation,
+            generation,
+            self.configuration_version(),
+            self.directory.records(),
+        )
+
+    def configuration_version(self):
+        """Return the version in force; -1 for none."""
+        if self.configuration is None:
+            return -1
+        return self.configuration.version
+
+    def install(self, body, source):
+        """Put a configuration in force if it is newer.
+
+        Parameters
+        ----------
+        body : bytes
+            The document.
+        source : str
+            Where it came from, for the log.
+        """
+        try:
+            configuration = self.decode_configuration(body)
+        except ValueError as error:
+            _LOG.error(
+                'configuration from %s cannot be used: %s',
+                source,
+                error,
+                extra={'event': 'configuration_invalid'},
+            )
+            return
+        if configuration.version <= self.configuration_version():
+            return
+        _LOG.warning(
+            'configuration %d in force',
+            configuration.version,
+            extra={
+                'event': 'configuration',
+                'previous': self.configuration_version(),
+                'source': source,
+                'routes': len(configuration.routes),
+            },
+        )
+        self.configuration = configuration
+        for callback in self.on_configuration:
+            callback(configuration)
+
+    def tell(self, frame):
+        """Send a notice over every connection that is open."""
+        for peer in self.peers_by_node.values():
+            peer.notify(frame)
+        for visitor in self.visitors:
+            visitor.notify(frame)
+
+    def heard_version(self, version, link):
+        """Ask for a configuration that is newer than what is in force."""
+        if version > self.configuration_version():
+            link.notify(_frames.ConfigurationWanted())
+
+    def take_hello(self, hello, link):
+        """Take what another node knows."""
+        for record in hello.records:
+            self.merge(record)
+        self.heard_version(hello.configuration_version, link)
+        peer = self.peers_by_node.get(hello.node)
+        if peer is not None and peer is not link and not peer.reachable:
+            peer.retry_now()
+
+    def take_notice(self, frame, link):
+        """Take a notice of another node."""
+        if isinstance(frame, _frames.Announcement):
+            for record in frame.records:
+                self.merge(record)
+        elif isinstance(frame, _frames.ConfigurationWanted):
+            if self.configuration is not None:
+                body = self.configuration.body
+                link.notify(_frames.ConfigurationBody(body))
+        elif isinstance(frame, _frames.ConfigurationBody):
+            self.install(frame.body, link.address)
+        elif isinstance(frame, _frames.Leaving):
+            peer = self.peers_by_node.get(link.address)
+            if peer is not None:
+                peer.leaving = True
+
+    def merge(self, record):
+        """Take the record of another node's target."""
+        if record.node != self.address:
+            self.directory.merge(record)
+
+    def announce(self, record):
+        """Take and tell the record of the local target."""
+        self.target_side.announce(record)
+        self.directory.merge(record)
+        self.tell(_frames.Announcement([record]))
+
+    def close(self):
+        """Close all connections of other nodes."""
+        if self._listener is not None:
+            self._listener.close()
+        for peer in self.peers_by_node.values():
+            peer.close()
+        for visitor in list(self.visitors):
+            visitor.close()
+
+    def _check(self, now):
+        for peer in list(self.peers_by_node.values()):
+            peer.check(now)
+
+
+def encode_record(record):
+    """Return the bytes of a record for the store."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(data):
+    """Return the record in bytes of the store.
+
+    Raises
+    ------
+    ValueError
+        If they are not a record.
+    """
+    try:
+        return msgspec.json.decode(data, type=_frames.TargetRecord)
+    except msgspec.MsgspecError as error:
+        raise ValueError(str(error)) from error
--- /dev/null
+++ b/rosemarycrank/dataplane/_target.py
@@ -0,0 +1,392 @@
+"""The target's side of a call: what runs at the local target, and when.
+
+Whatever other nodes believe, this is where an attempt is admitted, refused,
+queued and fenced for the target on the node's own VM.
+"""
+
+import heapq
+import itertools
+import logging
+
+import attrs
+
+from rosemarycrank.dataplane import _directory
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _limit
+from rosemarycrank.dataplane import _upstream
+
+#: Seconds between looks for attempts whose time has passed.
+SWEEP_S = 0.05
+
+#: Seconds that a node whose connection was lost has to come back before
+#: its attempts are taken as cancelled.
+CALLER_AWAY_S = 1.5
+
+#: Share of a usual run's time that must be left for an attempt to start.
+LEAST_SHARE_LEFT = 0.7
+
+#: Seconds after the target announced that it leaves in which attempts that
+#: wait may still start; the least bound that deployments set is 2 s.
+LEAVING_START_S = 1.0
+
+_COMPLETE = int(_frames.Outcome.COMPLETE)
+_NOT_RUN = int(_frames.Outcome.NOT_RUN)
+_UNKNOWN = int(_frames.Outcome.UNKNOWN)
+_LOG = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False, slots=True)
+class Served:
+    """An attempt at the local target.
+
+    Attributes
+    ----------
+    caller : Caller
+        Node that sent it.
+    attempt : rosemarycrank.dataplane.Attempt
+        What is asked.
+    arrived_at, deadline_at : float
+        Seconds of the node's clock.
+    connection : UpstreamConnection or None
+        Where it runs.
+    started_at : float
+        When it was sent to the target; 0 while it waits.
+    result : rosemarycrank.dataplane.Result or None
+        Its end.
+    """
+
+    caller: object
+    attempt: object
+    arrived_at: float
+    deadline_at: float
+    connection: object = None
+    started_at: float = 0.0
+    result: object = None
+
+
+class Caller:
+    """A node that sends attempts, over all of its connections.
+
+    Parameters
+    ----------
+    incarnation : int
+        Run of that node.
+
+    Attributes
+    ----------
+    send : callable or None
+        Takes a result to it; None while it is away.
+    lost_at : float
+        When its connection was lost.
+    """
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.generation = -1
+        self.send = None
+        self.lost_at = 0.0
+        self.served_by_number = {}
+        self.forgotten_below = 0
+
+    def forget(self, oldest):
+        """Drop what ended before an attempt, as its sender allows."""
+        if oldest <= self.forgotten_below:
+            return
+        self.forgotten_below = oldest
+        ended = [
+            number
+            for number, served in self.served_by_number.items()
+            if number < oldest and served.result is not None
+        ]
+        for number in ended:
+            del self.served_by_number[number]
+
+
+class TargetSide:
+    """Admission, queue and calls of the local target.
+
+    Parameters
+    ----------
+    reactor : Reactor
+        The loop.
+    pool : UpstreamPool
+        Connections to the target.
+    names : HeaderNames
+        Names of header fields.
+    counters : Counters
+        Counts for the metrics page.
+
+    Attributes
+    ----------
+    record : TargetRecord or None
+        The local target; None until it has announced itself.
+    stopping : bool
+        Whether the node is about to stop.
+    """
+
+    def __init__(self, reactor, pool, names, counters):
+        self.reactor = reactor
+        self.pool = pool
+        self.names = names
+        self.counters = counters
+        self.record = None
+        self.stopping = False
+        self.limit = _limit.ConcurrencyLimit()
+        self.callers_by_incarnation = {}
+        self._running = set()
+        self._waiting = []
+        self._waiting_count = 0
+        self._sequence = itertools.count()
+        self._left_at = None
+        self._load = None
+        reactor.timers.every(SWEEP_S, self._sweep)
+
+    def announce(self, record):
+        """Take what the local target says of itself.
+
+        Parameters
+        ----------
+        record : TargetRecord
+            Newest record.
+        """
+        known = self.record
+        if known is None or known.instance != record.instance:
+            self.limit.reset(record.slots)
+            self._left_at = None
+        elif known.born_ms != record.born_ms:
+            self.limit.reset(record.slots)
+            self._left_at = None
+        self.record = record
+        if record.state != _directory.READY and self._left_at is None:
+            self._left_at = self.reactor.now()
+
+    def caller(self, incarnation):
+        """Return the state of a calling node, new or known."""
+        caller = self.callers_by_incarnation.get(incarnation)
+        if caller is None:
+            caller = Caller(incarnation)
+            self.callers_by_incarnation[incarnation] = caller
+        return caller
+
+    def load(self):
+        """Return how busy the target is."""
+        return _frames.Load(
+            len(self._running),
+            self._waiting_count,
+            self.limit.value,
+            self.limit.service_s,
+        )
+
+    def busy(self):
+        """Return whether attempts run or wait."""
+        return bool(self._running) or self._waiting_count > 0
+
+    def accept(self, caller, attempt):
+        """Take an attempt: start it, queue it or refuse it.
+
+        Parameters
+        ----------
+        caller : Caller
+            Node that sent it.
+        attempt : rosemarycrank.dataplane.Attempt
+            The attempt; one that is known already is not run again.
+        """
+        number = attempt.number
+        known = caller.served_by_number.get(number)
+        if known is not None:
+            if known.result is not None and caller.send is not None:
+                caller.send(known.result)
+            return
+        now = self.reactor.now()
+        served = Served(
+            caller, attempt, now, now + attempt.remaining_ms / 1000.0
+        )
+        if number < caller.forgotten_below:
+            self._end(served, _UNKNOWN, _frames.Reason.FORGOTTEN)
+            return
+        caller.served_by_number[number] = served
+        reason = self._refusal(attempt, served, now)
+        if reason is not None:
+            self._end(served, _NOT_RUN, reason)
+        elif len(self._running) < self.limit.value:
+            self._start(served, now)
+        else:
+            urgent_at = now + attempt.urgency_ms / 1000.0
+            heapq.heappush(
+                self._waiting, (urgent_at, next(self._sequence), served)
+            )
+            self._waiting_count += 1
+
+    def cancel(self, caller, number):
+        """Give an attempt up, as its sender asks."""
+        served = caller.served_by_number.get(number)
+        if served is None or served.result is not None:
+            return
+        self._cancel(served, _frames.Reason.CANCELLED)
+        self._fill()
+
+    def _refusal(self, attempt, served, now):
+        record = self.record
+        if record is None:
+            return _frames.Reason.NOT_ANNOUNCED
+        if self.stopping:
+            return _frames.Reason.LEAVING
+        if attempt.instance != record.instance:
+            return _frames.Reason.OTHER_TARGET
+        if record.state != _directory.READY:
+            return _frames.Reason.LEAVING
+        expected_s = self.limit.expected_wait_s(
+            len(self._running), self._waiting_count
+        )
+        if now + expected_s > served.deadline_at:
+            return _frames.Reason.QUEUE_FULL
+        return None
+
+    def _start(self, served, now):
+        attempt = served.attempt
+        served.started_at = now
+        self._running.add(served)
+        connection = self.pool.acquire(attempt.idempotent)
+        served.connection = connection
+        remaining_ms = max(1, int((served.deadline_at - now) * 1000.0))
+        data = b'%b%b: %d\r\n%b: %b\r\nContent-Length: %d\r\n\r\n%b' % (
+            attempt.head,
+            self.names.deadline_ms,
+            remaining_ms,
+            self.names.expected_instance,
+            attempt.instance.encode(),
+            len(attempt.body),
+            attempt.body,
+        )
+        self.counters.target_sends += 1
+        connection.start(
+            attempt.request_id,
+            data,
+            attempt.head.startswith(b'HEAD '),
+            lambda answer: self._answered(served, answer),
+        )
+
+    def _answered(self, served, answer):
+        self._running.discard(served)
+        served.connection = None
+        now = self.reactor.now()
+        took_s = now - served.started_at
+        self.limit.observe(
+            took_s, answer.outcome == _COMPLETE, len(self._running) + 1
+        )
+        self.counters.service_time.observe(took_s)
+        self._end(
+            served,
+            answer.outcome,
+            answer.reason,
+            answer.status,
+            answer.head,
+            answer.body,
+        )
+        self._fill()
+
+    def _end(self, served, outcome, reason, status=0, head=b'', body=b''):
+        attempt = served.attempt
+        served.result = _frames.Result(
+            attempt.number,
+            int(outcome),
+            int(reason),
+            status,
+            head,
+            body,
+            self.load(),
+        )
+        if outcome != _COMPLETE:
+            self.counters.target_ends_by_reason[int(reason)] += 1
+            _LOG.info(
+                'attempt ended: %s',
+                _frames.Reason(reason).name.lower(),
+                extra={
+                    'event': 'attempt_ended',
+                    'request_id': attempt.request_id,
+                    'outcome': _frames.Outcome(outcome).name.lower(),
+                    'status': status,
+                    'instance': attempt.instance,
+                    'running': len(self._running),
+                    'waiting': self._waiting_count,
+                    'limit': self.limit.value,
+                    'service_s': round(self.limit.service_s, 4),
+                    'waited_s': round(
+                        (served.started_at or self.reactor.now())
+                        - served.arrived_at,
+                        4,
+                    ),
+                },
+            )
+        # The request is not needed again; the answer may be.
+        attempt.head = attempt.body = b''
+        if served.caller.send is not None:
+            served.caller.send(served.result)
+
+    def _cancel(self, served, reason):
+        attempt = served.attempt
+        if served.connection is not None:
+            served.connection.abort()
+            served.connection = None
+            self._running.discard(served)
+            outcome = _UNKNOWN
+        else:
+            self._waiting_count -= 1
+            outcome = _NOT_RUN
+        served.result = _frames.Result(
+            attempt.number, outcome, int(reason), 0, b'', b'', None
+        )
+        attempt.head = attempt.body = b''
+
+    def _fill(self):
+        waiting = self._waiting
+        now = self.reactor.now()
+        while waiting and len(self._running) < self.limit.value:
+            _, _, served = heapq.heappop(waiting)
+            if served.result is not None:
+                continue
+            self._waiting_count -= 1
+            least_s = self.limit.service_s * LEAST_SHARE_LEFT
+            if now + least_s > served.deadline_at:
+                self._end(served, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
+            elif (
+                self._left_at is not None
+                and now > self._left_at + LEAVING_START_S
+            ):
+                self._end(served, _NOT_RUN, _frames.Reason.LEAVING)
+            else:
+                self._start(served, now)
+
+    def _sweep(self, now):
+        least_s = self.limit.service_s * LEAST_SHARE_LEFT
+        left = (
+            self._left_at is not None and now > self._left_at + LEAVING_START_S
+        )
+        if self._waiting_count:
+            for _, _, served in list(self._waiting):
+                if served.result is not None:
+                    continue
+                if left or now + least_s > served.deadline_at:
+                    reason = (
+                        _frames.Reason.LEAVING
+                        if left
+                        else _frames.Reason.QUEUE_EXPIRED
+                    )
+                    self._waiting_count -= 1
+                    self._end(served, _NOT_RUN, reason)
+        elif self._waiting:
+            self._waiting.clear()
+        for served in list(self._running):
+            if now > served.deadline_at + SWEEP_S:
+                self._cancel(served, _frames.Reason.DEADLINE)
+        self._drop_lost_callers(now)
+        self._fill()
+
+    def _drop_lost_callers(self, now):
+        for caller in list(self.callers_by_incarnation.values()):
+            if caller.send is not None or now < caller.lost_at + CALLER_AWAY_S:
+                continue
+            for served in caller.served_by_number.values():
+                if served.result is None:
+                    self._cancel(served, _frames.Reason.CANCELLED)
+            del self.callers_by_incarnation[caller.incarnation]
--- a/rosemarycrank/kernel/_effects.py
+++ b/rosemarycrank/kernel/_effects.py
@@ -196,7 +196,7 @@
 class PlatformRequest:
     """One operation on the platform's table service or object store.
 
-    ``operation`` is a request of `rosemarycrank.platform`.
+    ``operation`` is a request of `rosemarycrank.table_service`.
     """
 
     operation_id: str
--- a/rosemarycrank/ledger/_claiming.py
+++ b/rosemarycrank/ledger/_claiming.py
@@ -10,7 +10,7 @@
 import attrs
 
 from rosemarycrank.ledger import _rows
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 _MAX_WRITES = 3
 _RETRY_DELAY_S = 0.1
@@ -56,7 +56,7 @@
             context.now,
             digest,
         )
-        write = platform.TableWrite(
+        write = table_service.TableWrite(
             _rows.TABLE,
             key_hash,
             _rows.to_value(claim),
@@ -89,7 +89,7 @@
                 done(False, None)
 
         self._client.execute(
-            platform.TableRead(_rows.TABLE, key_hash), answered
+            table_service.TableRead(_rows.TABLE, key_hash), answered
         )
 
 
@@ -99,7 +99,7 @@
 
     _context: object
     _client: object
-    _operation: platform.TableWrite
+    _operation: table_service.TableWrite
     _claim: _rows.Claim
     _done: object
     _writes: int = 0
@@ -131,7 +131,9 @@
 
     def _read(self, _now=None):
         if self._done is not None:
-            operation = platform.TableRead(_rows.TABLE, self._operation.key)
+            operation = table_service.TableRead(
+                _rows.TABLE, self._operation.key
+            )
             self._client.execute(operation, self._was_read)
 
     def _was_read(self, reply):
--- a/rosemarycrank/ledger/_closing.py
+++ b/rosemarycrank/ledger/_closing.py
@@ -14,8 +14,8 @@
 from rosemarycrank import kernel
 from rosemarycrank.ledger import _entries
 from rosemarycrank.ledger import _rows
-from rosemarycrank import platform
 from rosemarycrank import results
+from rosemarycrank import table_service
 
 TABLE = 'closings'
 
@@ -115,14 +115,14 @@
         shards = _to_shards(entries)
         row = msgspec.to_builtins(_ClosingRow(len(shards)))
         self._operations = [
-            platform.ObjectPut(
+            table_service.ObjectPut(
                 _shard_name(self._name, number), _ENCODER.encode(shard)
             )
             for number, shard in enumerate(shards)
         ]
         # The row comes last: it vouches for the objects.
         self._operations.append(
-            platform.TableWrite(TABLE, self._name, row, 0, self._write_id)
+            table_service.TableWrite(TABLE, self._name, row, 0, self._write_id)
         )
         self._context.timers.after(self._timeout_s, self._give_up)
         self._next()
@@ -178,7 +178,7 @@
             Called once with a `Closing` and the `ClosedKey` or None.
         """
         self._client.execute(
-            platform.TableRead(TABLE, name),
+            table_service.TableRead(TABLE, name),
             functools.partial(self._row_read, name, key_hash, done),
         )
 
@@ -197,7 +197,7 @@
             done(Closing.UNREADABLE, None)
             return
         self._client.execute(
-            platform.ObjectGet(_shard_name(name, number)),
+            table_service.ObjectGet(_shard_name(name, number)),
             functools.partial(self._shard_read, key_hash, done),
         )
 
--- a/rosemarycrank/ledger/_platform_client.py
+++ b/rosemarycrank/ledger/_platform_client.py
@@ -38,7 +38,7 @@
         Parameters
         ----------
         operation : object
-            Operation of `rosemarycrank.platform`.
+            Operation of `rosemarycrank.table_service`.
         done : callable
             Called once with the `kernel.PlatformReply`.
         """
--- a/rosemarycrank/ledger/_rows.py
+++ b/rosemarycrank/ledger/_rows.py
@@ -52,7 +52,7 @@
 
     Parameters
     ----------
-    row : rosemarycrank.platform.Row
+    row : rosemarycrank.table_service.Row
         Row of the table of keys.
 
     Returns
--- a/rosemarycrank/membership/_bootstrap.py
+++ b/rosemarycrank/membership/_bootstrap.py
@@ -2,7 +2,7 @@
 
 from rosemarycrank import kernel
 from rosemarycrank.membership import _messages
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 TABLE = 'seeds'
 FIRST_RETRY_S = 1.0
@@ -98,7 +98,7 @@
         period_s = LAST_RETRY_S if alone else BRIDGE_PERIOD_S
         jitter = self.context.random.uniform(0.5, 1.5)
         self._next_list_at = now + period_s * jitter
-        self._pending = self._request(platform.TableList(TABLE))
+        self._pending = self._request(table_service.TableList(TABLE))
 
     def _write_slot(self, rows, own):
         value = {
@@ -110,7 +110,7 @@
             return
         write_id = f'membership-{own.incarnation:016x}-{self._operations + 1}'
         self._request(
-            platform.TableWrite(
+            table_service.TableWrite(
                 TABLE,
                 self._slot,
                 value,
--- a/rosemarycrank/node/_platform_task.py
+++ b/rosemarycrank/node/_platform_task.py
@@ -4,7 +4,7 @@
 from gevent import queue
 
 from rosemarycrank import kernel
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 #: Operations that run at once.
 WORKERS = 8
@@ -67,7 +67,7 @@
         operation_id = effect.operation_id
         try:
             value = self.client.execute(effect.operation)
-        except platform.PlatformAnswerLost as error:
+        except table_service.PlatformAnswerLost as error:
             return kernel.PlatformReply(
                 operation_id, error=str(error) or 'answer lost', lost=True
             )
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -18,7 +18,7 @@
 from rosemarycrank.node import _transport
 from rosemarycrank.node import _upstream
 from rosemarycrank.node import _web
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 LOG = logging.getLogger(__name__)
 
@@ -64,7 +64,7 @@
         self._upstream = _upstream.UpstreamTask(self.post)
         client = None
         if settings.platform_url:
-            client = platform.HttpPlatform(settings.platform_url)
+            client = table_service.HttpPlatform(settings.platform_url)
         self._platform = _platform_task.PlatformTask(client, self.post)
         ledger = next(
             part for part in self.kernel.components if part.name == 'ledger'
--- /dev/null
+++ b/rosemarycrank/platform/_adapter.py
@@ -0,0 +1,65 @@
+"""The platform as the data path sees it."""
+
+import logging
+
+from rosemarycrank import dataplane
+from rosemarycrank.platform import _configuration
+from rosemarycrank.platform import _heartbeats
+from rosemarycrank.platform import _names
+from rosemarycrank.platform import _store
+
+_LOG = logging.getLogger(__name__)
+
+
+class PlatformAdapter(dataplane.Adapter):
+    """Names, formats and calls of the platform.
+
+    Parameters
+    ----------
+    store_address : tuple of (str, int)
+        Address of the store.
+    """
+
+    names = _names.HEADERS
+
+    def __init__(self, store_address):
+        self.store_address = store_address
+
+    def open_store(self, reactor):
+        """Return the store."""
+        client = dataplane.HttpClient(reactor, self.store_address)
+        return _store.RowStore(client)
+
+    def decode_configuration(self, body):
+        """Return the configuration of a document."""
+        return _configuration.decode(body)
+
+    def handle_control(self, message, registration):
+        """Take a heartbeat or a withdrawal."""
+        path = message.target.partition(b'?')[0]
+        instance = _heartbeats.instance_of(path)
+        if not instance:
+            return dataplane.Reply(404)
+        try:
+            if message.method == b'PUT':
+                registration.report(
+                    _heartbeats.decode(instance, message.body)
+                )
+            elif message.method == b'DELETE':
+                born_ms = _heartbeats.decode_withdrawal(message.body)
+                registration.withdraw(instance, born_ms)
+            else:
+                return dataplane.Reply(405)
+        except ValueError as error:
+            _LOG.warning(
+                'report of %s refused: %s',
+                instance,
+                error,
+                extra={'event': 'heartbeat_invalid', 'instance': instance},
+            )
+            return dataplane.Reply(400)
+        return dataplane.Reply(200, b'{}')
+
+    def is_ready_question(self, message):
+        """Return whether a request asks if the node is ready."""
+        return message.target.partition(b'?')[0] == _names.READY_PATH
--- /dev/null
+++ b/rosemarycrank/platform/_names.py
@@ -0,0 +1,25 @@
+"""Names of the platform's header fields, paths and tables."""
+
+from rosemarycrank import dataplane
+
+HEADERS = dataplane.HeaderNames(
+    request_id=b'x-rosemarycrank-request-id',
+    deadline_ms=b'x-rosemarycrank-deadline-ms',
+    expected_instance=b'x-rosemarycrank-target-instance',
+    instance=b'x-rosemarycrank-instance-id',
+    caller_service=b'x-rosemarycrank-caller-service',
+    not_executed=b'x-rosemarycrank-not-executed',
+    signature=b'x-rosemarycrank-response-signature',
+)
+
+READY_PATH = b'/rosemarycrank/ready'
+INSTANCES_PREFIX = b'/rosemarycrank/instances/'
+
+#: Table and key of the operator's configuration.
+OPERATOR_TABLE = 'op'
+CONFIGURATION_KEY = 'config'
+
+#: Table in which the nodes find each other; its name is ours.
+TARGETS_TABLE = 'targets'
+
+SETTINGS_VARIABLE = 'ROSEMARYCRANK_CONFIG'
--- a/rosemarycrank/standins/_tables.py
+++ b/rosemarycrank/standins/_tables.py
@@ -2,7 +2,7 @@
 
 import functools
 
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 
 class Tables:
@@ -28,7 +28,7 @@
         Parameters
         ----------
         operation : object
-            An operation of `rosemarycrank.platform`.
+            An operation of `rosemarycrank.table_service`.
 
         Returns
         -------
@@ -47,41 +47,41 @@
         raise TypeError(f'operation: got {type(operation).__name__}')
 
     @_execute.register
-    def _(self, operation: platform.TableRead):
+    def _(self, operation: table_service.TableRead):
         self.reads += 1
         return self._rows(operation.table).get(operation.key)
 
     @_execute.register
-    def _(self, operation: platform.TableList):
+    def _(self, operation: table_service.TableList):
         self.reads += 1
         rows = self._rows(operation.table)
         keys = sorted(k for k in rows if k.startswith(operation.prefix))
         return [rows[key] for key in keys[: operation.limit]]
 
     @_execute.register
-    def _(self, operation: platform.TableWrite):
+    def _(self, operation: table_service.TableWrite):
         self.writes += 1
         rows = self._rows(operation.table)
         row = rows.get(operation.key)
         version = row.version if row is not None else 0
         if version != operation.expected_version:
-            return platform.WriteResult(applied=False, row=row)
-        row = platform.Row(
+            return table_service.WriteResult(applied=False, row=row)
+        row = table_service.Row(
             key=operation.key,
             value=operation.value,
             version=version + 1,
             write_id=operation.write_id,
         )
         rows[operation.key] = row
-        return platform.WriteResult(applied=True, row=row)
+        return table_service.WriteResult(applied=True, row=row)
 
     @_execute.register
-    def _(self, operation: platform.ObjectGet):
+    def _(self, operation: table_service.ObjectGet):
         self.reads += 1
         return self._bodies_by_name.get(operation.name)
 
     @_execute.register
-    def _(self, operation: platform.ObjectPut):
+    def _(self, operation: table_service.ObjectPut):
         self.writes += 1
         self._bodies_by_name[operation.name] = operation.body
 
--- a/rosemarycrank/standins/platform.py
+++ b/rosemarycrank/standins/platform.py
@@ -13,9 +13,9 @@
 import typer
 
 from rosemarycrank import load
-from rosemarycrank import platform
 from rosemarycrank.standins import _server
 from rosemarycrank.standins import _tables
+from rosemarycrank import table_service
 
 _VERSION_TAG = re.compile(r'"(\d+)"')
 
@@ -132,7 +132,7 @@
         self._application = application
 
     def on_get(self, request, response, table):
-        operation = platform.TableList(
+        operation = table_service.TableList(
             table=table,
             prefix=request.get_param('prefix') or '',
             limit=request.get_param_as_int('limit') or 1000,
@@ -146,7 +146,7 @@
         self._application = application
 
     def on_get(self, request, response, table, key):
-        operation = platform.TableRead(table=table, key=key)
+        operation = table_service.TableRead(table=table, key=key)
         row = self._application.tables.execute(operation)
         if row is None:
             raise falcon.HTTPNotFound
@@ -154,7 +154,7 @@
 
     def on_put(self, request, response, table, key):
         body = _decode(_server.read_body(request) or b'', _WriteBody)
-        operation = platform.TableWrite(
+        operation = table_service.TableWrite(
             table=table,
             key=key,
             value=body.value,
@@ -174,7 +174,7 @@
         self._application = application
 
     def on_get(self, request, response, name):
-        operation = platform.ObjectGet(name)
+        operation = table_service.ObjectGet(name)
         body = self._application.tables.execute(operation)
         if body is None:
             raise falcon.HTTPNotFound
@@ -185,7 +185,7 @@
         body = _server.read_body(request)
         if body is None:
             raise falcon.HTTPBadRequest
-        operation = platform.ObjectPut(name, body)
+        operation = table_service.ObjectPut(name, body)
         self._application.tables.execute(operation)
         self._application.after_write(request)
         response.media = {}
--- a/rosemarycrank/platform/_http.py
+++ b/rosemarycrank/table_service/_http.py
@@ -9,9 +9,9 @@
 from geventhttpclient import response as http_response
 import msgspec
 
-from rosemarycrank.platform import _errors
-from rosemarycrank.platform import _operations
-from rosemarycrank.platform import _single_send
+from rosemarycrank.table_service import _errors
+from rosemarycrank.table_service import _operations
+from rosemarycrank.table_service import _single_send
 
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _CONNECTIONS = 32
@@ -108,7 +108,7 @@
         Parameters
         ----------
         operation : object
-            Instance of an operation class of `rosemarycrank.platform`.
+            Instance of an operation class of `rosemarycrank.table_service`.
 
         Returns
         -------
--- a/tests/bundles/simulation.py
+++ b/tests/bundles/simulation.py
@@ -14,7 +14,7 @@
 from rosemarycrank import bundles
 from rosemarycrank import kernel
 from rosemarycrank import messages
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 CLUSTER_KEY = b'k' * 16
 PLATFORM = 'platform'
@@ -69,7 +69,7 @@
     lie: object = None
 
     def read(self, operation, now):
-        if isinstance(operation, platform.ObjectGet):
+        if isinstance(operation, table_service.ObjectGet):
             return self.bodies.get(operation.name)
         if self.lie is not None:
             return self.lie
@@ -84,7 +84,7 @@
 
     def make_row(self, head, base_hash=''):
         value = bundles.CurrentRow(head, base_hash).to_value()
-        return platform.Row('current', value, len(self.rows), 'w')
+        return table_service.Row('current', value, len(self.rows), 'w')
 
 
 class Cluster:
--- a/tests/bundles/test_roll_out.py
+++ b/tests/bundles/test_roll_out.py
@@ -5,8 +5,8 @@
 import pytest
 
 from rosemarycrank import bundles
-from rosemarycrank import platform
 from rosemarycrank import standins
+from rosemarycrank import table_service
 from tests.bundles import conftest
 
 OPERATORS = conftest.make_operators('ana', 'berta')
@@ -27,27 +27,27 @@
         self.before_write = before_write
 
     def execute(self, operation):
-        if isinstance(operation, platform.ObjectPut) and self.puts:
+        if isinstance(operation, table_service.ObjectPut) and self.puts:
             return self._put(operation, self.puts.pop(0))
-        if not isinstance(operation, platform.TableWrite):
+        if not isinstance(operation, table_service.TableWrite):
             return self.tables.execute(operation)
         if self.before_write is not None:
             callback, self.before_write = self.before_write, None
             callback()
         fault = self.faults.pop(0) if self.faults else 'ok'
         if fault == 'down':
-            raise platform.PlatformUnavailable('down')
+            raise table_service.PlatformUnavailable('down')
         if fault == 'lost-before':
-            raise platform.PlatformAnswerLost('lost')
+            raise table_service.PlatformAnswerLost('lost')
         result = self.tables.execute(operation)
         if fault == 'lost-after':
-            raise platform.PlatformAnswerLost('lost')
+            raise table_service.PlatformAnswerLost('lost')
         return result
 
     def _put(self, operation, fault):
         if fault == 'lost-after':
             self.tables.execute(operation)
-        raise platform.PlatformAnswerLost('lost')
+        raise table_service.PlatformAnswerLost('lost')
 
 
 @pytest.fixture
@@ -135,7 +135,7 @@
 
 def test_body_that_cannot_be_stored_leaves_the_row_alone(tables):
     client = Client(tables, puts=['lost-before'] * 2)
-    with pytest.raises(platform.PlatformUnavailable, match='no row'):
+    with pytest.raises(table_service.PlatformUnavailable, match='no row'):
         roll_out(client, signed(1))
     assert standing(tables) is None
 
@@ -150,7 +150,7 @@
 
 
 def test_platform_that_is_down_is_no_effect(tables):
-    with pytest.raises(platform.PlatformUnavailable):
+    with pytest.raises(table_service.PlatformUnavailable):
         roll_out(Client(tables, ['down']), signed(1))
     assert standing(tables) is None
 
@@ -183,7 +183,7 @@
     mine = signed(1, mark=2)
     try:
         roll_out(Client(tables, faults, before), mine, 'm')
-    except (bundles.LostRaceError, platform.PlatformUnavailable):
+    except (bundles.LostRaceError, table_service.PlatformUnavailable):
         assert standing(tables) != mine.head
     except bundles.OutcomeUnknownError:
         # Each of the four attempts failed, the first with a lost answer.
--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -267,7 +267,7 @@
 def test_unreadable_row_is_never_free(world, nodes, value):
     sent = world.submit(nodes[0], KEY)
     name = world.operations[0][1].operation.key
-    row = worlds.platform.Row(name, value, 1, 'w')
+    row = worlds.table_service.Row(name, value, 1, 'w')
     world.rows_by_table['keys'] = {name: row}
     assert answers(world, sent) == [R.CLAIM_UNREADABLE]
     assert not world.runs
--- a/tests/ledger/world.py
+++ b/tests/ledger/world.py
@@ -13,8 +13,8 @@
 from rosemarycrank import kernel
 from rosemarycrank import ledger
 from rosemarycrank import messages
-from rosemarycrank import platform
 from rosemarycrank import results
+from rosemarycrank import table_service
 
 SECRET = b's' * 32
 VALIDITY_S = 300.0
@@ -176,13 +176,13 @@
 
     def _execute(self, operation):
         match operation:
-            case platform.TableRead(table, key):
+            case table_service.TableRead(table, key):
                 return self.rows_by_table.get(table, {}).get(key)
-            case platform.TableWrite():
+            case table_service.TableWrite():
                 return self._write(operation)
-            case platform.ObjectGet(name):
+            case table_service.ObjectGet(name):
                 return self.objects_by_name.get(name)
-            case platform.ObjectPut(name, body):
+            case table_service.ObjectPut(name, body):
                 self.objects_by_name[name] = body
 
     def _write(self, operation):
@@ -191,12 +191,12 @@
         row = rows.get(operation.key)
         version = row.version if row else 0
         if version != operation.expected_version:
-            return platform.WriteResult(False, row)
-        row = platform.Row(
+            return table_service.WriteResult(False, row)
+        row = table_service.Row(
             operation.key, operation.value, version + 1, operation.write_id
         )
         rows[operation.key] = row
-        return platform.WriteResult(True, row)
+        return table_service.WriteResult(True, row)
 
     # Upstreams
 
--- a/tests/membership/test_bootstrap.py
+++ b/tests/membership/test_bootstrap.py
@@ -3,7 +3,7 @@
 import pytest
 
 from rosemarycrank import kernel
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 
 class Table:
@@ -23,17 +23,17 @@
         self.network.hand(member, reply)
 
     def _apply(self, operation):
-        if isinstance(operation, platform.TableList):
+        if isinstance(operation, table_service.TableList):
             return list(self.by_key.values())
         row = self.by_key.get(operation.key)
         version = 0 if row is None else row.version
         if operation.expected_version != version:
-            return platform.WriteResult(False, row)
+            return table_service.WriteResult(False, row)
         self.writes += 1
-        self.by_key[operation.key] = platform.Row(
+        self.by_key[operation.key] = table_service.Row(
             operation.key, operation.value, version + 1, operation.write_id
         )
-        return platform.WriteResult(True, self.by_key[operation.key])
+        return table_service.WriteResult(True, self.by_key[operation.key])
 
 
 @pytest.fixture
--- a/tests/standins/test_tables.py
+++ b/tests/standins/test_tables.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies
 import pytest
 
-from rosemarycrank import platform
 from rosemarycrank import standins
+from rosemarycrank import table_service
 
 KEYS = strategies.sampled_from(['a', 'ab', 'b'])
 VERSIONS = strategies.integers(0, 3)
@@ -26,7 +26,7 @@
         self.writes += 1
         write_id = str(self.writes)
         result = self.tables.execute(
-            platform.TableWrite(
+            table_service.TableWrite(
                 't', key, {'n': self.writes}, expected_version, write_id
             )
         )
@@ -34,18 +34,20 @@
         version = row.version if row else 0
         assert result.applied == (version == expected_version)
         if result.applied:
-            row = platform.Row(key, {'n': self.writes}, version + 1, write_id)
+            row = table_service.Row(
+                key, {'n': self.writes}, version + 1, write_id
+            )
             self.rows_by_key[key] = row
         assert result.row == row
 
     @stateful.rule(key=KEYS)
     def read(self, key):
-        read = self.tables.execute(platform.TableRead('t', key))
+        read = self.tables.execute(table_service.TableRead('t', key))
         assert read == self.rows_by_key.get(key)
 
     @stateful.rule(prefix=strategies.sampled_from(['', 'a', 'c']))
     def list_rows(self, prefix):
-        rows = self.tables.execute(platform.TableList('t', prefix))
+        rows = self.tables.execute(table_service.TableList('t', prefix))
         expected = [k for k in self.rows_by_key if k.startswith(prefix)]
         assert [row.key for row in rows] == sorted(expected)
 
@@ -59,9 +61,9 @@
 
 def test_objects_are_kept():
     tables = standins.Tables()
-    assert tables.execute(platform.ObjectGet('o')) is None
-    tables.execute(platform.ObjectPut('o', b'body'))
-    assert tables.execute(platform.ObjectGet('o')) == b'body'
+    assert tables.execute(table_service.ObjectGet('o')) is None
+    tables.execute(table_service.ObjectPut('o', b'body'))
+    assert tables.execute(table_service.ObjectGet('o')) == b'body'
 
 
 def test_other_operations_are_refused():
--- a/tests/platform/conftest.py
+++ b/tests/table_service/conftest.py
@@ -4,7 +4,7 @@
 from gevent import server
 import pytest
 
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
 
 class ScriptedServer:
@@ -62,6 +62,6 @@
 @pytest.fixture
 def client(scripted):
     with gevent.Timeout(20):
-        client = platform.HttpPlatform(scripted.url, timeout_s=0.5)
+        client = table_service.HttpPlatform(scripted.url, timeout_s=0.5)
         yield client
         client.close()
--- a/tests/platform/test_http.py
+++ b/tests/table_service/test_http.py
@@ -8,12 +8,12 @@
 from hypothesis import strategies as st
 import pytest
 
-from rosemarycrank import platform
+from rosemarycrank import table_service
 
-READ = platform.TableRead('keys', 'a/b')
-WRITE = platform.TableWrite('keys', 'a/b', {'x': 1}, 0, 'w1')
-REPLACE = platform.TableWrite('keys', 'a/b', {'x': 1}, 4, 'w1')
-PUT = platform.ObjectPut('closing', b'body')
+READ = table_service.TableRead('keys', 'a/b')
+WRITE = table_service.TableWrite('keys', 'a/b', {'x': 1}, 0, 'w1')
+REPLACE = table_service.TableWrite('keys', 'a/b', {'x': 1}, 4, 'w1')
+PUT = table_service.ObjectPut('closing', b'body')
 BODY = json.dumps({'value': {'x': 2}, 'write_id': 'w0'}).encode()
 
 
@@ -24,7 +24,7 @@
 
 @pytest.mark.parametrize('operation', [READ, WRITE, PUT], ids=repr)
 def test_closed_connection_gets_one_arrival(scripted, client, operation):
-    with pytest.raises(platform.PlatformError):
+    with pytest.raises(table_service.PlatformError):
         client.execute(operation)
     gevent.sleep(0.05)
     assert len(scripted.requests) == 1
@@ -35,8 +35,8 @@
     scripted, client, operation
 ):
     scripted.answers = [respond(200, b'', 'ETag: "1"\r\n')]
-    client.execute(platform.ObjectGet('warm'))
-    with pytest.raises(platform.PlatformError):
+    client.execute(table_service.ObjectGet('warm'))
+    with pytest.raises(table_service.PlatformError):
         client.execute(operation)
     gevent.sleep(0.05)
     assert len(scripted.requests) == 2
@@ -44,7 +44,7 @@
 
 def test_read_of_a_row(scripted, client):
     scripted.answers = [respond(200, BODY, 'ETag: "3"\r\n')]
-    assert client.execute(READ) == platform.Row('a/b', {'x': 2}, 3, 'w0')
+    assert client.execute(READ) == table_service.Row('a/b', {'x': 2}, 3, 'w0')
     assert scripted.requests[0].startswith(b'GET /tables/keys/a%2Fb ')
 
 
@@ -67,23 +67,23 @@
 
 def test_refused_write_carries_the_standing_row(scripted, client):
     scripted.answers = [respond(412, BODY, 'ETag: "7"\r\n')]
-    expected = platform.Row('a/b', {'x': 2}, 7, 'w0')
-    assert client.execute(WRITE) == platform.WriteResult(False, expected)
+    expected = table_service.Row('a/b', {'x': 2}, 7, 'w0')
+    assert client.execute(WRITE) == table_service.WriteResult(False, expected)
 
 
 def test_list(scripted, client):
     row = {'key': 'k', 'value': {}, 'version': 2, 'write_id': 'w'}
     scripted.answers = [respond(200, json.dumps({'rows': [row]}).encode())]
-    listed = client.execute(platform.TableList('nodes', 'a', 5))
-    assert listed == [platform.Row('k', {}, 2, 'w')]
+    listed = client.execute(table_service.TableList('nodes', 'a', 5))
+    assert listed == [table_service.Row('k', {}, 2, 'w')]
     assert b'/tables/nodes?prefix=a&limit=5' in scripted.requests[0]
 
 
 def test_objects(scripted, client):
     scripted.answers = [respond(201), respond(200, b'body'), respond(404)]
     assert client.execute(PUT) is None
-    assert client.execute(platform.ObjectGet('closing')) == b'body'
-    assert client.execute(platform.ObjectGet('closing')) is None
+    assert client.execute(table_service.ObjectGet('closing')) == b'body'
+    assert client.execute(table_service.ObjectGet('closing')) is None
 
 
 @pytest.mark.parametrize(
@@ -100,14 +100,14 @@
 @pytest.mark.parametrize('write', [WRITE, PUT], ids=repr)
 def test_write_without_whole_answer_is_lost(scripted, client, answer, write):
     scripted.answers = [answer]
-    with pytest.raises(platform.PlatformAnswerLost):
+    with pytest.raises(table_service.PlatformAnswerLost):
         client.execute(write)
 
 
 @pytest.mark.parametrize('status', [400, 403, 413, 429])
 def test_rejected_write_did_not_take_effect(scripted, client, status):
     scripted.answers = [respond(status)]
-    with pytest.raises(platform.PlatformUnavailable):
+    with pytest.raises(table_service.PlatformUnavailable):
         client.execute(WRITE)
 
 
@@ -116,31 +116,33 @@
     with socket.socket() as reserved:
         reserved.bind(('127.0.0.1', 0))
         port = reserved.getsockname()[1]
-        client = platform.HttpPlatform(f'http://127.0.0.1:{port}', 1.0)
-        with pytest.raises(platform.PlatformUnavailable):
+        client = table_service.HttpPlatform(f'http://127.0.0.1:{port}', 1.0)
+        with pytest.raises(table_service.PlatformUnavailable):
             client.execute(operation)
 
 
 def test_truncated_read_is_an_error(scripted, client):
     scripted.answers = [b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab']
     scripted.answers.append(None)
-    with pytest.raises(platform.PlatformUnavailable):
-        client.execute(platform.ObjectGet('a'))
+    with pytest.raises(table_service.PlatformUnavailable):
+        client.execute(table_service.ObjectGet('a'))
 
 
 @pytest.mark.parametrize('headers', ['', f'X-Long: {"a" * 5000}\r\n'])
 def test_answer_size_is_bounded(scripted, headers):
-    client = platform.HttpPlatform(scripted.url, 1.0, max_answer_bytes=4000)
+    client = table_service.HttpPlatform(
+        scripted.url, 1.0, max_answer_bytes=4000
+    )
     body = b'' if headers else b'a' * 5000
     scripted.answers = [respond(200, body, headers)]
-    with pytest.raises(platform.PlatformUnavailable, match='TooLarge'):
-        client.execute(platform.ObjectGet('a'))
+    with pytest.raises(table_service.PlatformUnavailable, match='TooLarge'):
+        client.execute(table_service.ObjectGet('a'))
 
 
 @pytest.mark.parametrize('url', ['https://a:1', 'http://a', 'a:1', ''])
 def test_other_urls_are_refused(url):
     with pytest.raises(ValueError, match='url'):
-        platform.HttpPlatform(url)
+        table_service.HttpPlatform(url)
 
 
 LENGTH = b'Content-Length: %d' % len(BODY)
@@ -181,7 +183,9 @@
     suppress_health_check=[hypothesis.HealthCheck.function_scoped_fixture],
 )
 @hypothesis.given(
-    operation=st.sampled_from([READ, WRITE, PUT, platform.TableList('keys')]),
+    operation=st.sampled_from(
+        [READ, WRITE, PUT, table_service.TableList('keys')]
+    ),
     status=st.sampled_from([b'200', b'204', b'100', b'304', b'412', b'999']),
     headers=HEADERS,
     content=CONTENTS,
@@ -193,11 +197,11 @@
 ):
     head = b'\r\n'.join([b'HTTP/1.1 ' + status + b' X', *headers])
     scripted.answers[:] = [head + b'\r\n\r\n' + content, None]
-    client = platform.HttpPlatform(scripted.url, timeout_s=0.02)
+    client = table_service.HttpPlatform(scripted.url, timeout_s=0.02)
     with gevent.Timeout(10):
         try:
             client.execute(operation)
-        except platform.PlatformError:
+        except table_service.PlatformError:
             pass
         finally:
             client.close()
