Shed whole requests at the front by learned cost at the short service

Ruled out: longer queues alone; calls have 700 ms and expired in them. Change: a target's node works out the share of its load to keep away; the entry nodes take it from whole requests, least important first, by costs fitted from runs and calls. Slots are used up to 94.5%.

--- a/rosemarycrank/dataplane/_decisions.py
+++ b/rosemarycrank/dataplane/_decisions.py
@@ -10,9 +10,11 @@
 LINES_PER_S = 200.0
 BURST_LINES = 400.0
 
-_RESERVED = frozenset(
-    vars(logging.LogRecord('', 0, '', 0, '', (), None))
-) | {'message', 'asctime', 'taskName'}
+_RESERVED = frozenset(vars(logging.LogRecord('', 0, '', 0, '', (), None))) | {
+    'message',
+    'asctime',
+    'taskName',
+}
 
 
 class StructuredFormatter(logging.Formatter):
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -217,6 +217,13 @@
         exchange.route = route
         exchange.deadline_at = exchange.arrived_at + wait_s
         exchange.service = self.picker.pick(route)
+        if exchange.connection.is_local:
+            self.node.costs.called(exchange.service, route.name)
+        elif not self.node.front.admit(
+            route, exchange.service, exchange.arrived_at
+        ):
+            self._refuse(exchange, 503, 'shed at the front')
+            return
         exchange.head = b'%b %b HTTP/1.1\r\n%b%b' % (
             message.method,
             message.target,
@@ -261,6 +268,7 @@
             int((exchange.arrived_at + route.aim_s - now) * 1000.0),
             route.priority,
             route.idempotent,
+            route.name,
             exchange.request_id,
             exchange.head,
             exchange.message.body,
@@ -396,21 +404,22 @@
                 'configuration': (
                     configuration.version if configuration else None
                 ),
-                'targets': len(
-                    self.node.directory.ready(exchange.service)
-                ),
+                'targets': len(self.node.directory.ready(exchange.service)),
             },
         )
 
     def _answer(self, exchange, result):
         status = result.status
         body = result.body
-        exchange.response = b'HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n%b' % (
-            status,
-            _http1.REASONS_BY_STATUS.get(status, b'Status'),
-            result.head,
-            len(body),
-            body,
+        exchange.response = (
+            b'HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n%b'
+            % (
+                status,
+                _http1.REASONS_BY_STATUS.get(status, b'Status'),
+                result.head,
+                len(body),
+                body,
+            )
         )
         self._close(exchange, status)
         exchange.connection.answered(exchange)
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -92,12 +92,18 @@
         Attempts at work, in the queue, and the most that run at once.
     service_s : float
         Usual seconds that one takes.
+    share : float
+        Share of the load on it that has to be kept away at the front.
+    shares_below : dict of str to float
+        The same for the services that it calls, by service.
     """
 
     running: int
     waiting: int
     limit: int
     service_s: float
+    share: float = 0.0
+    shares_below: dict[str, float] = {}
 
 
 class Hello(msgspec.Struct, array_like=True, tag=0):
@@ -144,6 +150,8 @@
         Rank by the configuration; 0 matters most.
     idempotent : bool
         Whether it may run more than once.
+    route : str
+        Name of its route.
     request_id : bytes
         Identifier of the client's request.
     head, body : bytes
@@ -156,6 +164,7 @@
     urgency_ms: int
     priority: int
     idempotent: bool
+    route: str
     request_id: bytes
     head: bytes
     body: bytes
@@ -222,6 +231,21 @@
     """The sender is about to stop and takes no new attempts."""
 
 
+class RouteCosts(msgspec.Struct, array_like=True, tag=10):
+    """Calls that the requests of a service cause below it.
+
+    Attributes
+    ----------
+    service : str
+        The service.
+    costs_by_route : dict of str to dict of str to float
+        Calls by route and service.
+    """
+
+    service: str
+    costs_by_route: dict[str, dict[str, float]]
+
+
 Frame = (
     Hello
     | Attempt
@@ -233,6 +257,7 @@
     | ConfigurationWanted
     | ConfigurationBody
     | Leaving
+    | RouteCosts
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/rosemarycrank/dataplane/_limit.py
+++ b/rosemarycrank/dataplane/_limit.py
@@ -6,6 +6,10 @@
 #: Usual time of a run before the first sample, in seconds.
 FIRST_SERVICE_S = 0.02
 
+#: Share of the stated slots that is used: targets slow down when they are
+#: nearly full, by more than the last slots would add.
+USED_SHARE = 0.945
+
 #: Slots assumed of a target that states none.
 DEFAULT_SLOTS = 32
 
@@ -33,7 +37,8 @@
         slots : int
             Slots that it states; 0 for none.
         """
-        self.value = slots if slots > 0 else DEFAULT_SLOTS
+        slots = slots if slots > 0 else DEFAULT_SLOTS
+        self.value = max(1, int(slots * USED_SHARE))
         self.service_s = 0.0
 
     def observe(self, took_s, complete, _running):
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _local_peer
@@ -46,6 +47,10 @@
         Random number of this run.
     decode_configuration : callable
         Returns the `Configuration` of a document; raises ValueError.
+    costs : CallCosts
+        What requests cost below.
+    front : FrontAdmission
+        Admission at the front.
 
     Attributes
     ----------
@@ -61,11 +66,21 @@
         Number of the newest attempt.
     """
 
-    def __init__(self, reactor, address, incarnation, decode_configuration):
+    def __init__(
+        self,
+        reactor,
+        address,
+        incarnation,
+        decode_configuration,
+        costs,
+        front,
+    ):
         self.reactor = reactor
         self.address = address
         self.incarnation = incarnation
         self.decode_configuration = decode_configuration
+        self.costs = costs
+        self.front = front
         self.configuration = None
         self.directory = _directory.Directory()
         self.peers_by_node = {}
@@ -75,6 +90,7 @@
         self.on_configuration = []
         self._listener = None
         reactor.timers.every(CHECK_S, self._check)
+        reactor.timers.every(_costs.WINDOW_S, self._close_window)
 
     def listen(self):
         """Accept connections of other nodes."""
@@ -164,6 +180,14 @@
         if version > self.configuration_version():
             link.notify(_frames.ConfigurationWanted())
 
+    def heard_load(self, load, address, now):
+        """Take the load of another node's target."""
+        record = self.directory.by_node.get(address)
+        if record is not None:
+            self.front.report(record.service, address, load.share, now)
+        for service, share in load.shares_below.items():
+            self.front.report(service, address, share, now)
+
     def take_hello(self, hello, link):
         """Take what another node knows."""
         for record in hello.records:
@@ -184,6 +208,8 @@
                 link.notify(_frames.ConfigurationBody(body))
         elif isinstance(frame, _frames.ConfigurationBody):
             self.install(frame.body, link.address)
+        elif isinstance(frame, _frames.RouteCosts):
+            self.costs.heard(frame.service, frame.costs_by_route)
         elif isinstance(frame, _frames.Leaving):
             peer = self.peers_by_node.get(link.address)
             if peer is not None:
@@ -209,6 +235,11 @@
         for visitor in list(self.visitors):
             visitor.close()
 
+    def _close_window(self, _now):
+        costs = self.costs.close_window()
+        if costs and any(len(cost) > 1 for cost in costs.values()):
+            self.tell(_frames.RouteCosts(self.costs.service, costs))
+
     def _check(self, now):
         for peer in list(self.peers_by_node.values()):
             peer.check(now)
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -186,9 +186,7 @@
                 )
                 self._drop()
                 self._open()
-        elif not self._pending_by_number and (
-            now - self._used_at > UNUSED_S
-        ):
+        elif not self._pending_by_number and (now - self._used_at > UNUSED_S):
             self._drop()
         else:
             owed = bool(self._pending_by_number)
@@ -214,9 +212,7 @@
 
     def closed(self, error):
         """Take the loss of the connection."""
-        refused = (
-            error is not None and error.errno == errno.ECONNREFUSED
-        )
+        refused = error is not None and error.errno == errno.ECONNREFUSED
         if self._greeted and not self.leaving:
             # The process may live on: ask it over a new connection.
             self._drop()
@@ -310,6 +306,7 @@
     def _take_load(self, load):
         self.load = load
         self.load_at = self._heard_at
+        self.node.heard_load(load, self.address, self._heard_at)
         self.sent_since_load = 0
 
     def _take_notice(self, frame):
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -13,10 +13,12 @@
 
 from rosemarycrank.dataplane import _balance
 from rosemarycrank.dataplane import _clients
+from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _entry
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _registration
@@ -138,12 +140,16 @@
         source = random.Random(os.urandom(16))
         self.incarnation = source.getrandbits(62)
         self.counters = _counters.Counters()
+        self.costs = _costs.CallCosts(settings.service)
+        self.front = _front.AdmitByCost(self.costs)
         self._finished = gevent.event.Event()
         self.node = _node.Node(
             self.reactor,
             settings.peer_address,
             self.incarnation,
             adapter.decode_configuration,
+            self.costs,
+            self.front,
         )
         self._build(source)
 
@@ -153,7 +159,12 @@
             self.reactor, settings.target_address, self.adapter.names
         )
         self.target_side = _target.TargetSide(
-            self.reactor, self.pool, self.adapter.names, self.counters
+            self.reactor,
+            self.pool,
+            self.adapter.names,
+            self.counters,
+            self.costs,
+            self.front,
         )
         node.serve(self.target_side)
         picker = _routes.ServicePicker(source)
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -13,11 +13,14 @@
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
-from rosemarycrank.dataplane import _upstream
+from rosemarycrank.dataplane import _pressure
 
 #: Seconds between looks for attempts whose time has passed.
 SWEEP_S = 0.05
 
+#: Seconds between calculations of the share to keep away.
+PRESSURE_S = 0.1
+
 #: Seconds that a node whose connection was lost has to come back before
 #: its attempts are taken as cancelled.
 CALLER_AWAY_S = 1.5
@@ -115,6 +118,10 @@
         Names of header fields.
     counters : Counters
         Counts for the metrics page.
+    costs : CallCosts
+        Learns which calls the runs cause.
+    front : FrontAdmission
+        Knows the shares to keep away from the services below.
 
     Attributes
     ----------
@@ -124,11 +131,15 @@
         Whether the node is about to stop.
     """
 
-    def __init__(self, reactor, pool, names, counters):
+    def __init__(self, reactor, pool, names, counters, costs, front):
         self.reactor = reactor
         self.pool = pool
         self.names = names
         self.counters = counters
+        self.costs = costs
+        self.front = front
+        self.pressure = _pressure.Pressure()
+        self._shares_below = {}
         self.record = None
         self.stopping = False
         self.limit = _limit.ConcurrencyLimit()
@@ -140,6 +151,7 @@
         self._left_at = None
         self._load = None
         reactor.timers.every(SWEEP_S, self._sweep)
+        reactor.timers.every(PRESSURE_S, self._update_pressure)
 
     def announce(self, record):
         """Take what the local target says of itself.
@@ -175,6 +187,8 @@
             self._waiting_count,
             self.limit.value,
             self.limit.service_s,
+            self.pressure.share,
+            self._shares_below,
         )
 
     def busy(self):
@@ -205,6 +219,7 @@
             self._end(served, _UNKNOWN, _frames.Reason.FORGOTTEN)
             return
         caller.served_by_number[number] = served
+        self.pressure.arrived()
         reason = self._refusal(attempt, served, now)
         if reason is not None:
             self._end(served, _NOT_RUN, reason)
@@ -245,6 +260,7 @@
     def _start(self, served, now):
         attempt = served.attempt
         served.started_at = now
+        self.costs.ran(attempt.route)
         self._running.add(served)
         connection = self.pool.acquire(attempt.idempotent)
         served.connection = connection
@@ -382,6 +398,12 @@
         self._drop_lost_callers(now)
         self._fill()
 
+    def _update_pressure(self, now):
+        self.pressure.update(
+            now, self._waiting_count, self.limit.value, self.limit.service_s
+        )
+        self._shares_below = self.front.shares_below(now)
+
     def _drop_lost_callers(self, now):
         for caller in list(self.callers_by_incarnation.values()):
             if caller.send is not None or now < caller.lost_at + CALLER_AWAY_S:
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -127,9 +127,7 @@
                 return
         if connecting:
             self._finish(
-                Answer(
-                    _frames.Outcome.NOT_RUN, _frames.Reason.CONNECT_FAILED
-                )
+                Answer(_frames.Outcome.NOT_RUN, _frames.Reason.CONNECT_FAILED)
             )
             self._discard()
         else:
--- a/rosemarycrank/platform/__main__.py
+++ b/rosemarycrank/platform/__main__.py
@@ -88,9 +88,7 @@
         settings = _settings.read(path)
     except _settings.SettingsError as error:
         sys.exit(f'{_names.SETTINGS_VARIABLE}: {error}')
-    handler = _decisions.configure(
-        settings.node_name, _STDOUT, time.monotonic
-    )
+    handler = _decisions.configure(settings.node_name, _STDOUT, time.monotonic)
     process = dataplane.NodeProcess(
         _process_settings(settings),
         _adapter.PlatformAdapter(settings.store),
--- a/rosemarycrank/platform/_adapter.py
+++ b/rosemarycrank/platform/_adapter.py
@@ -42,9 +42,7 @@
             return dataplane.Reply(404)
         try:
             if message.method == b'PUT':
-                registration.report(
-                    _heartbeats.decode(instance, message.body)
-                )
+                registration.report(_heartbeats.decode(instance, message.body))
             elif message.method == b'DELETE':
                 born_ms = _heartbeats.decode_withdrawal(message.body)
                 registration.withdraw(instance, born_ms)
