--- /dev/null
+++ b/tests/dataplane/fakes.py
@@ -0,0 +1,168 @@
+"""Stand-ins of what the data path's parts speak to, in virtual time."""
+
+import attrs
+
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _routes
+from rosemarycrank import kernel
+
+
+class VirtualReactor:
+    """Clock and timers that a test moves on."""
+
+    def __init__(self):
+        self.timers = kernel.Timers()
+        self._soon = []
+
+    def now(self):
+        return self.timers.now
+
+    def call_soon(self, callback):
+        self._soon.append(callback)
+
+    def run(self, seconds, step_s=0.01):
+        """Let time pass."""
+        self._run_soon()
+        end = self.timers.now + seconds
+        while self.timers.now < end - 1e-9:
+            self.timers.advance(min(end, self.timers.now + step_s))
+            self._run_soon()
+
+    def _run_soon(self):
+        while self._soon:
+            self._soon.pop(0)()
+
+
+@attrs.define(eq=False)
+class StartedCall:
+    """A request that reached the local target."""
+
+    request_id: bytes
+    data: bytes
+    on_answer: object
+    aborted: bool = False
+
+
+class FakePool:
+    """Local target that answers when the test says so."""
+
+    def __init__(self):
+        self.calls = []
+
+    def acquire(self, idempotent):
+        return _FakeConnection(self)
+
+
+class _FakeConnection:
+    def __init__(self, pool):
+        self._pool = pool
+        self._call = None
+
+    def start(self, request_id, data, without_body, on_answer):
+        self._call = StartedCall(request_id, data, on_answer)
+        self._pool.calls.append(self._call)
+
+    def abort(self):
+        self._call.aborted = True
+
+
+class RecordingPeer:
+    """Peer that keeps attempts until the test ends them."""
+
+    def __init__(self):
+        self.sent = []
+        self.cancelled = []
+        self.reachable = True
+        self.leaving = False
+        self.load = None
+        self.sent_since_load = 0
+        self.outstanding = 0
+
+    def send(self, attempt, on_result):
+        self.sent.append((attempt, on_result))
+
+    def cancel(self, number):
+        self.cancelled.append(number)
+
+
+class RecordingConnection:
+    """Client connection that keeps the answered exchanges."""
+
+    def __init__(self, is_local=False):
+        self.is_local = is_local
+        self.answers = []
+
+    def answered(self, exchange):
+        self.answers.append(exchange.response)
+
+
+def record(node='n1', **changes):
+    """Return a record of a ready target."""
+    fields = {
+        'node': node,
+        'instance': f'i-{node}',
+        'service': 'archive',
+        'failure_domain': 'fd-a',
+        'slots': 4,
+        'state': 'ready',
+        'born_ms': 1000,
+        'sequence': 1,
+    }
+    return _frames.TargetRecord(**(fields | changes))
+
+
+def attempt(number=1, **changes):
+    """Return an attempt at the target of node ``n1``."""
+    fields = {
+        'number': number,
+        'instance': 'i-n1',
+        'remaining_ms': 1000,
+        'urgency_ms': 500,
+        'priority': 1,
+        'idempotent': True,
+        'route': 'read',
+        'request_id': b'r%d' % number,
+        'head': b'GET /a/ HTTP/1.1\r\nhost: h\r\n',
+        'body': b'',
+    }
+    return _frames.Attempt(**(fields | changes))
+
+
+def route(name='read', **changes):
+    """Return a route of the service ``archive``."""
+    fields = {
+        'name': name,
+        'host': b'h.example',
+        'path_prefix': b'/a/',
+        'services': (_routes.WeightedService('archive', 1.0),),
+        'idempotent': True,
+        'max_attempts': 2,
+        'timeout_s': 2.0,
+        'aim_s': 0.5,
+        'priority': 1,
+    }
+    return _routes.Route(**(fields | changes))
+
+
+def configuration(*routes, version=1):
+    """Return a configuration."""
+    return _routes.Configuration(version, routes, _http1.Limits(), b'{}')
+
+
+def request(target=b'/a/1', method=b'GET', **values):
+    """Return a request as it was read."""
+    headers = [
+        (b'host', b'h.example'),
+        (b'rosemarycrank-request-id', b'r1'),
+    ]
+    headers += [
+        (name.replace('_', '-').encode(), value)
+        for name, value in values.items()
+    ]
+    return _http1.Message(method, target, 0, headers, dict(headers))
+
+
+def result(number, outcome=0, reason=0, status=200, body=b'ok'):
+    """Return the end of an attempt."""
+    return _frames.Result(number, outcome, reason, status, b'', body, None)
--- /dev/null
+++ b/tests/dataplane/test_directory.py
@@ -0,0 +1,63 @@
+"""Which record of a target stands."""
+
+import itertools
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from rosemarycrank.dataplane import _directory
+from tests.dataplane import fakes
+
+
+@pytest.fixture
+def directory():
+    return _directory.Directory()
+
+
+def test_late_ready_does_not_bring_a_leaving_target_back(directory):
+    directory.merge(fakes.record(state='draining', sequence=5))
+    assert not directory.merge(fakes.record(state='ready', sequence=9))
+    assert directory.ready('archive') == ()
+
+
+def test_reborn_target_under_the_same_id_is_ready(directory):
+    directory.merge(fakes.record(state='gone', sequence=50))
+    assert directory.merge(fakes.record(born_ms=2000, sequence=1))
+    assert len(directory.ready('archive')) == 1
+
+
+def test_old_start_is_ignored(directory):
+    directory.merge(fakes.record(born_ms=2000, instance='new'))
+    assert not directory.merge(fakes.record(born_ms=1000, sequence=99))
+    assert directory.ready('archive')[0].instance == 'new'
+
+
+def test_reused_address_serves_its_new_service_only(directory):
+    directory.merge(fakes.record())
+    directory.merge(fakes.record(service='dues', born_ms=3000))
+    assert directory.ready('archive') == ()
+    assert len(directory.ready('dues')) == 1
+
+
+RECORDS = strategies.builds(
+    lambda state, born, sequence: fakes.record(
+        state=state, born_ms=born, instance=f'i{born}', sequence=sequence
+    ),
+    strategies.sampled_from(['ready', 'draining', 'gone']),
+    strategies.integers(1, 3),
+    strategies.integers(1, 4),
+)
+
+
+@hypothesis.given(strategies.lists(RECORDS, min_size=1, max_size=4))
+def test_order_of_arrival_does_not_matter(records):
+    # One start says one thing in one report.
+    records = list({(r.born_ms, r.sequence): r for r in records}.values())
+    ends = set()
+    for order in itertools.permutations(records):
+        directory = _directory.Directory()
+        for record in order:
+            directory.merge(record)
+        ends.add(directory.by_node['n1'])
+    assert len(ends) == 1
--- /dev/null
+++ b/tests/dataplane/test_discovery.py
@@ -0,0 +1,125 @@
+"""Following and writing rows of the store through its troubles."""
+
+import random
+
+import pytest
+
+from rosemarycrank.dataplane import _discovery
+
+OK = _discovery.ReplyKind.OK
+
+
+class _Store(_discovery.Store):
+    """Store whose answers the test gives."""
+
+    def __init__(self):
+        self.calls = []
+
+    def read(self, table, on_reply):
+        self.calls.append(('read', None, on_reply))
+
+    def follow(self, table, after, wait_s, on_reply):
+        self.calls.append(('follow', after, on_reply))
+
+    def write(self, table, row, on_reply):
+        self.calls.append(('write', row, on_reply))
+
+    def answer(self, kind=OK, rows=(), version=0):
+        self.calls[-1][2](_discovery.StoreReply(kind, rows, version, 'x'))
+
+
+@pytest.fixture
+def store():
+    return _Store()
+
+
+@pytest.fixture
+def rows():
+    return []
+
+
+@pytest.fixture
+def follower(reactor, store, rows):
+    follower = _discovery.TableFollower(
+        reactor, store, 't', rows.append, random.Random(1)
+    )
+    follower.start()
+    return follower
+
+
+@pytest.fixture
+def publisher(reactor, store):
+    return _discovery.RowPublisher(reactor, store, 't', 'k', random.Random(1))
+
+
+def _row(value, version):
+    return _discovery.StoredRow('k', version, value)
+
+
+def test_follower_reads_once_and_then_follows(follower, store, rows, reactor):
+    store.answer(rows=(_row(b'a', 3),), version=5)
+    reactor.run(0.01)
+    store.answer(rows=(_row(b'b', 7),), version=7)
+    reactor.run(0.01)
+    assert [call[:2] for call in store.calls] == [
+        ('read', None),
+        ('follow', 5),
+        ('follow', 7),
+    ]
+    assert [row.value for row in rows] == [b'a', b'b']
+
+
+def test_compacted_history_is_read_anew(follower, store, reactor):
+    store.answer(version=5)
+    reactor.run(0.01)
+    store.answer(_discovery.ReplyKind.COMPACTED)
+    reactor.run(0.5)
+    assert store.calls[-1][0] == 'read'
+
+
+@pytest.mark.parametrize('kind', ['REFUSED', 'FAILED'])
+def test_failed_calls_are_spaced_out(follower, store, reactor, kind):
+    for _ in range(200):
+        store.answer(_discovery.ReplyKind[kind])
+        count = len(store.calls)
+        while len(store.calls) == count:
+            reactor.run(0.05)
+    assert reactor.now() > 200 * _discovery.LAST_RETRY_S * 0.5 * 0.9
+
+
+def test_publisher_writes_under_the_version_it_replaces(publisher, store):
+    publisher.publish(b'one')
+    store.answer(version=4)
+    publisher.publish(b'two')
+    assert store.calls[-1][1] == _row(b'two', 4)
+
+
+def test_write_whose_answer_was_lost_is_recognised(publisher, store, reactor):
+    publisher.publish(b'one')
+    store.answer(_discovery.ReplyKind.FAILED)
+    reactor.run(0.5)
+    assert len(store.calls) == 2
+    store.answer(_discovery.ReplyKind.CONFLICT, (_row(b'one', 9),))
+    publisher.publish(b'two')
+    assert store.calls[-1][1] == _row(b'two', 9)
+
+
+def test_newer_value_replaces_one_that_is_retried(publisher, store, reactor):
+    publisher.publish(b'one')
+    publisher.publish(b'two')
+    store.answer(_discovery.ReplyKind.REFUSED)
+    reactor.run(0.5)
+    assert store.calls[-1][1].value == b'two'
+    store.answer(version=2)
+    reactor.run(5.0)
+    assert len(store.calls) == 2
+
+
+def test_value_that_changed_during_the_write_is_written_too(
+    publisher, store, reactor
+):
+    publisher.publish(b'one')
+    publisher.publish(b'two')
+    store.answer(version=3)
+    reactor.run(0.5)
+    assert store.calls[-1][1] == _row(b'two', 3)
--- /dev/null
+++ b/tests/dataplane/test_http1.py
@@ -0,0 +1,160 @@
+"""Reading and writing of HTTP messages."""
+
+import pytest
+
+from rosemarycrank.dataplane import _http1
+
+
+@pytest.fixture
+def requests():
+    return []
+
+
+@pytest.fixture
+def reader(requests):
+    limits = _http1.Limits(header_bytes=300, body_bytes=20)
+    return _http1.RequestReader(limits, requests.append)
+
+
+@pytest.fixture
+def responses():
+    return []
+
+
+@pytest.fixture
+def response_reader(responses):
+    return _http1.ResponseReader(responses.append)
+
+
+def test_request_in_single_bytes(reader, requests):
+    text = (
+        b'POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nX-Y: z\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n'
+    )
+    for index in range(len(text)):
+        reader.feed(text[index : index + 1])
+    (request,) = requests
+    assert (request.method, request.target) == (b'POST', b'/a/b?c=1')
+    assert request.body == b'abcde'
+    assert request.values_by_name[b'x-y'] == b'z'
+    assert request.keep_alive
+
+
+def test_pipelined_requests_are_all_read(reader, requests):
+    one = b'GET /%d HTTP/1.1\r\nHost: h\r\n\r\n'
+    reader.feed(one % 1 + one % 2 + one % 3)
+    assert [r.target for r in requests] == [b'/1', b'/2', b'/3']
+
+
+def test_trailers_are_not_header_fields(reader, requests):
+    reader.feed(
+        b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'0\r\nHost: other\r\n\r\n'
+    )
+    assert requests[0].values_by_name[b'host'] == b'h'
+
+
+def test_connection_close_ends_reuse(reader, requests):
+    reader.feed(b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n')
+    assert not requests[0].keep_alive
+
+
+@pytest.mark.parametrize(
+    'text, status',
+    [
+        (b'GARBAGE\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n', 400),
+        (
+            b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            400,
+        ),
+        (b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 21\r\n\r\n', 413),
+        (
+            b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n'
+            b'\r\n15\r\n' + b'x' * 21,
+            413,
+        ),
+        (b'GET / HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 400, 431),
+        (b'GET / HTTP/1.1\r\nHost: h\r\nX: ' + b'x' * 400 + b'\r\n\r\n', 431),
+    ],
+)
+def test_bad_request_is_refused(reader, requests, text, status):
+    with pytest.raises(_http1.MessageError) as error:
+        reader.feed(text)
+    assert error.value.status == status
+    assert requests == []
+
+
+def test_client_that_waits_for_leave_gets_it(requests):
+    asked = []
+    reader = _http1.RequestReader(
+        _http1.Limits(), requests.append, lambda: asked.append(True)
+    )
+    reader.feed(
+        b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n'
+        b'Expect: 100-continue\r\n\r\n'
+    )
+    assert asked == [True]
+    reader.feed(b'ab')
+    assert requests[0].body == b'ab'
+
+
+def test_fields_of_one_connection_are_not_passed_on():
+    message = _http1.Message(
+        headers=[
+            (b'connection', b'close, X-Hop'),
+            (b'x-hop', b'1'),
+            (b'te', b'trailers'),
+            (b'x-own', b'2'),
+            (b'x-drop', b'3'),
+        ],
+        values_by_name={b'connection': b'close, X-Hop'},
+    )
+    assert (
+        _http1.forwarded_headers(message, frozenset([b'x-drop']))
+        == b'x-own: 2\r\n'
+    )
+
+
+def test_response_with_length(response_reader, responses):
+    response_reader.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab')
+    assert responses == []
+    response_reader.feed(b'c')
+    assert responses[0].body == b'abc'
+    assert responses[0].keep_alive
+
+
+def test_response_cut_short_is_not_complete(response_reader, responses):
+    response_reader.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab')
+    assert not response_reader.end_of_stream()
+    assert responses == []
+
+
+def test_response_without_length_ends_with_its_connection(
+    response_reader, responses
+):
+    response_reader.feed(b'HTTP/1.1 200 OK\r\n\r\nab')
+    assert responses == []
+    assert response_reader.end_of_stream()
+    assert responses[0].body == b'ab'
+    assert not responses[0].keep_alive
+
+
+def test_interim_response_is_skipped(response_reader, responses):
+    response_reader.feed(
+        b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n'
+    )
+    assert [r.status for r in responses] == [204]
+
+
+def test_response_to_head_has_no_body(response_reader, responses):
+    response_reader.expects_no_body = True
+    response_reader.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n')
+    assert responses[0].body == b''
+
+
+def test_bytes_that_are_no_response(response_reader):
+    with pytest.raises(_http1.MessageError):
+        response_reader.feed(b'\x00\x01garbage\r\n\r\n')
--- /dev/null
+++ b/tests/dataplane/test_target.py
@@ -0,0 +1,216 @@
+"""What runs at the local target, and when."""
+
+import pytest
+
+from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _target
+from rosemarycrank.dataplane import _upstream
+from tests.dataplane import fakes
+
+
+@pytest.fixture
+def pool():
+    return fakes.FakePool()
+
+
+@pytest.fixture
+def side(reactor, pool):
+    side = _target.TargetSide(
+        reactor,
+        pool,
+        _names.HeaderNames(),
+        _counters.Counters(),
+        _costs.CallCosts('archive'),
+        _front.AdmitAll(),
+    )
+    side.announce(fakes.record(slots=2))
+    return side
+
+
+@pytest.fixture
+def results():
+    return []
+
+
+@pytest.fixture
+def caller(side, results):
+    caller = side.caller(77)
+    caller.send = results.append
+    return caller
+
+
+def _complete(body=b'ok'):
+    return _upstream.Answer(_frames.Outcome.COMPLETE, 0, 200, b'', body)
+
+
+def _reasons(results):
+    return [_frames.Reason(r.reason).name for r in results]
+
+
+def test_attempt_is_fenced_to_the_target(side, caller, pool):
+    side.accept(caller, fakes.attempt())
+    data = pool.calls[0].data
+    assert b'\r\nrosemarycrank-expected-instance: i-n1\r\n' in data
+    assert b'\r\nrosemarycrank-deadline-ms: 1000\r\n' in data
+
+
+def test_deadline_shrinks_while_an_attempt_waits(side, caller, pool, reactor):
+    side.accept(caller, fakes.attempt(1))
+    side.accept(caller, fakes.attempt(2))
+    reactor.run(0.3)
+    pool.calls[0].on_answer(_complete())
+    assert b'rosemarycrank-deadline-ms: 700\r\n' in pool.calls[1].data
+
+
+def test_the_same_attempt_runs_once(side, caller, pool, results):
+    for _ in range(3):
+        side.accept(caller, fakes.attempt())
+    assert len(pool.calls) == 1
+    pool.calls[0].on_answer(_complete())
+    side.accept(caller, fakes.attempt())
+    assert len(pool.calls) == 1
+    assert [r.body for r in results] == [b'ok', b'ok']
+
+
+def test_forgotten_attempt_is_unknown_not_run_again(
+    side, caller, pool, results
+):
+    side.accept(caller, fakes.attempt())
+    pool.calls[0].on_answer(_complete())
+    caller.forget(2)
+    side.accept(caller, fakes.attempt())
+    assert len(pool.calls) == 1
+    assert results[-1].outcome == _frames.Outcome.UNKNOWN
+
+
+def test_most_urgent_waits_least(side, caller, pool):
+    side.accept(caller, fakes.attempt(1))
+    side.accept(caller, fakes.attempt(2, urgency_ms=900))
+    side.accept(caller, fakes.attempt(3, urgency_ms=100))
+    pool.calls[0].on_answer(_complete())
+    assert pool.calls[1].request_id == b'r3'
+
+
+@pytest.mark.parametrize(
+    'record, reason',
+    [
+        (fakes.record(instance='i-other', born_ms=2000), 'OTHER_TARGET'),
+        (fakes.record(state='draining', sequence=2), 'LEAVING'),
+        (fakes.record(state='gone', sequence=2), 'LEAVING'),
+    ],
+)
+def test_attempt_for_what_is_not_there_has_not_run(
+    side, caller, pool, results, record, reason
+):
+    side.announce(record)
+    side.accept(caller, fakes.attempt())
+    assert _reasons(results) == [reason]
+    assert results[0].outcome == _frames.Outcome.NOT_RUN
+    assert pool.calls == []
+
+
+def test_nothing_runs_before_the_target_announced_itself(
+    reactor, pool, results
+):
+    # A node that has just started cannot know whether its target had
+    # announced that it leaves.
+    side = _target.TargetSide(
+        reactor,
+        pool,
+        _names.HeaderNames(),
+        _counters.Counters(),
+        _costs.CallCosts('archive'),
+        _front.AdmitAll(),
+    )
+    caller = side.caller(1)
+    caller.send = results.append
+    side.accept(caller, fakes.attempt())
+    assert _reasons(results) == ['NOT_ANNOUNCED']
+
+
+def test_what_waits_at_a_leaving_target_goes_elsewhere(
+    side, caller, pool, results, reactor
+):
+    side.accept(caller, fakes.attempt(1, remaining_ms=9000))
+    side.accept(caller, fakes.attempt(2, remaining_ms=9000))
+    side.announce(fakes.record(slots=2, state='draining', sequence=2))
+    reactor.run(_target.LEAVING_START_S + 0.2)
+    assert _reasons(results) == ['LEAVING']
+    assert results[0].number == 2
+
+
+def test_cancel_of_a_waiting_attempt_keeps_it_from_running(side, caller, pool):
+    side.accept(caller, fakes.attempt(1))
+    side.accept(caller, fakes.attempt(2))
+    side.cancel(caller, 2)
+    pool.calls[0].on_answer(_complete())
+    assert len(pool.calls) == 1
+
+
+def test_cancel_of_a_running_attempt_reaches_the_target(side, caller, pool):
+    side.accept(caller, fakes.attempt(1))
+    side.accept(caller, fakes.attempt(2))
+    side.cancel(caller, 1)
+    assert pool.calls[0].aborted
+    assert pool.calls[1].request_id == b'r2'
+
+
+def test_attempts_of_a_node_that_stays_away_are_cancelled(
+    side, caller, pool, reactor
+):
+    side.accept(caller, fakes.attempt(remaining_ms=9000))
+    caller.send = None
+    caller.lost_at = reactor.now()
+    reactor.run(_target.CALLER_AWAY_S - 0.2)
+    assert not pool.calls[0].aborted
+    reactor.run(0.5)
+    assert pool.calls[0].aborted
+
+
+def test_attempt_past_its_deadline_ends_at_the_target(
+    side, caller, pool, reactor
+):
+    side.accept(caller, fakes.attempt(remaining_ms=200))
+    reactor.run(0.4)
+    assert pool.calls[0].aborted
+
+
+def test_attempt_that_cannot_end_in_time_does_not_start(
+    side, caller, pool, results, reactor
+):
+    side.limit.service_s = 0.2
+    side.accept(caller, fakes.attempt(1))
+    side.accept(caller, fakes.attempt(2, remaining_ms=500))
+    reactor.run(0.45)
+    assert _reasons(results) == ['QUEUE_EXPIRED']
+    assert results[0].outcome == _frames.Outcome.NOT_RUN
+
+
+def test_attempt_that_would_wait_too_long_is_refused_at_once(
+    side, caller, results
+):
+    side.limit.service_s = 0.5
+    for number in range(1, 5):
+        side.accept(caller, fakes.attempt(number))
+    assert _reasons(results) == ['QUEUE_FULL']
+
+
+@pytest.mark.parametrize('outcome', ['NOT_RUN', 'UNKNOWN'])
+def test_end_without_answer_is_passed_on(side, caller, pool, results, outcome):
+    side.accept(caller, fakes.attempt())
+    pool.calls[0].on_answer(
+        _upstream.Answer(_frames.Outcome[outcome], _frames.Reason.ANSWER_LOST)
+    )
+    assert results[0].outcome == _frames.Outcome[outcome]
+
+
+def test_load_is_told_with_each_result(side, caller, pool, results):
+    for number in range(1, 4):
+        side.accept(caller, fakes.attempt(number))
+    pool.calls[0].on_answer(_complete())
+    assert results[0].load.waiting == 2
+    assert results[0].load.limit == 1
--- /dev/null
+++ b/tests/platform/test_formats.py
@@ -0,0 +1,263 @@
+"""The platform's formats, decoded into the product's types."""
+
+import base64
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from rosemarycrank import dataplane
+from rosemarycrank.platform import _adapter
+from rosemarycrank.platform import _configuration
+from rosemarycrank.platform import _heartbeats
+from rosemarycrank.platform import _settings
+from rosemarycrank.platform import _store
+
+SETTINGS = """
+node_name=sidecar-a-1
+ip=10.1.0.8
+zone=a
+listen.outbound=10.1.0.8:8304
+listen.ready=10.1.0.8:8302
+listen.control=10.1.0.8:8306
+port_range=7620,7635
+bounds.grace_s=6
+bounds.retry_budget_ratio=0.2
+bounds.budget_slack=48
+app_addr=10.1.0.8:8301
+service=archive
+provider.address=10.200.1.7:8309
+field.of.tomorrow=1
+"""
+
+
+def test_settings():
+    settings = _settings.parse(SETTINGS)
+    assert settings.outbound == ('10.1.0.8', 8304)
+    assert settings.peer == '10.1.0.8:7620'
+    assert settings.store == ('10.200.1.7', 8309)
+    assert settings.retry_budget_slack == 48.0
+
+
+@pytest.mark.parametrize(
+    'old, new, named',
+    [
+        ('ip=10.1.0.8', '', 'ip'),
+        ('service=archive', 'service=', 'service'),
+        ('app_addr=10.1.0.8:8301', 'app_addr=10.1.0.8', 'app_addr'),
+        ('bounds.grace_s=6', 'bounds.grace_s=six', 'bounds.grace_s'),
+        ('port_range=7620,7635', 'port_range=x', 'port_range'),
+        ('zone=a', 'zone', 'line 4'),
+    ],
+)
+def test_bad_settings_name_what_is_wrong(old, new, named):
+    with pytest.raises(_settings.SettingsError, match=named):
+        _settings.parse(SETTINGS.replace(old, new))
+
+
+def test_missing_settings_file():
+    with pytest.raises(_settings.SettingsError):
+        _settings.read('/nowhere/settings.conf')
+
+
+def _document(**route):
+    fields = {
+        'name': 'r1',
+        'hostname': 'H.example',
+        'path_prefix': '/a/',
+        'route_type': 'idempotent',
+        'timeout_s': 6,
+        'aim_s': 1.5,
+        'priority': 2,
+        'max_attempts': 2,
+        'service': 'archive',
+    }
+    return json.dumps({'version': 7, 'routes': [fields | route]}).encode()
+
+
+def test_configuration():
+    configuration = _configuration.decode(_document())
+    route = configuration.match(b'h.example', b'/a/x')
+    assert configuration.version == 7
+    assert route.idempotent
+    assert route.services == (dataplane.WeightedService('archive', 1.0),)
+    assert (route.timeout_s, route.aim_s) == (6.0, 1.5)
+
+
+def test_weighted_services():
+    parts = [{'service': 'a', 'weight': 90}, {'service': 'b', 'weight': 0}]
+    configuration = _configuration.decode(
+        _document(weighted_services=parts, route_type='non_idempotent')
+    )
+    (route,) = configuration.routes
+    assert not route.idempotent
+    assert [part.service for part in route.services] == ['a']
+
+
+@pytest.mark.parametrize('body', [b'', b'[]', b'{"version": "x"}', b'\xff'])
+def test_other_documents_are_refused(body):
+    with pytest.raises(ValueError):
+        _configuration.decode(body)
+
+
+def _beat(**changes):
+    fields = {
+        'service': 'archive',
+        'address': '10.1.0.8:8301',
+        'zone': 'a',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'cold_left_s': 0,
+        'seq': 4,
+        'born': 1768497271598,
+    }
+    return json.dumps(fields | changes).encode()
+
+
+def test_heartbeat():
+    beat = _heartbeats.decode('i-1', _beat())
+    assert (beat.instance, beat.sequence) == ('i-1', 4)
+    assert beat.born_ms == 1768497271598
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'sleeping'},
+        {'slots': 'many'},
+        {'slots': -1},
+        {'seq': None},
+        {'service': 3},
+        {'born': 1.5},
+    ],
+)
+def test_foreign_heartbeat_is_refused(changes):
+    with pytest.raises(ValueError):
+        _heartbeats.decode('i-1', _beat(**changes))
+
+
+class _Registration:
+    def __init__(self):
+        self.heard = []
+
+    def report(self, heartbeat):
+        self.heard.append(heartbeat.state)
+
+    def withdraw(self, instance, born_ms):
+        self.heard.append((instance, born_ms))
+
+
+@pytest.fixture
+def adapter():
+    return _adapter.PlatformAdapter(('127.0.0.1', 1))
+
+
+@pytest.mark.parametrize(
+    'method, target, body, status, heard',
+    [
+        (b'PUT', b'/rosemarycrank/instances/i-1', _beat(), 200, ['ready']),
+        (b'PUT', b'/rosemarycrank/instances/i-1', b'\xff', 400, []),
+        (b'DELETE', b'/rosemarycrank/instances/i-1', b'', 200, [('i-1', 0)]),
+        (
+            b'DELETE',
+            b'/rosemarycrank/instances/i-1',
+            b'{"born":5}',
+            200,
+            [('i-1', 5)],
+        ),
+        (b'GET', b'/rosemarycrank/instances/i-1', b'', 405, []),
+        (b'PUT', b'/elsewhere', _beat(), 404, []),
+    ],
+)
+def test_reports_of_targets(adapter, method, target, body, status, heard):
+    registration = _Registration()
+    message = dataplane.Message(method, target, body=body)
+    reply = adapter.handle_control(message, registration)
+    assert (reply.status, registration.heard) == (status, heard)
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_as_heartbeat_are_answered(body):
+    adapter = _adapter.PlatformAdapter(('127.0.0.1', 1))
+    message = dataplane.Message(
+        b'PUT', b'/rosemarycrank/instances/i', body=body
+    )
+    assert adapter.handle_control(message, _Registration()).status == 400
+
+
+class _Client:
+    """HTTP client whose answers the test gives."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    def call(self, method, target, body, timeout_s, on_reply):
+        self.calls.append((method, target, body))
+        on_reply(self.answers.pop(0))
+
+
+def _answer(status, **body):
+    return dataplane.HttpReply(status, json.dumps(body).encode())
+
+
+def _wire_row(key, ver, value=None):
+    row = {'table_name': 't', 'part': '', 'key': key, 'ver': ver}
+    if value is None:
+        return row | {'tombstone': True}
+    return row | {'value': base64.b64encode(value).decode()}
+
+
+def test_pages_are_read_to_the_end_from_one_version():
+    client = _Client(
+        _answer(200, rows=[_wire_row('a', 1, b'x')], has_more=True, ver=5),
+        _answer(200, rows=[_wire_row('b', 6, b'y')], has_more=False, ver=6),
+    )
+    replies = []
+    _store.RowStore(client).read('t', replies.append)
+    (reply,) = replies
+    assert [row.value for row in reply.rows] == [b'x', b'y']
+    # What changed between the pages is followed from the first one.
+    assert reply.version == 5
+    assert 'from=a%00' in client.calls[1][1]
+
+
+def test_dropped_rows_have_no_value():
+    client = _Client(_answer(200, rows=[_wire_row('a', 9)], ver=9))
+    replies = []
+    _store.RowStore(client).follow('t', 5, 10.0, replies.append)
+    assert replies[0].rows == (dataplane.StoredRow('a', 9, None),)
+    assert 'after=5' in client.calls[0][1]
+    assert 'wait_ms=10000' in client.calls[0][1]
+
+
+@pytest.mark.parametrize(
+    'status, kind',
+    [
+        (0, 'FAILED'),
+        (200, 'OK'),
+        (403, 'FAILED'),
+        (410, 'COMPACTED'),
+        (412, 'CONFLICT'),
+        (429, 'REFUSED'),
+        (503, 'REFUSED'),
+    ],
+)
+def test_ends_of_a_write(status, kind):
+    client = _Client(_answer(status, rows=[], ver=3))
+    replies = []
+    row = dataplane.StoredRow('k', 2, b'v')
+    _store.RowStore(client).write('t', row, replies.append)
+    assert replies[0].kind is dataplane.ReplyKind[kind]
+    body = json.loads(client.calls[0][2])
+    assert body['expected'][0]['ver'] == 2
+    assert base64.b64decode(body['puts'][0]['value']) == b'v'
+
+
+def test_garbled_answer_is_a_failure():
+    client = _Client(dataplane.HttpReply(200, b'{"rows": 3'))
+    replies = []
+    _store.RowStore(client).follow('t', 5, 1.0, replies.append)
+    assert replies[0].kind is dataplane.ReplyKind.FAILED
