Tell clients' routes from targets' calls; shed by all targets' loads

Ruled out: the sender's address (every connection comes from the machine's own), host names, spelling of ids (both opaque). Change: a route whose requests arrive while the target idles is the clients'; rows and first frames spread it. The share comes from the loads of all targets of a service; relayed reports age.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -31,13 +31,10 @@
         Owner.
     sock : socket.socket
         The connection.
-    is_local : bool
-        Whether the local target opened it.
     """
 
     __slots__ = (
         'server',
-        'is_local',
         'stream',
         'waiting_since',
         'closing',
@@ -48,9 +45,8 @@
         '_served',
     )
 
-    def __init__(self, server, sock, is_local):
+    def __init__(self, server, sock):
         self.server = server
-        self.is_local = is_local
         self.closing = False
         self.waiting_since = server.reactor.now()
         self._reader = _http1.RequestReader(
@@ -104,8 +100,7 @@
         while exchanges and exchanges[0].response is not None:
             exchange = exchanges.pop(0)
             last = (
-                not exchange.keep_alive
-                or (self.server.draining and not self.is_local)
+                not exchange.keep_alive or self.server.draining
             ) and not exchanges
             data = exchange.response
             if last:
@@ -198,8 +193,6 @@
         The loop.
     entry : EntrySide
         Where requests go.
-    own_ip : str
-        IP address of this VM; connections from it are the local target's.
 
     Attributes
     ----------
@@ -209,10 +202,9 @@
         Whether answers close their connections.
     """
 
-    def __init__(self, reactor, entry, own_ip):
+    def __init__(self, reactor, entry):
         self.reactor = reactor
         self.entry = entry
-        self.own_ip = own_ip
         self.limits = _http1.Limits()
         self.draining = False
         self._connections = set()
@@ -230,17 +222,10 @@
         """Drop a connection that is closed."""
         self._connections.discard(connection)
 
-    def close_idle(self, with_local):
-        """Close the connections on which nothing is under way.
-
-        Parameters
-        ----------
-        with_local : bool
-            Whether those of the local target are meant too.
-        """
+    def close_idle(self):
+        """Close the connections on which nothing is under way."""
         for connection in list(self._connections):
-            if with_local or not connection.is_local:
-                connection.close_when_idle()
+            connection.close_when_idle()
 
     def stop_accepting(self):
         """Close the listening socket."""
@@ -248,10 +233,8 @@
             self._listener.close()
             self._listener = None
 
-    def _accepted(self, sock, peer_ip):
-        self._connections.add(
-            ClientConnection(self, sock, peer_ip == self.own_ip)
-        )
+    def _accepted(self, sock, _ip):
+        self._connections.add(ClientConnection(self, sock))
 
     def _sweep(self, now):
         for connection in list(self._connections):
--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -113,6 +113,17 @@
         key = (service, route)
         self._calls[key] = self._calls.get(key, 0) + 1
 
+    def forget_calls(self, route):
+        """Drop the counts of a route that targets do not call."""
+        for counts in (
+            self._calls,
+            self._smooth_calls,
+            self._fits,
+            self._totals,
+        ):
+            for key in [key for key in counts if key[1] == route]:
+                del counts[key]
+
     def heard(self, service, costs_by_route):
         """Take the costs that a node of another service reports.
 
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -217,11 +217,7 @@
         exchange.route = route
         exchange.deadline_at = exchange.arrived_at + wait_s
         exchange.service = self.picker.pick(route)
-        if exchange.connection.is_local:
-            self.node.costs.called(exchange.service, route.name)
-        elif not self.node.front.admit(
-            route, exchange.service, exchange.arrived_at
-        ):
+        if not self._admit(exchange):
             self._refuse(exchange, 503, 'shed at the front')
             return
         exchange.head = b'%b %b HTTP/1.1\r\n%b%b' % (
@@ -236,6 +232,21 @@
         )
         self._attempt(exchange)
 
+    def _admit(self, exchange):
+        node = self.node
+        route = exchange.route
+        from_client = node.origins.arrived(
+            route.name,
+            exchange.arrived_at,
+            node.target_side.idle_s(exchange.arrived_at),
+        )
+        if from_client:
+            return node.front.admit(route, exchange.service)
+        # What targets call is never refused here: the requests for which
+        # they call have been let in already.
+        node.costs.called(exchange.service, route.name)
+        return True
+
     def abandon(self, exchange):
         """Give a request up whose client is gone."""
         if exchange.response is not None:
@@ -264,6 +275,7 @@
         attempt = _frames.Attempt(
             number,
             record.instance,
+            len(exchange.tried),
             max(1, int((exchange.deadline_at - now) * 1000.0)),
             int((exchange.arrived_at + route.aim_s - now) * 1000.0),
             route.priority,
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -83,6 +83,21 @@
     sequence: int
 
 
+class Pressure(msgspec.Struct, array_like=True, frozen=True):
+    """How short a service is of room, as a node has heard it.
+
+    Attributes
+    ----------
+    share : float
+        Share of its load that has to be kept away at the front.
+    age_s : float
+        Seconds since the service's own nodes reported.
+    """
+
+    share: float
+    age_s: float
+
+
 class Load(msgspec.Struct, array_like=True):
     """How busy a target is, as its node sees it.
 
@@ -92,18 +107,18 @@
         Attempts at work, in the queue, and the most that run at once.
     service_s : float
         Usual seconds that one takes.
-    share : float
-        Share of the load on it that has to be kept away at the front.
-    shares_below : dict of str to float
-        The same for the services that it calls, by service.
+    arrivals_per_s : float
+        Attempts a second for which this target is the first choice.
+    pressures : dict of str to Pressure
+        What the node knows of services that are short of room.
     """
 
     running: int
     waiting: int
     limit: int
     service_s: float
-    share: float = 0.0
-    shares_below: dict[str, float] = {}
+    arrivals_per_s: float = 0.0
+    pressures: dict[str, Pressure] = {}
 
 
 class Hello(msgspec.Struct, array_like=True, tag=0):
@@ -123,6 +138,8 @@
         Version in force at the sender; -1 for none.
     records : list of TargetRecord
         All that the sender knows.
+    client_routes : list of str
+        Routes that clients are known to use.
     """
 
     protocol: int
@@ -131,6 +148,7 @@
     generation: int
     configuration_version: int
     records: list[TargetRecord]
+    client_routes: list[str]
 
 
 class Attempt(msgspec.Struct, array_like=True, tag=1):
@@ -142,6 +160,8 @@
         Number of the attempt at the sender; grows.
     instance : str
         Target that may run it.
+    offers : int
+        Targets to which the request was offered before.
     remaining_ms : int
         Time that is left for the answer.
     urgency_ms : int
@@ -160,6 +180,7 @@
 
     number: int
     instance: str
+    offers: int
     remaining_ms: int
     urgency_ms: int
     priority: int
--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -1,17 +1,20 @@
 """Admission of whole requests at the entry node.
 
-Where a service somewhere below is short of room, its nodes report which
-share of their load has to be kept away. Each entry node takes that share
-from what its own clients ask, least important routes first, and refuses
-those requests before any work has been done for them.
+Where a service somewhere below is short of room, the reports of its nodes
+tell which share of its load has to be kept away. Each entry node takes that
+share from what its own clients ask, least important routes first, and
+refuses those requests before any work has been done for them.
 """
 
 import abc
+import logging
 
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _pressure
 from rosemarycrank import kernel
 
 #: Age after which a report counts no more, in seconds.
-REPORT_S = 1.0
+REPORT_S = _pressure.REPORT_S
 
 #: Time over which the requests of a route are averaged, in seconds.
 DEMAND_WINDOW_S = 2.0
@@ -19,21 +22,34 @@
 #: Seconds between calculations of the shares to refuse.
 UPDATE_S = 0.1
 
+#: Change of a share that is worth a line of the log.
+LOGGED_STEP = 0.1
+
 #: Largest share of a route that is refused before more important ones are
 #: touched, and after that. No kind of request is starved for others.
 FIRST_SHARE = 0.6
 LAST_SHARE = 0.95
 
+_LOG = logging.getLogger(__name__)
+
 
 class FrontAdmission(abc.ABC):
     """Decides which client requests are let in."""
 
     @abc.abstractmethod
-    def report(self, service, reporter, share, now):
-        """Take the share that a node of a service wants kept away."""
+    def heard(self, service, reporter, load, now):
+        """Take the load of a target, from its own node."""
+
+    @abc.abstractmethod
+    def relayed(self, service, pressure, now):
+        """Take what another node has heard of a service."""
+
+    @abc.abstractmethod
+    def update(self, now):
+        """Work out anew what to refuse; called every `UPDATE_S`."""
 
     @abc.abstractmethod
-    def admit(self, route, service, now):
+    def admit(self, route, service):
         """Return whether a request is let in.
 
         Parameters
@@ -42,27 +58,31 @@
             Its route.
         service : str
             Service that it goes to.
-        now : float
-            Seconds of the node's clock.
         """
 
     @abc.abstractmethod
-    def shares_below(self, now):
-        """Return the reported shares by service, for the callers."""
+    def pressures(self, now):
+        """Return what is known of services that are short, by service."""
 
 
 @kernel.register('front_admission', 'all')
 class AdmitAll(FrontAdmission):
     """Baseline: lets everything in."""
 
-    def report(self, service, reporter, share, now):
-        """Ignore a report."""
+    def heard(self, service, reporter, load, now):
+        """Ignore a load."""
 
-    def admit(self, route, service, now):
+    def relayed(self, service, pressure, now):
+        """Ignore a relayed report."""
+
+    def update(self, now):
+        """Do nothing."""
+
+    def admit(self, route, service):
         """Let the request in."""
         return True
 
-    def shares_below(self, now):
+    def pressures(self, now):
         """Return nothing."""
         return {}
 
@@ -81,7 +101,7 @@
 
 @kernel.register('front_admission', 'by_cost')
 class AdmitByCost(FrontAdmission):
-    """Refuses what frees the services that are short, by importance.
+    """Refuse what frees the services that are short, by importance.
 
     The order is the configuration's priority, then the cost at the short
     service: what needs more of it for one answer goes first.
@@ -94,25 +114,29 @@
 
     def __init__(self, costs):
         self.costs = costs
-        self._reports_by_service = {}
+        self._own_by_service = {}
+        self._relayed_by_service = {}
         self._demands = {}
         self._updated_at = None
-
-    def report(self, service, reporter, share, now):
-        """Take the share that a node of a service wants kept away."""
-        reports = self._reports_by_service.get(service)
-        if reports is None:
-            if share <= 0.0:
-                return
-            reports = self._reports_by_service.setdefault(service, {})
-        reports[reporter] = (share, now)
-
-    def admit(self, route, service, now):
+        self._logged_by_service = {}
+
+    def heard(self, service, reporter, load, now):
+        """Take the load of a target, from its own node."""
+        own = self._own_by_service.get(service)
+        if own is None:
+            own = _pressure.ServicePressure()
+            self._own_by_service[service] = own
+        own.heard(reporter, load, now)
+
+    def relayed(self, service, pressure, now):
+        """Take what another node has heard, if it is fresher."""
+        at = now - pressure.age_s
+        known = self._relayed_by_service.get(service)
+        if known is None or at > known[1]:
+            self._relayed_by_service[service] = (pressure.share, at)
+
+    def admit(self, route, service):
         """Return whether a request is let in."""
-        if self._updated_at is None:
-            self._updated_at = now
-        elif now - self._updated_at >= UPDATE_S:
-            self._update(now)
         key = (route.name, service)
         demand = self._demands.get(key)
         if demand is None:
@@ -129,27 +153,22 @@
         demand.credit -= 1.0
         return False
 
-    def shares_below(self, now):
-        """Return the reported shares by service."""
-        shares = {}
-        for service, reports in list(self._reports_by_service.items()):
-            fresh = []
-            for reporter, (share, at) in list(reports.items()):
-                if now - at > REPORT_S:
-                    del reports[reporter]
-                else:
-                    fresh.append(share)
-            if not fresh:
-                del self._reports_by_service[service]
-                continue
-            mean = sum(fresh) / len(fresh)
-            if mean > 0.0:
-                shares[service] = mean
-        return shares
-
-    def _update(self, now):
-        elapsed_s = now - self._updated_at
+    def pressures(self, now):
+        """Return what is known of services that are short, by service."""
+        return {
+            service: _frames.Pressure(share, now - at)
+            for service, (share, at) in self._newest(now).items()
+            if share > 0.0
+        }
+
+    def update(self, now):
+        """Work out anew what to refuse."""
+        elapsed_s = 0.0 if self._updated_at is None else now - self._updated_at
         self._updated_at = now
+        for pressure in self._own_by_service.values():
+            pressure.update(now)
+        if elapsed_s <= 0.0:
+            return
         weight = min(1.0, elapsed_s / DEMAND_WINDOW_S)
         for key, demand in list(self._demands.items()):
             demand.rate += weight * (demand.count / elapsed_s - demand.rate)
@@ -157,8 +176,45 @@
             demand.refused_share = 0.0
             if demand.rate < 1e-3:
                 del self._demands[key]
-        for service, share in self.shares_below(now).items():
-            self._keep_away(service, share)
+        for service, (share, _) in self._newest(now).items():
+            if share > 0.0:
+                self._keep_away(service, share)
+            self._log(service, share)
+
+    def _newest(self, now):
+        """Return share and time by service, own reports before others'."""
+        newest = {}
+        for service, own in self._own_by_service.items():
+            at = own.heard_at()
+            if at is not None and now - at <= REPORT_S:
+                newest[service] = (own.share, at)
+        for service, (share, at) in list(self._relayed_by_service.items()):
+            if now - at > REPORT_S:
+                del self._relayed_by_service[service]
+            elif service not in newest:
+                newest[service] = (share, at)
+        return newest
+
+    def _log(self, service, share):
+        logged = self._logged_by_service.get(service, 0.0)
+        if abs(share - logged) < LOGGED_STEP and (share > 0.0 or not logged):
+            return
+        self._logged_by_service[service] = share
+        own = self._own_by_service.get(service)
+        _LOG.info(
+            'share of %s kept away is %.2f',
+            service,
+            share,
+            extra={
+                'event': 'pressure',
+                'offered_per_s': round(own.offered_per_s, 1) if own else None,
+                'refused': {
+                    demand.route.name: round(demand.refused_share, 2)
+                    for demand in self._demands.values()
+                    if demand.refused_share > 0.0
+                },
+            },
+        )
 
     def _keep_away(self, service, share):
         loads = []
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -8,7 +8,9 @@
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _local_peer
+from rosemarycrank.dataplane import _origins
 from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _reactor
 
@@ -88,9 +90,14 @@
         self.next_number = 0
         self.target_side = None
         self.on_configuration = []
+        self.on_client_route = []
+        self.origins = _origins.RouteOrigins(
+            reactor.now(), self._found_client_route
+        )
         self._listener = None
         reactor.timers.every(CHECK_S, self._check)
         reactor.timers.every(_costs.WINDOW_S, self._close_window)
+        reactor.timers.every(_front.UPDATE_S, self._update_front)
 
     def listen(self):
         """Accept connections of other nodes."""
@@ -124,6 +131,7 @@
             generation,
             self.configuration_version(),
             self.directory.records(),
+            sorted(self.origins.client_routes),
         )
 
     def configuration_version(self):
@@ -184,19 +192,27 @@
         """Take the load of another node's target."""
         record = self.directory.by_node.get(address)
         if record is not None:
-            self.front.report(record.service, address, load.share, now)
-        for service, share in load.shares_below.items():
-            self.front.report(service, address, share, now)
+            self.front.heard(record.service, address, load, now)
+        for service, pressure in load.pressures.items():
+            self.front.relayed(service, pressure, now)
 
     def take_hello(self, hello, link):
         """Take what another node knows."""
         for record in hello.records:
             self.merge(record)
+        for route in hello.client_routes:
+            self.heard_client_route(route)
         self.heard_version(hello.configuration_version, link)
         peer = self.peers_by_node.get(hello.node)
         if peer is not None and peer is not link and not peer.reachable:
             peer.retry_now()
 
+    def heard_client_route(self, route):
+        """Take that clients use a route."""
+        if route not in self.origins.client_routes:
+            self.origins.heard(route)
+            self.costs.forget_calls(route)
+
     def take_notice(self, frame, link):
         """Take a notice of another node."""
         if isinstance(frame, _frames.Announcement):
@@ -235,6 +251,21 @@
         for visitor in list(self.visitors):
             visitor.close()
 
+    def _found_client_route(self, route):
+        _LOG.info(
+            'clients use route %s',
+            route,
+            extra={'event': 'client_route', 'route': route},
+        )
+        self.costs.forget_calls(route)
+        for callback in self.on_client_route:
+            callback(route)
+
+    def _update_front(self, now):
+        if self.target_side.record is not None:
+            self.heard_load(self.target_side.load(), self.address, now)
+        self.front.update(now)
+
     def _close_window(self, _now):
         costs = self.costs.close_window()
         if costs and any(len(cost) > 1 for cost in costs.values()):
--- a/rosemarycrank/dataplane/_pressure.py
+++ b/rosemarycrank/dataplane/_pressure.py
@@ -1,4 +1,4 @@
-"""Which share of a target's load has to be kept away at the front.
+"""Which share of a service's load has to be kept away at the front.
 
 Answers the pattern of fan-out onto a saturated service at the end of the
 call graph: a request that is admitted at the front is lost if any one of
@@ -6,16 +6,17 @@
 before any of them has begun.
 """
 
-#: Wait in the queue that is aimed at, in seconds: long enough that the
-#: target never idles, short beside the time that requests have.
-AIMED_WAIT_S = 0.04
+#: Wait in the queues that is aimed at, in seconds: long enough that the
+#: targets never idle, short beside the time that a request has, which may
+#: make many calls one after the other.
+AIMED_WAIT_S = 0.015
 
-#: Time in which a queue that is off its aim is brought back, in seconds.
+#: Time in which queues that are off their aim are brought back, in seconds.
 #: It has to exceed the time from a request's admission to its last call.
-HORIZON_S = 1.0
+HORIZON_S = 0.8
 
 #: Time over which rates of arrival are averaged, in seconds.
-RATE_WINDOW_S = 0.6
+RATE_WINDOW_S = 0.5
 
 #: Largest share that is kept away; the rest keeps the reports coming.
 LARGEST_SHARE = 0.95
@@ -23,54 +24,104 @@
 #: Share of the distance to a new value that one step covers.
 STEP_SHARE = 0.35
 
+#: Age after which a report counts no more, in seconds.
+REPORT_S = 1.0
 
-class Pressure:
-    """Share to keep away, from arrivals, queue and speed of a target.
+
+class ArrivalRate:
+    """Arrivals a second, averaged.
+
+    Attributes
+    ----------
+    per_s : float
+        The average.
+    """
+
+    def __init__(self):
+        self.per_s = 0.0
+        self._count = 0
+        self._updated_at = None
+
+    def arrived(self):
+        """Count one arrival."""
+        self._count += 1
+
+    def update(self, now):
+        """Close a window of counts."""
+        if self._updated_at is not None and now > self._updated_at:
+            elapsed_s = now - self._updated_at
+            weight = min(1.0, elapsed_s / RATE_WINDOW_S)
+            self.per_s += weight * (self._count / elapsed_s - self.per_s)
+            self._count = 0
+        self._updated_at = now
+
+
+class ServicePressure:
+    """Share to keep away from one service, from its targets' loads.
+
+    All nodes work it out from the same reports in the same way, so what a
+    node worked out before is what all entry nodes have applied.
 
     Attributes
     ----------
     share : float
         Share of the load that is offered, from 0 to `LARGEST_SHARE`.
+    offered_per_s : float
+        Calls a second that would come if nothing were kept away.
     """
 
     def __init__(self):
         self.share = 0.0
-        self._arrivals = 0
-        self._rate = 0.0
+        self.offered_per_s = 0.0
         self._applied = 0.0
         self._updated_at = None
+        self._reports = {}
 
-    def arrived(self):
-        """Count an attempt."""
-        self._arrivals += 1
+    def heard(self, reporter, load, now):
+        """Take the load of one target.
 
-    def update(self, now, waiting, limit, service_s):
+        Parameters
+        ----------
+        reporter : str
+            Its node.
+        load : rosemarycrank.dataplane.Load
+            What the node reports.
+        now : float
+            Seconds of the node's clock.
+        """
+        self._reports[reporter] = (load, now)
+
+    def heard_at(self):
+        """Return when the newest report came; None without any."""
+        return max((at for _, at in self._reports.values()), default=None)
+
+    def update(self, now):
         """Work out the share anew.
 
         Parameters
         ----------
         now : float
             Seconds of the node's clock.
-        waiting, limit : int
-            Attempts in the queue, and the most that run at once.
-        service_s : float
-            Usual seconds of a run.
         """
-        if self._updated_at is None:
-            self._updated_at = now
+        elapsed_s = 0.0 if self._updated_at is None else now - self._updated_at
+        self._updated_at = now
+        arrivals = capacity = waiting = 0.0
+        for reporter, (load, at) in list(self._reports.items()):
+            if now - at > REPORT_S:
+                del self._reports[reporter]
+            elif load.service_s > 0.0:
+                arrivals += load.arrivals_per_s
+                capacity += load.limit / load.service_s
+                waiting += load.waiting
+        if not self._reports:
+            self.share = self._applied = 0.0
             return
-        elapsed_s = now - self._updated_at
-        if elapsed_s <= 0.0:
+        if capacity <= 0.0:
             return
-        self._updated_at = now
         weight = min(1.0, elapsed_s / RATE_WINDOW_S)
-        self._rate += weight * (self._arrivals / elapsed_s - self._rate)
         self._applied += weight * (self.share - self._applied)
-        self._arrivals = 0
-        if service_s <= 0.0:
-            return
-        capacity = limit / service_s
-        offered = self._rate / (1.0 - min(self._applied, LARGEST_SHARE))
+        offered = arrivals / (1.0 - min(self._applied, LARGEST_SHARE))
+        self.offered_per_s = offered
         excess = waiting - AIMED_WAIT_S * capacity
         wanted = max(0.0, capacity - excess / HORIZON_S)
         share = 0.0
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -37,6 +37,9 @@
 #: Seconds between looks whether all is finished.
 FINISH_CHECK_S = 0.05
 
+#: Keys of the rows that name the routes that clients use.
+CLIENT_ROUTE_PREFIX = 'client-route/'
+
 #: Allocations after which the collector looks at the young objects, and
 #: its runs after which it looks at older ones. Requests free their memory
 #: by reference counts, so rare runs suffice and pauses stay short.
@@ -51,8 +54,8 @@
 
     Attributes
     ----------
-    node_name, ip, failure_domain : str
-        Name, address and place of the VM.
+    node_name, failure_domain : str
+        Name and place of the VM.
     client_address, ready_address, control_address : tuple of (str, int)
         Where requests, the question for readiness and heartbeats arrive.
     metrics_address : tuple of (str, int) or None
@@ -74,7 +77,6 @@
     """
 
     node_name: str
-    ip: str
     failure_domain: str
     client_address: tuple
     ready_address: tuple
@@ -178,11 +180,10 @@
             self.counters,
             source,
         )
-        self.clients = _clients.ClientServer(
-            self.reactor, self.entry, settings.ip
-        )
+        self.clients = _clients.ClientServer(self.reactor, self.entry)
         node.on_configuration.append(self._configured)
         node.on_configuration.append(lambda _new: picker.forget())
+        node.on_client_route.append(self._publish_client_route)
         self.registration = _registration.Registration(
             settings.peer_address, self._announced
         )
@@ -277,10 +278,12 @@
     def _finish(self, now, leave_at, last_at):
         if now < leave_at:
             return
+        if self.target_side.busy() and now < last_at:
+            # What runs at the target may still call through this node.
+            return
         self.clients.stop_accepting()
-        self.clients.close_idle(with_local=now >= last_at)
-        busy = self.entry.under_way > 0 or self.target_side.busy()
-        if busy and now < last_at:
+        self.clients.close_idle()
+        if self.entry.under_way > 0 and now < last_at:
             return
         self.node.close()
         self.pool.close()
@@ -294,6 +297,16 @@
         self.node.announce(record)
         self.publisher.publish(_node.encode_record(record))
 
+    def _publish_client_route(self, route):
+        row = _discovery.StoredRow(CLIENT_ROUTE_PREFIX + route, 0, b'{}')
+        self.store.write(
+            self.settings.targets_table,
+            row,
+            lambda reply: _LOG.debug(
+                'route %s noted: %s', route, reply.kind.value
+            ),
+        )
+
     def _configured(self, configuration):
         self.clients.limits = configuration.limits
 
@@ -301,6 +314,10 @@
         self.publisher.seen(row)
         if row.key == self.settings.peer_address:
             return
+        if row.key.startswith(CLIENT_ROUTE_PREFIX):
+            route = row.key.removeprefix(CLIENT_ROUTE_PREFIX)
+            self.node.heard_client_route(route)
+            return
         if row.value is None:
             self.node.directory.remove(row.key)
             return
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -18,8 +18,8 @@
 #: Seconds between looks for attempts whose time has passed.
 SWEEP_S = 0.05
 
-#: Seconds between calculations of the share to keep away.
-PRESSURE_S = 0.1
+#: Seconds between calculations of the rate of arrivals.
+RATE_S = 0.1
 
 #: Seconds that a node whose connection was lost has to come back before
 #: its attempts are taken as cancelled.
@@ -121,7 +121,7 @@
     costs : CallCosts
         Learns which calls the runs cause.
     front : FrontAdmission
-        Knows the shares to keep away from the services below.
+        Knows which services are short of room.
 
     Attributes
     ----------
@@ -138,8 +138,8 @@
         self.counters = counters
         self.costs = costs
         self.front = front
-        self.pressure = _pressure.Pressure()
-        self._shares_below = {}
+        self.arrivals = _pressure.ArrivalRate()
+        self.pressures = {}
         self.record = None
         self.stopping = False
         self.limit = _limit.ConcurrencyLimit()
@@ -149,9 +149,9 @@
         self._waiting_count = 0
         self._sequence = itertools.count()
         self._left_at = None
-        self._load = None
+        self._last_run_at = reactor.now()
         reactor.timers.every(SWEEP_S, self._sweep)
-        reactor.timers.every(PRESSURE_S, self._update_pressure)
+        reactor.timers.every(RATE_S, self._update_rate)
 
     def announce(self, record):
         """Take what the local target says of itself.
@@ -187,10 +187,14 @@
             self._waiting_count,
             self.limit.value,
             self.limit.service_s,
-            self.pressure.share,
-            self._shares_below,
+            self.arrivals.per_s,
+            self.pressures,
         )
 
+    def idle_s(self, now):
+        """Return the seconds since the target last ran something."""
+        return 0.0 if self._running else now - self._last_run_at
+
     def busy(self):
         """Return whether attempts run or wait."""
         return bool(self._running) or self._waiting_count > 0
@@ -219,7 +223,8 @@
             self._end(served, _UNKNOWN, _frames.Reason.FORGOTTEN)
             return
         caller.served_by_number[number] = served
-        self.pressure.arrived()
+        if not attempt.offers:
+            self.arrivals.arrived()
         reason = self._refusal(attempt, served, now)
         if reason is not None:
             self._end(served, _NOT_RUN, reason)
@@ -285,7 +290,7 @@
     def _answered(self, served, answer):
         self._running.discard(served)
         served.connection = None
-        now = self.reactor.now()
+        now = self._last_run_at = self.reactor.now()
         took_s = now - served.started_at
         self.limit.observe(
             took_s, answer.outcome == _COMPLETE, len(self._running) + 1
@@ -345,6 +350,7 @@
             served.connection.abort()
             served.connection = None
             self._running.discard(served)
+            self._last_run_at = self.reactor.now()
             outcome = _UNKNOWN
         else:
             self._waiting_count -= 1
@@ -398,11 +404,9 @@
         self._drop_lost_callers(now)
         self._fill()
 
-    def _update_pressure(self, now):
-        self.pressure.update(
-            now, self._waiting_count, self.limit.value, self.limit.service_s
-        )
-        self._shares_below = self.front.shares_below(now)
+    def _update_rate(self, now):
+        self.arrivals.update(now)
+        self.pressures = self.front.pressures(now)
 
     def _drop_lost_callers(self, now):
         for caller in list(self.callers_by_incarnation.values()):
--- a/rosemarycrank/platform/__main__.py
+++ b/rosemarycrank/platform/__main__.py
@@ -27,7 +27,6 @@
 def _process_settings(settings):
     return dataplane.ProcessSettings(
         node_name=settings.node_name,
-        ip=settings.ip,
         failure_domain=settings.failure_domain,
         client_address=settings.outbound,
         ready_address=settings.ready,
--- /dev/null
+++ b/tests/dataplane/test_origins.py
@@ -0,0 +1,57 @@
+"""Which routes clients use."""
+
+import random
+
+import pytest
+
+from rosemarycrank.dataplane import _origins
+
+
+@pytest.fixture
+def found():
+    return []
+
+
+@pytest.fixture
+def origins(found):
+    return _origins.RouteOrigins(0.0, found.append)
+
+
+def test_route_that_arrives_while_the_target_idles_is_the_clients(
+    origins, found
+):
+    for step in range(20):
+        origins.arrived('read', 10.0 + step * 0.1, 1.0)
+    assert found == ['read']
+    assert origins.arrived('read', 20.0, 0.0)
+
+
+def test_call_is_never_taken_for_a_request_of_a_client(origins, found):
+    # Some targets go on calling after their run was cancelled.
+    source = random.Random(4)
+    for step in range(5000):
+        idle_s = 1.0 if source.random() < 0.03 else 0.0
+        origins.arrived('lookup', 10.0 + step * 0.02, idle_s)
+    assert found == []
+
+
+def test_nothing_is_decided_while_an_earlier_run_may_go_on(origins, found):
+    # A node that was started anew knows of no run, but the target may
+    # still work on what an earlier process sent it.
+    for step in range(60):
+        origins.arrived('lookup', step * 0.1, 1.0)
+    assert found == []
+
+
+def test_what_another_node_found_holds(origins, found):
+    origins.heard('read')
+    assert origins.arrived('read', 1.0, 0.0)
+    assert found == []
+
+
+def test_a_later_lull_tells(origins, found):
+    for step in range(2000):
+        origins.arrived('read', 10.0 + step * 0.01, 0.0)
+    for step in range(200):
+        origins.arrived('read', 60.0 + step * 0.5, 1.0)
+    assert found == ['read']
