--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -329,7 +329,7 @@
                 extra={
                     'event': 'retry',
                     'request_id': exchange.request_id,
-                    'node': exchange.tried[-1],
+                    'last': exchange.tried[-1],
                     'offers': len(exchange.tried),
                     'arrivals': exchange.arrivals,
                 },
--- a/rosemarycrank/dataplane/_limit.py
+++ b/rosemarycrank/dataplane/_limit.py
@@ -10,6 +10,10 @@
 #: nearly full, by more than the last slots would add.
 USED_SHARE = 0.945
 
+#: Share of a route's usual time that must be left for a run to begin: work
+#: that cannot end in time takes room from what can.
+LEAST_SHARE_LEFT = 0.9
+
 #: Slots assumed of a target that states none.
 DEFAULT_SLOTS = 32
 
@@ -28,6 +32,7 @@
     def __init__(self):
         self.value = DEFAULT_SLOTS
         self.service_s = 0.0
+        self._service_s_by_route = {}
 
     def reset(self, slots):
         """Start anew for a target that has just started.
@@ -40,12 +45,15 @@
         slots = slots if slots > 0 else DEFAULT_SLOTS
         self.value = max(1, int(slots * USED_SHARE))
         self.service_s = 0.0
+        self._service_s_by_route.clear()
 
-    def observe(self, took_s, complete, _running):
+    def observe(self, route, took_s, complete):
         """Learn from the end of a run.
 
         Parameters
         ----------
+        route : str
+            Route of the request.
         took_s : float
             Seconds from sending to the answer.
         complete : bool
@@ -55,8 +63,15 @@
             return
         if self.service_s == 0.0:
             self.service_s = took_s
-        else:
-            self.service_s += SAMPLE_WEIGHT * (took_s - self.service_s)
+        self.service_s += SAMPLE_WEIGHT * (took_s - self.service_s)
+        known_s = self._service_s_by_route.get(route, took_s)
+        self._service_s_by_route[route] = known_s + SAMPLE_WEIGHT * (
+            took_s - known_s
+        )
+
+    def least_s(self, route):
+        """Return the seconds that a run of a route has to have left."""
+        return LEAST_SHARE_LEFT * self._service_s_by_route.get(route, 0.0)
 
     def expected_wait_s(self, running, waiting):
         """Return the seconds until a new attempt would be answered.
--- a/rosemarycrank/dataplane/_origins.py
+++ b/rosemarycrank/dataplane/_origins.py
@@ -16,8 +16,9 @@
 #: Seconds without a run after which the target counts as idle.
 IDLE_AFTER_S = 0.05
 
-#: Seconds after the start of a node in which the target may still run
-#: what an earlier process of the node sent it.
+#: Seconds in which a target may still run what the node knows nothing of:
+#: after the start of the node, what an earlier process sent it. A single
+#: request after so long without a run tells enough.
 UNSURE_S = 7.0
 
 #: Seconds between halvings of the counts, so that a later lull can tell.
@@ -75,7 +76,7 @@
         if target_idle_s < IDLE_AFTER_S:
             return False
         counts[1] += 1
-        if (
+        if target_idle_s < UNSURE_S and (
             counts[1] < LEAST_IDLE_ARRIVALS
             or counts[1] < LEAST_IDLE_SHARE * counts[0]
         ):
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -25,9 +25,6 @@
 #: its attempts are taken as cancelled.
 CALLER_AWAY_S = 1.5
 
-#: Share of a usual run's time that must be left for an attempt to start.
-LEAST_SHARE_LEFT = 0.7
-
 #: Seconds after the target announced that it leaves in which attempts that
 #: wait may still start; the least bound that deployments set is 2 s.
 LEAVING_START_S = 1.0
@@ -258,6 +255,7 @@
         expected_s = self.limit.expected_wait_s(
             len(self._running), self._waiting_count
         )
+        expected_s += self.limit.least_s(attempt.route)
         if now + expected_s > served.deadline_at:
             return _frames.Reason.QUEUE_FULL
         return None
@@ -293,7 +291,7 @@
         now = self._last_run_at = self.reactor.now()
         took_s = now - served.started_at
         self.limit.observe(
-            took_s, answer.outcome == _COMPLETE, len(self._running) + 1
+            served.attempt.route, took_s, answer.outcome == _COMPLETE
         )
         self.counters.service_time.observe(took_s)
         self._end(
@@ -368,7 +366,7 @@
             if served.result is not None:
                 continue
             self._waiting_count -= 1
-            least_s = self.limit.service_s * LEAST_SHARE_LEFT
+            least_s = self.limit.least_s(served.attempt.route)
             if now + least_s > served.deadline_at:
                 self._end(served, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
             elif (
@@ -380,7 +378,6 @@
                 self._start(served, now)
 
     def _sweep(self, now):
-        least_s = self.limit.service_s * LEAST_SHARE_LEFT
         left = (
             self._left_at is not None and now > self._left_at + LEAVING_START_S
         )
@@ -388,6 +385,7 @@
             for _, _, served in list(self._waiting):
                 if served.result is not None:
                     continue
+                least_s = self.limit.least_s(served.attempt.route)
                 if left or now + least_s > served.deadline_at:
                     reason = (
                         _frames.Reason.LEAVING
--- a/tests/dataplane/test_origins.py
+++ b/tests/dataplane/test_origins.py
@@ -55,3 +55,8 @@
     for step in range(200):
         origins.arrived('read', 60.0 + step * 0.5, 1.0)
     assert found == ['read']
+
+
+def test_one_request_after_a_long_rest_is_enough(origins, found):
+    origins.arrived('read', 30.0, _origins.UNSURE_S)
+    assert found == ['read']
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -182,7 +182,8 @@
 def test_attempt_that_cannot_end_in_time_does_not_start(
     side, caller, pool, results, reactor
 ):
-    side.limit.service_s = 0.2
+    for _ in range(3):
+        side.limit.observe('read', 0.2, True)
     side.accept(caller, fakes.attempt(1))
     side.accept(caller, fakes.attempt(2, remaining_ms=500))
     reactor.run(0.45)
