Take nothing new late in a planned stop; calls inherit importance

Ruled out: a target's silence as the reason for the cuts (under_way was 438 at the stop, fed by clients that kept their connections). Change: as the subject says; questions are short after a failure and end at different times on different nodes.

--- a/rosemarycrank/dataplane/_discovery.py
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -6,11 +6,16 @@
 
 import attrs
 
-#: Seconds that the store may hold a question open until something changes.
-WAIT_S = 10.0
+#: Seconds that the store may hold a question open until something changes:
+#: after a failure, and at most. The latter is drawn from its upper part, so
+#: that the questions of many nodes end at different times and a connection
+#: that fell silent is noticed by one of them soon.
+FIRST_WAIT_S = 1.0
+LAST_WAIT_S = 10.0
+LEAST_WAIT_SHARE = 0.4
 
 #: Seconds beyond that after which an unanswered question is asked anew.
-PATIENCE_S = 2.0
+PATIENCE_S = 1.0
 
 #: Longest time for a plain read or write, in seconds.
 CALL_TIMEOUT_S = 2.0
@@ -132,6 +137,8 @@
         self.on_row = on_row
         self.has_read = False
         self._after = None
+        self._wait_s = FIRST_WAIT_S
+        self._random = random
         self._backoff = _Backoff(random)
         self._answering = True
 
@@ -140,7 +147,12 @@
         if self._after is None:
             self.store.read(self.table, self._take)
         else:
-            self.store.follow(self.table, self._after, WAIT_S, self._take)
+            share = LEAST_WAIT_SHARE + (
+                (1.0 - LEAST_WAIT_SHARE) * self._random.random()
+            )
+            self.store.follow(
+                self.table, self._after, share * self._wait_s, self._take
+            )
 
     def _take(self, reply):
         if reply.kind is ReplyKind.OK:
@@ -151,12 +163,14 @@
                     extra={'event': 'store_regained', 'table': self.table},
                 )
             self._backoff.reset()
+            self._wait_s = min(LAST_WAIT_S, 2.0 * self._wait_s)
             self._after = reply.version
             for row in reply.rows:
                 self.on_row(row)
             self.has_read = True
             self.reactor.call_soon(self.start)
             return
+        self._wait_s = FIRST_WAIT_S
         if reply.kind is ReplyKind.COMPACTED:
             # What changed meanwhile can only be read anew.
             _LOG.info(
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -67,6 +67,8 @@
         Its route.
     service : str
         Service that it goes to.
+    priority : int
+        Rank of its route, or for a call of the target of what makes it.
     head : bytes
         Request line and headers as they are passed on.
     response : bytes or None
@@ -91,6 +93,7 @@
     deadline_at: float = 0.0
     route: object = None
     service: str = ''
+    priority: int = 0
     head: bytes = b''
     response: object = None
     attempt_number: int = 0
@@ -122,6 +125,15 @@
         Counts for the metrics page.
     random : random.Random
         Random source.
+
+    Attributes
+    ----------
+    under_way : int
+        Requests without an answer.
+    closed : bool
+        Whether requests of clients are refused, as the node stops.
+    closed_to_calls : bool
+        Whether calls of the target are refused then too.
     """
 
     def __init__(
@@ -144,6 +156,8 @@
         self.counters = counters
         self.random = random
         self.under_way = 0
+        self.closed = False
+        self.closed_to_calls = False
         self._dropped = names.set_by_system()
         self._caller_header = b'%b: %b\r\n' % (
             names.caller_service,
@@ -215,6 +229,7 @@
                 return
             wait_s = min(wait_s, int(deadline_ms) / 1000.0)
         exchange.route = route
+        exchange.priority = route.priority
         exchange.deadline_at = exchange.arrived_at + wait_s
         exchange.service = self.picker.pick(route)
         if not self._admit(exchange):
@@ -240,11 +255,18 @@
             exchange.arrived_at,
             node.target_side.idle_s(exchange.arrived_at),
         )
+        if self.closed and (from_client or self.closed_to_calls):
+            return False
         if from_client:
             return node.front.admit(route, exchange.service)
         # What targets call is never refused here: the requests for which
         # they call have been let in already.
         node.costs.called(exchange.service, route.name)
+        inherited = node.target_side.importance_of_calls(
+            exchange.service, route.name
+        )
+        if inherited is not None:
+            exchange.priority = inherited
         return True
 
     def abandon(self, exchange):
@@ -278,7 +300,7 @@
             len(exchange.tried),
             max(1, int((exchange.deadline_at - now) * 1000.0)),
             int((exchange.arrived_at + route.aim_s - now) * 1000.0),
-            route.priority,
+            exchange.priority,
             route.idempotent,
             route.name,
             exchange.request_id,
--- a/rosemarycrank/dataplane/_limit.py
+++ b/rosemarycrank/dataplane/_limit.py
@@ -73,15 +73,12 @@
         """Return the seconds that a run of a route has to have left."""
         return LEAST_SHARE_LEFT * self._service_s_by_route.get(route, 0.0)
 
-    def expected_wait_s(self, running, waiting):
-        """Return the seconds until a new attempt would be answered.
+    def wait_s(self, ahead):
+        """Return the seconds until a place is free.
 
         Parameters
         ----------
-        running, waiting : int
-            Attempts at work and in the queue.
+        ahead : int
+            Attempts that start before.
         """
-        service_s = self.service_s
-        if running < self.value:
-            return 0.0
-        return service_s * (waiting + 1) / self.value
+        return self.service_s * (ahead + 1) / self.value
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -243,13 +243,13 @@
         self.tell(_frames.Announcement([record]))
 
     def close(self):
-        """Close all connections of other nodes."""
+        """Close all connections of other nodes, in order."""
         if self._listener is not None:
             self._listener.close()
         for peer in self.peers_by_node.values():
             peer.close()
         for visitor in list(self.visitors):
-            visitor.close()
+            visitor.close(reset=False)
 
     def _found_client_route(self, route):
         _LOG.info(
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -396,9 +396,15 @@
             caller.send = None
             caller.lost_at = self.node.reactor.now()
 
-    def close(self):
-        """Close the connection, dropping what is on the way."""
-        self._stream.close(reset=True)
+    def close(self, reset=True):
+        """Close the connection.
+
+        Parameters
+        ----------
+        reset : bool, default=True
+            Whether what is on the way is dropped.
+        """
+        self._stream.close(reset)
         self.closed(None)
 
     def notify(self, frame):
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -32,7 +32,14 @@
 LEAVE_S = 2.3
 
 #: Share of the time until the process is killed in which it may finish.
-FINISH_SHARE = 0.9
+FINISH_SHARE = 0.84
+
+#: Seconds for the last results to leave before the process ends.
+LINGER_S = 0.1
+
+#: Seconds before the end in which calls of the target are not taken any
+#: more: they could not be finished.
+LAST_CALL_S = 1.0
 
 #: Seconds between looks whether all is finished.
 FINISH_CHECK_S = 0.05
@@ -138,6 +145,7 @@
         self.adapter = adapter
         self.log_handler = log_handler
         self.stopping = False
+        self._closing_at = None
         self.reactor = _reactor.Reactor()
         source = random.Random(os.urandom(16))
         self.incarnation = source.getrandbits(62)
@@ -278,6 +286,8 @@
     def _finish(self, now, leave_at, last_at):
         if now < leave_at:
             return
+        self.entry.closed = True
+        self.entry.closed_to_calls = now >= last_at - LAST_CALL_S
         if self.target_side.busy() and now < last_at:
             # What runs at the target may still call through this node.
             return
@@ -285,13 +295,16 @@
         self.clients.close_idle()
         if self.entry.under_way > 0 and now < last_at:
             return
-        self.node.close()
-        self.pool.close()
-        _LOG.warning(
-            'node stopped',
-            extra={'event': 'stopped', 'under_way': self.entry.under_way},
-        )
-        self._finished.set()
+        if self._closing_at is None:
+            self._closing_at = now
+            self.node.close()
+            self.pool.close()
+        elif now >= self._closing_at + LINGER_S:
+            _LOG.warning(
+                'node stopped',
+                extra={'event': 'stopped', 'under_way': self.entry.under_way},
+            )
+            self._finished.set()
 
     def _announced(self, record):
         self.node.announce(record)
--- a/tests/dataplane/test_discovery.py
+++ b/tests/dataplane/test_discovery.py
@@ -14,12 +14,14 @@
 
     def __init__(self):
         self.calls = []
+        self.waits = []
 
     def read(self, table, on_reply):
         self.calls.append(('read', None, on_reply))
 
     def follow(self, table, after, wait_s, on_reply):
         self.calls.append(('follow', after, on_reply))
+        self.waits.append(wait_s)
 
     def write(self, table, row, on_reply):
         self.calls.append(('write', row, on_reply))
@@ -123,3 +125,15 @@
     store.answer(version=3)
     reactor.run(0.5)
     assert store.calls[-1][1] == _row(b'two', 3)
+
+
+def test_store_that_was_away_is_asked_shortly(follower, store, reactor):
+    store.answer(version=5)
+    for _ in range(20):
+        reactor.run(0.01)
+        store.answer(version=5)
+    assert 3.0 < store.waits[-1] <= _discovery.LAST_WAIT_S
+    reactor.run(0.01)
+    store.answer(_discovery.ReplyKind.FAILED)
+    reactor.run(1.0)
+    assert store.waits[-1] <= _discovery.FIRST_WAIT_S
