Revert the inherited importance of calls

Cause: it was to keep payments' calls ahead at the leaf. Conclusion: reverted; the order in the queue is urgency alone.

--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -103,7 +103,6 @@
         self._fits = {}
         self._totals = {}
         self._total_runs = 0.0
-        self._callers = {}
 
     def ran(self, route):
         """Count a run at the local target."""
@@ -144,18 +143,6 @@
                 old = known.get(name, 0.0)
                 known[name] = old + 0.3 * (costs.get(name, 0.0) - old)
 
-    def calls(self, route, service, called_route):
-        """Return whether runs of a route are known to make a call.
-
-        Parameters
-        ----------
-        route : str
-            Route that runs at the local target.
-        service, called_route : str
-            The call.
-        """
-        return route in self._callers.get((service, called_route), ())
-
     def cost(self, service, route):
         """Return the calls that one request causes, by service."""
         costs = self.by_route.get((service, route))
@@ -213,7 +200,6 @@
             for one in routes
         ]
         costs = {route: {self.service: 1.0} for route in routes}
-        self._callers = {}
         for key, fit in self._fits.items():
             mean = self._totals[key] / self._total_runs
             vector = [
@@ -223,7 +209,6 @@
             for route, calls in zip(routes, solve(matrix, vector)):
                 if calls < LEAST_CALLS:
                     continue
-                self._callers.setdefault(key, set()).add(route)
                 for name, below in self.cost(*key).items():
                     costs[route][name] = (
                         costs[route].get(name, 0.0) + calls * below
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -67,8 +67,6 @@
         Its route.
     service : str
         Service that it goes to.
-    priority : int
-        Rank of its route, or for a call of the target of what makes it.
     head : bytes
         Request line and headers as they are passed on.
     response : bytes or None
@@ -93,7 +91,6 @@
     deadline_at: float = 0.0
     route: object = None
     service: str = ''
-    priority: int = 0
     head: bytes = b''
     response: object = None
     attempt_number: int = 0
@@ -229,7 +226,6 @@
                 return
             wait_s = min(wait_s, int(deadline_ms) / 1000.0)
         exchange.route = route
-        exchange.priority = route.priority
         exchange.deadline_at = exchange.arrived_at + wait_s
         exchange.service = self.picker.pick(route)
         if not self._admit(exchange):
@@ -262,11 +258,6 @@
         # What targets call is never refused here: the requests for which
         # they call have been let in already.
         node.costs.called(exchange.service, route.name)
-        inherited = node.target_side.importance_of_calls(
-            exchange.service, route.name
-        )
-        if inherited is not None:
-            exchange.priority = inherited
         return True
 
     def abandon(self, exchange):
@@ -300,7 +291,7 @@
             len(exchange.tried),
             max(1, int((exchange.deadline_at - now) * 1000.0)),
             int((exchange.arrived_at + route.aim_s - now) * 1000.0),
-            exchange.priority,
+            route.priority,
             route.idempotent,
             route.name,
             exchange.request_id,
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -167,8 +167,7 @@
     urgency_ms : int
         Time until the answer loses worth; less is served first.
     priority : int
-        Rank by the configuration, of the client's request as far as it is
-        known; 0 matters most.
+        Rank by the configuration; 0 matters most.
     idempotent : bool
         Whether it may run more than once.
     route : str
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -4,7 +4,6 @@
 queued and fenced for the target on the node's own VM.
 """
 
-import collections
 import heapq
 import itertools
 import logging
@@ -22,12 +21,6 @@
 #: Seconds between calculations of the rate of arrivals.
 RATE_S = 0.1
 
-#: Seconds by which a rank of importance counts as urgency, and the ranks
-#: that are told apart: more important attempts overtake others that have
-#: waited less than that longer.
-RANK_S = 0.25
-MOST_RANKS = 8
-
 #: Seconds that a node whose connection was lost has to come back before
 #: its attempts are taken as cancelled.
 CALLER_AWAY_S = 1.5
@@ -109,15 +102,6 @@
             del self.served_by_number[number]
 
 
-def _due_at(attempt, now):
-    """Return the time by which attempts are ordered in the queue."""
-    return (
-        now
-        + attempt.urgency_ms / 1000.0
-        + min(attempt.priority, MOST_RANKS) * RANK_S
-    )
-
-
 class TargetSide:
     """Admission, queue and calls of the local target.
 
@@ -158,7 +142,6 @@
         self.limit = _limit.ConcurrencyLimit()
         self.callers_by_incarnation = {}
         self._running = set()
-        self._runs_by_route_and_rank = collections.Counter()
         self._waiting = []
         self._waiting_count = 0
         self._sequence = itertools.count()
@@ -209,29 +192,6 @@
         """Return the seconds since the target last ran something."""
         return 0.0 if self._running else now - self._last_run_at
 
-    def importance_of_calls(self, service, route):
-        """Return the best rank among the runs that may make a call.
-
-        Parameters
-        ----------
-        service, route : str
-            The call.
-
-        Returns
-        -------
-        int or None
-            Least rank; None when no run is known to make it.
-        """
-        calls = self.costs.calls
-        return min(
-            (
-                rank
-                for runs_route, rank in self._runs_by_route_and_rank
-                if calls(runs_route, service, route)
-            ),
-            default=None,
-        )
-
     def busy(self):
         """Return whether attempts run or wait."""
         return bool(self._running) or self._waiting_count > 0
@@ -268,9 +228,9 @@
         elif len(self._running) < self.limit.value:
             self._start(served, now)
         else:
+            urgent_at = now + attempt.urgency_ms / 1000.0
             heapq.heappush(
-                self._waiting,
-                (_due_at(attempt, now), next(self._sequence), served),
+                self._waiting, (urgent_at, next(self._sequence), served)
             )
             self._waiting_count += 1
 
@@ -294,8 +254,8 @@
             return _frames.Reason.LEAVING
         expected_s = 0.0
         if len(self._running) >= self.limit.value:
-            due_at = _due_at(attempt, now)
-            ahead = sum(1 for entry in self._waiting if entry[0] <= due_at)
+            urgent_at = now + attempt.urgency_ms / 1000.0
+            ahead = sum(1 for entry in self._waiting if entry[0] <= urgent_at)
             expected_s = self.limit.wait_s(ahead)
         expected_s += self.limit.least_s(attempt.route)
         if now + expected_s > served.deadline_at:
@@ -307,7 +267,6 @@
         served.started_at = now
         self.costs.ran(attempt.route)
         self._running.add(served)
-        self._runs_by_route_and_rank[attempt.route, attempt.priority] += 1
         connection = self.pool.acquire(attempt.idempotent)
         served.connection = connection
         remaining_ms = max(1, int((served.deadline_at - now) * 1000.0))
@@ -350,11 +309,6 @@
         self._running.discard(served)
         served.connection = None
         self._last_run_at = now
-        key = served.attempt.route, served.attempt.priority
-        runs = self._runs_by_route_and_rank
-        runs[key] -= 1
-        if not runs[key]:
-            del runs[key]
 
     def _end(self, served, outcome, reason, status=0, head=b'', body=b''):
         attempt = served.attempt
