Work the share to keep away out of one common demand

Ruled out: refusals at the targets (none in that time), costs (right order). Change: entry nodes tell what their clients ask and what they let in; the targets' nodes sum it, and the share follows from the sums and the queue.

--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -109,6 +109,9 @@
         Usual seconds that one takes.
     arrivals_per_s : float
         Attempts a second for which this target is the first choice.
+    demand_per_s, admitted_per_s : float
+        Calls a second to the service that the entry nodes expect from what
+        their clients ask, and from what they let in of it.
     pressures : dict of str to Pressure
         What the node knows of services that are short of room.
     """
@@ -118,6 +121,8 @@
     limit: int
     service_s: float
     arrivals_per_s: float = 0.0
+    demand_per_s: float = 0.0
+    admitted_per_s: float = 0.0
     pressures: dict[str, Pressure] = {}
 
 
@@ -267,6 +272,20 @@
     costs_by_route: dict[str, dict[str, float]]
 
 
+class Demand(msgspec.Struct, array_like=True, tag=11):
+    """Calls a second that the sender expects its clients to cause.
+
+    Attributes
+    ----------
+    asked_per_s, admitted_per_s : float
+        Calls to the service of the receiver's target, before any refusal
+        and after it.
+    """
+
+    asked_per_s: float
+    admitted_per_s: float
+
+
 Frame = (
     Hello
     | Attempt
@@ -279,6 +298,7 @@
     | ConfigurationBody
     | Leaving
     | RouteCosts
+    | Demand
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -17,7 +17,7 @@
 REPORT_S = _pressure.REPORT_S
 
 #: Time over which the requests of a route are averaged, in seconds.
-DEMAND_WINDOW_S = 2.0
+DEMAND_WINDOW_S = 0.8
 
 #: Seconds between calculations of the shares to refuse.
 UPDATE_S = 0.1
@@ -48,6 +48,10 @@
     def update(self, now):
         """Work out anew what to refuse; called every `UPDATE_S`."""
 
+    @abc.abstractmethod
+    def demands(self):
+        """Return the `Demand` of this node's clients, by service."""
+
     @abc.abstractmethod
     def admit(self, route, service):
         """Return whether a request is let in.
@@ -78,6 +82,10 @@
     def update(self, now):
         """Do nothing."""
 
+    def demands(self):
+        """Return nothing."""
+        return {}
+
     def admit(self, route, service):
         """Let the request in."""
         return True
@@ -95,6 +103,8 @@
         self.service = service
         self.count = 0
         self.rate = 0.0
+        self.admitted_count = 0
+        self.admitted_rate = 0.0
         self.refused_share = 0.0
         self.credit = 0.0
 
@@ -135,6 +145,17 @@
         if known is None or at > known[1]:
             self._relayed_by_service[service] = (pressure.share, at)
 
+    def demands(self):
+        """Return the calls that clients cause, by service."""
+        by_service = {}
+        for demand in self._demands.values():
+            cost = self.costs.cost(demand.service, demand.route.name)
+            for service, calls in cost.items():
+                sums = by_service.setdefault(service, _frames.Demand(0.0, 0.0))
+                sums.asked_per_s += calls * demand.rate
+                sums.admitted_per_s += calls * demand.admitted_rate
+        return by_service
+
     def admit(self, route, service):
         """Return whether a request is let in."""
         key = (route.name, service)
@@ -144,14 +165,13 @@
         demand.route = route
         demand.count += 1
         share = demand.refused_share
-        if share <= 0.0:
-            return True
         # Spreads the refusals evenly over the requests.
         demand.credit += share
-        if demand.credit < 1.0:
-            return True
-        demand.credit -= 1.0
-        return False
+        if demand.credit >= 1.0:
+            demand.credit -= 1.0
+            return False
+        demand.admitted_count += 1
+        return True
 
     def pressures(self, now):
         """Return what is known of services that are short, by service."""
@@ -172,7 +192,11 @@
         weight = min(1.0, elapsed_s / DEMAND_WINDOW_S)
         for key, demand in list(self._demands.items()):
             demand.rate += weight * (demand.count / elapsed_s - demand.rate)
-            demand.count = 0
+            admitted_rate = demand.admitted_count / elapsed_s
+            demand.admitted_rate += weight * (
+                admitted_rate - demand.admitted_rate
+            )
+            demand.count = demand.admitted_count = 0
             demand.refused_share = 0.0
             if demand.rate < 1e-3:
                 del self._demands[key]
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -14,6 +14,9 @@
 from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _reactor
 
+#: Seconds between reports of what clients ask.
+DEMAND_S = 0.3
+
 #: Seconds between checks of the connections to other nodes.
 CHECK_S = 0.1
 
@@ -98,6 +101,7 @@
         reactor.timers.every(CHECK_S, self._check)
         reactor.timers.every(_costs.WINDOW_S, self._close_window)
         reactor.timers.every(_front.UPDATE_S, self._update_front)
+        reactor.timers.every(DEMAND_S, self._tell_demands)
 
     def listen(self):
         """Accept connections of other nodes."""
@@ -224,6 +228,10 @@
                 link.notify(_frames.ConfigurationBody(body))
         elif isinstance(frame, _frames.ConfigurationBody):
             self.install(frame.body, link.address)
+        elif isinstance(frame, _frames.Demand):
+            self.target_side.demand.heard(
+                link.address, frame, self.reactor.now()
+            )
         elif isinstance(frame, _frames.RouteCosts):
             self.costs.heard(frame.service, frame.costs_by_route)
         elif isinstance(frame, _frames.Leaving):
@@ -266,6 +274,14 @@
             self.heard_load(self.target_side.load(), self.address, now)
         self.front.update(now)
 
+    def _tell_demands(self, now):
+        for service, demand in self.front.demands().items():
+            for record in self.directory.ready(service):
+                if record.node == self.address:
+                    self.target_side.demand.heard(self.address, demand, now)
+                elif record.node in self.peers_by_node:
+                    self.peers_by_node[record.node].notify(demand)
+
     def _close_window(self, _now):
         costs = self.costs.close_window()
         if costs and any(len(cost) > 1 for cost in costs.values()):
--- a/rosemarycrank/dataplane/_pressure.py
+++ b/rosemarycrank/dataplane/_pressure.py
@@ -27,6 +27,18 @@
 #: Age after which a report counts no more, in seconds.
 REPORT_S = 1.0
 
+#: Age after which the demand that an entry node expects counts no more, in
+#: seconds; it is sent several times in that time.
+DEMAND_S = 1.5
+
+#: Time over which expected calls are compared with those that came, in
+#: seconds: long, as runs that fail make fewer calls for a while.
+CALIBRATION_S = 8.0
+
+#: Largest factor between expected calls and those that came at which the
+#: expectation is relied on.
+LARGEST_FACTOR = 2.0
+
 
 class ArrivalRate:
     """Arrivals a second, averaged.
@@ -56,11 +68,50 @@
         self._updated_at = now
 
 
+class ExpectedDemand:
+    """Sums of the calls that entry nodes expect."""
+
+    def __init__(self):
+        self._reports_by_node = {}
+
+    def heard(self, node, demand, now):
+        """Take what one entry node expects.
+
+        Parameters
+        ----------
+        node : str
+            The entry node.
+        demand : rosemarycrank.dataplane.Demand
+            What it expects.
+        now : float
+            Seconds of the node's clock.
+        """
+        self._reports_by_node[node] = (demand, now)
+
+    def per_s(self, now):
+        """Return the sums of what was heard lately.
+
+        Returns
+        -------
+        tuple of (float, float)
+            Calls a second, before any refusal and after it.
+        """
+        asked = admitted = 0.0
+        for node, (demand, at) in list(self._reports_by_node.items()):
+            if now - at > DEMAND_S:
+                del self._reports_by_node[node]
+            else:
+                asked += demand.asked_per_s
+                admitted += demand.admitted_per_s
+        return asked, admitted
+
+
 class ServicePressure:
     """Share to keep away from one service, from its targets' loads.
 
-    All nodes work it out from the same reports in the same way, so what a
-    node worked out before is what all entry nodes have applied.
+    All nodes work it out from the same sums. None of its own past enters but
+    the slow correction of the costs: views that each feed on themselves
+    would drift apart.
 
     Attributes
     ----------
@@ -73,7 +124,7 @@
     def __init__(self):
         self.share = 0.0
         self.offered_per_s = 0.0
-        self._applied = 0.0
+        self._factor = 1.0
         self._updated_at = None
         self._reports = {}
 
@@ -105,7 +156,7 @@
         """
         elapsed_s = 0.0 if self._updated_at is None else now - self._updated_at
         self._updated_at = now
-        arrivals = capacity = waiting = 0.0
+        arrivals = capacity = waiting = asked = admitted = 0.0
         for reporter, (load, at) in list(self._reports.items()):
             if now - at > REPORT_S:
                 del self._reports[reporter]
@@ -113,14 +164,14 @@
                 arrivals += load.arrivals_per_s
                 capacity += load.limit / load.service_s
                 waiting += load.waiting
+                asked = max(asked, load.demand_per_s)
+                admitted = max(admitted, load.admitted_per_s)
         if not self._reports:
-            self.share = self._applied = 0.0
+            self.share = 0.0
             return
         if capacity <= 0.0:
             return
-        weight = min(1.0, elapsed_s / RATE_WINDOW_S)
-        self._applied += weight * (self.share - self._applied)
-        offered = arrivals / (1.0 - min(self._applied, LARGEST_SHARE))
+        offered = self._offered(arrivals, asked, admitted, elapsed_s)
         self.offered_per_s = offered
         excess = waiting - AIMED_WAIT_S * capacity
         wanted = max(0.0, capacity - excess / HORIZON_S)
@@ -130,3 +181,18 @@
         self.share += STEP_SHARE * (share - self.share)
         if self.share < 0.005:
             self.share = 0.0
+
+    def _offered(self, arrivals, asked, admitted, elapsed_s):
+        """Return the calls a second that would come if all were let in.
+
+        What the clients ask tells at once of a burst, before its calls come;
+        the calls that come tell how far the expected costs are right.
+        """
+        if admitted <= 0.0:
+            return arrivals
+        weight = min(1.0, elapsed_s / CALIBRATION_S)
+        factor = min(2.0 * LARGEST_FACTOR, arrivals / admitted)
+        self._factor += weight * (factor - self._factor)
+        if 1.0 / LARGEST_FACTOR <= self._factor <= LARGEST_FACTOR:
+            return asked * self._factor
+        return arrivals * asked / admitted
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -136,6 +136,8 @@
         self.costs = costs
         self.front = front
         self.arrivals = _pressure.ArrivalRate()
+        self.demand = _pressure.ExpectedDemand()
+        self._demand_per_s = (0.0, 0.0)
         self.pressures = {}
         self.record = None
         self.stopping = False
@@ -185,6 +187,7 @@
             self.limit.value,
             self.limit.service_s,
             self.arrivals.per_s,
+            *self._demand_per_s,
             self.pressures,
         )
 
@@ -408,6 +411,7 @@
 
     def _update_rate(self, now):
         self.arrivals.update(now)
+        self._demand_per_s = self.demand.per_s(now)
         self.pressures = self.front.pressures(now)
 
     def _drop_lost_callers(self, now):
--- a/tests/dataplane/test_frames.py
+++ b/tests/dataplane/test_frames.py
@@ -18,7 +18,9 @@
         200,
         b'h',
         b'b',
-        _frames.Load(1, 2, 3, 0.5, 9.0, {'s': _frames.Pressure(0.2, 0.1)}),
+        _frames.Load(
+            1, 2, 3, 0.5, 9.0, 8.0, 7.0, {'s': _frames.Pressure(0.2, 0.1)}
+        ),
     ),
     _frames.Ping(3, 2),
     _frames.Pong(3, None),
@@ -26,6 +28,7 @@
     _frames.ConfigurationWanted(),
     _frames.ConfigurationBody(b'{}'),
     _frames.Leaving(),
+    _frames.Demand(4.5, 3.0),
     _frames.RouteCosts('s', {'r': {'t': 2.0}}),
 ]
 
--- a/tests/dataplane/test_front.py
+++ b/tests/dataplane/test_front.py
@@ -145,9 +145,15 @@
         if round(now * 100) % 10 == 0:
             self.arrivals.update(now)
 
-    def load(self):
-        return _load(
-            self.arrivals.per_s, int(self.waiting), self.limit, self.service_s
+    def load(self, asked_per_s=0.0, admitted_per_s=0.0):
+        return _frames.Load(
+            0,
+            int(self.waiting),
+            self.limit,
+            self.service_s,
+            self.arrivals.per_s,
+            asked_per_s,
+            admitted_per_s,
         )
 
 
@@ -174,14 +180,21 @@
         for _ in range(calls.pop(step, 0)):
             leaf.arrive()
         leaf.step(now, 0.01)
-        if step % 10 == 0:
-            for front in fronts:
-                front.heard('leaf', 'n1', leaf.load(), now)
+        if step % 30 == 0:
+            demands = [front.demands().get('leaf') for front in fronts]
+            asked = sum(d.asked_per_s for d in demands if d)
+            admitted = sum(d.admitted_per_s for d in demands if d)
+        # Nodes hear at different times, and so do not agree at a moment.
+        for number, front in enumerate(fronts):
+            if (step + number) % 10 == 0:
+                front.heard('leaf', 'n1', leaf.load(asked, admitted), now)
                 front.update(now)
     settled = leaf.waits[steps // 3 :]
     assert leaf.done >= 0.93 * 2000 * steps * 0.01
     assert sorted(settled)[int(0.95 * len(settled))] < 0.3
     assert sum(settled) / len(settled) < 0.15
+    shares = [front.pressures(now)['leaf'].share for front in fronts]
+    assert max(shares) - min(shares) < 0.15
 
 
 def test_leaf_below_its_capacity_keeps_nothing_away():
@@ -207,3 +220,44 @@
     assert 32 <= limit.value < 36
     limit.reset(1)
     assert limit.value == 1
+
+
+def test_demand_of_all_routes_counts_with_its_cost(front):
+    for step in range(400):
+        front.admit(READ, 'archive')
+        front.admit(LIST, 'members')
+        if step % 10 == 0:
+            front.update(step * 0.01)
+    demands = front.demands()
+    assert demands['leaf'].asked_per_s == pytest.approx(800, rel=0.1)
+    assert demands['leaf'].admitted_per_s == pytest.approx(800, rel=0.1)
+    assert demands['members'].asked_per_s == pytest.approx(100, rel=0.1)
+
+
+def test_burst_is_met_before_its_calls_come():
+    pressure = _pressure.ServicePressure()
+    for step in range(60):
+        now = step * 0.1
+        demand = 1500 if step < 50 else 4000
+        load = _frames.Load(0, 0, 100, 0.05, 1500.0, demand, demand)
+        pressure.heard('n1', load, now)
+        pressure.update(now)
+    assert pressure.share > 0.4
+
+
+def test_wrong_costs_are_corrected_by_what_came():
+    pressure = _pressure.ServicePressure()
+    for step in range(300):
+        now = step * 0.1
+        load = _frames.Load(0, 0, 100, 0.05, 1800.0, 2500.0, 2500.0)
+        pressure.heard('n1', load, now)
+        pressure.update(now)
+    assert pressure.share < 0.02
+
+
+def test_expected_demand_is_the_sum_of_what_was_heard_lately():
+    demand = _pressure.ExpectedDemand()
+    demand.heard('n1', _frames.Demand(10.0, 8.0), 0.0)
+    demand.heard('n2', _frames.Demand(5.0, 4.0), 1.0)
+    assert demand.per_s(1.0) == (15.0, 12.0)
+    assert demand.per_s(0.1 + _pressure.DEMAND_S) == (5.0, 4.0)
