Run real nodes against a stand-in of the row store

Change: standins/row_store.py speaks the published calls for rows and the feed; tests start nodes as processes, kill, pause and stop them, and take the store away; the log tells how many lines were dropped; queues of slow services are brought back slower, targets not heard of are counted. Ruled out: nothing; no fault was found by these.

--- a/rosemarycrank/dataplane/_decisions.py
+++ b/rosemarycrank/dataplane/_decisions.py
@@ -77,13 +77,16 @@
         self._tokens = BURST_LINES
         self._filled_at = clock()
         self._partial = b''
+        self._unreported = 0
         os.set_blocking(descriptor, False)
 
     def emit(self, record):
         """Write a record, or count it as dropped."""
         if record.levelno < logging.WARNING and not self._admit():
-            self.dropped += 1
+            self._drop()
             return
+        if self._unreported:
+            record.dropped = self._unreported
         try:
             line = self.format(record) + b'\n'
         except Exception:
@@ -91,8 +94,13 @@
             return
         if self._write(line):
             self.written += 1
+            self._unreported = 0
         else:
-            self.dropped += 1
+            self._drop()
+
+    def _drop(self):
+        self.dropped += 1
+        self._unreported += 1
 
     def _admit(self):
         now = self.clock()
--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -120,10 +120,13 @@
     ----------
     costs : CallCosts
         What requests cost below.
+    count_targets : callable
+        Returns how many targets of a service take work.
     """
 
-    def __init__(self, costs):
+    def __init__(self, costs, count_targets):
         self.costs = costs
+        self.count_targets = count_targets
         self._own_by_service = {}
         self._relayed_by_service = {}
         self._demands = {}
@@ -185,8 +188,8 @@
         """Work out anew what to refuse."""
         elapsed_s = 0.0 if self._updated_at is None else now - self._updated_at
         self._updated_at = now
-        for pressure in self._own_by_service.values():
-            pressure.update(now)
+        for service, pressure in self._own_by_service.items():
+            pressure.update(now, self.count_targets(service))
         if elapsed_s <= 0.0:
             return
         weight = min(1.0, elapsed_s / DEMAND_WINDOW_S)
--- a/rosemarycrank/dataplane/_pressure.py
+++ b/rosemarycrank/dataplane/_pressure.py
@@ -6,14 +6,20 @@
 before any of them has begun.
 """
 
-#: Wait in the queues that is aimed at, in seconds: long enough that the
-#: targets never idle, short beside the time that a request has, which may
-#: make many calls one after the other.
+#: Wait in the queues that is aimed at, in seconds and as a share of the
+#: time of a run: long enough that the targets never idle, short beside the
+#: time that a request has, which may make many calls one after the other.
 AIMED_WAIT_S = 0.015
+AIMED_WAIT_SHARE = 0.1
 
-#: Time in which queues that are off their aim are brought back, in seconds.
-#: It has to exceed the time from a request's admission to its last call.
+#: Time in which queues that are off their aim are brought back, in seconds
+#: and in runs. It has to exceed the time from a request's admission to its
+#: last call.
 HORIZON_S = 0.8
+HORIZON_RUNS = 3.0
+
+#: Least share of the capacity that is let in to bring a queue back.
+LEAST_WANTED = 0.5
 
 #: Time over which rates of arrival are averaged, in seconds.
 RATE_WINDOW_S = 0.5
@@ -146,21 +152,27 @@
         """Return when the newest report came; None without any."""
         return max((at for _, at in self._reports.values()), default=None)
 
-    def update(self, now):
+    def update(self, now, targets=0):
         """Work out the share anew.
 
         Parameters
         ----------
         now : float
             Seconds of the node's clock.
+        targets : int, default=0
+            Targets of the service that take work; those that were not heard
+            of lately are taken to be like the others.
         """
         elapsed_s = 0.0 if self._updated_at is None else now - self._updated_at
         self._updated_at = now
-        arrivals = capacity = waiting = asked = admitted = 0.0
+        arrivals = capacity = waiting = limit = asked = admitted = 0.0
+        heard = 0
         for reporter, (load, at) in list(self._reports.items()):
             if now - at > REPORT_S:
                 del self._reports[reporter]
             elif load.service_s > 0.0:
+                heard += 1
+                limit += load.limit
                 arrivals += load.arrivals_per_s
                 capacity += load.limit / load.service_s
                 waiting += load.waiting
@@ -171,10 +183,16 @@
             return
         if capacity <= 0.0:
             return
+        # The expected calls are those to all targets.
+        asked *= heard / max(heard, targets)
+        admitted *= heard / max(heard, targets)
         offered = self._offered(arrivals, asked, admitted, elapsed_s)
         self.offered_per_s = offered
-        excess = waiting - AIMED_WAIT_S * capacity
-        wanted = max(0.0, capacity - excess / HORIZON_S)
+        run_s = limit / capacity
+        aimed_s = max(AIMED_WAIT_S, AIMED_WAIT_SHARE * run_s)
+        horizon_s = max(HORIZON_S, HORIZON_RUNS * run_s)
+        excess = waiting - aimed_s * capacity
+        wanted = max(LEAST_WANTED * capacity, capacity - excess / horizon_s)
         share = 0.0
         if offered > wanted:
             share = min(LARGEST_SHARE, 1.0 - wanted / offered)
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -151,7 +151,7 @@
         self.incarnation = source.getrandbits(62)
         self.counters = _counters.Counters()
         self.costs = _costs.CallCosts(settings.service)
-        self.front = _front.AdmitByCost(self.costs)
+        self.front = _front.AdmitByCost(self.costs, self._count_targets)
         self._finished = gevent.event.Event()
         self.node = _node.Node(
             self.reactor,
@@ -320,6 +320,9 @@
             ),
         )
 
+    def _count_targets(self, service):
+        return len(self.node.directory.ready(service))
+
     def _configured(self, configuration):
         self.clients.limits = configuration.limits
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -360,6 +360,21 @@
         else:
             self._waiting_count -= 1
             outcome = _NOT_RUN
+        _LOG.info(
+            'attempt given up: %s',
+            reason.name.lower(),
+            extra={
+                'event': 'attempt_given_up',
+                'request_id': attempt.request_id,
+                'outcome': _frames.Outcome(outcome).name.lower(),
+                'instance': attempt.instance,
+                'since_arrival_s': round(
+                    self.reactor.now() - served.arrived_at, 4
+                ),
+                'since_start_s': served.started_at
+                and round(self.reactor.now() - served.started_at, 4),
+            },
+        )
         served.result = _frames.Result(
             attempt.number, outcome, int(reason), 0, b'', b'', None
         )
--- a/rosemarycrank/standins/_server.py
+++ b/rosemarycrank/standins/_server.py
@@ -23,13 +23,13 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_CONNECTIONS = 10_000
 _LOG_FORMAT = '%(asctime)s %(levelname)s %(name)s %(message)s'
-_SOCKET_KEY = 'rosemarycrank.socket'
+SOCKET_KEY = 'rosemarycrank.socket'
 
 
 class _Handler(pywsgi.WSGIHandler):
     def get_environ(self):
         environ = super().get_environ()
-        environ[_SOCKET_KEY] = self.socket
+        environ[SOCKET_KEY] = self.socket
         return environ
 
 
@@ -156,7 +156,7 @@
 
 def drop_connection(request):
     """Close the connection of a request without an answer."""
-    _shut_down(request.env[_SOCKET_KEY])
+    _shut_down(request.env[SOCKET_KEY])
 
 
 def send_truncated(request, body):
@@ -165,7 +165,7 @@
         'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
-    client_socket = request.env[_SOCKET_KEY]
+    client_socket = request.env[SOCKET_KEY]
     try:
         client_socket.sendall(head.encode() + body[: len(body) // 2])
     except OSError:
--- /dev/null
+++ b/tests/dataplane/test_decisions.py
@@ -0,0 +1,96 @@
+"""The log of decisions."""
+
+import json
+import logging
+import os
+
+import pytest
+
+from rosemarycrank.dataplane import _decisions
+
+
+class _Clock:
+    now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return _Clock()
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+@pytest.fixture
+def handler(pipe, clock):
+    handler = _decisions.BoundedHandler(pipe[1], clock)
+    handler.setFormatter(_decisions.StructuredFormatter('n1'))
+    return handler
+
+
+@pytest.fixture
+def log(handler):
+    def log(message, level=logging.INFO, **extra):
+        record = logging.makeLogRecord(
+            {'msg': message, 'levelno': level, 'levelname': 'INFO'} | extra
+        )
+        handler.emit(record)
+
+    return log
+
+
+def _lines(pipe):
+    try:
+        data = os.read(pipe[0], 1 << 20)
+    except BlockingIOError:
+        return []
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_line_has_the_inputs_of_the_decision(log, pipe):
+    log('answered 503', event='refused', request_id=b'r1', waited_s=0.25)
+    (line,) = _lines(pipe)
+    assert line['node'] == 'n1'
+    assert (line['event'], line['request_id']) == ('refused', 'r1')
+    assert line['waited_s'] == 0.25
+
+
+def test_volume_is_bounded_and_what_is_dropped_is_told(
+    log, pipe, handler, clock
+):
+    for _ in range(int(_decisions.BURST_LINES) + 50):
+        log('x')
+    assert handler.dropped == 50
+    _lines(pipe)
+    clock.now = 1.0
+    log('y')
+    assert _lines(pipe)[0]['dropped'] == 50
+
+
+def test_changes_of_state_are_not_dropped(log, pipe, handler):
+    for _ in range(int(_decisions.BURST_LINES)):
+        log('x')
+    log('stopped', level=logging.WARNING)
+    assert _lines(pipe)[-1]['message'] == 'stopped'
+
+
+def test_full_pipe_drops_and_never_blocks(log, pipe, handler, clock):
+    for second in range(100):
+        clock.now = float(second)
+        for _ in range(100):
+            log('x' * 500)
+    assert handler.dropped > 0
+    _lines(pipe)
+    clock.now += 10.0
+    log('first after')
+    log('second after')
+    assert _lines(pipe)[-1]['message'] == 'second after'
--- a/tests/dataplane/test_front.py
+++ b/tests/dataplane/test_front.py
@@ -21,6 +21,10 @@
 LIST = fakes.route('list', priority=2)
 
 
+def _one_target(_service):
+    return 1
+
+
 @pytest.fixture
 def costs():
     costs = _costs.CallCosts('front')
@@ -32,7 +36,7 @@
 
 @pytest.fixture
 def front(costs):
-    return _front.AdmitByCost(costs)
+    return _front.AdmitByCost(costs, _one_target)
 
 
 def _shares(front, share, seconds=10.0, rate=100):
@@ -80,7 +84,10 @@
 
 def test_relayed_reports_age_over_all_hops(costs):
     # Nodes that hear of each other only must not keep a report alive.
-    one, other = _front.AdmitByCost(costs), _front.AdmitByCost(costs)
+    one, other = (
+        _front.AdmitByCost(costs, _one_target),
+        _front.AdmitByCost(costs, _one_target),
+    )
     one.relayed('leaf', _frames.Pressure(0.5, 0.0), 0.0)
     for step in range(40):
         now = 0.1 * step
@@ -113,7 +120,9 @@
 
 @pytest.mark.parametrize('name', kernel.names('front_admission'))
 def test_everything_is_let_in_without_reports(name, costs):
-    parameters = {'costs': costs} if name == 'by_cost' else {}
+    parameters = {}
+    if name == 'by_cost':
+        parameters = {'costs': costs, 'count_targets': _one_target}
     front = kernel.create('front_admission', name, **parameters)
     for step in range(300):
         if step % 10 == 0:
@@ -165,7 +174,7 @@
     for _ in range(nodes):
         costs = _costs.CallCosts('x')
         costs.heard('archive', {'read': {'archive': 1.0, 'leaf': 8.0}})
-        fronts.append(_front.AdmitByCost(costs))
+        fronts.append(_front.AdmitByCost(costs, _one_target))
     # 1.6 times what the leaf serves, each call 0 to 0.5 s after its request.
     asked_per_s = 1.6 * 2000 / 8.0
     calls = {}
@@ -261,3 +270,24 @@
     demand.heard('n2', _frames.Demand(5.0, 4.0), 1.0)
     assert demand.per_s(1.0) == (15.0, 12.0)
     assert demand.per_s(0.1 + _pressure.DEMAND_S) == (5.0, 4.0)
+
+
+def test_target_not_heard_of_is_taken_to_be_like_the_others():
+    # The expected calls are those to all four targets.
+    pressure = _pressure.ServicePressure()
+    for step in range(50):
+        now = step * 0.1
+        load = _frames.Load(0, 0, 100, 0.05, 1000.0, 4000.0, 4000.0)
+        pressure.heard('n1', load, now)
+        pressure.update(now, targets=4)
+    assert pressure.share == 0.0
+
+
+def test_long_queue_at_a_slow_service_does_not_close_the_front():
+    pressure = _pressure.ServicePressure()
+    for step in range(100):
+        now = step * 0.1
+        load = _frames.Load(100, 100, 100, 0.6, 170.0, 170.0, 170.0)
+        pressure.heard('n1', load, now)
+        pressure.update(now, targets=1)
+    assert 0.1 < pressure.share <= 0.5
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,273 @@
+"""Nodes as real processes on loopback addresses, with their targets."""
+
+import base64
+import collections
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import gevent
+from gevent import pywsgi
+import gevent.socket
+
+from rosemarycrank.standins import row_store
+
+CLIENT_PORT = 8304
+READY_PORT = 8302
+CONTROL_PORT = 8306
+TARGET_PORT = 8301
+PEER_PORTS = '7620,7635'
+HEARTBEAT_S = 0.3
+_ID = 'HTTP_X_ROSEMARYCRANK_REQUEST_ID'
+
+
+class Target:
+    """Target that answers after a while and counts what ran."""
+
+    def __init__(self, ip, service, work_s=0.01):
+        self.ip = ip
+        self.service = service
+        self.work_s = work_s
+        self.instance = f'i-{service}-{ip}'
+        self.state = 'ready'
+        self.sequence = 0
+        self.born_ms = int(time.time() * 1000)
+        self.runs_by_id = collections.Counter()
+        self.acknowledged = 0
+        self._server = pywsgi.WSGIServer(
+            (ip, TARGET_PORT), self._application, log=None
+        )
+        self._server.start()
+        self._beats = gevent.spawn(self._beat)
+
+    def close(self):
+        self._beats.kill()
+        self._server.stop()
+
+    def _application(self, environ, start_response):
+        request_id = environ.get(_ID, '')
+        expected = environ.get('HTTP_X_ROSEMARYCRANK_TARGET_INSTANCE')
+        if expected != self.instance:
+            start_response('421 Misdirected Request', [])
+            return [b'']
+        self.runs_by_id[request_id] += 1
+        gevent.sleep(self.work_s)
+        body = f'{request_id}@{self.service}'.encode()
+        start_response(
+            '200 OK',
+            [
+                ('X-Rosemarycrank-Request-Id', request_id),
+                ('X-Rosemarycrank-Response-Signature', f's.{request_id}'),
+                ('Content-Length', str(len(body))),
+            ],
+        )
+        return [body]
+
+    def _beat(self):
+        while True:
+            self.sequence += 1
+            body = {
+                'service': self.service,
+                'address': f'{self.ip}:{TARGET_PORT}',
+                'zone': 'a',
+                'version': 'v1',
+                'slots': 8,
+                'state': self.state,
+                'cold_left_s': 0,
+                'seq': self.sequence,
+                'born': self.born_ms,
+            }
+            path = f'/rosemarycrank/instances/{self.instance}'
+            try:
+                status, _ = exchange(
+                    self.ip, CONTROL_PORT, 'PUT', path, json.dumps(body)
+                )
+            except OSError:
+                status = 0
+            if status == 200:
+                self.acknowledged = self.sequence
+            gevent.sleep(HEARTBEAT_S)
+
+
+def exchange(ip, port, method, path, body='', headers=(), timeout_s=5.0):
+    """Make one HTTP call over a connection of its own.
+
+    Returns
+    -------
+    tuple of (int, str)
+        Status and body; status 0 if the connection ended without one.
+    """
+    sock = gevent.socket.create_connection((ip, port), timeout_s)
+    lines = [f'{method} {path} HTTP/1.1', 'Connection: close', *headers]
+    if not any(line.startswith('Host:') for line in headers):
+        lines.append(f'Host: {ip}')
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    try:
+        sock.sendall('\r\n'.join([*lines, '', body]).encode())
+        data = b''
+        while chunk := sock.recv(65536):
+            data += chunk
+    except ConnectionResetError:
+        return 0, ''
+    finally:
+        sock.close()
+    head, _, rest = data.partition(b'\r\n\r\n')
+    if not head:
+        return 0, ''
+    return int(head.split(b' ', 2)[1]), rest.decode()
+
+
+class Deployment:
+    """A store, and one node and one target on each address.
+
+    Parameters
+    ----------
+    directory : pathlib.Path
+        Where settings files and logs go.
+    prefix : str
+        First three numbers of the loopback addresses.
+    services : list of str
+        Service of each target.
+    """
+
+    def __init__(self, directory, prefix, services):
+        self.directory = directory
+        self.store, self._store_server = row_store.serve(f'{prefix}.1:0')
+        self.ips = [f'{prefix}.{n + 10}' for n in range(len(services))]
+        self.targets = [
+            Target(ip, service) for ip, service in zip(self.ips, services)
+        ]
+        self._processes_by_ip = {}
+        self._numbers = iter(range(1, 1 << 30))
+
+    def configure(self, version, **services_by_prefix):
+        """Write a configuration as the operator does."""
+        routes = [
+            {
+                'name': f'r-{prefix}',
+                'hostname': 'h.example',
+                'path_prefix': f'/{prefix}/',
+                'route_type': (
+                    'non_idempotent' if prefix == 'pay' else 'idempotent'
+                ),
+                'timeout_s': 3,
+                'aim_s': 0.5,
+                'priority': 0,
+                'service': service,
+                'max_attempts': 2,
+            }
+            for prefix, service in services_by_prefix.items()
+        ]
+        document = {'version': version, 'routes': routes}
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        self.store.put('op', 'config', value)
+
+    def start(self, ip):
+        """Start the node at an address."""
+        settings = {
+            'node_name': f'n-{ip}',
+            'ip': ip,
+            'zone': 'a',
+            'listen.outbound': f'{ip}:{CLIENT_PORT}',
+            'listen.ready': f'{ip}:{READY_PORT}',
+            'listen.control': f'{ip}:{CONTROL_PORT}',
+            'port_range': PEER_PORTS,
+            'bounds.grace_s': 4,
+            'app_addr': f'{ip}:{TARGET_PORT}',
+            'service': self.target(ip).service,
+            'provider.address': self._store_server.bound_address,
+        }
+        path = self.directory / f'{ip}.conf'
+        path.write_text(
+            ''.join(f'{key}={value}\n' for key, value in settings.items())
+        )
+        with open(self.directory / f'{ip}.log', 'ab') as log:
+            self._processes_by_ip[ip] = subprocess.Popen(
+                [sys.executable, '-m', 'rosemarycrank.platform'],
+                env=os.environ | {'ROSEMARYCRANK_CONFIG': str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def target(self, ip):
+        """Return the target at an address."""
+        return self.targets[self.ips.index(ip)]
+
+    def signal(self, ip, number):
+        """Send a signal to a node that this deployment started."""
+        self._processes_by_ip[ip].send_signal(number)
+
+    def wait_for_end(self, ip, timeout_s=20.0):
+        """Wait until a node has ended, and return its status."""
+        end = time.monotonic() + timeout_s
+        process = self._processes_by_ip[ip]
+        while process.poll() is None:
+            assert time.monotonic() < end, f'{ip} does not end'
+            gevent.sleep(0.05)
+        return process.returncode
+
+    def is_ready(self, ip):
+        """Ask a node whether it is ready."""
+        try:
+            path = '/rosemarycrank/ready'
+            return exchange(ip, READY_PORT, 'GET', path)[0] == 200
+        except OSError:
+            return False
+
+    def wait_until(self, condition, what, timeout_s=30.0):
+        """Wait until a condition holds."""
+        end = time.monotonic() + timeout_s
+        while not condition():
+            assert time.monotonic() < end, what
+            gevent.sleep(0.05)
+
+    def start_all(self):
+        """Start all nodes and wait until requests are served."""
+        for ip in self.ips:
+            self.start(ip)
+        for ip in self.ips:
+            self.wait_until(lambda ip=ip: self.is_ready(ip), f'{ip} ready')
+            target = self.target(ip)
+            self.wait_until(lambda t=target: t.acknowledged > 0, f'{ip} beat')
+
+    def send(self, ip, prefix, deadline_ms=4000):
+        """Send one request of a client.
+
+        Returns
+        -------
+        tuple of (str, int, str)
+            Identifier, status and body.
+        """
+        request_id = f'q{next(self._numbers)}'
+        headers = (
+            'Host: h.example',
+            f'X-Rosemarycrank-Request-Id: {request_id}',
+            f'X-Rosemarycrank-Deadline-Ms: {deadline_ms}',
+        )
+        method = 'POST' if prefix == 'pay' else 'GET'
+        body = 'x=1' if prefix == 'pay' else ''
+        try:
+            status, text = exchange(
+                ip, CLIENT_PORT, method, f'/{prefix}/1', body, headers
+            )
+        except OSError:
+            status, text = 0, ''
+        return request_id, status, text
+
+    def runs(self, request_id):
+        """Return how often a request ran at all targets together."""
+        return sum(t.runs_by_id[request_id] for t in self.targets)
+
+    def close(self):
+        """End what this deployment started."""
+        for process in self._processes_by_ip.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+            process.wait()
+        for target in self.targets:
+            target.close()
+        self._store_server.stop()
