Use slow targets when the fast ones are full; judge callers by queues

Services that wait for the leaf were taken to be short of room themselves, as their runs take long. Ruled out: the limit (34 of 36) and the fronts' shares (the fast queues were full). Change: a second in a queue counts four times; services that call others are judged by their queue alone; up to 0.8 of the least important route goes before others are touched; Retry-After grows with what is refused.

--- a/rosemarycrank/dataplane/_balance.py
+++ b/rosemarycrank/dataplane/_balance.py
@@ -15,6 +15,14 @@
 #: heard of.
 EXPLORED_SHARE = 0.02
 
+#: Share of its usual time by which a full target is dearer than an empty one.
+FULL_SHARE = 0.2
+
+#: How much dearer a second in a queue is than a second at work. With 1, fast
+#: targets would build queues as long as the time that a slow one takes more,
+#: and the slow one's room would be lost when the service is short of it.
+QUEUE_WEIGHT = 4.0
+
 #: Targets compared for one choice; more are sampled, so that the cost of a
 #: choice does not grow with the service.
 MOST_COMPARED = 8
@@ -111,7 +119,8 @@
         limit = load.limit or 1
         ahead = load.running + load.waiting + peer.sent_since_load + 1
         service_s = load.service_s or UNKNOWN_SERVICE_S
-        if ahead <= limit:
-            # A nearly full target is a little dearer than an empty one.
-            return service_s * (1.0 + 0.2 * ahead / limit)
-        return service_s * (1.2 + (ahead - limit) / limit)
+        # A nearly full target is a little dearer than an empty one.
+        cost_s = service_s * (1.0 + FULL_SHARE * min(1.0, ahead / limit))
+        if ahead > limit:
+            cost_s += QUEUE_WEIGHT * service_s * (ahead - limit) / limit
+        return cost_s
--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -143,6 +143,14 @@
                 old = known.get(name, 0.0)
                 known[name] = old + 0.3 * (costs.get(name, 0.0) - old)
 
+    def calls_others(self, service):
+        """Return whether runs of a service are known to make calls."""
+        return any(
+            len(costs) > 1
+            for (of_service, _), costs in self.by_route.items()
+            if of_service == service
+        )
+
     def cost(self, service, route):
         """Return the calls that one request causes, by service."""
         costs = self.by_route.get((service, route))
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -25,6 +25,9 @@
 LONGEST_RETRY_AFTER_S = 1.0
 SHORTEST_RETRY_AFTER_S = 0.1
 
+#: Times by which Retry-After grows when all requests are refused.
+LATER_BY_SHARE = 4.0
+
 #: Least time left for another try, in seconds.
 LEAST_RETRY_S = 0.02
 
@@ -402,10 +405,15 @@
 
     def _retry_after_s(self, exchange):
         # Spread over the interval, so that clients do not come back at
-        # once.
+        # once. The more is refused, the longer it will take until there is
+        # room, and the less use is an early return.
         longest_s = LONGEST_RETRY_AFTER_S
         if exchange.route is not None:
             longest_s = min(longest_s, exchange.route.timeout_s / 6.0)
+            share = self.node.front.refused_share(
+                exchange.route, exchange.service
+            )
+            longest_s *= 1.0 + LATER_BY_SHARE * share
         span_s = max(0.0, longest_s - SHORTEST_RETRY_AFTER_S)
         return SHORTEST_RETRY_AFTER_S + span_s * self.random.random()
 
@@ -430,6 +438,8 @@
                     configuration.version if configuration else None
                 ),
                 'targets': len(self.node.directory.ready(exchange.service)),
+                # Share to keep away and age in seconds, by service.
+                'pressures': self.node.front.pressures(now),
             },
         )
 
--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -25,9 +25,10 @@
 #: Change of a share that is worth a line of the log.
 LOGGED_STEP = 0.1
 
-#: Largest share of a route that is refused before more important ones are
-#: touched, and after that. No kind of request is starved for others.
-FIRST_SHARE = 0.6
+#: Largest share of a route's requests that is refused before more important
+#: ones are touched, and after that. Clients come back once at least, so
+#: more of them are served than this leaves; none is starved for others.
+FIRST_SHARE = 0.8
 LAST_SHARE = 0.95
 
 _LOG = logging.getLogger(__name__)
@@ -64,6 +65,10 @@
             Service that it goes to.
         """
 
+    @abc.abstractmethod
+    def refused_share(self, route, service):
+        """Return the share of a route's requests that is refused."""
+
     @abc.abstractmethod
     def pressures(self, now):
         """Return what is known of services that are short, by service."""
@@ -90,6 +95,10 @@
         """Let the request in."""
         return True
 
+    def refused_share(self, route, service):
+        """Return 0."""
+        return 0.0
+
     def pressures(self, now):
         """Return nothing."""
         return {}
@@ -176,6 +185,11 @@
         demand.admitted_count += 1
         return True
 
+    def refused_share(self, route, service):
+        """Return the share of a route's requests that is refused."""
+        demand = self._demands.get((route.name, service))
+        return demand.refused_share if demand is not None else 0.0
+
     def pressures(self, now):
         """Return what is known of services that are short, by service."""
         return {
@@ -189,7 +203,11 @@
         elapsed_s = 0.0 if self._updated_at is None else now - self._updated_at
         self._updated_at = now
         for service, pressure in self._own_by_service.items():
-            pressure.update(now, self.count_targets(service))
+            pressure.update(
+                now,
+                self.count_targets(service),
+                self.costs.calls_others(service),
+            )
         if elapsed_s <= 0.0:
             return
         weight = min(1.0, elapsed_s / DEMAND_WINDOW_S)
--- a/rosemarycrank/dataplane/_pressure.py
+++ b/rosemarycrank/dataplane/_pressure.py
@@ -152,7 +152,7 @@
         """Return when the newest report came; None without any."""
         return max((at for _, at in self._reports.values()), default=None)
 
-    def update(self, now, targets=0):
+    def update(self, now, targets=0, calls_others=False):
         """Work out the share anew.
 
         Parameters
@@ -162,6 +162,9 @@
         targets : int, default=0
             Targets of the service that take work; those that were not heard
             of lately are taken to be like the others.
+        calls_others : bool, default=False
+            Whether its runs wait for other services. The time of a run then
+            tells nothing of its own room; only its queue does.
         """
         elapsed_s = 0.0 if self._updated_at is None else now - self._updated_at
         self._updated_at = now
@@ -192,6 +195,8 @@
         aimed_s = max(AIMED_WAIT_S, AIMED_WAIT_SHARE * run_s)
         horizon_s = max(HORIZON_S, HORIZON_RUNS * run_s)
         excess = waiting - aimed_s * capacity
+        if calls_others:
+            capacity = arrivals if excess > 0.0 else max(arrivals, offered)
         wanted = max(LEAST_WANTED * capacity, capacity - excess / horizon_s)
         share = 0.0
         if offered > wanted:
