Remember the attempts of a node that was away

Ruled out: late copies on old connections (they are reset) and a restarted target's node (its incarnation differs). Change: attempts are cancelled after 1.5 s but remembered for 120 s.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -25,6 +25,10 @@
 #: its attempts are taken as cancelled.
 CALLER_AWAY_S = 1.5
 
+#: Seconds for which the attempts of such a node are remembered: far longer
+#: than any request is waited for, so that none comes again after it.
+CALLER_KEPT_S = 120.0
+
 #: Seconds after the target announced that it leaves in which attempts that
 #: wait may still start; the least bound that deployments set is 2 s.
 LEAVING_START_S = 1.0
@@ -436,4 +440,7 @@
             for served in caller.served_by_number.values():
                 if served.result is None:
                     self._cancel(served, _frames.Reason.CANCELLED)
-            del self.callers_by_incarnation[caller.incarnation]
+            # What it had sent must be known when it comes back, or it
+            # would run again.
+            if now > caller.lost_at + CALLER_KEPT_S:
+                del self.callers_by_incarnation[caller.incarnation]
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -215,3 +215,17 @@
     pool.calls[0].on_answer(_complete())
     assert results[0].load.waiting == 2
     assert results[0].load.limit == 1
+
+
+def test_attempt_of_a_node_that_comes_back_late_does_not_run_again(
+    side, caller, pool, results, reactor
+):
+    side.accept(caller, fakes.attempt(remaining_ms=9000, idempotent=False))
+    caller.send = None
+    caller.lost_at = reactor.now()
+    reactor.run(_target.CALLER_AWAY_S + 1.0)
+    back = side.caller(caller.incarnation)
+    back.send = results.append
+    side.accept(back, fakes.attempt(remaining_ms=6000, idempotent=False))
+    assert len(pool.calls) == 1
+    assert [r.outcome for r in results] == [_frames.Outcome.UNKNOWN]
