Let an idle target take work after a slow time

The usual time of a route had grown to 1.1 s while the leaf was slow; more than was left of the route's timeout of 1.2 s, so nothing was started, and without runs the time could not fall. Ruled out: the limit and the queue (running 6, waiting 0, limit 102), lost nodes (back at 37 s). Change: a target with free slots refuses nothing for want of time; what waits is judged by the fast runs of its route. Measured: the two new tests; the first fails without the change.

--- a/rosemarycrank/dataplane/_limit.py
+++ b/rosemarycrank/dataplane/_limit.py
@@ -10,7 +10,12 @@
 #: nearly full, by more than the last slots would add.
 USED_SHARE = 0.945
 
-#: Share of a route's usual time that must be left for a run to begin: work
+#: Weight of a sample in the least time of a route: of one that is faster,
+#: and of one that is slower.
+FASTER_WEIGHT = 0.2
+SLOWER_WEIGHT = 0.01
+
+#: Share of a route's least time that must be left for a run to begin: work
 #: that cannot end in time takes room from what can.
 LEAST_SHARE_LEFT = 0.9
 
@@ -32,7 +37,7 @@
     def __init__(self):
         self.value = DEFAULT_SLOTS
         self.service_s = 0.0
-        self._service_s_by_route = {}
+        self._least_s_by_route = {}
 
     def reset(self, slots):
         """Start anew for a target that has just started.
@@ -45,7 +50,7 @@
         slots = slots if slots > 0 else DEFAULT_SLOTS
         self.value = max(1, int(slots * USED_SHARE))
         self.service_s = 0.0
-        self._service_s_by_route.clear()
+        self._least_s_by_route.clear()
 
     def observe(self, route, took_s, complete):
         """Learn from the end of a run.
@@ -64,14 +69,17 @@
         if self.service_s == 0.0:
             self.service_s = took_s
         self.service_s += SAMPLE_WEIGHT * (took_s - self.service_s)
-        known_s = self._service_s_by_route.get(route, took_s)
-        self._service_s_by_route[route] = known_s + SAMPLE_WEIGHT * (
-            took_s - known_s
-        )
+        least_s = self._least_s_by_route.get(route, took_s)
+        weight = FASTER_WEIGHT if took_s < least_s else SLOWER_WEIGHT
+        self._least_s_by_route[route] = least_s + weight * (took_s - least_s)
 
     def least_s(self, route):
-        """Return the seconds that a run of a route has to have left."""
-        return LEAST_SHARE_LEFT * self._service_s_by_route.get(route, 0.0)
+        """Return the seconds that a run of a route has to have left.
+
+        It follows the fast runs: the usual time grows while the service
+        below is slow, and would keep away what could end in time.
+        """
+        return LEAST_SHARE_LEFT * self._least_s_by_route.get(route, 0.0)
 
     def wait_s(self, ahead):
         """Return the seconds until a place is free.
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -259,11 +259,11 @@
             return _frames.Reason.OTHER_TARGET
         if record.state != _directory.READY:
             return _frames.Reason.LEAVING
-        expected_s = 0.0
-        if len(self._running) >= self.limit.value:
-            urgent_at = now + attempt.urgency_ms / 1000.0
-            ahead = sum(1 for entry in self._waiting if entry[0] <= urgent_at)
-            expected_s = self.limit.wait_s(ahead)
+        if len(self._running) < self.limit.value:
+            return None
+        urgent_at = now + attempt.urgency_ms / 1000.0
+        ahead = sum(1 for entry in self._waiting if entry[0] <= urgent_at)
+        expected_s = self.limit.wait_s(ahead)
         expected_s += self.limit.least_s(attempt.route)
         if now + expected_s > served.deadline_at:
             return _frames.Reason.QUEUE_FULL
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -229,3 +229,24 @@
     side.accept(back, fakes.attempt(remaining_ms=6000, idempotent=False))
     assert len(pool.calls) == 1
     assert [r.outcome for r in results] == [_frames.Outcome.UNKNOWN]
+
+
+def test_idle_target_takes_work_after_a_slow_time(side, caller, pool):
+    # A time of long runs must not keep away all work for good: without
+    # runs nothing would show that the time is over.
+    for _ in range(200):
+        side.limit.observe('read', 3.0, True)
+    side.accept(caller, fakes.attempt(remaining_ms=1000))
+    assert len(pool.calls) == 1
+
+
+def test_what_waits_is_judged_by_the_fast_runs(
+    side, caller, pool, results, reactor
+):
+    for step in range(200):
+        side.limit.observe('read', 0.1 if step % 4 == 0 else 0.8, True)
+    side.accept(caller, fakes.attempt(1))
+    side.accept(caller, fakes.attempt(2, remaining_ms=3000))
+    reactor.run(2.4)
+    pool.calls[0].on_answer(_complete())
+    assert len(pool.calls) == 2
