--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -339,6 +339,7 @@
                     'outcome': _frames.Outcome(outcome).name.lower(),
                     'status': status,
                     'instance': attempt.instance,
+                    'remaining_ms': attempt.remaining_ms,
                     'running': len(self._running),
                     'waiting': self._waiting_count,
                     'limit': self.limit.value,
