Leave routes alone whose refusal frees nothing

Ruled out: shortage of their own service (its share was 0). Change: routes with under 0.1 calls to the short service are not counted; up to 0.85 of the least important route goes before the next one.

--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -22,13 +22,17 @@
 #: Seconds between calculations of the shares to refuse.
 UPDATE_S = 0.1
 
+#: Calls to a short service for each request below which a route is left
+#: alone: refusing it would free nothing.
+LEAST_CALLS = 0.1
+
 #: Change of a share that is worth a line of the log.
 LOGGED_STEP = 0.1
 
 #: Largest share of a route's requests that is refused before more important
 #: ones are touched, and after that. Clients come back once at least, so
 #: more of them are served than this leaves; none is starved for others.
-FIRST_SHARE = 0.8
+FIRST_SHARE = 0.85
 LAST_SHARE = 0.95
 
 _LOG = logging.getLogger(__name__)
@@ -275,7 +279,7 @@
         for demand in self._demands.values():
             cost = self.costs.cost(demand.service, demand.route.name)
             calls = cost.get(service, 0.0)
-            if calls > 0.0:
+            if calls >= LEAST_CALLS:
                 loads.append((demand.route.priority, calls, demand))
         total = sum(calls * demand.rate for _, calls, demand in loads)
         left = share * total
--- a/tests/dataplane/test_front.py
+++ b/tests/dataplane/test_front.py
@@ -30,7 +30,8 @@
     costs = _costs.CallCosts('front')
     costs.heard('archive', {'read': {'archive': 1.0, 'leaf': 8.0}})
     costs.heard('dues', {'pay': {'dues': 1.0, 'leaf': 8.0}})
-    costs.heard('members', {'list': {'members': 1.0}})
+    # What the fit leaves of a call that is not made.
+    costs.heard('members', {'list': {'members': 1.0, 'leaf': 0.02}})
     return costs
 
 
@@ -69,6 +70,7 @@
 
 def test_request_that_needs_nothing_of_it_is_not_touched(front):
     assert _shares(front, 0.6)['list'] == 1.0
+    assert _shares(front, 0.9)['list'] == 1.0
 
 
 def test_no_route_is_starved_for_others(front):
