Bound what is held for clients that do not read

Cause: found by reading: only the number of pipelined requests held a slow reader back, and a client that never read its answers was kept for ever. Names: Stream.is_connecting and dataplane.configure_log are public, as others use them. Measured: tests/dataplane/test_clients.py, whose tests of slow readers fail without the change.

--- a/rosemarycrank/dataplane/__init__.py
+++ b/rosemarycrank/dataplane/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from rosemarycrank.dataplane import _balance
+from rosemarycrank.dataplane import _decisions
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _http1
@@ -45,4 +46,5 @@
 TargetChooser = _balance.TargetChooser
 TargetRecord = _frames.TargetRecord
 WeightedService = _routes.WeightedService
+configure_log = _decisions.configure
 parse_address = _reactor.parse_address
--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -42,7 +42,6 @@
         '_exchanges',
         '_paused',
         '_ended_at',
-        '_served',
     )
 
     def __init__(self, server, sock):
@@ -55,7 +54,6 @@
         self._exchanges = []
         self._paused = False
         self._ended_at = 0.0
-        self._served = 0
         self.stream = _reactor.Stream(server.reactor, sock, self)
         self.stream.on_drained = self._drained
 
@@ -74,7 +72,10 @@
             self._reader.feed(data)
         except _http1.MessageError as error:
             self._refuse(error)
-        if len(self._exchanges) >= MOST_PIPELINED:
+        if (
+            len(self._exchanges) >= MOST_PIPELINED
+            or self.stream.unsent > MOST_UNSENT_BYTES
+        ):
             self._pause()
 
     def closed(self, _error):
@@ -127,8 +128,12 @@
         if self._ended_at:
             if now - self._ended_at > LINGER_S:
                 self.close()
-        elif self._exchanges or self._paused:
+        elif self._exchanges:
             return
+        elif self._paused or self.stream.unsent:
+            # It does not read its answers.
+            if waited_s > limits.idle_timeout_s:
+                self.close()
         elif self._reader.started:
             slow = waited_s > (
                 limits.idle_timeout_s
@@ -137,13 +142,12 @@
             )
             if slow:
                 self._refuse(_http1.MessageError(408, 'request too slow'))
-        elif waited_s > limits.idle_timeout_s and self.stream.unsent == 0:
+        elif waited_s > limits.idle_timeout_s:
             self.close()
 
     def _requested(self, message):
         if self.closing:
             return
-        self._served += 1
         exchange = self.server.entry.open(message, self)
         if not message.keep_alive:
             self.closing = True
@@ -178,10 +182,9 @@
         self.stream.resume()
 
     def _drained(self):
+        self.waiting_since = self.server.reactor.now()
         if self._paused and len(self._exchanges) < MOST_PIPELINED:
             self._resume()
-        if self.stream.unsent > MOST_UNSENT_BYTES:
-            self._pause()
 
 
 class ClientServer:
--- a/rosemarycrank/dataplane/_http_client.py
+++ b/rosemarycrank/dataplane/_http_client.py
@@ -34,9 +34,9 @@
 
 
 class _Call:
-    def __init__(self, client, on_reply):
+    def __init__(self, client):
         self.client = client
-        self.on_reply = on_reply
+        self.on_reply = None
         self.reader = _http1.ResponseReader(self._responded)
         self.timer = None
         self.idle_since = 0.0
@@ -154,4 +154,4 @@
             if now - call.idle_since < IDLE_S:
                 return call
             call.stream.close()
-        return _Call(self, None)
+        return _Call(self)
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -113,6 +113,10 @@
     ----------
     unsent : int
         Bytes that wait to be sent.
+    is_open, is_connecting : bool
+        Whether it may be used, and whether nothing can have been sent yet.
+    on_drained : callable or None
+        Called when all bytes have been sent.
     """
 
     __slots__ = (
@@ -120,13 +124,13 @@
         'owner',
         'unsent',
         'is_open',
+        'is_connecting',
         'on_drained',
         '_sock',
         '_reader',
         '_writer',
         '_chunks',
         '_scheduled',
-        '_connecting',
     )
 
     def __init__(self, reactor, sock, owner, connecting=False):
@@ -138,7 +142,7 @@
         self._sock = sock
         self._chunks = []
         self._scheduled = False
-        self._connecting = connecting
+        self.is_connecting = connecting
         self._reader = reactor.loop.io(sock.fileno(), _READ)
         self._writer = None
         if connecting:
@@ -152,7 +156,7 @@
             return
         self._chunks.append(data)
         self.unsent += len(data)
-        if not self._scheduled and not self._connecting:
+        if not self._scheduled and not self.is_connecting:
             self._scheduled = True
             self.reactor.loop.run_callback(self._flush)
 
@@ -162,7 +166,7 @@
 
     def resume(self):
         """Read again."""
-        if self.is_open and not self._connecting:
+        if self.is_open and not self.is_connecting:
             self._reader.start(self._readable)
 
     def close(self, reset=False):
@@ -176,7 +180,7 @@
         if not self.is_open:
             return
         self.is_open = False
-        if self._chunks and not reset and not self._connecting:
+        if self._chunks and not reset and not self.is_connecting:
             self._send()
         self._reader.stop()
         self._reader.close()
@@ -226,19 +230,19 @@
         self._writer.start(self._writable)
 
     def _writable(self):
-        if self._connecting:
+        if self.is_connecting:
             code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code:
                 self._lost(OSError(code, 'connect failed'))
                 return
-            self._connecting = False
+            self.is_connecting = False
             self._reader.start(self._readable)
         self._writer.stop()
         self._flush()
 
     def _flush(self):
         self._scheduled = False
-        if not self.is_open or self._connecting:
+        if not self.is_open or self.is_connecting:
             return
         error = self._send()
         if error is not None:
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -120,7 +120,7 @@
 
     def closed(self, error):
         """Take the end of the connection."""
-        connecting = self.stream._connecting
+        connecting = self.stream.is_connecting
         if self._on_answer is not None and error is None:
             if self._reader.end_of_stream() and self._on_answer is None:
                 self._discard()
@@ -134,7 +134,7 @@
             self._fail(_frames.Reason.ANSWER_LOST)
 
     def _connect_expired(self, _now):
-        if self.stream.is_open and self.stream._connecting:
+        if self.stream.is_open and self.stream.is_connecting:
             self.stream.close()
             self.closed(TimeoutError('connect timed out'))
 
--- a/rosemarycrank/platform/__main__.py
+++ b/rosemarycrank/platform/__main__.py
@@ -9,7 +9,6 @@
 import gevent
 
 from rosemarycrank import dataplane
-from rosemarycrank.dataplane import _decisions
 from rosemarycrank.platform import _adapter
 from rosemarycrank.platform import _names
 from rosemarycrank.platform import _settings
@@ -87,7 +86,9 @@
         settings = _settings.read(path)
     except _settings.SettingsError as error:
         sys.exit(f'{_names.SETTINGS_VARIABLE}: {error}')
-    handler = _decisions.configure(settings.node_name, _STDOUT, time.monotonic)
+    handler = dataplane.configure_log(
+        settings.node_name, _STDOUT, time.monotonic
+    )
     process = dataplane.NodeProcess(
         _process_settings(settings),
         _adapter.PlatformAdapter(settings.store),
--- /dev/null
+++ b/tests/dataplane/test_clients.py
@@ -0,0 +1,192 @@
+"""Connections of clients: order, bounds and time-outs."""
+
+import attrs
+import pytest
+
+from rosemarycrank.dataplane import _clients
+from rosemarycrank.dataplane import _entry
+from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _reactor
+
+REQUEST = b'GET /%d HTTP/1.1\r\nHost: h\r\n\r\n'
+
+
+class _Stream:
+    def __init__(self, _loop, _sock, owner):
+        self.owner = owner
+        self.unsent = 0
+        self.sent = []
+        self.paused = False
+        self.ended = False
+        self.is_open = True
+        self.on_drained = None
+
+    def write(self, data):
+        self.sent.append(data)
+
+    def pause(self):
+        self.paused = True
+
+    def resume(self):
+        self.paused = False
+
+    def end_output(self):
+        self.ended = True
+
+    def close(self):
+        self.is_open = False
+
+
+@attrs.define(eq=False)
+class _Entry:
+    reactor: object
+    exchanges: list = attrs.field(factory=list)
+    abandoned: list = attrs.field(factory=list)
+
+    def open(self, message, connection):
+        now = self.reactor.now()
+        return _entry.Exchange(
+            message.target, connection, message.keep_alive, message, now
+        )
+
+    def begin(self, exchange):
+        self.exchanges.append(exchange)
+
+    def abandon(self, exchange):
+        self.abandoned.append(exchange.request_id)
+
+    def refuse_message(self, error, connection):
+        exchange = _entry.Exchange(
+            b'', connection, False, None, self.reactor.now()
+        )
+        exchange.response = _http1.response(error.status)
+        return exchange
+
+    def answer(self, index, text=b'HTTP/1.1 200 OK\r\n\r\n'):
+        exchange = self.exchanges[index]
+        exchange.response = text
+        exchange.connection.answered(exchange)
+
+
+@pytest.fixture
+def entry(reactor):
+    return _Entry(reactor)
+
+
+@pytest.fixture
+def server(reactor, entry, monkeypatch):
+    monkeypatch.setattr(_reactor, 'Stream', _Stream)
+    server = _clients.ClientServer(reactor, entry)
+    server.limits = _http1.Limits(header_timeout_s=1.0, idle_timeout_s=4.0)
+    return server
+
+
+@pytest.fixture
+def connection(server):
+    server._accepted(None, '10.0.0.1')
+    (connection,) = server._connections
+    return connection
+
+
+def test_answers_keep_the_order_of_the_requests(connection, entry):
+    connection.received(REQUEST % 1 + REQUEST % 2 + REQUEST % 3)
+    entry.answer(2, b'HTTP/1.1 203 c\r\n\r\n')
+    entry.answer(0, b'HTTP/1.1 201 a\r\n\r\n')
+    entry.answer(1, b'HTTP/1.1 202 b\r\n\r\n')
+    assert [data[9:12] for data in connection.stream.sent] == [
+        b'201',
+        b'202',
+        b'203',
+    ]
+
+
+def test_client_that_leaves_is_given_up(connection, entry):
+    connection.received(REQUEST % 1 + REQUEST % 2)
+    connection.closed(None)
+    assert entry.abandoned == [b'/1', b'/2']
+
+
+def test_bad_request_is_answered_behind_those_before_it(connection, entry):
+    connection.received(REQUEST % 1 + b'GARBAGE\r\n\r\n')
+    assert connection.stream.sent == []
+    entry.answer(0)
+    assert [data[9:12] for data in connection.stream.sent] == [b'200', b'400']
+    assert connection.stream.ended
+
+
+def test_pipeline_is_bounded(connection, entry):
+    for number in range(_clients.MOST_PIPELINED):
+        connection.received(REQUEST % number)
+    assert connection.stream.paused
+    entry.answer(0)
+    assert not connection.stream.paused
+
+
+def test_client_that_does_not_read_is_not_read_from(
+    connection, entry, reactor
+):
+    connection.stream.unsent = _clients.MOST_UNSENT_BYTES + 1
+    connection.received(REQUEST % 1)
+    assert connection.stream.paused
+    entry.answer(0)
+    assert connection.stream.paused
+    connection.stream.unsent = 0
+    connection.stream.on_drained()
+    assert not connection.stream.paused
+
+
+def test_client_that_never_reads_is_closed(connection, entry, reactor):
+    connection.received(REQUEST % 1)
+    entry.answer(0)
+    connection.stream.unsent = 100
+    reactor.run(3.0)
+    assert connection.stream.is_open
+    reactor.run(2.0)
+    assert not connection.stream.is_open
+
+
+@pytest.mark.parametrize(
+    'data, open_s, status',
+    [
+        (b'', 3.5, None),
+        (b'GET / HT', 0.8, b'408'),
+        (
+            b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx',
+            3.5,
+            b'408',
+        ),
+    ],
+)
+def test_slow_and_idle_clients(connection, reactor, data, open_s, status):
+    if data:
+        connection.received(data)
+    reactor.run(open_s)
+    assert connection.stream.is_open
+    assert connection.stream.sent == []
+    reactor.run(2.5)
+    assert not connection.stream.is_open
+    sent = [text[9:12] for text in connection.stream.sent]
+    assert sent == ([status] if status else [])
+
+
+def test_request_under_way_keeps_the_connection_open(
+    connection, entry, reactor
+):
+    connection.received(REQUEST % 1)
+    reactor.run(30.0)
+    assert connection.stream.is_open
+
+
+def test_stopping_node_closes_behind_its_answers(connection, entry, server):
+    connection.received(REQUEST % 1)
+    server.draining = True
+    server.close_idle()
+    assert connection.stream.is_open
+    entry.answer(0)
+    assert b'Connection: close' in connection.stream.sent[0]
+    assert connection.stream.ended
+
+
+def test_stopping_node_closes_idle_connections(connection, server):
+    server.close_idle()
+    assert not connection.stream.is_open
