--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,5 +1,6 @@
 """Nodes as real processes against the stand-in of the store."""
 
+import json
 import signal
 import subprocess
 import sys
@@ -7,8 +8,11 @@
 import gevent
 import pytest
 
+from rosemarycrank.platform import __main__ as node
 from tests.platform import deployment
 
+METRICS_PORT = node.METRICS_PORT
+
 
 @pytest.fixture
 def place(tmp_path, request):
@@ -133,6 +137,33 @@
     assert status == 200
 
 
+def test_settings_are_read_again_without_a_break(place, tmp_path):
+    ip = place.ips[0]
+    path = tmp_path / f'{ip}.conf'
+    path.write_text('this is no setting')
+    place.signal(ip, signal.SIGHUP)
+    place.wait_until(
+        lambda: b'settings not taken' in (tmp_path / f'{ip}.log').read_bytes(),
+        'a line about the bad settings',
+    )
+    assert place.send(ip, 'read')[1] == 200
+
+
+def test_metrics_and_state_dump(place):
+    place.send(place.ips[0], 'read')
+    status, text = deployment.exchange(
+        place.ips[0], METRICS_PORT, 'GET', '/metrics'
+    )
+    assert status == 200
+    assert 'rosemarycrank_requests_total' in text
+    assert 'rosemarycrank_request_seconds_bucket{le="0.1"}' in text
+    status, text = deployment.exchange(
+        place.ips[0], METRICS_PORT, 'GET', '/state'
+    )
+    assert status == 200
+    assert json.loads(text)['configuration'] == 1
+
+
 @pytest.mark.parametrize('mode', ['up', 'lost'])
 def test_configuration_reaches_every_node(place, mode):
     place.store.mode = mode
