Tell callers by the ends of their runs; keep costs over restarts

Cause: requests were refused in the wrong order, and too few of them, as the costs were wrong. Counts of 0.5 s do not tell routes apart that follow the same traffic; runs that fail make fewer calls; and a restart of all nodes lost what was known just when most runs fail.

Calls of several callers are shared out by deadlines that they inherit, and by least squares of short deviations where these tell nothing. Costs are averaged over 60 s, hardly learned while runs fail, and kept in a row for each service, written by one node. Routes with under half a call are left alone.

--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -1,80 +1,144 @@
 """How many calls a request causes at each service below it.
 
-No message links a call to the request for which it is made. A node counts
-the runs at its target by route and the calls that the target makes by
-route, in windows, and fits calls to runs by least squares; the chance
-variation of the counts separates the routes. Costs of the called routes come
-from the nodes that run them, so each node knows whole subtrees.
+A node counts the runs at its target and the calls that the target makes,
+by route. Routes whose runs do not wait for calls are left out, and calls are
+shared out among the others by their deadlines (`_call_links`); where these
+tell nothing, by least squares of the calls on the runs under way, in short
+steps (`_least_squares`). Costs of the called routes come from the nodes that
+run them, so each node knows whole subtrees.
 """
 
+import msgspec
+
+from rosemarycrank.dataplane import _call_links
+from rosemarycrank.dataplane import _least_squares
+
 #: Length of a window of counts, in seconds.
 WINDOW_S = 0.5
 
-#: Time over which old windows lose their weight, in seconds.
-MEMORY_S = 20.0
+#: Time between samples of the runs under way, in seconds: short beside a
+#: run, as what tells routes apart are the moments when few of one run.
+SAMPLE_S = 0.05
+
+#: Time over which old counts lose their weight, in seconds: long, as what
+#: requests call changes with releases of the targets only, and short troubles
+#: distort the counts.
+MEMORY_S = 60.0
+
+#: Seconds of runs, beside few that fail, from which on the costs of a route
+#: are told to others and go before what others tell of it.
+CONFIDENT_S = 8.0
+
+#: Seconds that what was kept in the store counts for.
+KEPT_S = 30.0
 
-#: Weight of the prior that all routes of a service cause the same calls;
-#: in squared runs.
-PRIOR_WEIGHT = 4.0
+#: Least share of the calls that has to be linked for links to be used.
+LEAST_LINKED = 0.1
 
 #: Calls for each run below which a route is taken as not calling.
 LEAST_CALLS = 0.05
 
-#: Smoothing of counts between windows: calls come after their run began.
-CARRIED_SHARE = 0.5
+#: Share of runs that end badly from which on little is learned: a run that
+#: fails has not made all of its calls.
+FAILING_SHARE = 0.15
 
+#: Weight of what was seen while runs fail, if it lowers a cost; and the most
+#: seconds of it that count as knowledge.
+FAILING_WEIGHT = 0.25
+UNSURE_S = 4.0
 
-def solve(matrix, vector):
-    """Solve a small symmetric positive definite system.
 
-    Parameters
+class KeptCall(msgspec.Struct):
+    """Calls that one request of a route causes directly.
+
+    Attributes
     ----------
-    matrix : list of list of float
-        Square matrix.
-    vector : list of float
-        Right-hand side.
-
-    Returns
-    -------
-    list of float
-        The solution.
+    service, route : str
+        What is called.
+    caller : str
+        Route of the request.
+    count : float
+        Calls for each request.
     """
-    size = len(vector)
-    rows = [matrix[i][:] + [vector[i]] for i in range(size)]
-    for column in range(size):
-        pivot = max(
-            range(column, size), key=lambda row: abs(rows[row][column])
-        )
-        rows[column], rows[pivot] = rows[pivot], rows[column]
-        head = rows[column]
-        if abs(head[column]) < 1e-12:
-            continue
-        for row in range(column + 1, size):
-            factor = rows[row][column] / head[column]
-            for k in range(column, size + 1):
-                rows[row][k] -= factor * head[k]
-    solution = [0.0] * size
-    for row in range(size - 1, -1, -1):
-        rest = rows[row][size] - sum(
-            rows[row][k] * solution[k] for k in range(row + 1, size)
-        )
-        pivot = rows[row][row]
-        solution[row] = rest / pivot if abs(pivot) >= 1e-12 else 0.0
-    return solution
 
+    service: str
+    route: str
+    caller: str
+    count: float
+
+
+class KeptCosts(msgspec.Struct):
+    """What is known of the routes that run at one service.
+
+    Attributes
+    ----------
+    service : str
+        The service.
+    costs_by_route : dict of str to dict of str to float
+        Calls at each service, the whole tree below included, by route.
+    calls : list of KeptCall
+        Its own calls.
+    """
+
+    service: str
+    costs_by_route: dict[str, dict[str, float]]
+    calls: list[KeptCall]
+
+
+class _Runs:
+    """Runs of one route in a window, and how they ended."""
 
-class _Fit:
-    """Least squares of calls to one route on runs of all routes."""
+    __slots__ = ('started', 'ended', 'failed')
 
     def __init__(self):
-        self.products_by_route = {}
+        self.started = 0
+        self.ended = 0
+        self.failed = 0
 
-    def add(self, runs_by_route, calls, decay):
-        products = self.products_by_route
-        for route in products:
-            products[route] *= decay
-        for route, runs in runs_by_route.items():
-            products[route] = products.get(route, 0.0) + runs * calls
+    def count(self):
+        """Return the runs, in the middle between their start and end."""
+        return 0.5 * (self.started + self.ended)
+
+
+class _Calls:
+    """Calls of the local target on one route of another service."""
+
+    def __init__(self):
+        self.total = 0.0
+        self.in_window = 0
+        self.in_sample = 0
+        self.links_by_route = {}
+        self.fit = _least_squares.Fit()
+        self.calls_by_route = {}
+
+    def sample(self, samples, factor):
+        """Take the runs under way and the calls since the last sample."""
+        self.total = self.total * factor + self.in_sample
+        self.fit.add(samples, self.in_sample, factor)
+        self.in_sample = 0
+
+    def shares(self, samples, silent):
+        """Return the share of these calls that each route makes.
+
+        Parameters
+        ----------
+        samples : Samples
+            Runs under way.
+        silent : set of str
+            Routes that make no calls.
+        """
+        linked = {
+            route: links.events()
+            for route, links in self.links_by_route.items()
+            if route not in silent
+        }
+        if sum(linked.values()) < LEAST_LINKED * self.total:
+            routes = [r for r in samples.runs_by_route if r not in silent]
+            linked = self.fit.parts(samples, routes)
+        total = sum(linked.values())
+        if total <= 0.0:
+            return {}
+        return {route: calls / total for route, calls in linked.items()}
 
 
 class CallCosts:
@@ -95,34 +159,77 @@
     def __init__(self, service):
         self.service = service
         self.by_route = {}
-        self._runs = {}
-        self._calls = {}
-        self._smooth_runs = {}
-        self._smooth_calls = {}
-        self._moments = {}
-        self._fits = {}
-        self._totals = {}
-        self._total_runs = 0.0
-
-    def ran(self, route):
-        """Count a run at the local target."""
-        self._runs[route] = self._runs.get(route, 0) + 1
-
-    def called(self, service, route):
-        """Count a call of the local target."""
+        self._links = _call_links.DeadlineLinks()
+        self._prompt_ends = _call_links.PromptEnds()
+        self._samples = _least_squares.Samples()
+        self._runs_by_route = {}
+        self._calls_by_key = {}
+        self._known_s_by_route = {}
+        # Routes whose costs come from this node's own counts.
+        self._own_routes = set()
+
+    def started(self, route, deadline_at):
+        """Count a run that begins at the local target.
+
+        Parameters
+        ----------
+        route : str
+            Its route.
+        deadline_at : float
+            Deadline that the target is told, in seconds of the node's clock.
+        """
+        self._links.started(route, deadline_at)
+        self._runs_of(route).started += 1
+
+    def ended(self, route, deadline_at, now, failed):
+        """Count the end of a run.
+
+        Parameters
+        ----------
+        route : str
+            Its route.
+        deadline_at : float
+            Deadline as at its start.
+        now : float
+            Seconds of the node's clock.
+        failed : bool
+            Whether it ended without success.
+        """
+        self._links.ended(route, deadline_at)
+        runs = self._runs_of(route)
+        runs.ended += 1
+        if failed:
+            runs.failed += 1
+        else:
+            self._prompt_ends.ended(route, now)
+
+    def answered(self, now):
+        """Note that a call of the local target was answered."""
+        self._prompt_ends.answered(now)
+
+    def called(self, service, route, deadline_at):
+        """Count a call of the local target.
+
+        Parameters
+        ----------
+        service, route : str
+            Where it goes.
+        deadline_at : float or None
+            Its deadline; None if it bears none.
+        """
         key = (service, route)
-        self._calls[key] = self._calls.get(key, 0) + 1
+        calls = self._calls_by_key.get(key)
+        if calls is None:
+            calls = self._calls_by_key[key] = _Calls()
+        calls.in_window += 1
+        calls.in_sample += 1
+        if deadline_at is not None:
+            self._links.count(deadline_at, calls.links_by_route)
 
     def forget_calls(self, route):
         """Drop the counts of a route that targets do not call."""
-        for counts in (
-            self._calls,
-            self._smooth_calls,
-            self._fits,
-            self._totals,
-        ):
-            for key in [key for key in counts if key[1] == route]:
-                del counts[key]
+        for key in [key for key in self._calls_by_key if key[1] == route]:
+            del self._calls_by_key[key]
 
     def heard(self, service, costs_by_route):
         """Take the costs that a node of another service reports.
@@ -135,6 +242,8 @@
             Calls by route and service.
         """
         for route, costs in costs_by_route.items():
+            if service == self.service and route in self._own_routes:
+                continue
             known = self.by_route.get((service, route))
             if known is None:
                 self.by_route[(service, route)] = dict(costs)
@@ -143,6 +252,43 @@
                 old = known.get(name, 0.0)
                 known[name] = old + 0.3 * (costs.get(name, 0.0) - old)
 
+    def restore(self, kept):
+        """Take costs that were kept, where nothing newer is known.
+
+        Parameters
+        ----------
+        kept : KeptCosts
+            Those of one service.
+        """
+        for route, costs in kept.costs_by_route.items():
+            self.by_route.setdefault((kept.service, route), dict(costs))
+        if kept.service != self.service:
+            return
+        for call in kept.calls:
+            if not self._confident(call.caller):
+                calls = self._calls_by_key.setdefault(
+                    (call.service, call.route), _Calls()
+                )
+                calls.calls_by_route[call.caller] = call.count
+        for route in kept.costs_by_route:
+            self._known_s_by_route[route] = max(
+                KEPT_S, self._known_s_by_route.get(route, 0.0)
+            )
+
+    def kept(self):
+        """Return what is certain of the local target's routes."""
+        routes = [r for r in self._known_s_by_route if self._confident(r)]
+        return KeptCosts(
+            self.service,
+            {route: self.by_route[(self.service, route)] for route in routes},
+            [
+                KeptCall(service, called, route, calls.calls_by_route[route])
+                for (service, called), calls in self._calls_by_key.items()
+                for route in routes
+                if route in calls.calls_by_route
+            ],
+        )
+
     def calls_others(self, service):
         """Return whether runs of a service are known to make calls."""
         return any(
@@ -156,71 +302,83 @@
         costs = self.by_route.get((service, route))
         return costs if costs is not None else {service: 1.0}
 
+    def sample(self):
+        """Take the runs under way and the calls since the last sample."""
+        factor = 1.0 - SAMPLE_S / MEMORY_S
+        self._samples.add(self._links.running_by_route, factor)
+        for calls in self._calls_by_key.values():
+            calls.sample(self._samples, factor)
+
     def close_window(self):
-        """Fit anew with the counts since the last window.
+        """Work the costs out anew with the counts since the last window.
 
         Returns
         -------
         dict of str to dict of str to float
             Costs of the routes that ran here.
         """
-        decay = 1.0 - WINDOW_S / MEMORY_S
-        runs = self._carry(self._smooth_runs, self._runs)
-        calls = self._carry(self._smooth_calls, self._calls)
-        self._runs, self._calls = {}, {}
-        for pair in self._moments:
-            self._moments[pair] *= decay
-        for one, count in runs.items():
-            for other, other_count in runs.items():
-                pair = (one, other)
-                self._moments[pair] = (
-                    self._moments.get(pair, 0.0) + count * other_count
-                )
-        self._total_runs = self._total_runs * decay + sum(runs.values())
-        for key in set(calls) | set(self._fits):
-            fit = self._fits.setdefault(key, _Fit())
-            count = calls.get(key, 0.0)
-            fit.add(runs, count, decay)
-            self._totals[key] = self._totals.get(key, 0.0) * decay + count
-        return self._publish(sorted(runs))
-
-    @staticmethod
-    def _carry(smooth, counts):
-        for key in set(smooth) | set(counts):
-            value = CARRIED_SHARE * smooth.get(key, 0.0) + (
-                1.0 - CARRIED_SHARE
-            ) * counts.get(key, 0)
-            if value < 1e-3 and key not in counts:
-                smooth.pop(key, None)
-            else:
-                smooth[key] = value
-        return dict(smooth)
+        runs_by_route = self._runs_by_route
+        self._runs_by_route = {}
+        ended = sum(runs.ended for runs in runs_by_route.values())
+        failed = sum(runs.failed for runs in runs_by_route.values())
+        failing = failed > FAILING_SHARE * ended
+        factor = 1.0 - WINDOW_S / MEMORY_S
+        self._prompt_ends.decay(factor)
+        silent = self._prompt_ends.silent_routes()
+        for calls in self._calls_by_key.values():
+            for links in calls.links_by_route.values():
+                links.decay(factor)
+            shares = calls.shares(self._samples, silent)
+            for route, runs in runs_by_route.items():
+                share = shares.get(route, 0.0)
+                self._learn(calls, route, runs.count(), share, failing)
+            calls.in_window = 0
+        for route, runs in runs_by_route.items():
+            known_s = self._known_s_by_route.get(route, 0.0)
+            if runs.ended and (not failing or known_s < UNSURE_S):
+                self._known_s_by_route[route] = known_s + WINDOW_S
+        return self._publish(runs_by_route)
+
+    def _confident(self, route):
+        return self._known_s_by_route.get(route, 0.0) >= CONFIDENT_S
+
+    def _runs_of(self, route):
+        runs = self._runs_by_route.get(route)
+        if runs is None:
+            runs = self._runs_by_route[route] = _Runs()
+        return runs
+
+    def _learn(self, calls, route, runs, share, failing):
+        if runs <= 0.0:
+            return
+        known_s = self._known_s_by_route.get(route, 0.0)
+        known = calls.calls_by_route.get(route, 0.0)
+        seen = calls.in_window * share / runs
+        weight = WINDOW_S / min(MEMORY_S, known_s + WINDOW_S)
+        if failing:
+            if known_s >= CONFIDENT_S:
+                return
+            if seen < known:
+                weight *= FAILING_WEIGHT
+        calls.calls_by_route[route] = known + weight * (seen - known)
 
     def _publish(self, routes):
-        if not routes or self._total_runs <= 0.0:
-            return {}
-        matrix = [
-            [
-                self._moments.get((one, other), 0.0)
-                + (PRIOR_WEIGHT if one == other else 0.0)
-                for other in routes
-            ]
-            for one in routes
-        ]
-        costs = {route: {self.service: 1.0} for route in routes}
-        for key, fit in self._fits.items():
-            mean = self._totals[key] / self._total_runs
-            vector = [
-                fit.products_by_route.get(route, 0.0) + PRIOR_WEIGHT * mean
-                for route in routes
-            ]
-            for route, calls in zip(routes, solve(matrix, vector)):
-                if calls < LEAST_CALLS:
+        costs = {
+            route: {self.service: 1.0}
+            for route in routes
+            if self._confident(route)
+            or (self.service, route) not in self.by_route
+            or route in self._own_routes
+        }
+        self._own_routes.update(costs)
+        for key, calls in self._calls_by_key.items():
+            below = self.cost(*key)
+            for route, cost in costs.items():
+                count = calls.calls_by_route.get(route, 0.0)
+                if count < LEAST_CALLS:
                     continue
-                for name, below in self.cost(*key).items():
-                    costs[route][name] = (
-                        costs[route].get(name, 0.0) + calls * below
-                    )
+                for name, share in below.items():
+                    cost[name] = cost.get(name, 0.0) + count * share
         for route, cost in costs.items():
             self.by_route[(self.service, route)] = cost
         return costs
--- a/rosemarycrank/dataplane/_discovery.py
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -94,15 +94,19 @@
         """Write a row if it stands at ``row.version``; 0 means absent."""
 
 
-class _Backoff:
+class Backoff:
+    """Times to wait between tries, doubling up to a bound."""
+
     def __init__(self, random):
         self._random = random
         self._delay_s = FIRST_RETRY_S
 
     def reset(self):
+        """Begin with short times again."""
         self._delay_s = FIRST_RETRY_S
 
     def next_s(self):
+        """Return the seconds to wait now."""
         delay_s = self._delay_s * (0.5 + self._random.random())
         self._delay_s = min(LAST_RETRY_S, self._delay_s * 2.0)
         return delay_s
@@ -139,7 +143,7 @@
         self._after = None
         self._wait_s = FIRST_WAIT_S
         self._random = random
-        self._backoff = _Backoff(random)
+        self._backoff = Backoff(random)
         self._answering = True
 
     def start(self):
@@ -217,7 +221,7 @@
         self._wanted = None
         self._writing = False
         self._waiting = False
-        self._backoff = _Backoff(random)
+        self._backoff = Backoff(random)
 
     def seen(self, row):
         """Take the row as it stands in the store."""
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -84,6 +84,8 @@
         Attempts that may have arrived at a target.
     may_have_run : bool
         Whether a target may have run it.
+    from_target : bool
+        Whether the local target sent it, as a call for what it runs.
     """
 
     request_id: bytes
@@ -101,6 +103,7 @@
     tried: list = attrs.field(factory=list)
     arrivals: int = 0
     may_have_run: bool = False
+    from_target: bool = False
 
 
 class EntrySide:
@@ -222,16 +225,19 @@
             self._refuse(exchange, 400, 'no request id')
             return
         wait_s = route.timeout_s
+        asked_until = None
         deadline_ms = values.get(self.names.deadline_ms)
         if deadline_ms is not None:
             if not deadline_ms.isdigit() or len(deadline_ms) > 9:
                 self._refuse(exchange, 400, 'deadline is not a number')
                 return
-            wait_s = min(wait_s, int(deadline_ms) / 1000.0)
+            asked_s = int(deadline_ms) / 1000.0
+            asked_until = exchange.arrived_at + asked_s
+            wait_s = min(wait_s, asked_s)
         exchange.route = route
         exchange.deadline_at = exchange.arrived_at + wait_s
         exchange.service = self.picker.pick(route)
-        if not self._admit(exchange):
+        if not self._admit(exchange, asked_until):
             self._refuse(exchange, 503, 'shed at the front')
             return
         exchange.head = b'%b %b HTTP/1.1\r\n%b%b' % (
@@ -246,7 +252,7 @@
         )
         self._attempt(exchange)
 
-    def _admit(self, exchange):
+    def _admit(self, exchange, asked_until):
         node = self.node
         route = exchange.route
         from_client = node.origins.arrived(
@@ -260,7 +266,8 @@
             return node.front.admit(route, exchange.service)
         # What targets call is never refused here: the requests for which
         # they call have been let in already.
-        node.costs.called(exchange.service, route.name)
+        exchange.from_target = True
+        node.costs.called(exchange.service, route.name, asked_until)
         return True
 
     def abandon(self, exchange):
@@ -463,11 +470,13 @@
         self.under_way -= 1
         exchange.message = None
         exchange.head = b''
-        if status:
-            self.counters.answers_by_status[status] += 1
-            self.counters.request_time.observe(
-                self.node.reactor.now() - exchange.arrived_at
-            )
+        if not status:
+            return
+        now = self.node.reactor.now()
+        self.counters.answers_by_status[status] += 1
+        self.counters.request_time.observe(now - exchange.arrived_at)
+        if exchange.from_target:
+            self.node.costs.answered(now)
 
     def _expire(self, now):
         expiring = self._expiring
--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -23,8 +23,9 @@
 UPDATE_S = 0.1
 
 #: Calls to a short service for each request below which a route is left
-#: alone: refusing it would free nothing.
-LEAST_CALLS = 0.1
+#: alone: refusing it would free next to nothing, and costs are known to about
+#: that only.
+LEAST_CALLS = 0.5
 
 #: Change of a share that is worth a line of the log.
 LOGGED_STEP = 0.1
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -13,6 +13,7 @@
 
 from rosemarycrank.dataplane import _balance
 from rosemarycrank.dataplane import _clients
+from rosemarycrank.dataplane import _cost_rows
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _discovery
@@ -79,6 +80,8 @@
         Bounds on repeats.
     targets_table : str
         Table in which nodes find each other.
+    costs_table : str
+        Table in which costs of requests are kept.
     configuration_table, configuration_key : str
         Row of the configuration.
     """
@@ -95,6 +98,7 @@
     grace_s: float
     budget: _node.BudgetSettings
     targets_table: str
+    costs_table: str
     configuration_table: str
     configuration_key: str
 
@@ -210,6 +214,14 @@
             self._take_target_row,
             source,
         )
+        self.cost_rows = _cost_rows.CostRows(
+            self.reactor,
+            self.store,
+            settings.costs_table,
+            self.costs,
+            self._writes_costs,
+            source,
+        )
         self.configurations = _discovery.TableFollower(
             self.reactor,
             self.store,
@@ -241,6 +253,7 @@
         self.clients.listen(settings.client_address)
         self.configurations.start()
         self.targets.start()
+        self.cost_rows.start()
         gevent.signal_handler(signal.SIGTERM, self.stop)
         gc.collect()
         gc.freeze()
@@ -323,6 +336,11 @@
     def _count_targets(self, service):
         return len(self.node.directory.ready(service))
 
+    def _writes_costs(self):
+        records = self.node.directory.ready(self.settings.service)
+        first = min((record.node for record in records), default=None)
+        return first == self.settings.peer_address
+
     def _configured(self, configuration):
         self.clients.limits = configuration.limits
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
@@ -155,6 +156,7 @@
         self._last_run_at = reactor.now()
         reactor.timers.every(SWEEP_S, self._sweep)
         reactor.timers.every(RATE_S, self._update_rate)
+        reactor.timers.every(_costs.SAMPLE_S, lambda _now: costs.sample())
 
     def announce(self, record):
         """Take what the local target says of itself.
@@ -272,7 +274,7 @@
     def _start(self, served, now):
         attempt = served.attempt
         served.started_at = now
-        self.costs.ran(attempt.route)
+        self.costs.started(attempt.route, served.deadline_at)
         self._running.add(served)
         connection = self.pool.acquire(attempt.idempotent)
         served.connection = connection
@@ -296,7 +298,8 @@
 
     def _answered(self, served, answer):
         now = self.reactor.now()
-        self._stopped(served, now)
+        failed = answer.outcome != _COMPLETE or answer.status >= 500
+        self._stopped(served, now, failed)
         took_s = now - served.started_at
         self.limit.observe(
             served.attempt.route, took_s, answer.outcome == _COMPLETE
@@ -312,8 +315,16 @@
         )
         self._fill()
 
-    def _stopped(self, served, now):
-        self._running.discard(served)
+    def _stopped(self, served, now, failed):
+        if served not in self._running:
+            return
+        self._running.remove(served)
+        self.costs.ended(
+            served.attempt.route,
+            served.deadline_at,
+            now,
+            failed,
+        )
         served.connection = None
         self._last_run_at = now
 
@@ -360,7 +371,7 @@
         attempt = served.attempt
         if served.connection is not None:
             served.connection.abort()
-            self._stopped(served, self.reactor.now())
+            self._stopped(served, self.reactor.now(), True)
             outcome = _UNKNOWN
         else:
             self._waiting_count -= 1
--- a/rosemarycrank/platform/__main__.py
+++ b/rosemarycrank/platform/__main__.py
@@ -39,6 +39,7 @@
             settings.retry_budget_ratio, settings.retry_budget_slack
         ),
         targets_table=_names.TARGETS_TABLE,
+        costs_table=_names.COSTS_TABLE,
         configuration_table=_names.OPERATOR_TABLE,
         configuration_key=_names.CONFIGURATION_KEY,
     )
--- a/rosemarycrank/platform/_names.py
+++ b/rosemarycrank/platform/_names.py
@@ -19,7 +19,9 @@
 OPERATOR_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
 
-#: Table in which the nodes find each other; its name is ours.
+#: Tables in which the nodes find each other and keep the costs of requests;
+#: these names are ours.
 TARGETS_TABLE = 'targets'
+COSTS_TABLE = 'costs'
 
 SETTINGS_VARIABLE = 'ROSEMARYCRANK_CONFIG'
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _routes
@@ -166,3 +167,24 @@
 def result(number, outcome=0, reason=0, status=200, body=b'ok'):
     """Return the end of an attempt."""
     return _frames.Result(number, outcome, reason, status, b'', body, None)
+
+
+class Store(_discovery.Store):
+    """Store whose answers the test gives."""
+
+    def __init__(self):
+        self.calls = []
+        self.waits = []
+
+    def read(self, table, on_reply):
+        self.calls.append(('read', None, on_reply))
+
+    def follow(self, table, after, wait_s, on_reply):
+        self.calls.append(('follow', after, on_reply))
+        self.waits.append(wait_s)
+
+    def write(self, table, row, on_reply):
+        self.calls.append(('write', row, on_reply))
+
+    def answer(self, kind=_discovery.ReplyKind.OK, rows=(), version=0):
+        self.calls[-1][2](_discovery.StoreReply(kind, rows, version, 'x'))
--- a/tests/dataplane/test_discovery.py
+++ b/tests/dataplane/test_discovery.py
@@ -5,34 +5,14 @@
 import pytest
 
 from rosemarycrank.dataplane import _discovery
+from tests.dataplane import fakes
 
 OK = _discovery.ReplyKind.OK
 
 
-class _Store(_discovery.Store):
-    """Store whose answers the test gives."""
-
-    def __init__(self):
-        self.calls = []
-        self.waits = []
-
-    def read(self, table, on_reply):
-        self.calls.append(('read', None, on_reply))
-
-    def follow(self, table, after, wait_s, on_reply):
-        self.calls.append(('follow', after, on_reply))
-        self.waits.append(wait_s)
-
-    def write(self, table, row, on_reply):
-        self.calls.append(('write', row, on_reply))
-
-    def answer(self, kind=OK, rows=(), version=0):
-        self.calls[-1][2](_discovery.StoreReply(kind, rows, version, 'x'))
-
-
 @pytest.fixture
 def store():
-    return _Store()
+    return fakes.Store()
 
 
 @pytest.fixture
