Let calls inherit the rank of the request that makes them

Cause: in a shortage of the leaf 30 to 50 in 100 paid requests failed after they had been let in, since their calls stood in the leaf's queue behind those of reads, and repeats at refusing targets went to whichever call came first. A call bears the deadline of the run that makes it whenever that run has less time left than the call has of its own; so the nearest running deadline tells the rank, and the mean of what runs where none is near.

Change: attempts carry that rank over all hops; the queue gives each rank 0.5 s of precedence; what matters less leaves part of the repeats' stock.

Ruled out before (docs/PLATFORM.md): the best rank of whatever calls a route, which put most calls first.

--- a/rosemarycrank/dataplane/_budget.py
+++ b/rosemarycrank/dataplane/_budget.py
@@ -25,15 +25,23 @@
         """Count a first arrival."""
         self._tokens = min(self.stock, self._tokens + self.ratio)
 
-    def spend(self):
+    def spend(self, rank=0.0):
         """Take a token for a repeat.
 
+        What matters less leaves part of the stock to what matters more.
+
+        Parameters
+        ----------
+        rank : float, default=0.0
+            How urgent the request is; 0 may take the last token.
+
         Returns
         -------
         bool
             Whether there was one.
         """
-        if self._tokens < 1.0:
+        reserved = (self.stock - 1.0) * rank / (1.0 + rank)
+        if self._tokens < 1.0 + max(0.0, reserved):
             return False
         self._tokens -= 1.0
         return True
--- a/rosemarycrank/dataplane/_call_links.py
+++ b/rosemarycrank/dataplane/_call_links.py
@@ -9,6 +9,8 @@
 
 import collections
 
+import attrs
+
 #: Seconds in which a run ends after the answer to its last call, on one VM.
 PROMPT_S = 0.0006
 
@@ -135,6 +137,25 @@
         }
 
 
+@attrs.frozen
+class Run:
+    """A request that runs at the local target.
+
+    Attributes
+    ----------
+    route : str
+        Its route.
+    rank : float
+        How urgent it is; 0 matters most.
+    deadline_at : float
+        Its deadline, in seconds of the node's clock.
+    """
+
+    route: str
+    rank: float
+    deadline_at: float
+
+
 class DeadlineLinks:
     """Running requests by their deadlines.
 
@@ -146,23 +167,29 @@
 
     def __init__(self):
         self.running_by_route = {}
-        self._routes_by_bucket = {}
+        self._runs_by_bucket = {}
+        self._running = 0
+        self._rank_sum = 0.0
 
-    def started(self, route, deadline_at):
+    def started(self, run):
         """Note that a run began."""
         running = self.running_by_route
-        running[route] = running.get(route, 0) + 1
-        bucket = int(deadline_at / BUCKET_S)
-        self._routes_by_bucket.setdefault(bucket, []).append(route)
+        running[run.route] = running.get(run.route, 0) + 1
+        self._running += 1
+        self._rank_sum += run.rank
+        bucket = int(run.deadline_at / BUCKET_S)
+        self._runs_by_bucket.setdefault(bucket, []).append(run)
 
-    def ended(self, route, deadline_at):
+    def ended(self, run):
         """Note that a run ended."""
-        self.running_by_route[route] -= 1
-        bucket = int(deadline_at / BUCKET_S)
-        routes = self._routes_by_bucket[bucket]
-        routes.remove(route)
-        if not routes:
-            del self._routes_by_bucket[bucket]
+        self.running_by_route[run.route] -= 1
+        self._running -= 1
+        self._rank_sum -= run.rank
+        bucket = int(run.deadline_at / BUCKET_S)
+        runs = self._runs_by_bucket[bucket]
+        runs.remove(run)
+        if not runs:
+            del self._runs_by_bucket[bucket]
 
     def count(self, deadline_at, excess_by_route):
         """Count the runs that may have made a call.
@@ -173,15 +200,29 @@
             Deadline of the call.
         excess_by_route : dict of str to Excess
             Counts to add to.
+
+        Returns
+        -------
+        Run or None
+            The run that is nearest, if any is near.
         """
-        buckets = self._routes_by_bucket
+        buckets = self._runs_by_bucket
         bucket = int(deadline_at / BUCKET_S)
+        nearest, least_s = None, float('inf')
         for offset in NEAR:
-            for route in buckets.get(bucket + offset, ()):
-                self._of(route, excess_by_route).near += 1.0
+            for run in buckets.get(bucket + offset, ()):
+                self._of(run.route, excess_by_route).near += 1.0
+                distance_s = abs(run.deadline_at - deadline_at)
+                if distance_s < least_s:
+                    nearest, least_s = run, distance_s
         for offset in BY_CHANCE:
-            for route in buckets.get(bucket + offset, ()):
-                self._of(route, excess_by_route).by_chance += 0.5
+            for run in buckets.get(bucket + offset, ()):
+                self._of(run.route, excess_by_route).by_chance += 0.5
+        return nearest
+
+    def mean_rank(self):
+        """Return the mean rank of the runs under way; None without any."""
+        return self._rank_sum / self._running if self._running else None
 
     @staticmethod
     def _of(route, excess_by_route):
--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -168,40 +168,36 @@
         # Routes whose costs come from this node's own counts.
         self._own_routes = set()
 
-    def started(self, route, deadline_at):
+    def started(self, run):
         """Count a run that begins at the local target.
 
         Parameters
         ----------
-        route : str
-            Its route.
-        deadline_at : float
-            Deadline that the target is told, in seconds of the node's clock.
+        run : rosemarycrank.dataplane._call_links.Run
+            The run, with the deadline that the target is told.
         """
-        self._links.started(route, deadline_at)
-        self._runs_of(route).started += 1
+        self._links.started(run)
+        self._runs_of(run.route).started += 1
 
-    def ended(self, route, deadline_at, now, failed):
+    def ended(self, run, now, failed):
         """Count the end of a run.
 
         Parameters
         ----------
-        route : str
-            Its route.
-        deadline_at : float
-            Deadline as at its start.
+        run : rosemarycrank.dataplane._call_links.Run
+            As at its start.
         now : float
             Seconds of the node's clock.
         failed : bool
             Whether it ended without success.
         """
-        self._links.ended(route, deadline_at)
-        runs = self._runs_of(route)
+        self._links.ended(run)
+        runs = self._runs_of(run.route)
         runs.ended += 1
         if failed:
             runs.failed += 1
         else:
-            self._prompt_ends.ended(route, now)
+            self._prompt_ends.ended(run.route, now)
 
     def answered(self, now):
         """Note that a call of the local target was answered."""
@@ -216,6 +212,13 @@
             Where it goes.
         deadline_at : float or None
             Its deadline; None if it bears none.
+
+        Returns
+        -------
+        float or None
+            Rank of the request for which it was made: of the run whose
+            deadline it bears, else the mean of those under way. None if
+            nothing runs.
         """
         key = (service, route)
         calls = self._calls_by_key.get(key)
@@ -223,8 +226,10 @@
             calls = self._calls_by_key[key] = _Calls()
         calls.in_window += 1
         calls.in_sample += 1
+        caller = None
         if deadline_at is not None:
-            self._links.count(deadline_at, calls.links_by_route)
+            caller = self._links.count(deadline_at, calls.links_by_route)
+        return self._links.mean_rank() if caller is None else caller.rank
 
     def forget_calls(self, route):
         """Drop the counts of a route that targets do not call."""
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -86,6 +86,9 @@
         Whether a target may have run it.
     from_target : bool
         Whether the local target sent it, as a call for what it runs.
+    rank : float
+        How urgent it is, 0 most: by the configuration, or as that for which
+        the local target calls.
     """
 
     request_id: bytes
@@ -104,6 +107,7 @@
     arrivals: int = 0
     may_have_run: bool = False
     from_target: bool = False
+    rank: float = 0.0
 
 
 class EntrySide:
@@ -237,6 +241,7 @@
         exchange.route = route
         exchange.deadline_at = exchange.arrived_at + wait_s
         exchange.service = self.picker.pick(route)
+        exchange.rank = float(route.priority)
         if not self._admit(exchange, asked_until):
             self._refuse(exchange, 503, 'shed at the front')
             return
@@ -267,7 +272,9 @@
         # What targets call is never refused here: the requests for which
         # they call have been let in already.
         exchange.from_target = True
-        node.costs.called(exchange.service, route.name, asked_until)
+        rank = node.costs.called(exchange.service, route.name, asked_until)
+        if rank is not None:
+            exchange.rank = rank
         return True
 
     def abandon(self, exchange):
@@ -301,7 +308,7 @@
             len(exchange.tried),
             max(1, int((exchange.deadline_at - now) * 1000.0)),
             int((exchange.arrived_at + route.aim_s - now) * 1000.0),
-            route.priority,
+            exchange.rank,
             route.idempotent,
             route.name,
             exchange.request_id,
@@ -374,7 +381,7 @@
             return False
         if exchange.arrivals == 0:
             return True
-        return self._budget_of(exchange.service).spend()
+        return self._budget_of(exchange.service).spend(exchange.rank)
 
     def _budget_of(self, service):
         budget = self._budgets_by_service.get(service)
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -171,8 +171,8 @@
         Time that is left for the answer.
     urgency_ms : int
         Time until the answer loses worth; less is served first.
-    priority : int
-        Rank by the configuration; 0 matters most.
+    rank : float
+        How urgent the client's request is; 0 matters most.
     idempotent : bool
         Whether it may run more than once.
     route : str
@@ -188,7 +188,7 @@
     offers: int
     remaining_ms: int
     urgency_ms: int
-    priority: int
+    rank: float
     idempotent: bool
     route: str
     request_id: bytes
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from rosemarycrank.dataplane import _call_links
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
@@ -34,6 +35,11 @@
 #: wait may still start; the least bound that deployments set is 2 s.
 LEAVING_START_S = 1.0
 
+#: Seconds by which an attempt gives way to one that is more urgent by one
+#: rank: more than queues last, so what matters most hardly waits, and short
+#: enough that nothing waits for ever.
+RANK_S = 0.5
+
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _UNKNOWN = int(_frames.Outcome.UNKNOWN)
@@ -56,6 +62,8 @@
         Where it runs.
     started_at : float
         When it was sent to the target; 0 while it waits.
+    run : rosemarycrank.dataplane._call_links.Run or None
+        What it is for those who learn from its calls.
     result : rosemarycrank.dataplane.Result or None
         Its end.
     """
@@ -66,6 +74,7 @@
     deadline_at: float
     connection: object = None
     started_at: float = 0.0
+    run: object = None
     result: object = None
 
 
@@ -237,7 +246,7 @@
         elif len(self._running) < self.limit.value:
             self._start(served, now)
         else:
-            urgent_at = now + attempt.urgency_ms / 1000.0
+            urgent_at = self._urgent_at(attempt, now)
             heapq.heappush(
                 self._waiting, (urgent_at, next(self._sequence), served)
             )
@@ -263,7 +272,7 @@
             return _frames.Reason.LEAVING
         if len(self._running) < self.limit.value:
             return None
-        urgent_at = now + attempt.urgency_ms / 1000.0
+        urgent_at = self._urgent_at(attempt, now)
         ahead = sum(1 for entry in self._waiting if entry[0] <= urgent_at)
         expected_s = self.limit.wait_s(ahead)
         expected_s += self.limit.least_s(attempt.route)
@@ -271,10 +280,17 @@
             return _frames.Reason.QUEUE_FULL
         return None
 
+    @staticmethod
+    def _urgent_at(attempt, now):
+        return now + attempt.urgency_ms / 1000.0 + RANK_S * attempt.rank
+
     def _start(self, served, now):
         attempt = served.attempt
         served.started_at = now
-        self.costs.started(attempt.route, served.deadline_at)
+        served.run = _call_links.Run(
+            attempt.route, attempt.rank, served.deadline_at
+        )
+        self.costs.started(served.run)
         self._running.add(served)
         connection = self.pool.acquire(attempt.idempotent)
         served.connection = connection
@@ -319,12 +335,7 @@
         if served not in self._running:
             return
         self._running.remove(served)
-        self.costs.ended(
-            served.attempt.route,
-            served.deadline_at,
-            now,
-            failed,
-        )
+        self.costs.ended(served.run, now, failed)
         served.connection = None
         self._last_run_at = now
 
@@ -351,6 +362,7 @@
                     'status': status,
                     'instance': attempt.instance,
                     'remaining_ms': attempt.remaining_ms,
+                    'rank': round(attempt.rank, 2),
                     'running': len(self._running),
                     'waiting': self._waiting_count,
                     'limit': self.limit.value,
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -120,7 +120,7 @@
         'offers': 0,
         'remaining_ms': 1000,
         'urgency_ms': 500,
-        'priority': 1,
+        'rank': 1.0,
         'idempotent': True,
         'route': 'read',
         'request_id': b'r%d' % number,
--- a/tests/dataplane/test_costs.py
+++ b/tests/dataplane/test_costs.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from rosemarycrank.dataplane import _call_links
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _least_squares
 
@@ -44,37 +45,33 @@
 
     def _start(self, route, calls, time_s, fails):
         def act(now):
-            deadline_at = now + time_s
-            self.costs.started(route, deadline_at)
+            run = _call_links.Run(route, 0.0, now + time_s)
+            self.costs.started(run)
             work_s = 0.02 + self.source.expovariate(20.0)
             left = calls
             if self.source.random() < fails:
                 left = self.source.randrange(calls)
             failed = left < calls
-            self.at(now + work_s, self._step(route, deadline_at, left, failed))
+            self.at(now + work_s, self._step(run, left, failed))
 
         return act
 
-    def _step(self, route, deadline_at, left, failed):
+    def _step(self, run, left, failed):
         def act(now):
             if not left:
-                self.costs.ended(route, deadline_at, now, failed)
+                self.costs.ended(run, now, failed)
                 return
-            self.costs.called('leaf', 'lookup', min(deadline_at, now + 0.6))
+            until = min(run.deadline_at, now + 0.6)
+            self.costs.called('leaf', 'lookup', until)
             took_s = 0.005 + self.source.expovariate(50.0)
-            self.at(
-                now + took_s, self._answer(route, deadline_at, left, failed)
-            )
+            self.at(now + took_s, self._answer(run, left, failed))
 
         return act
 
-    def _answer(self, route, deadline_at, left, failed):
+    def _answer(self, run, left, failed):
         def act(now):
             self.costs.answered(now)
-            self.at(
-                now + PROMPT_S,
-                self._step(route, deadline_at, left - 1, failed),
-            )
+            self.at(now + PROMPT_S, self._step(run, left - 1, failed))
 
         return act
 
@@ -146,6 +143,21 @@
     assert costs.cost('dues', 'pay')['base'] == pytest.approx(6, rel=0.1)
 
 
+def test_call_has_the_rank_of_the_run_whose_deadline_it_bears(costs):
+    for number, rank in enumerate((0.0, 2.0, 2.0)):
+        costs.started(_call_links.Run('r', rank, 1.0 + 0.1 * number))
+    assert costs.called('leaf', 'lookup', 0.9995) == 0.0
+    assert costs.called('leaf', 'lookup', 1.101) == 2.0
+
+
+def test_call_without_a_deadline_of_its_run_has_the_mean_rank(costs):
+    assert costs.called('leaf', 'lookup', 1.0) is None
+    for rank in (0.0, 2.0):
+        costs.started(_call_links.Run('r', rank, 5.0))
+    assert costs.called('leaf', 'lookup', 0.6) == 1.0
+    assert costs.called('leaf', 'lookup', None) == 1.0
+
+
 def test_unknown_route_costs_itself(costs):
     assert costs.cost('other', 'x') == {'other': 1.0}
 
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -250,3 +250,37 @@
     reactor.run(2.4)
     pool.calls[0].on_answer(_complete())
     assert len(pool.calls) == 2
+
+
+def test_calls_of_what_matters_most_pass_others_in_the_queue(
+    side, caller, pool
+):
+    # Congested leaf: a paid request must not wait behind reads that came
+    # before it.
+    side.accept(caller, fakes.attempt(1))
+    for number in range(2, 8):
+        side.accept(caller, fakes.attempt(number, rank=2.0))
+    side.accept(caller, fakes.attempt(8, rank=0.0))
+    pool.calls[0].on_answer(_complete())
+    assert pool.calls[-1].request_id == b'r8'
+
+
+def test_what_matters_most_is_not_refused_for_what_waits_behind_it(
+    side, caller, results
+):
+    side.limit.service_s = 0.3
+    for number in range(1, 6):
+        side.accept(caller, fakes.attempt(number, rank=2.0))
+    side.accept(caller, fakes.attempt(6, rank=0.0))
+    assert [r.number for r in results] == [5]
+
+
+def test_nothing_waits_behind_what_matters_more_for_ever(
+    side, caller, pool, reactor
+):
+    side.accept(caller, fakes.attempt(1, remaining_ms=9000))
+    side.accept(caller, fakes.attempt(2, remaining_ms=9000, rank=2.0))
+    reactor.run(2 * _target.RANK_S + 0.1)
+    side.accept(caller, fakes.attempt(3, remaining_ms=9000, rank=0.0))
+    pool.calls[0].on_answer(_complete())
+    assert pool.calls[-1].request_id == b'r2'
