Ask the store and tell costs and demand less often; bound what is kept

What was kept of routes that a configuration had dropped was never forgotten.

Change: a question that found changes is followed by a pause (1.5 s for targets, which nodes tell each other anyway, 0.5 s for the configuration); demand is told every 0.3 s only to services that are short or for which it changed, else every second; costs every 5 s or when they change; a new configuration drops what is known of routes that it lacks. The state dump shows costs and pressures.

--- a/rosemarycrank/dataplane/_call_links.py
+++ b/rosemarycrank/dataplane/_call_links.py
@@ -113,6 +113,11 @@
         for excess in self.by_route.values():
             excess.decay(factor)
 
+    def retain(self, routes):
+        """Drop the counts of all routes but some."""
+        for route in self.by_route.keys() - routes:
+            del self.by_route[route]
+
     def silent_routes(self):
         """Return the routes whose runs do not wait for calls."""
         shares = {
@@ -182,7 +187,10 @@
 
     def ended(self, run):
         """Note that a run ended."""
-        self.running_by_route[run.route] -= 1
+        running = self.running_by_route
+        running[run.route] -= 1
+        if not running[run.route]:
+            del running[run.route]
         self._running -= 1
         self._rank_sum -= run.rank
         bucket = int(run.deadline_at / BUCKET_S)
--- a/rosemarycrank/dataplane/_cost_rows.py
+++ b/rosemarycrank/dataplane/_cost_rows.py
@@ -15,29 +15,10 @@
 #: Seconds between comparisons of what is known with what is kept.
 CHECK_S = 5.0
 
-#: Change of a cost, relative and in calls, that is worth a write.
-CHANGED_SHARE = 0.3
-CHANGED_CALLS = 0.3
-
 _DECODER = msgspec.json.Decoder(_costs.KeptCosts)
 _LOG = logging.getLogger(__name__)
 
 
-def differ(one, other):
-    """Return whether two routes' costs differ by more than noise.
-
-    Parameters
-    ----------
-    one, other : dict of str to float
-        Calls by service.
-    """
-    for service in one.keys() | other.keys():
-        calls, kept = one.get(service, 0.0), other.get(service, 0.0)
-        if abs(calls - kept) > CHANGED_CALLS + CHANGED_SHARE * kept:
-            return True
-    return False
-
-
 class CostRows:
     """Reads all costs at the start; keeps those of the local service.
 
@@ -119,7 +100,7 @@
             return
         known = self.costs.kept()
         changed = any(
-            differ(cost, self._kept_by_route.get(route, {}))
+            _costs.differ(cost, self._kept_by_route.get(route, {}))
             for route, cost in known.costs_by_route.items()
         )
         if not changed:
--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -47,6 +47,28 @@
 FAILING_WEIGHT = 0.25
 UNSURE_S = 4.0
 
+#: Weight of what one node of another service reports.
+HEARD_WEIGHT = 0.3
+
+#: Change of a cost, relative and in calls, that is worth telling.
+CHANGED_SHARE = 0.3
+CHANGED_CALLS = 0.3
+
+
+def differ(one, other):
+    """Return whether two routes' costs differ by more than noise.
+
+    Parameters
+    ----------
+    one, other : dict of str to float
+        Calls by service.
+    """
+    for service in one.keys() | other.keys():
+        calls, kept = one.get(service, 0.0), other.get(service, 0.0)
+        if abs(calls - kept) > CHANGED_CALLS + CHANGED_SHARE * kept:
+            return True
+    return False
+
 
 class KeptCall(msgspec.Struct):
     """Calls that one request of a route causes directly.
@@ -236,6 +258,30 @@
         for key in [key for key in self._calls_by_key if key[1] == route]:
             del self._calls_by_key[key]
 
+    def retain(self, routes):
+        """Drop what is known of all routes but some.
+
+        Parameters
+        ----------
+        routes : set of str
+            Routes of the configuration in force.
+        """
+        self._samples.retain(routes)
+        self._prompt_ends.retain(routes)
+        self._own_routes &= routes
+        for by_route in [self._known_s_by_route, *self._by_caller()]:
+            for route in by_route.keys() - routes:
+                del by_route[route]
+        for by_key in (self.by_route, self._calls_by_key):
+            for key in [key for key in by_key if key[1] not in routes]:
+                del by_key[key]
+
+    def _by_caller(self):
+        for calls in self._calls_by_key.values():
+            yield calls.links_by_route
+            yield calls.calls_by_route
+            yield calls.fit.products_by_route
+
     def heard(self, service, costs_by_route):
         """Take the costs that a node of another service reports.
 
@@ -255,7 +301,7 @@
                 continue
             for name in set(known) | set(costs):
                 old = known.get(name, 0.0)
-                known[name] = old + 0.3 * (costs.get(name, 0.0) - old)
+                known[name] = old + HEARD_WEIGHT * (costs.get(name, 0.0) - old)
 
     def restore(self, kept):
         """Take costs that were kept, where nothing newer is known.
--- a/rosemarycrank/dataplane/_discovery.py
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -11,7 +11,7 @@
 #: that the questions of many nodes end at different times and a connection
 #: that fell silent is noticed by one of them soon.
 FIRST_WAIT_S = 1.0
-LAST_WAIT_S = 10.0
+LAST_WAIT_S = 20.0
 LEAST_WAIT_SHARE = 0.4
 
 #: Seconds beyond that after which an unanswered question is asked anew.
@@ -127,6 +127,9 @@
         Called with each `StoredRow`.
     random : random.Random
         Random source.
+    pause_s : float
+        Seconds from one change to the next question, so that a series of
+        changes costs one call and not one for each.
 
     Attributes
     ----------
@@ -134,11 +137,12 @@
         Whether the table has been read once.
     """
 
-    def __init__(self, reactor, store, table, on_row, random):
+    def __init__(self, reactor, store, table, on_row, random, pause_s):
         self.reactor = reactor
         self.store = store
         self.table = table
         self.on_row = on_row
+        self.pause_s = pause_s
         self.has_read = False
         self._after = None
         self._wait_s = FIRST_WAIT_S
@@ -171,8 +175,13 @@
             self._after = reply.version
             for row in reply.rows:
                 self.on_row(row)
+            if self.has_read and reply.rows:
+                self.reactor.timers.after(
+                    self.pause_s, lambda _now: self.start()
+                )
+            else:
+                self.reactor.call_soon(self.start)
             self.has_read = True
-            self.reactor.call_soon(self.start)
             return
         self._wait_s = FIRST_WAIT_S
         if reply.kind is ReplyKind.COMPACTED:
--- a/rosemarycrank/dataplane/_least_squares.py
+++ b/rosemarycrank/dataplane/_least_squares.py
@@ -94,7 +94,8 @@
         """
         sums = self.runs_by_route
         deviations = self.deviations_by_route
-        for route, count in running_by_route.items():
+        for route in sums.keys() | running_by_route.keys():
+            count = running_by_route.get(route, 0)
             sums[route] = sums.get(route, 0.0) * decay + count
             level = self._levels_by_route.get(route)
             if level is None:
@@ -109,18 +110,37 @@
                     + deviation * other_deviation
                 )
 
+    def retain(self, routes):
+        """Drop the sums of all routes but some."""
+        for by_route in (
+            self.runs_by_route,
+            self.deviations_by_route,
+            self._levels_by_route,
+        ):
+            for route in by_route.keys() - routes:
+                del by_route[route]
+        products = self._products_by_pair
+        for pair in [pair for pair in products if not routes >= set(pair)]:
+            del products[pair]
+
     def products(self, one, other):
         """Return the sum of the products of two routes' deviations."""
         return self._products_by_pair.get((one, other), 0.0)
 
 
 class Fit:
-    """Calls to one route, against the runs of all routes."""
+    """Calls to one route, against the runs of all routes.
+
+    Attributes
+    ----------
+    products_by_route : dict of str to float
+        Sums of the products of both deviations, by the route that runs.
+    """
 
     def __init__(self):
         self._total = 0.0
         self._level = None
-        self._products_by_route = {}
+        self.products_by_route = {}
 
     def add(self, samples, calls, decay):
         """Take the calls of the newest sample.
@@ -138,7 +158,7 @@
         if self._level is None:
             self._level = _Level(calls)
         calls_deviation = self._level.deviation(calls)
-        products = self._products_by_route
+        products = self.products_by_route
         for route, deviation in samples.deviations_by_route.items():
             products[route] = (
                 products.get(route, 0.0) * decay + deviation * calls_deviation
@@ -172,7 +192,7 @@
             for one in routes
         ]
         vector = [
-            self._products_by_route.get(route, 0.0) + PRIOR_WEIGHT * mean
+            self.products_by_route.get(route, 0.0) + PRIOR_WEIGHT * mean
             for route in routes
         ]
         return {
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -182,6 +182,12 @@
             for address, peer in node.peers_by_node.items()
         },
         'under_way': process.entry.under_way,
+        # Calls that one request causes at each service.
+        'costs': {
+            f'{service}/{route}': cost
+            for (service, route), cost in process.costs.by_route.items()
+        },
+        'pressures': process.front.pressures(process.reactor.now()),
     }
 
 
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -14,8 +14,16 @@
 from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _reactor
 
-#: Seconds between reports of what clients ask.
+#: Seconds between reports of what clients ask: to services that are short of
+#: room or for which it has changed, and to others.
 DEMAND_S = 0.3
+CALM_DEMAND_S = 1.0
+
+#: Change of what clients ask that is reported at once.
+DEMAND_CHANGE = 0.3
+
+#: Seconds between reports of the costs of requests, if they hardly change.
+COSTS_S = 5.0
 
 #: Seconds between checks of the connections to other nodes.
 CHECK_S = 0.1
@@ -98,6 +106,8 @@
             reactor.now(), self._found_client_route
         )
         self._listener = None
+        self._demands_told = {}
+        self._costs_told = ({}, 0.0)
         reactor.timers.every(CHECK_S, self._check)
         reactor.timers.every(_costs.WINDOW_S, self._close_window)
         reactor.timers.every(_front.UPDATE_S, self._update_front)
@@ -177,6 +187,7 @@
             },
         )
         self.configuration = configuration
+        self.costs.retain({route.name for route in configuration.routes})
         for callback in self.on_configuration:
             callback(configuration)
 
@@ -275,16 +286,38 @@
         self.front.update(now)
 
     def _tell_demands(self, now):
+        pressures = self.front.pressures(now)
         for service, demand in self.front.demands().items():
+            if service not in pressures and not self._is_news(
+                service, demand, now
+            ):
+                continue
+            self._demands_told[service] = (demand.asked_per_s, now)
             for record in self.directory.ready(service):
                 if record.node == self.address:
                     self.target_side.demand.heard(self.address, demand, now)
                 elif record.node in self.peers_by_node:
                     self.peers_by_node[record.node].notify(demand)
 
-    def _close_window(self, _now):
+    def _is_news(self, service, demand, now):
+        asked_per_s, told_at = self._demands_told.get(service, (0.0, 0.0))
+        change = abs(demand.asked_per_s - asked_per_s)
+        return (
+            now - told_at > CALM_DEMAND_S
+            or change > DEMAND_CHANGE * asked_per_s
+        )
+
+    def _close_window(self, now):
         costs = self.costs.close_window()
-        if costs and any(len(cost) > 1 for cost in costs.values()):
+        if not any(len(cost) > 1 for cost in costs.values()):
+            return
+        told, told_at = self._costs_told
+        changed = any(
+            _costs.differ(cost, told.get(route, {}))
+            for route, cost in costs.items()
+        )
+        if changed or now - told_at > COSTS_S:
+            self._costs_told = (told | costs, now)
             self.tell(_frames.RouteCosts(self.costs.service, costs))
 
     def _check(self, now):
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -45,6 +45,12 @@
 #: Seconds between looks whether all is finished.
 FINISH_CHECK_S = 0.05
 
+#: Seconds from one change of a table to the next question for more. Nodes
+#: that call each other tell of targets at once; a configuration has to be in
+#: force within the 2 s that the platform's bounds leave.
+TARGETS_PAUSE_S = 1.5
+CONFIGURATION_PAUSE_S = 0.5
+
 #: Keys of the rows that name the routes that clients use.
 CLIENT_ROUTE_PREFIX = 'client-route/'
 
@@ -213,6 +219,7 @@
             settings.targets_table,
             self._take_target_row,
             source,
+            TARGETS_PAUSE_S,
         )
         self.cost_rows = _cost_rows.CostRows(
             self.reactor,
@@ -228,6 +235,7 @@
             settings.configuration_table,
             self._take_configuration_row,
             source,
+            CONFIGURATION_PAUSE_S,
         )
 
     def run(self):
--- a/tests/dataplane/test_cost_rows.py
+++ b/tests/dataplane/test_cost_rows.py
@@ -103,4 +103,4 @@
     'calls, differs', [(8.0, False), (9.0, False), (12.0, True), (0.0, True)]
 )
 def test_small_changes_are_no_news(calls, differs):
-    assert _cost_rows.differ({'leaf': calls}, {'leaf': 8.0}) is differs
+    assert _costs.differ({'leaf': calls}, {'leaf': 8.0}) is differs
--- a/tests/dataplane/test_costs.py
+++ b/tests/dataplane/test_costs.py
@@ -177,6 +177,15 @@
     assert costs.cost('dues', 'pay') == {'dues': 1.0}
 
 
+def test_routes_that_are_gone_are_forgotten(costs):
+    _play(costs, {'pay': (5, 1.0, 20), 'old': (5, 1.0, 20)})
+    costs.retain({'pay', 'lookup'})
+    assert costs.cost('dues', 'old') == {'dues': 1.0}
+    assert 'old' not in costs.kept().costs_by_route
+    _play(costs, {'pay': (5, 1.0, 20)}, until=5.0)
+    assert costs.cost('dues', 'pay')['leaf'] == pytest.approx(5, rel=0.2)
+
+
 def test_uncertain_counts_do_not_replace_what_others_tell(costs):
     costs.heard('dues', {'pay': {'dues': 1.0, 'leaf': 8.0}})
     _play(costs, {'pay': (2, 1.0, 20)}, until=_costs.CONFIDENT_S / 2)
--- a/tests/dataplane/test_discovery.py
+++ b/tests/dataplane/test_discovery.py
@@ -9,6 +9,8 @@
 
 OK = _discovery.ReplyKind.OK
 
+PAUSE_S = 0.5
+
 
 @pytest.fixture
 def store():
@@ -23,7 +25,7 @@
 @pytest.fixture
 def follower(reactor, store, rows):
     follower = _discovery.TableFollower(
-        reactor, store, 't', rows.append, random.Random(1)
+        reactor, store, 't', rows.append, random.Random(1), PAUSE_S
     )
     follower.start()
     return follower
@@ -38,11 +40,31 @@
     return _discovery.StoredRow('k', version, value)
 
 
+def test_series_of_changes_costs_one_question(follower, store, rows, reactor):
+    store.answer(version=5)
+    reactor.run(0.01)
+    store.answer(rows=(_row(b'b', 7),), version=7)
+    reactor.run(0.9 * PAUSE_S)
+    assert len(store.calls) == 2
+    reactor.run(0.2 * PAUSE_S)
+    assert store.calls[-1][:2] == ('follow', 7)
+
+
+def test_question_that_found_nothing_is_asked_again_at_once(
+    follower, store, reactor
+):
+    store.answer(version=5)
+    reactor.run(0.01)
+    store.answer(version=9)
+    reactor.run(0.01)
+    assert store.calls[-1][:2] == ('follow', 9)
+
+
 def test_follower_reads_once_and_then_follows(follower, store, rows, reactor):
     store.answer(rows=(_row(b'a', 3),), version=5)
     reactor.run(0.01)
     store.answer(rows=(_row(b'b', 7),), version=7)
-    reactor.run(0.01)
+    reactor.run(PAUSE_S + 0.01)
     assert [call[:2] for call in store.calls] == [
         ('read', None),
         ('follow', 5),
