Try the store again after 2 s at most

Nodes in touch with others hear of newer configurations and targets from them. Questions about targets pause 2 s after a change, as nodes tell each other of their targets.

--- a/rosemarycrank/dataplane/_discovery.py
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -22,7 +22,7 @@
 
 #: Seconds until a failed call is tried again: first, and at most.
 FIRST_RETRY_S = 0.1
-LAST_RETRY_S = 1.0
+LAST_RETRY_S = 2.0
 
 _LOG = logging.getLogger(__name__)
 
