Avoid targets that fail more than the others of their service

Its quick failures also lowered the time of a run by which the capacity is judged.

Change: each entry node averages which attempts a target served, failed or refused; one that fails more than the rest, by more than chance, is dearer by three aims for each failure. Shares fade in 3 s, so a target that has recovered is tried again. The limit learns from successes only. Also a setting listen.peer, for nodes behind something that passes connections on; the soak's proxies need it.

Ruled out: comparing with the best target (chance alone spread calls over all failure domains when all targets fail alike); exponential fading (11 us for each choice, 3 us now).

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -50,6 +50,17 @@
 )
 
 
+#: Ends of an attempt without an answer that are the target's own doing.
+_TARGET_FAILURES = frozenset(
+    int(reason)
+    for reason in (
+        _frames.Reason.REFUSED_BY_TARGET,
+        _frames.Reason.ANSWER_LOST,
+        _frames.Reason.ANSWER_INVALID,
+    )
+)
+
+
 @attrs.define(eq=False, slots=True)
 class Exchange:
     """A client's request and its answer.
@@ -78,6 +89,8 @@
         Attempt under way; 0 for none.
     peer : object
         Where that attempt is.
+    instance : str
+        Target of that attempt.
     tried : list of str
         Nodes that it was offered to.
     arrivals : int
@@ -103,6 +116,7 @@
     response: object = None
     attempt_number: int = 0
     peer: object = None
+    instance: str = ''
     tried: list = attrs.field(factory=list)
     arrivals: int = 0
     may_have_run: bool = False
@@ -296,8 +310,9 @@
         now = self.node.reactor.now()
         route = exchange.route
         record = self.chooser.choose(
-            candidates, self.node.peers_by_node, route.aim_s
+            candidates, self.node.peers_by_node, route.aim_s, now
         )
+        exchange.instance = record.instance
         if not exchange.arrivals:
             self._budget_of(exchange.service).earn()
         self.node.next_number += 1
@@ -342,6 +357,7 @@
         if exchange.response is not None:
             return
         exchange.attempt_number = 0
+        self._note_end(exchange, result)
         if result.outcome == _COMPLETE:
             exchange.arrivals += 1
             self._answer(exchange, result)
@@ -368,6 +384,16 @@
         else:
             self._give_up(exchange, reason.name.lower())
 
+    def _note_end(self, exchange, result):
+        """Tell the chooser of what a target served, refused or failed."""
+        complete = result.outcome == _COMPLETE
+        if complete or result.reason in _TARGET_FAILURES:
+            self.chooser.ended(
+                exchange.instance,
+                not complete or result.status >= 500,
+                self.node.reactor.now(),
+            )
+
     def _may_repeat(self, exchange, result):
         route = exchange.route
         if exchange.may_have_run and not route.idempotent:
@@ -495,4 +521,5 @@
                 exchange.peer.cancel(exchange.attempt_number)
                 exchange.attempt_number = 0
                 exchange.may_have_run = True
+                self.chooser.ended(exchange.instance, True, now)
             self._give_up(exchange, 'deadline')
--- a/rosemarycrank/dataplane/_limit.py
+++ b/rosemarycrank/dataplane/_limit.py
@@ -62,7 +62,7 @@
         took_s : float
             Seconds from sending to the answer.
         complete : bool
-            Whether it gave a whole answer.
+            Whether it gave a whole answer and no failure.
         """
         if not complete:
             return
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -113,11 +113,17 @@
         reactor.timers.every(_front.UPDATE_S, self._update_front)
         reactor.timers.every(DEMAND_S, self._tell_demands)
 
-    def listen(self):
-        """Accept connections of other nodes."""
+    def listen(self, address):
+        """Accept connections of other nodes.
+
+        Parameters
+        ----------
+        address : tuple of (str, int)
+            Where to listen.
+        """
         self._listener = _reactor.Listener(
             self.reactor,
-            _reactor.parse_address(self.address),
+            address,
             lambda sock, _ip: self.visitors.add(_peers.Visitor(self, sock)),
         )
 
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -76,6 +76,8 @@
         Where metrics and the state dump are served.
     peer_address : str
         ``host:port`` for other nodes.
+    peer_listen : tuple of (str, int)
+        Where their connections are taken.
     target_address : tuple of (str, int)
         Address of the local target.
     service : str
@@ -99,6 +101,7 @@
     control_address: tuple
     metrics_address: object
     peer_address: str
+    peer_listen: tuple
     target_address: tuple
     service: str
     grace_s: float
@@ -257,7 +260,7 @@
                     self._answer_metrics,
                 )
             )
-        self.node.listen()
+        self.node.listen(settings.peer_listen)
         self.clients.listen(settings.client_address)
         self.configurations.start()
         self.targets.start()
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -317,9 +317,8 @@
         failed = answer.outcome != _COMPLETE or answer.status >= 500
         self._stopped(served, now, failed)
         took_s = now - served.started_at
-        self.limit.observe(
-            served.attempt.route, took_s, answer.outcome == _COMPLETE
-        )
+        # What fails at once tells nothing of the time that work takes.
+        self.limit.observe(served.attempt.route, took_s, not failed)
         self.counters.service_time.observe(took_s)
         self._end(
             served,
--- a/rosemarycrank/platform/__main__.py
+++ b/rosemarycrank/platform/__main__.py
@@ -32,6 +32,7 @@
         control_address=settings.control,
         metrics_address=(settings.ip, METRICS_PORT),
         peer_address=settings.peer,
+        peer_listen=settings.peer_listen,
         target_address=settings.target,
         service=settings.service,
         grace_s=settings.grace_s,
--- a/rosemarycrank/platform/_settings.py
+++ b/rosemarycrank/platform/_settings.py
@@ -28,6 +28,9 @@
         question whether the node is ready, and for heartbeats.
     peer : str
         ``host:port`` at which other nodes reach this one.
+    peer_listen : tuple of (str, int)
+        Address at which it takes their connections: another one than `peer`
+        where something stands between that passes connections on.
     target : tuple of (str, int)
         Address of the local target.
     service : str
@@ -50,6 +53,7 @@
     ready: tuple
     control: tuple
     peer: str
+    peer_listen: tuple
     target: tuple
     service: str
     store: tuple
@@ -89,7 +93,9 @@
         raise SettingsError(f'{name}: got {value!r}, allowed a number')
 
 
-def _address(values, name):
+def _address(values, name, default=None):
+    if default is not None and not values.get(name):
+        return default
     try:
         return dataplane.parse_address(_text(values, name))
     except ValueError as error:
@@ -124,6 +130,7 @@
     """
     values = _values(text)
     ip = _text(values, 'ip')
+    first_port = _first_port(values)
     return Settings(
         node_name=_text(values, 'node_name'),
         ip=ip,
@@ -131,7 +138,8 @@
         outbound=_address(values, 'listen.outbound'),
         ready=_address(values, 'listen.ready'),
         control=_address(values, 'listen.control'),
-        peer=f'{ip}:{_first_port(values)}',
+        peer=f'{ip}:{first_port}',
+        peer_listen=_address(values, 'listen.peer', (ip, first_port)),
         target=_address(values, 'app_addr'),
         service=_text(values, 'service'),
         store=_address(values, 'provider.address'),
--- a/tests/dataplane/test_balance.py
+++ b/tests/dataplane/test_balance.py
@@ -44,7 +44,7 @@
     for step in range(int(seconds / step_s)):
         arrivals = int(rate * step_s + source.random())
         for _ in range(arrivals):
-            record = chooser.choose(records, peers, 0.3)
+            record = chooser.choose(records, peers, 0.3, 0.0)
             peers[record.node].sent_since_load += 1
             work[record.node] += 1
         for node, peer in peers.items():
@@ -105,6 +105,53 @@
     )
     records = _records(*(f'fd-{"ab"[n % 2]}' for n in range(count)))
     chosen = {
-        chooser.choose(records, {}, 0.5).node for _ in range(600 * count)
+        chooser.choose(records, {}, 0.5, 0.0).node for _ in range(600 * count)
     }
     assert len(chosen) == count
+
+
+def _play_failures(chooser, records, fails_by_node, start=0.0, seconds=10.0):
+    """Attempts with the given chances to fail; returns them by node."""
+    source = random.Random(4)
+    peers = {node: _Peer(34, 0.05) for node in fails_by_node}
+    # What fails at once looks fast and idle.
+    for node, chance in fails_by_node.items():
+        peers[node].load.service_s = 0.05 * (1.0 - 0.9 * chance)
+    sent = collections.Counter()
+    for step in range(int(50 * seconds)):
+        now = start + 0.02 * step
+        record = chooser.choose(records, peers, 0.3, now)
+        sent[record.node] += 1
+        failed = source.random() < fails_by_node[record.node]
+        chooser.ended(record.instance, failed, now)
+    return sent
+
+
+@pytest.mark.parametrize('chance', [0.45, 1.0])
+def test_target_that_fails_at_once_does_not_draw_the_load(chooser, chance):
+    # Grey failure: its health is good, and it answers before all others.
+    records = _records('fd-a', 'fd-a', 'fd-a')
+    sent = _play_failures(chooser, records, {'n0': 0, 'n1': 0, 'n2': chance})
+    assert sent['n2'] < 0.12 * sum(sent.values())
+
+
+def test_target_that_has_recovered_gets_its_share_again(chooser):
+    records = _records('fd-a', 'fd-a', 'fd-a')
+    _play_failures(chooser, records, {'n0': 0, 'n1': 0, 'n2': 1.0})
+    fails = dict.fromkeys(('n0', 'n1', 'n2'), 0.0)
+    _play_failures(chooser, records, fails, start=10.0, seconds=8.0)
+    sent = _play_failures(chooser, records, fails, start=18.0)
+    assert sent['n2'] > 0.25 * sum(sent.values())
+
+
+def test_failures_of_all_targets_change_nothing(chooser):
+    # Runs that fail for want of a service below fail everywhere.
+    records = _records('fd-a', 'fd-b', 'fd-b')
+    sent = _play_failures(chooser, records, {'n0': 0.5, 'n1': 0.5, 'n2': 0.5})
+    assert sent['n0'] > 0.8 * sum(sent.values())
+
+
+def test_targets_that_are_gone_are_forgotten(chooser):
+    for number in range(1000):
+        chooser.ended(f'i-{number}', True, number * 1.0)
+    assert len(chooser._failures_by_instance) < 100
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -54,7 +54,12 @@
             start_response('421 Misdirected Request', [])
             return [b'']
         self.runs_by_id[request_id] += 1
-        gevent.sleep(self.work_s)
+        if not self.run(request_id):
+            start_response(
+                '500 Internal Server Error',
+                [('X-Rosemarycrank-Request-Id', request_id)],
+            )
+            return [b'']
         body = f'{request_id}@{self.service}'.encode()
         start_response(
             '200 OK',
@@ -66,6 +71,11 @@
         )
         return [body]
 
+    def run(self, request_id):
+        """Do the work of a request; return whether it succeeded."""
+        gevent.sleep(self.work_s)
+        return True
+
     def _beat(self):
         while True:
             self.sequence += 1
@@ -139,11 +149,16 @@
         self.store, self._store_server = row_store.serve(f'{prefix}.1:0')
         self.ips = [f'{prefix}.{n + 10}' for n in range(len(services))]
         self.targets = [
-            Target(ip, service) for ip, service in zip(self.ips, services)
+            self.make_target(ip, service)
+            for ip, service in zip(self.ips, services)
         ]
         self._processes_by_ip = {}
         self._numbers = iter(range(1, 1 << 30))
 
+    def make_target(self, ip, service):
+        """Return the target of a node."""
+        return Target(ip, service)
+
     def configure(self, version, **services_by_prefix):
         """Write a configuration as the operator does."""
         routes = [
@@ -166,9 +181,9 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         self.store.put('op', 'config', value)
 
-    def start(self, ip):
-        """Start the node at an address."""
-        settings = {
+    def settings(self, ip):
+        """Return the settings of a node."""
+        return {
             'node_name': f'n-{ip}',
             'ip': ip,
             'zone': 'a',
@@ -181,9 +196,14 @@
             'service': self.target(ip).service,
             'provider.address': self._store_server.bound_address,
         }
+
+    def start(self, ip):
+        """Start the node at an address."""
         path = self.directory / f'{ip}.conf'
         path.write_text(
-            ''.join(f'{key}={value}\n' for key, value in settings.items())
+            ''.join(
+                f'{key}={value}\n' for key, value in self.settings(ip).items()
+            )
         )
         with open(self.directory / f'{ip}.log', 'ab') as log:
             self._processes_by_ip[ip] = subprocess.Popen(
@@ -201,6 +221,10 @@
         """Send a signal to a node that this deployment started."""
         self._processes_by_ip[ip].send_signal(number)
 
+    def has_ended(self, ip):
+        """Return whether a node is not running."""
+        return self._processes_by_ip[ip].poll() is not None
+
     def wait_for_end(self, ip, timeout_s=20.0):
         """Wait until a node has ended, and return its status."""
         end = time.monotonic() + timeout_s
