--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: venv format lint test fuzz demo bench scale plots
+.PHONY: venv format lint test fuzz demo bench scale plots soak
 
 venv: $(STAMP)
 
@@ -30,6 +30,9 @@
 demo: venv
 	$(PYTHON) -m benchmarks.demo
 
+soak: venv
+	$(PYTHON) -m tests.soak.runner --seeds $${SEEDS:-1-50} $(SOAK_FLAGS)
+
 bench: venv
 	$(PYTHON) -m benchmarks.overload
 
