Make one HTTP client of two

table_service had a client of its own beside http_client, both around the library's hidden re-sends. http_client now also bounds the bytes of an answer (AnswerTooLarge, as strict as before; its chunked answers had no bound), and table_service uses it. tests/table_service, test_http_client, node, cli and standins pass.

--- a/rosemarycrank/http_client/__init__.py
+++ b/rosemarycrank/http_client/__init__.py
@@ -5,6 +5,7 @@
 from rosemarycrank.http_client import _token
 
 AnswerLost = _client.AnswerLost
+AnswerTooLarge = _client.AnswerTooLarge
 AnswerTruncated = _client.AnswerTruncated
 Client = _client.Client
 ConnectFailed = _client.ConnectFailed
@@ -19,6 +20,7 @@
 __all__ = [
     'AUTHORIZATION',
     'AnswerLost',
+    'AnswerTooLarge',
     'AnswerTruncated',
     'Client',
     'ConnectFailed',
--- a/rosemarycrank/http_client/_client.py
+++ b/rosemarycrank/http_client/_client.py
@@ -2,10 +2,12 @@
 
 import attrs
 import gevent
+import gevent.socket
 import geventhttpclient
 from geventhttpclient import connectionpool
 from geventhttpclient import response as client_response
 
+#: Longest answer that is read unless a client is told otherwise.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 READ_BLOCK_BYTES = 64 * 1024
 
@@ -26,6 +28,10 @@
     """The answer is shorter than its announced length, or too large."""
 
 
+class AnswerTooLarge(AnswerTruncated):
+    """The answer is longer than allowed."""
+
+
 @attrs.frozen
 class Response:
     """A whole answer; header names are in lower case."""
@@ -35,6 +41,24 @@
     body: bytes
 
 
+class _BoundedSocket(gevent.socket.socket):
+    """Socket that receives no more than a number of bytes.
+
+    The length of a body is checked when it is announced; this bounds what
+    comes without one, and endless headers.
+    """
+
+    bytes_left = 0
+
+    def recv(self, *arguments):
+        """Receive bytes; raises `AnswerTooLarge` when they are too many."""
+        received = super().recv(*arguments)
+        self.bytes_left -= len(received)
+        if self.bytes_left < 0:
+            raise AnswerTooLarge('answer: longer than allowed')
+        return received
+
+
 class _PoolMixin:
     """What the pools with and without TLS have in common.
 
@@ -47,15 +71,20 @@
         Greenlets that were handed a socket and may have written to it.
     """
 
-    def __init__(self, *arguments, **parameters):
+    def __init__(self, *arguments, max_answer_bytes, **parameters):
         super().__init__(*arguments, **parameters)
+        self.max_answer_bytes = max_answer_bytes
         self.writing = set()
 
     def get_socket(self):
         sock = super().get_socket()
+        sock.bytes_left = self.max_answer_bytes
         self.writing.add(gevent.getcurrent())
         return sock
 
+    def _create_tcp_socket(self, family, socktype, protocol):
+        return _BoundedSocket(family, socktype, protocol)
+
     def _connect_socket(self, sock, address):
         try:
             return super()._connect_socket(sock, address)
@@ -89,6 +118,8 @@
     tls_context : gevent.ssl.SSLContext, optional
         Context for TLS, from `client_tls_context`; without it connections
         are plain.
+    max_answer_bytes : int, default=8 MiB
+        Longest answer; without TLS its headers count too.
     """
 
     def __init__(
@@ -99,6 +130,7 @@
         connect_timeout_s=1.0,
         read_timeout_s=30.0,
         tls_context=None,
+        max_answer_bytes=MAX_ANSWER_BYTES,
     ):
         self.host = host
         self.port = port
@@ -106,6 +138,7 @@
         self.connect_timeout_s = connect_timeout_s
         self.read_timeout_s = read_timeout_s
         self.tls_context = tls_context
+        self.max_answer_bytes = max_answer_bytes
         self._client = geventhttpclient.HTTPClient(host, port=port)
         self._pool = self._make_pool()
         # The library sends a request up to size + 1 more times when a
@@ -168,6 +201,7 @@
             'size': self.connections,
             'connection_timeout': self.connect_timeout_s,
             'network_timeout': self.read_timeout_s,
+            'max_answer_bytes': self.max_answer_bytes,
         }
         if self.tls_context is None:
             return _Pool(*server, *server, **parameters)
@@ -190,14 +224,14 @@
 
     def _read(self, answer):
         length = answer.content_length
-        if length is not None and length > MAX_ANSWER_BYTES:
-            raise AnswerTruncated(
-                f'answer: got {length} bytes, allowed {MAX_ANSWER_BYTES}'
-            )
+        self._check_length(length or 0)
         blocks = []
+        received = 0
         try:
             while block := answer.read(READ_BLOCK_BYTES):
                 blocks.append(block)
+                received += len(block)
+                self._check_length(received)
         except (OSError, client_response.HTTPParseError) as error:
             raise AnswerTruncated(str(error)) from error
         body = b''.join(blocks)
@@ -205,3 +239,9 @@
             raise AnswerTruncated(f'answer: got {len(body)} bytes, not whole')
         headers = {str(k).lower(): str(v) for k, v in answer.items()}
         return Response(answer.status_code, headers, body)
+
+    def _check_length(self, length):
+        if length > self.max_answer_bytes:
+            raise AnswerTooLarge(
+                f'answer: got {length} bytes, allowed {self.max_answer_bytes}'
+            )
--- a/rosemarycrank/table_service/_http.py
+++ b/rosemarycrank/table_service/_http.py
@@ -5,13 +5,11 @@
 from urllib import parse
 
 import attrs
-import gevent
-from geventhttpclient import response as http_response
 import msgspec
 
+from rosemarycrank import http_client
 from rosemarycrank.table_service import _errors
 from rosemarycrank.table_service import _operations
-from rosemarycrank.table_service import _single_send
 
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
 _CONNECTIONS = 32
@@ -25,10 +23,6 @@
 _SERVER_ERROR = 500
 
 
-class _OutOfTime(Exception):
-    """The whole operation took longer than allowed."""
-
-
 @attrs.frozen
 class _RowBody:
     """JSON form of a row; in an answer the version may be in the ETag."""
@@ -87,12 +81,13 @@
             raise ValueError(f'url: got {url!r}, allowed http://host:port')
         self._timeout_s = timeout_s
         self._base_path = parts.path.rstrip('/')
-        self._client = _single_send.make_client(
+        self._client = http_client.Client(
             parts.hostname,
             parts.port,
-            connections,
-            timeout_s,
-            max_answer_bytes,
+            connections=connections,
+            connect_timeout_s=timeout_s,
+            read_timeout_s=timeout_s,
+            max_answer_bytes=max_answer_bytes,
         )
         self._method_by_type = {
             _operations.TableRead: self._read,
@@ -177,7 +172,7 @@
     def _request_read(self, path):
         try:
             answer = self._request('GET', path)
-        except _UNANSWERED as error:
+        except http_client.HttpError as error:
             raise _errors.PlatformUnavailable(_describe(error)) from error
         if answer.status not in (_OK, _NOT_FOUND):
             raise _errors.PlatformUnavailable(f'status {answer.status}')
@@ -186,7 +181,7 @@
     def _request_write(self, path, body, headers, allowed=()):
         try:
             answer = self._request('PUT', path, body, headers)
-        except _single_send.NotSent as error:
+        except http_client.ConnectFailed as error:
             raise _errors.PlatformUnavailable(_describe(error)) from error
         except Exception as error:
             # Whatever went wrong after the connection stood, the request
@@ -202,30 +197,15 @@
         raise _errors.PlatformUnavailable(f'status {answer.status}')
 
     def _request(self, method, path, body=b'', headers=None):
-        with gevent.Timeout(self._timeout_s, _OutOfTime('out of time')):
-            response = self._client.request(
-                method, self._base_path + path, body, headers or {}
-            )
-            with response:
-                content = response.read()
-                if not response.message_complete:
-                    raise http_response.HTTPParseError('answer cut short')
-        return _HttpAnswer(response.get_code(), _etag(response), content)
-
-
-_UNANSWERED = (
-    OSError,
-    _OutOfTime,
-    _single_send.AnswerTooLarge,
-    _single_send.NotSent,
-    http_response.HTTPParseError,
-)
+        response = self._client.request(
+            method, self._base_path + path, body, headers, self._timeout_s
+        )
+        return _HttpAnswer(response.status, _etag(response), response.body)
 
 
 def _etag(response):
     """Return the ETag, or an empty string unless there is just one."""
-    tag = response.get('ETag', '')
-    return tag if isinstance(tag, str) else ''
+    return response.headers.get('etag', '')
 
 
 def _describe(error):
