Tell clients' requests by their deadlines; know single changes at once

Two findings, each with its logs.

A call ends with the run that makes it, so a request that lasts longer than all runs is a client's. Runs that failed count until their deadline, as the target may go on with them.

Pauses begin with 0.05 s now and double while changes go on. Ruled out: refusals at the front (the line says no target, targets 0).

--- a/rosemarycrank/dataplane/_call_links.py
+++ b/rosemarycrank/dataplane/_call_links.py
@@ -24,6 +24,10 @@
 #: by the time on the way and the rounding to milliseconds, under two buckets.
 BUCKET_S = 0.003
 
+#: Seconds by which the deadline of a call may lie after that of its request,
+#: as both are rounded.
+ROUNDING_S = 0.01
+
 #: Offsets, in buckets, at which a run counts as linked.
 NEAR = (-1, 0, 1)
 
@@ -175,6 +179,7 @@
         self._runs_by_bucket = {}
         self._running = 0
         self._rank_sum = 0.0
+        self._given_up_until = 0.0
 
     def started(self, run):
         """Note that a run began."""
@@ -185,8 +190,14 @@
         bucket = int(run.deadline_at / BUCKET_S)
         self._runs_by_bucket.setdefault(bucket, []).append(run)
 
-    def ended(self, run):
-        """Note that a run ended."""
+    def ended(self, run, failed):
+        """Note that a run ended.
+
+        One that failed may have been given up, and its target may go on
+        with it.
+        """
+        if failed:
+            self._given_up_until = max(self._given_up_until, run.deadline_at)
         running = self.running_by_route
         running[run.route] -= 1
         if not running[run.route]:
@@ -228,6 +239,13 @@
                 self._of(run.route, excess_by_route).by_chance += 0.5
         return nearest
 
+    def all_end_before(self, deadline_at):
+        """Return whether no run may last until a time."""
+        if deadline_at < self._given_up_until + ROUNDING_S:
+            return False
+        last = max(self._runs_by_bucket, default=0)
+        return deadline_at > (last + 1) * BUCKET_S + ROUNDING_S
+
     def mean_rank(self):
         """Return the mean rank of the runs under way; None without any."""
         return self._rank_sum / self._running if self._running else None
--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -213,7 +213,7 @@
         failed : bool
             Whether it ended without success.
         """
-        self._links.ended(run)
+        self._links.ended(run, failed)
         runs = self._runs_of(run.route)
         runs.ended += 1
         if failed:
@@ -253,6 +253,14 @@
             caller = self._links.count(deadline_at, calls.links_by_route)
         return self._links.mean_rank() if caller is None else caller.rank
 
+    def outlasts_runs(self, deadline_at):
+        """Return whether a request lasts longer than all that runs here.
+
+        A call of the local target ends with the run that makes it, so such
+        a request is a client's.
+        """
+        return self._links.all_end_before(deadline_at)
+
     def forget_calls(self, route):
         """Drop the counts of a route that targets do not call."""
         for key in [key for key in self._calls_by_key if key[1] == route]:
--- a/rosemarycrank/dataplane/_discovery.py
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -20,6 +20,9 @@
 #: Longest time for a plain read or write, in seconds.
 CALL_TIMEOUT_S = 2.0
 
+#: First pause after a change, in seconds.
+FIRST_PAUSE_S = 0.05
+
 #: Seconds until a failed call is tried again: first, and at most.
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 2.0
@@ -127,9 +130,10 @@
         Called with each `StoredRow`.
     random : random.Random
         Random source.
-    pause_s : float
-        Seconds from one change to the next question, so that a series of
-        changes costs one call and not one for each.
+    longest_pause_s : float
+        Longest time from one change to the next question. Pauses double
+        while changes go on, so a long series costs few calls and a single
+        change is known at once.
 
     Attributes
     ----------
@@ -137,12 +141,14 @@
         Whether the table has been read once.
     """
 
-    def __init__(self, reactor, store, table, on_row, random, pause_s):
+    def __init__(self, reactor, store, table, on_row, random, longest_pause_s):
         self.reactor = reactor
         self.store = store
         self.table = table
         self.on_row = on_row
-        self.pause_s = pause_s
+        self.longest_pause_s = longest_pause_s
+        self._pause_s = FIRST_PAUSE_S
+        self._changed_at = reactor.now()
         self.has_read = False
         self._after = None
         self._wait_s = FIRST_WAIT_S
@@ -176,9 +182,7 @@
             for row in reply.rows:
                 self.on_row(row)
             if self.has_read and reply.rows:
-                self.reactor.timers.after(
-                    self.pause_s, lambda _now: self.start()
-                )
+                self._pause()
             else:
                 self.reactor.call_soon(self.start)
             self.has_read = True
@@ -202,6 +206,15 @@
             self._backoff.next_s(), lambda _now: self.start()
         )
 
+    def _pause(self):
+        """Ask again after a while that follows the changes so far."""
+        now = self.reactor.now()
+        if now - self._changed_at > 2.0 * self.longest_pause_s:
+            self._pause_s = FIRST_PAUSE_S
+        self._changed_at = now
+        self.reactor.timers.after(self._pause_s, lambda _now: self.start())
+        self._pause_s = min(self.longest_pause_s, 2.0 * self._pause_s)
+
 
 class RowPublisher:
     """Keeps one row of a table at what this node says.
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -278,6 +278,10 @@
             route.name,
             exchange.arrived_at,
             node.target_side.idle_s(exchange.arrived_at),
+            lambda: (
+                asked_until is not None
+                and node.costs.outlasts_runs(asked_until)
+            ),
         )
         if self.closed and (from_client or self.closed_to_calls):
             return False
--- a/rosemarycrank/dataplane/_origins.py
+++ b/rosemarycrank/dataplane/_origins.py
@@ -1,12 +1,13 @@
 """Which routes clients use, and which are calls of targets only.
 
 Both reach a node on the same address, and no field tells them apart. But a
-target calls only while it runs something: a route whose requests arrive
-while the local target has been idle is one that clients use. What one node
-has found out holds for all.
+target calls only while it runs something, and its calls end with that: a
+route whose requests arrive while the local target has been idle, or last
+longer than all that it runs, is one that clients use. What one node has
+found out holds for all.
 """
 
-#: Requests that have to arrive while the target is idle.
+#: Requests that have to arrive so.
 LEAST_IDLE_ARRIVALS = 3
 
 #: Share of the requests of a route that these have to be: a target that
@@ -48,7 +49,7 @@
         self._arrivals_by_route = {}
         self._halved_at = started_at
 
-    def arrived(self, route, now, target_idle_s):
+    def arrived(self, route, now, target_idle_s, outlasts_runs):
         """Count a request.
 
         Parameters
@@ -59,6 +60,8 @@
             Seconds of the node's clock.
         target_idle_s : float
             Seconds since the local target last ran something.
+        outlasts_runs : callable
+            Returns whether the request lasts longer than all that runs.
 
         Returns
         -------
@@ -73,7 +76,7 @@
             self._halve(now)
         counts = self._arrivals_by_route.setdefault(route, [0, 0])
         counts[0] += 1
-        if target_idle_s < IDLE_AFTER_S:
+        if target_idle_s < IDLE_AFTER_S and not outlasts_runs():
             return False
         counts[1] += 1
         if target_idle_s < UNSURE_S and (
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -45,9 +45,10 @@
 #: Seconds between looks whether all is finished.
 FINISH_CHECK_S = 0.05
 
-#: Seconds from one change of a table to the next question for more. Nodes
-#: that call each other tell of targets at once; a configuration has to be in
-#: force within the 2 s that the platform's bounds leave.
+#: Longest time from one change of a table to the next question for more, in
+#: seconds. Nodes that call each other tell of targets at once; a
+#: configuration has to be in force within the 2 s that the platform's bounds
+#: leave.
 TARGETS_PAUSE_S = 2.0
 CONFIGURATION_PAUSE_S = 0.5
 
--- a/tests/dataplane/test_costs.py
+++ b/tests/dataplane/test_costs.py
@@ -158,6 +158,22 @@
     assert costs.called('leaf', 'lookup', None) == 1.0
 
 
+def test_request_that_outlasts_all_runs_is_no_call(costs):
+    run = _call_links.Run('r', 0.0, 2.0)
+    costs.started(run)
+    assert costs.outlasts_runs(2.1)
+    assert not costs.outlasts_runs(2.0)
+    assert not costs.outlasts_runs(1.0)
+
+
+def test_run_that_was_given_up_may_go_on_calling(costs):
+    run = _call_links.Run('r', 0.0, 2.0)
+    costs.started(run)
+    costs.ended(run, 0.5, failed=True)
+    assert not costs.outlasts_runs(1.9)
+    assert costs.outlasts_runs(2.1)
+
+
 def test_unknown_route_costs_itself(costs):
     assert costs.cost('other', 'x') == {'other': 1.0}
 
