--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -387,6 +387,9 @@
         for calls in self._calls_by_key.values():
             for links in calls.links_by_route.values():
                 links.decay(factor)
+            for route in silent & calls.calls_by_route.keys():
+                # Known for certain, unlike what it had been taken to call.
+                calls.calls_by_route[route] = 0.0
             shares = calls.shares(self._samples, silent)
             for route, runs in runs_by_route.items():
                 share = shares.get(route, 0.0)
--- a/tests/dataplane/test_costs.py
+++ b/tests/dataplane/test_costs.py
@@ -223,6 +223,28 @@
     assert elsewhere.cost('dues', 'pay') == costs.cost('dues', 'pay')
 
 
+def test_route_found_to_make_no_calls_costs_none_at_once(costs):
+    # What was kept comes from a time when the route could not be told.
+    calls = [
+        _costs.KeptCall('leaf', 'lookup', route, 3.0)
+        for route in ('pay', 'status')
+    ]
+    costs.restore(
+        _costs.KeptCosts(
+            'dues',
+            {
+                'pay': {'dues': 1.0, 'leaf': 3.0},
+                'status': {'dues': 1.0, 'leaf': 3.0},
+            },
+            calls,
+        )
+    )
+    routes = {'pay': (3, 6.0, 60), 'status': (0, 6.0, 25)}
+    _play(costs, routes, until=5.0)
+    assert costs.cost('dues', 'status').get('leaf', 0.0) < 0.1
+    assert costs.cost('dues', 'pay')['leaf'] == pytest.approx(3, rel=0.1)
+
+
 def test_what_was_learned_goes_before_what_was_kept(costs):
     kept = _costs.KeptCosts('dues', {'pay': {'dues': 1.0, 'leaf': 50.0}}, [])
     _play(costs, {'pay': (8, 1.0, 30)})
