Raise the protocol version of nodes

Attempts carry a rank where they had a priority, of another type; nodes of both kinds must not take each other's frames. tests/dataplane pass.

--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -12,7 +12,7 @@
 import msgspec
 
 #: Version of the frames; nodes of other versions are not talked to.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 #: Largest frame, in bytes: a body at the limit and its headers.
 MAX_FRAME_BYTES = 80 * 1024 * 1024
