Let the word that a node leaves fade

The word that the node leaves had come over the connection which that node had opened, while the entry node had none of its own, so no end of a connection took it back and the restarted node was never used again. It fades after 5 s now; a node that is still about to stop refuses attempts as not run. The soak also ends what it started when it is told to stop by a signal; before, its nodes stayed behind.

Ruled out: the store (the row and the record were right), refusals at the front (pressures were empty). The new test in test_peers.py fails without the change.

--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -254,7 +254,7 @@
         elif isinstance(frame, _frames.Leaving):
             peer = self.peers_by_node.get(link.address)
             if peer is not None:
-                peer.leaving = True
+                peer.leave()
 
     def merge(self, record):
         """Take the record of another node's target."""
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -35,6 +35,11 @@
 FIRST_RETRY_S = 0.1
 LAST_RETRY_S = 2.0
 
+#: Seconds for which the word of a node that it leaves holds: about the time
+#: that a stop may take. It may be back by then, without a connection that
+#: would show it; if not, it refuses attempts as not run.
+LEAVING_S = 5.0
+
 #: Seconds without attempts after which a connection is closed.
 UNUSED_S = 60.0
 
@@ -99,6 +104,7 @@
         self.sent_since_load = 0
         self.reachable = True
         self.leaving = False
+        self._left_at = 0.0
         self.incarnation = 0
         self._stream = None
         self._reader = None
@@ -168,6 +174,8 @@
         now : float
             Seconds of the node's clock.
         """
+        if self.leaving and now > self._left_at + LEAVING_S:
+            self.leaving = False
         if self._stream is None:
             if now >= self._retry_at and (
                 self._pending_by_number or not self.reachable
@@ -201,6 +209,11 @@
                 # Lets the peer forget what has arrived.
                 self._ask(now)
 
+    def leave(self):
+        """Take that the node is about to stop."""
+        self.leaving = True
+        self._left_at = self.node.reactor.now()
+
     def received(self, data):
         """Read frames of the peer."""
         self._heard_at = self.node.reactor.now()
@@ -322,7 +335,7 @@
                 self._take_load(frame.load)
             self.node.heard_version(frame.configuration_version, self)
         elif isinstance(frame, _frames.Leaving):
-            self.leaving = True
+            self.leave()
         else:
             self.node.take_notice(frame, self)
 
--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -295,6 +295,20 @@
     assert peer.reachable and not peer.leaving
 
 
+def test_leaving_heard_without_a_connection_of_its_own_fades(
+    make_world, reactor
+):
+    # The word came over the connection that the other node had opened, when
+    # this node had none to it: nothing closes that would end the leaving.
+    world = make_world()
+    peer = world.entry.peer(TARGET)
+    peer.leave()
+    reactor.run(_peers.LEAVING_S - 0.5, 0.01)
+    assert peer.leaving
+    reactor.run(1.0, 0.01)
+    assert not peer.leaving
+
+
 # The last five ran a payment twice: the target's node forgot a caller that
 # was away for more than 1.5 s, and took its attempts for new ones.
 @pytest.mark.parametrize('seed', [*range(12), 223, 266, 294, 389, 401])
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -243,8 +243,18 @@
     return range(int(first), int(last or first) + 1)
 
 
+def _end_on_signals():
+    """Let SIGTERM and SIGINT end what this process has started."""
+    main_greenlet = gevent.getcurrent()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(
+            number, gevent.kill, main_greenlet, SystemExit(1)
+        )
+
+
 def main():
     """Play the seeds of the command line."""
+    _end_on_signals()
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', type=_seeds, default=range(1, 4))
     parser.add_argument('--seconds', type=float, default=8.0)
