Never take back a target that left a node that had just started

The withdrawal is remembered now, and a heartbeat of that start makes a record that is gone.

Ruled out: the fade of a leaving node (attempts were refused as not announced until then), the choice of targets (the target's own node sent the request). The new tests in test_registration.py fail without the change.

--- a/rosemarycrank/dataplane/_registration.py
+++ b/rosemarycrank/dataplane/_registration.py
@@ -56,6 +56,7 @@
         self.node_address = node_address
         self.on_change = on_change
         self._record = None
+        self._withdrawn = ('', 0)
         self._last_sequence = -1
 
     def report(self, heartbeat):
@@ -95,6 +96,8 @@
         if same and record.state != _directory.READY:
             # A target that leaves does not come back.
             state = record.state
+        elif record is None and self._was_withdrawn(heartbeat):
+            state = _directory.GONE
         if (
             not same
             or record.state != state
@@ -116,6 +119,9 @@
         """
         record = self._record
         if record is None:
+            # The node has just started. A heartbeat that was sent before may
+            # come yet, and must not bring the target back.
+            self._withdrawn = (instance, born_ms)
             _LOG.info(
                 'target %s left before it was known',
                 instance,
@@ -143,6 +149,13 @@
             )
         )
 
+    def _was_withdrawn(self, heartbeat):
+        instance, born_ms = self._withdrawn
+        return heartbeat.instance == instance and born_ms in (
+            0,
+            heartbeat.born_ms,
+        )
+
     def _is_stale(self, heartbeat, record):
         if heartbeat.born_ms != record.born_ms:
             return heartbeat.born_ms < record.born_ms
--- a/tests/dataplane/test_registration.py
+++ b/tests/dataplane/test_registration.py
@@ -74,3 +74,23 @@
     registration.report(_beat(1))
     registration.withdraw(instance, born_ms)
     assert [r.state for r in records] == ['ready']
+
+
+@pytest.mark.parametrize('born_ms', [0, 1000])
+def test_target_that_left_a_node_that_just_started_does_not_come_back(
+    registration, records, born_ms
+):
+    # The first word that a new node hears is the withdrawal; a heartbeat
+    # that was sent before comes late.
+    registration.withdraw('i1', born_ms)
+    registration.report(_beat(5))
+    registration.report(_beat(6))
+    assert [r.state for r in records] == ['gone']
+
+
+def test_target_that_starts_again_after_a_withdrawal_is_taken(
+    registration, records
+):
+    registration.withdraw('i1', 1000)
+    registration.report(_beat(1, born_ms=2000))
+    assert [r.state for r in records] == ['ready']
