Log the requests that a planned stop leaves unanswered

'node stopped' has the number of requests in flight, but not which; and a request refused because the node stops is logged as shed at the front. Change: one 'stop_unanswered' line for each request in flight when the drain ends, with its route, whether the local target sent it, how long it has waited and how much time is left; rate limited like all lines on requests. Refusals during a stop give 'node stopping' as their reason, also as the label of rosemarycrank_refusals_total.

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -261,8 +261,9 @@
         exchange.deadline_at = exchange.arrived_at + timeout_s
         exchange.service = self.picker.pick(route)
         exchange.rank = float(route.priority)
-        if not self._admit(exchange, requested_deadline_at):
-            self._refuse(exchange, 503, 'shed at the front')
+        refusal = self._refusal_reason(exchange, requested_deadline_at)
+        if refusal is not None:
+            self._refuse(exchange, 503, refusal)
             return
         exchange.head = b'%b %b HTTP/1.1\r\n%b%b' % (
             message.method,
@@ -276,7 +277,8 @@
         )
         self._send_attempt(exchange)
 
-    def _admit(self, exchange, requested_deadline_at):
+    def _refusal_reason(self, exchange, requested_deadline_at):
+        """Return why a request is refused unsent; None if it is admitted."""
         node = self.node
         route = exchange.route
         from_client = node.origins.record_request(
@@ -289,9 +291,10 @@
             ),
         )
         if self.refuses_clients and (from_client or self.refuses_target_calls):
-            return False
+            return 'node stopping'
         if from_client:
-            return node.front.admit(route, exchange.service)
+            admitted = node.front.admit(route, exchange.service)
+            return None if admitted else 'shed at the front'
         # Calls of the local target are not shed here: the requests that
         # cause them have already been admitted.
         exchange.from_target = True
@@ -300,7 +303,7 @@
         )
         if rank is not None:
             exchange.rank = rank
-        return True
+        return None
 
     def abandon(self, exchange):
         """Cancel a request whose client has disconnected."""
@@ -312,6 +315,26 @@
         exchange.response = b''
         self._finish(exchange, 0)
 
+    def log_unanswered(self):
+        """Log the requests in flight, which a planned stop leaves behind."""
+        now = self.node.reactor.now()
+        for deadline_at, _, exchange in sorted(self._deadline_heap):
+            if exchange.response is not None:
+                continue
+            _LOG.info(
+                'request was not answered before the end of the drain',
+                extra={
+                    'event': 'stop_unanswered',
+                    'request_id': exchange.request_id,
+                    'route': exchange.route.name,
+                    'service': exchange.service,
+                    'from_target': exchange.from_target,
+                    'tried': exchange.tried_nodes,
+                    'waited_s': round(now - exchange.arrived_at, 4),
+                    'remaining_ms': int((deadline_at - now) * 1000.0),
+                },
+            )
+
     def _send_attempt(self, exchange):
         records = self.node.directory.ready_targets(exchange.service)
         candidates = self._candidates(records, exchange.tried_nodes)
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -367,6 +367,7 @@
             return
         if self._connections_closed_at is None:
             self._connections_closed_at = now
+            self.entry.log_unanswered()
             self.node.close()
             self.pool.close()
         elif now >= self._connections_closed_at + FINAL_FLUSH_S:
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -1,5 +1,6 @@
 """Entry side of a call: routing, retries, timeouts and refusals."""
 
+import logging
 import random
 
 import pytest
@@ -283,3 +284,27 @@
     entry.refuses_clients = entry.refuses_target_calls = True
     send(target=b'/pay/1')
     assert _statuses(connection) == [503]
+
+
+def test_refusal_during_a_stop_is_logged_as_such(entry, send, caplog):
+    caplog.set_level(logging.INFO)
+    entry.refuses_clients = True
+    send()
+    assert 'node stopping' in caplog.text
+    assert 'shed' not in caplog.text
+
+
+def test_requests_that_a_stop_leaves_behind_are_logged(
+    node, entry, send, reactor, caplog
+):
+    caplog.set_level(logging.INFO)
+    send()
+    _end_last_attempt(node)
+    send(rosemarycrank_deadline_ms=b'900')
+    reactor.run(0.3)
+    caplog.clear()
+    entry.log_unanswered()
+    (line,) = caplog.records
+    assert line.event == 'stop_unanswered'
+    assert (line.waited_s, line.remaining_ms) == (0.3, 600)
+    assert line.tried == [_sent_attempts(node)[-1][0].instance[2:]]
