Add a failing test of calls accepted during a planned stop

Result: fails on this commit for calls accepted 1.0, 3.0, 3.6 and 4.0 s after SIGTERM (grace period 6 s); a call that ends within the drain is answered.

--- /dev/null
+++ b/tests/dataplane/test_planned_stop.py
@@ -0,0 +1,162 @@
+"""Planned stop of a node, in virtual time."""
+
+import pytest
+
+from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _process
+from tests.dataplane import fakes
+
+NODE = '127.0.0.1:7000'
+GRACE_S = 6.0
+
+
+class _Adapter(_process.Adapter):
+    names = _names.HeaderNames()
+
+    def open_store(self, reactor):
+        return fakes.FakeStore()
+
+    def decode_configuration(self, body):
+        return fakes.configuration(
+            fakes.route('page', path_prefix=b'/page/', timeout_s=20.0),
+            fakes.route('call', path_prefix=b'/call/', timeout_s=20.0),
+        )
+
+    def handle_control(self, message, registration):
+        raise NotImplementedError
+
+    def is_readiness_probe(self, message):
+        raise NotImplementedError
+
+
+class _OtherNode(fakes.RecordingPeer):
+    """Node that runs what it gets; an attempt takes `work_s` seconds."""
+
+    def __init__(self, reactor, work_s):
+        super().__init__()
+        self.reactor = reactor
+        self.work_s = work_s
+        self.is_connected = True
+
+    def send(self, attempt, on_result):
+        super().send(attempt, on_result)
+        work_s = min(self.work_s, attempt.remaining_ms / 1000.0)
+        self.reactor.timers.after(work_s, lambda _now: self._end(attempt))
+
+    def notify(self, frame):
+        pass
+
+    def maintain(self, now):
+        pass
+
+    def close(self):
+        self.is_connected = False
+
+    def _end(self, attempt):
+        on_result = dict(
+            (sent.number, on_result) for sent, on_result in self.sent
+        )[attempt.number]
+        if self.is_connected and attempt.number not in self.cancelled:
+            on_result(fakes.result(attempt.number))
+
+
+class _Stop:
+    """A node with one target, which runs a request of another node."""
+
+    def __init__(self, reactor, work_s):
+        settings = _process.ProcessSettings(
+            node_name='n1',
+            failure_domain='fd-a',
+            client_address=('127.0.0.1', 0),
+            ready_address=('127.0.0.1', 0),
+            control_address=('127.0.0.1', 0),
+            metrics_address=None,
+            peer_address=NODE,
+            peer_listen_address=('127.0.0.1', 0),
+            target_address=('127.0.0.1', 1),
+            service='pages',
+            grace_s=GRACE_S,
+            budget=_node.RetryBudgetSettings(),
+            targets_table='targets',
+            costs_table='costs',
+            configuration_table='op',
+            configuration_key='config',
+        )
+        self.reactor = reactor
+        self.process = _process.NodeProcess(settings, _Adapter())
+        self.process.target_side.pool = self.pool = fakes.FakePool()
+        node = self.process.node
+        node.install(b'{}', 'test')
+        node.origins.add_client_route('page')
+        node.announce(fakes.record(NODE, instance='i-1', service='pages'))
+        node.merge(fakes.record('n2', service='archive'))
+        self.other = _OtherNode(reactor, work_s)
+        node.peers_by_node['n2'] = self.other
+        self.caller = self.process.target_side.caller(7)
+        self.results = []
+        self.caller.send = self.results.append
+
+    def run_at_target(self, number=1):
+        """Start a run at the local target, sent by another node."""
+        self.process.target_side.accept(
+            self.caller,
+            fakes.attempt(
+                number, instance='i-1', route='page', remaining_ms=20000
+            ),
+        )
+
+    def call(self, target=b'/call/1'):
+        """Send a call of the local target; return its connection."""
+        connection = fakes.RecordingConnection()
+        exchange = self.process.entry.open(
+            fakes.request(target, rosemarycrank_deadline_ms=b'20000'),
+            connection,
+        )
+        self.process.entry.begin(exchange)
+        return connection
+
+    def has_exited(self):
+        return self.process._stopped.is_set()
+
+
+@pytest.fixture
+def start_stop(reactor, monkeypatch):
+    def start_stop(work_s):
+        stop = _Stop(reactor, work_s)
+        stop.run_at_target()
+        stop.process.stop()
+        return stop
+
+    monkeypatch.setattr(_process._reactor, 'Reactor', lambda: reactor)
+    return start_stop
+
+
+def _status(connection):
+    (answer,) = connection.answers
+    return int(answer.split(b' ')[1])
+
+
+# A call of the local target that is accepted shortly before the end of the
+# drain, and takes longer than the rest of it, gets no answer.
+@pytest.mark.parametrize('accepted_after_s', [1.0, 3.0, 3.6, 4.0])
+def test_call_accepted_during_a_stop_is_answered_before_the_exit(
+    start_stop, reactor, accepted_after_s
+):
+    stop = start_stop(work_s=GRACE_S)
+    reactor.run(accepted_after_s)
+    connection = stop.call()
+    assert len(stop.other.sent) == 1
+    reactor.run(GRACE_S - accepted_after_s)
+    assert stop.has_exited()
+    assert len(connection.answers) == 1
+
+
+def test_call_that_ends_in_the_drain_gets_the_answer_of_its_target(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=0.9)
+    reactor.run(3.6)
+    connection = stop.call()
+    reactor.run(1.0)
+    assert _status(connection) == 200
