Bound requests accepted during a planned stop by the end of the drain

Cause: during a planned stop requests kept the deadlines of their callers, which lie after the exit. Calls of the local target were refused in the last second of the drain only, and the services that they call took 1.2 to 2.0 s in those seconds. At the end of the drain nothing was answered: connections of clients, results of running attempts and queued attempts were dropped. Evidence: the record (accepted 1.42 s and 1.38 s before the end of the drain, ended 0.13 s after it), and the test, which failed for calls accepted 1.0, 3.0, 3.6 and 4.0 s after SIGTERM. Change: attempts sent during a stop have a deadline before the end of the drain, so that the target answers in time or its node refuses them as not run. At the end of the drain the node answers what is left: clients with 502; nodes with NOT_RUN for queued and UNKNOWN for running attempts, which were left pending until a restart if they are not idempotent.

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import logging
+import math
 
 import attrs
 
@@ -160,6 +161,9 @@
     refuses_target_calls : bool
         Whether calls of the local target are refused too; has an effect
         only while `refuses_clients` is set.
+    latest_run_end_at : float
+        Latest deadline given to attempts, in seconds of the node's clock.
+        Infinite except during a planned stop.
     """
 
     def __init__(
@@ -184,6 +188,7 @@
         self.in_flight = 0
         self.refuses_clients = False
         self.refuses_target_calls = False
+        self.latest_run_end_at = math.inf
         self._dropped_headers = names.set_by_nodes()
         self._caller_header = b'%b: %b\r\n' % (
             names.caller_service,
@@ -315,25 +320,11 @@
         exchange.response = b''
         self._finish(exchange, 0)
 
-    def log_unanswered(self):
-        """Log the requests in flight, which a planned stop leaves behind."""
-        now = self.node.reactor.now()
-        for deadline_at, _, exchange in sorted(self._deadline_heap):
-            if exchange.response is not None:
-                continue
-            _LOG.info(
-                'request was not answered before the end of the drain',
-                extra={
-                    'event': 'stop_unanswered',
-                    'request_id': exchange.request_id,
-                    'route': exchange.route.name,
-                    'service': exchange.service,
-                    'from_target': exchange.from_target,
-                    'tried': exchange.tried_nodes,
-                    'waited_s': round(now - exchange.arrived_at, 4),
-                    'remaining_ms': int((deadline_at - now) * 1000.0),
-                },
-            )
+    def end_all(self):
+        """Answer all requests in flight, as the node is about to exit."""
+        for _, _, exchange in list(self._deadline_heap):
+            if exchange.response is None:
+                self._give_up(exchange, 'node stopping')
 
     def _send_attempt(self, exchange):
         records = self.node.directory.ready_targets(exchange.service)
@@ -355,7 +346,7 @@
             number,
             record.instance,
             len(exchange.tried_nodes),
-            max(1, int((exchange.deadline_at - now) * 1000.0)),
+            max(1, int((self._run_deadline_at(exchange) - now) * 1000.0)),
             int((exchange.arrived_at + route.latency_goal_s - now) * 1000.0),
             exchange.rank,
             route.idempotent,
@@ -371,6 +362,9 @@
             attempt, lambda result: self._handle_result(exchange, result)
         )
 
+    def _run_deadline_at(self, exchange):
+        return min(exchange.deadline_at, self.latest_run_end_at)
+
     def _candidates(self, records, tried_nodes):
         """Return untried targets, unreachable ones only if no other is left.
 
@@ -444,7 +438,7 @@
         if len(exchange.tried_nodes) >= MAX_NODES_TRIED:
             return False
         now = self.node.reactor.now()
-        if now + MIN_RETRY_TIME_LEFT_S > exchange.deadline_at:
+        if now + MIN_RETRY_TIME_LEFT_S > self._run_deadline_at(exchange):
             return False
         if exchange.deliveries == 0:
             return True
@@ -524,7 +518,13 @@
                 'service': exchange.service,
                 'tried': exchange.tried_nodes,
                 'may_have_run': exchange.may_have_run,
+                'from_target': exchange.from_target,
                 'waited_s': round(now - exchange.arrived_at, 4),
+                'remaining_ms': (
+                    int((exchange.deadline_at - now) * 1000.0)
+                    if exchange.route
+                    else None
+                ),
                 'configuration': (
                     configuration.version if configuration else None
                 ),
@@ -572,8 +572,13 @@
             if exchange.response is not None:
                 continue
             if exchange.attempt_number:
-                exchange.peer.cancel(exchange.attempt_number)
-                exchange.attempt_number = 0
-                exchange.may_have_run = True
                 self.chooser.record_outcome(exchange.instance, True, now)
-            self._fail(exchange, 'deadline')
+            self._give_up(exchange, 'deadline')
+
+    def _give_up(self, exchange, reason):
+        """Cancel the attempt of a request and answer the request."""
+        if exchange.attempt_number:
+            exchange.peer.cancel(exchange.attempt_number)
+            exchange.attempt_number = 0
+            exchange.may_have_run = True
+        self._fail(exchange, reason)
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -44,6 +44,10 @@
 #: refused, because they might not finish in time.
 TARGET_CALL_CUTOFF_S = 1.0
 
+#: Seconds between the latest deadline of attempts and the end of the drain: a
+#: target answers at its deadline, and the answer still has to arrive.
+RESULT_MARGIN_S = 0.3
+
 #: Seconds between checks whether the drain is complete.
 DRAIN_CHECK_INTERVAL_S = 0.05
 
@@ -186,6 +190,7 @@
         self.log_handler = log_handler
         self.stopping = False
         self._connections_closed_at = None
+        self._stop_timer = None
         self.reactor = _reactor.Reactor()
         rng = random.Random(os.urandom(16))
         self.incarnation = rng.getrandbits(62)
@@ -342,7 +347,8 @@
         drain_ends_at = (
             stop_started_at + self.settings.grace_s * MAX_DRAIN_SHARE
         )
-        self.reactor.timers.every(
+        self.entry.latest_run_end_at = drain_ends_at - RESULT_MARGIN_S
+        self._stop_timer = self.reactor.timers.every(
             DRAIN_CHECK_INTERVAL_S,
             lambda now: self._continue_stop(
                 now, stop_started_at + LEAVING_NOTICE_S, drain_ends_at
@@ -367,7 +373,9 @@
             return
         if self._connections_closed_at is None:
             self._connections_closed_at = now
-            self.entry.log_unanswered()
+            self.entry.refuses_target_calls = True
+            self.target_side.end_all()
+            self.entry.end_all()
             self.node.close()
             self.pool.close()
         elif now >= self._connections_closed_at + FINAL_FLUSH_S:
@@ -375,6 +383,7 @@
                 'node stopped',
                 extra={'event': 'stopped', 'under_way': self.entry.in_flight},
             )
+            self._stop_timer.cancel()
             self._stopped.set()
 
     def _publish_record(self, record):
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -293,6 +293,23 @@
         self._abandon(job, _frames.Reason.CANCELLED)
         self._start_waiting()
 
+    def end_all(self):
+        """End all attempts, as the node is about to exit.
+
+        Those in the queue have not run. Those that run are aborted, and
+        their outcome is unknown.
+        """
+        waiting = [job for _, _, job in self._waiting if job.result is None]
+        self._waiting.clear()
+        self._waiting_count = 0
+        for job in waiting:
+            self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
+        now = self.reactor.now()
+        for job in list(self._running):
+            job.connection.abort()
+            self._remove_running(job, now, True)
+            self._finish(job, _UNKNOWN, _frames.Reason.NODE_RESTARTED)
+
     def _refusal_reason(self, attempt, job, now):
         record = self.record
         if record is None:
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -294,8 +294,8 @@
     assert 'shed' not in caplog.text
 
 
-def test_requests_that_a_stop_leaves_behind_are_logged(
-    node, entry, send, reactor, caplog
+def test_requests_left_at_the_end_of_a_stop_are_answered_and_logged(
+    node, entry, send, connection, reactor, caplog
 ):
     caplog.set_level(logging.INFO)
     send()
@@ -303,8 +303,9 @@
     send(rosemarycrank_deadline_ms=b'900')
     reactor.run(0.3)
     caplog.clear()
-    entry.log_unanswered()
+    entry.end_all()
+    assert _statuses(connection) == [200, 502]
     (line,) = caplog.records
-    assert line.event == 'stop_unanswered'
+    assert line.getMessage().endswith('node stopping')
     assert (line.waited_s, line.remaining_ms) == (0.3, 600)
     assert line.tried == [_sent_attempts(node)[-1][0].instance[2:]]
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _process
@@ -62,7 +63,7 @@
 
 
 class _Stop:
-    """A node with one target, which runs a request of another node."""
+    """A node that is about to stop, and requests in flight."""
 
     def __init__(self, reactor, work_s):
         settings = _process.ProcessSettings(
@@ -97,8 +98,8 @@
         self.results = []
         self.caller.send = self.results.append
 
-    def run_at_target(self, number=1):
-        """Start a run at the local target, sent by another node."""
+    def accept_attempt(self, number):
+        """Accept an attempt of another node for the local target."""
         self.process.target_side.accept(
             self.caller,
             fakes.attempt(
@@ -122,9 +123,12 @@
 
 @pytest.fixture
 def start_stop(reactor, monkeypatch):
-    def start_stop(work_s):
+    def start_stop(work_s, attempts=1):
         stop = _Stop(reactor, work_s)
-        stop.run_at_target()
+        stop.process.target_side.limit.value = 1
+        for number in range(1, attempts + 1):
+            stop.accept_attempt(number)
+        stop.early_request = stop.call(b'/page/1')
         stop.process.stop()
         return stop
 
@@ -137,8 +141,9 @@
     return int(answer.split(b' ')[1])
 
 
-# A call of the local target that is accepted shortly before the end of the
-# drain, and takes longer than the rest of it, gets no answer.
+# Guards against a planned stop that closes connections without an answer: a
+# call of the local target that is accepted shortly before the end of the
+# drain and takes longer than the rest of it.
 @pytest.mark.parametrize('accepted_after_s', [1.0, 3.0, 3.6, 4.0])
 def test_call_accepted_during_a_stop_is_answered_before_the_exit(
     start_stop, reactor, accepted_after_s
@@ -146,7 +151,7 @@
     stop = start_stop(work_s=GRACE_S)
     reactor.run(accepted_after_s)
     connection = stop.call()
-    assert len(stop.other.sent) == 1
+    assert len(stop.other.sent) == 2
     reactor.run(GRACE_S - accepted_after_s)
     assert stop.has_exited()
     assert len(connection.answers) == 1
@@ -160,3 +165,45 @@
     connection = stop.call()
     reactor.run(1.0)
     assert _status(connection) == 200
+
+
+def test_call_accepted_during_a_stop_must_end_before_the_drain(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=0.1)
+    reactor.run(3.0)
+    stop.call()
+    attempt, _ = stop.other.sent[-1]
+    drain_s = GRACE_S * _process.MAX_DRAIN_SHARE
+    assert 0 < attempt.remaining_ms / 1000.0 < drain_s - 3.0
+
+
+def test_call_is_refused_when_the_drain_is_about_to_end(start_stop, reactor):
+    stop = start_stop(work_s=0.1)
+    reactor.run(GRACE_S * _process.MAX_DRAIN_SHARE - 0.5)
+    connection = stop.call()
+    assert _status(connection) == 503
+    assert len(stop.other.sent) == 1
+
+
+def test_client_request_in_flight_is_answered_at_the_end_of_the_drain(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=2 * GRACE_S)
+    reactor.run(GRACE_S)
+    assert stop.has_exited()
+    assert _status(stop.early_request) == 502
+
+
+def test_attempts_left_at_the_end_of_the_drain_are_reported_to_their_nodes(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=0.1, attempts=2)
+    reactor.run(GRACE_S)
+    assert stop.has_exited()
+    outcomes = {r.number: (r.outcome, r.reason) for r in stop.results}
+    assert outcomes == {
+        1: (_frames.Outcome.UNKNOWN, _frames.Reason.NODE_RESTARTED),
+        2: (_frames.Outcome.NOT_RUN, _frames.Reason.LEAVING),
+    }
+    assert stop.pool.calls[0].aborted
