Wait for unsent responses before a planned stop exits

Callers would see: a truncated response. A request leaves in_flight when its response is written to the stream; a client that reads slowly has not received it then, and the process exits 0.1 s later. Change: the drain lasts until no client connection has unsent output, at most to its end. Result: test_exit_waits_for_responses_that_are_not_sent_yet fails on the code before; tests/dataplane pass.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -260,6 +260,12 @@
         for connection in list(self._connections):
             connection.close_when_idle()
 
+    def has_unsent_output(self):
+        """Return whether a client has not read all of its responses."""
+        return any(
+            connection.stream.unsent_bytes for connection in self._connections
+        )
+
     def stop_accepting(self):
         """Close the listening socket."""
         if self._listener is not None:
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -369,7 +369,8 @@
             return
         self.clients.stop_accepting()
         self.clients.close_idle()
-        if self.entry.in_flight > 0 and now < drain_ends_at:
+        unfinished = self.entry.in_flight or self.clients.has_unsent_output()
+        if unfinished and now < drain_ends_at:
             return
         if self._connections_closed_at is None:
             self._connections_closed_at = now
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -1,11 +1,14 @@
 """Planned stop of a node, in virtual time."""
 
+import types
+
 import pytest
 
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _process
+from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
 
 NODE = '127.0.0.1:7000'
@@ -136,6 +139,19 @@
     return start_stop
 
 
+class _SlowReader:
+    """Client connection with a response that is not sent yet."""
+
+    def __init__(self):
+        self.stream = types.SimpleNamespace(unsent_bytes=10)
+
+    def close_when_idle(self):
+        pass
+
+    def check_timeouts(self, now):
+        pass
+
+
 def _status(connection):
     (answer,) = connection.answers
     return int(answer.split(b' ')[1])
@@ -207,3 +223,25 @@
         2: (_frames.Outcome.NOT_RUN, _frames.Reason.LEAVING),
     }
     assert stop.pool.calls[0].aborted
+
+
+# Guards against answers to slow readers that a planned stop truncates.
+def test_exit_waits_for_responses_that_are_not_sent_yet(start_stop, reactor):
+    stop = start_stop(work_s=0.1)
+    stop.pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
+    reader = _SlowReader()
+    stop.process.clients._connections.add(reader)
+    reactor.run(_process.LEAVING_NOTICE_S + 1.0)
+    assert not stop.has_exited()
+    reader.stream.unsent_bytes = 0
+    reactor.run(0.5)
+    assert stop.has_exited()
+
+
+def test_slow_reader_does_not_delay_the_exit_beyond_the_drain(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=0.1)
+    stop.process.clients._connections.add(_SlowReader())
+    reactor.run(GRACE_S)
+    assert stop.has_exited()
