Move the planned stop of the data path to a module of its own

Change: class PlannedStop with one method a phase; no change of behaviour. The constants of the stop move with it.

--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -170,7 +170,7 @@
         'node': process.settings.node_name,
         'incarnation': process.incarnation,
         'ready': process.ready(),
-        'stopping': process.stopping,
+        'stopping': process.planned_stop.has_begun,
         'configuration': node.configuration_version(),
         'target': process.target_side.record,
         'load': process.target_side.load(),
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -18,9 +18,9 @@
 from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _entry
-from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _planned_stop
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _registration
 from rosemarycrank.dataplane import _routes
@@ -28,29 +28,6 @@
 from rosemarycrank.dataplane import _target
 from rosemarycrank.dataplane import _upstream
 
-#: Seconds from SIGTERM during which requests of clients are still accepted, so
-#: that clients have time to learn that the node is leaving. After it, idle
-#: client connections are closed.
-LEAVING_NOTICE_S = 2.3
-
-#: Share of the grace period after which the process exits even if requests
-#: are in flight, so that it is not killed.
-MAX_DRAIN_SHARE = 0.84
-
-#: Seconds to send the last results before the process exits.
-FINAL_FLUSH_S = 0.1
-
-#: Seconds before the end of the drain in which calls of the local target are
-#: refused, because they might not finish in time.
-TARGET_CALL_CUTOFF_S = 1.0
-
-#: Seconds between the latest deadline of attempts and the end of the drain: a
-#: target answers at its deadline, and the answer still has to arrive.
-RESULT_MARGIN_S = 0.3
-
-#: Seconds between checks whether the drain is complete.
-DRAIN_CHECK_INTERVAL_S = 0.05
-
 #: Longest delay between a change of a table and the next long poll, in
 #: seconds. Nodes that call each other exchange target records directly; a
 #: configuration has to be installed at all nodes within the 2 s that the
@@ -188,9 +165,6 @@
         self.settings = settings
         self.adapter = adapter
         self.log_handler = log_handler
-        self.stopping = False
-        self._connections_closed_at = None
-        self._stop_timer = None
         self.reactor = _reactor.Reactor()
         rng = random.Random(os.urandom(16))
         self.incarnation = rng.getrandbits(62)
@@ -234,6 +208,15 @@
             rng,
         )
         self.clients = _clients.ClientServer(self.reactor, self.entry)
+        self.planned_stop = _planned_stop.PlannedStop(
+            node,
+            self.entry,
+            self.target_side,
+            self.clients,
+            self.pool,
+            settings.grace_s,
+            self._stopped.set,
+        )
         node.on_configuration.append(self._apply_limits)
         node.on_configuration.append(lambda _new: picker.reset())
         node.on_client_route.append(self._publish_client_route)
@@ -301,7 +284,7 @@
         self.configuration_follower.start()
         self.target_follower.start()
         self.cost_rows.start()
-        gevent.signal_handler(signal.SIGTERM, self.stop)
+        gevent.signal_handler(signal.SIGTERM, self.planned_stop.begin)
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
@@ -323,7 +306,7 @@
         other nodes.
         """
         return (
-            not self.stopping
+            not self.planned_stop.has_begun
             and self.node.configuration is not None
             and (
                 self.target_follower.has_read
@@ -331,62 +314,6 @@
             )
         )
 
-    def stop(self):
-        """Begin the planned stop: announce it, drain, then exit."""
-        if self.stopping:
-            return
-        self.stopping = True
-        _LOG.warning(
-            'node stopping',
-            extra={'event': 'stop', 'under_way': self.entry.in_flight},
-        )
-        self.target_side.stopping = True
-        self.clients.draining = True
-        self.node.broadcast(_frames.Leaving())
-        stop_started_at = self.reactor.now()
-        drain_ends_at = (
-            stop_started_at + self.settings.grace_s * MAX_DRAIN_SHARE
-        )
-        self.entry.latest_run_end_at = drain_ends_at - RESULT_MARGIN_S
-        self._stop_timer = self.reactor.timers.every(
-            DRAIN_CHECK_INTERVAL_S,
-            lambda now: self._continue_stop(
-                now, stop_started_at + LEAVING_NOTICE_S, drain_ends_at
-            ),
-        )
-
-    def _continue_stop(self, now, notice_ends_at, drain_ends_at):
-        """Take the next step of the planned stop that is due."""
-        if now < notice_ends_at:
-            return
-        self.entry.refuses_clients = True
-        self.entry.refuses_target_calls = (
-            now >= drain_ends_at - TARGET_CALL_CUTOFF_S
-        )
-        if self.target_side.busy() and now < drain_ends_at:
-            # Requests running at the target may still make calls through this
-            # node.
-            return
-        self.clients.stop_accepting()
-        self.clients.close_idle()
-        unfinished = self.entry.in_flight or self.clients.has_unsent_output()
-        if unfinished and now < drain_ends_at:
-            return
-        if self._connections_closed_at is None:
-            self._connections_closed_at = now
-            self.entry.refuses_target_calls = True
-            self.target_side.end_all()
-            self.entry.end_all()
-            self.node.close()
-            self.pool.close()
-        elif now >= self._connections_closed_at + FINAL_FLUSH_S:
-            _LOG.warning(
-                'node stopped',
-                extra={'event': 'stopped', 'under_way': self.entry.in_flight},
-            )
-            self._stop_timer.cancel()
-            self._stopped.set()
-
     def _publish_record(self, record):
         self.node.announce(record)
         self.record_publisher.publish(_node.encode_record(record))
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -7,6 +7,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _planned_stop
 from rosemarycrank.dataplane import _process
 from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
@@ -132,7 +133,7 @@
         for number in range(1, attempts + 1):
             stop.accept_attempt(number)
         stop.early_request = stop.call(b'/page/1')
-        stop.process.stop()
+        stop.process.planned_stop.begin()
         return stop
 
     monkeypatch.setattr(_process._reactor, 'Reactor', lambda: reactor)
@@ -190,13 +191,13 @@
     reactor.run(3.0)
     stop.call()
     attempt, _ = stop.other.sent[-1]
-    drain_s = GRACE_S * _process.MAX_DRAIN_SHARE
+    drain_s = GRACE_S * _planned_stop.MAX_DRAIN_SHARE
     assert 0 < attempt.remaining_ms / 1000.0 < drain_s - 3.0
 
 
 def test_call_is_refused_when_the_drain_is_about_to_end(start_stop, reactor):
     stop = start_stop(work_s=0.1)
-    reactor.run(GRACE_S * _process.MAX_DRAIN_SHARE - 0.5)
+    reactor.run(GRACE_S * _planned_stop.MAX_DRAIN_SHARE - 0.5)
     connection = stop.call()
     assert _status(connection) == 503
     assert len(stop.other.sent) == 1
@@ -231,7 +232,7 @@
     stop.pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
     reader = _SlowReader()
     stop.process.clients._connections.add(reader)
-    reactor.run(_process.LEAVING_NOTICE_S + 1.0)
+    reactor.run(_planned_stop.LEAVING_NOTICE_S + 1.0)
     assert not stop.has_exited()
     reader.stream.unsent_bytes = 0
     reactor.run(0.5)
