Report attempts that the target's node aborts at their deadline

Callers would see: a 502 at the end of a planned stop instead of at the deadline. The node of a target that misses its deadline aborted the run and sent nothing, which was harmless while the entry node gave up at the same time; during a planned stop the deadline of an attempt is earlier. Change: the result (UNKNOWN, DEADLINE) is sent; running attempts are ended in one method. Result: test_attempt_past_its_deadline_is_aborted_at_the_target, extended by the result, fails on the code before; tests/dataplane pass.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -306,9 +306,13 @@
             self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
         now = self.reactor.now()
         for job in list(self._running):
-            job.connection.abort()
-            self._remove_running(job, now, True)
-            self._finish(job, _UNKNOWN, _frames.Reason.NODE_RESTARTED)
+            self._abort(job, _frames.Reason.NODE_RESTARTED, now)
+
+    def _abort(self, job, reason, now):
+        """End a running attempt; its sender still waits for a result."""
+        job.connection.abort()
+        self._remove_running(job, now, True)
+        self._finish(job, _UNKNOWN, reason)
 
     def _refusal_reason(self, attempt, job, now):
         record = self.record
@@ -433,6 +437,7 @@
             job.caller.send(job.result)
 
     def _abandon(self, job, reason):
+        """End an attempt whose sender does not wait for a result any more."""
         attempt = job.attempt
         if job.connection is not None:
             job.connection.abort()
@@ -502,7 +507,7 @@
             self._waiting.clear()
         for job in list(self._running):
             if now > job.deadline_at + SWEEP_INTERVAL_S:
-                self._abandon(job, _frames.Reason.DEADLINE)
+                self._abort(job, _frames.Reason.DEADLINE, now)
         self._expire_lost_callers(now)
         self._start_waiting()
 
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -172,11 +172,14 @@
 
 
 def test_attempt_past_its_deadline_is_aborted_at_the_target(
-    side, caller, pool, reactor
+    side, caller, pool, results, reactor
 ):
     side.accept(caller, fakes.attempt(remaining_ms=200))
     reactor.run(0.4)
     assert pool.calls[0].aborted
+    (result,) = results
+    assert result.outcome == _frames.Outcome.UNKNOWN
+    assert result.reason == _frames.Reason.DEADLINE
 
 
 def test_attempt_that_cannot_finish_in_time_does_not_start(
