Scale a planned stop to the grace period and flush results before it ends

Callers would see: with a busy network the node's own 502 in place of the target's answer; with a grace period of 2 s or less no answer, as the notice of 2.3 s outlasts it; results of finished attempts cut off at other nodes, and cancelled runs that go on. Change: the drain ends 0.5 s before the kill (5.5 s of 6 s, 5.04 s before), the margin is 0.4 s, and each time has a maximum share of the grace period or the drain. Connections to other nodes close after the final flush; a drain lasts until results for other nodes are sent. Requests that arrive after the latest deadline are refused unsent. Tests for the parts whose removal no test noticed: notice to other nodes, refusal of their attempts, Connection: close, requests in flight, the final flush.

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -297,6 +297,8 @@
         )
         if self.refuses_clients and (from_client or self.refuses_target_calls):
             return 'node stopping'
+        if exchange.arrived_at >= self.latest_run_end_at:
+            return 'node stopping'
         if from_client:
             admitted = node.front.admit(route, exchange.service)
             return None if admitted else 'shed at the front'
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -325,6 +325,12 @@
         self.directory.merge(record)
         self.broadcast(_frames.Announcement([record]))
 
+    def has_unsent_results(self):
+        """Return whether results for other nodes have not been sent."""
+        return any(
+            connection.unsent_bytes for connection in self.inbound_connections
+        )
+
     def close(self):
         """Stop listening and close the connections to and from other nodes."""
         if self._listener is not None:
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -438,6 +438,11 @@
         self._reader = _frames.FrameReader()
         self._stream = _reactor.Stream(node.reactor, sock, self)
 
+    @property
+    def unsent_bytes(self):
+        """Number of written bytes that have not been sent."""
+        return self._stream.unsent_bytes
+
     def received(self, data):
         """Decode received bytes and handle the frames."""
         try:
--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -4,25 +4,33 @@
 
 from rosemarycrank.dataplane import _frames
 
+#: Seconds between the end of the drain and the end of the grace period, so
+#: that the process exits before it is killed, and the maximum share of the
+#: grace period.
+EXIT_MARGIN_S = 0.5
+MAX_EXIT_MARGIN_SHARE = 0.3
+
 #: Seconds from SIGTERM during which requests of clients are still accepted, so
-#: that clients have time to learn that the node is leaving. After it, idle
-#: client connections are closed.
+#: that clients have time to learn that the node is leaving, and the maximum
+#: share of the drain. After it, idle client connections are closed.
 LEAVING_NOTICE_S = 2.3
+MAX_NOTICE_SHARE = 0.5
 
-#: Share of the grace period after which the drain ends even if requests are in
-#: flight, so that the process is not killed.
-MAX_DRAIN_SHARE = 0.84
-
-#: Seconds to send the last results before the process exits.
-FINAL_FLUSH_S = 0.1
+#: Seconds between the latest deadline of attempts and the end of the drain,
+#: and the maximum share of the drain. A target answers at its deadline, which
+#: its node counts from the arrival of the attempt; and the answer has to
+#: arrive.
+RESULT_MARGIN_S = 0.4
+MAX_RESULT_MARGIN_SHARE = 0.1
 
 #: Seconds before the end of the drain in which calls of the local target are
-#: refused, because they might not finish in time.
+#: refused, because they might not finish in time, and the maximum share of the
+#: drain.
 TARGET_CALL_CUTOFF_S = 1.0
+MAX_CUTOFF_SHARE = 0.2
 
-#: Seconds between the latest deadline of attempts and the end of the drain: a
-#: target answers at its deadline, and the answer still has to arrive.
-RESULT_MARGIN_S = 0.3
+#: Seconds to send the last responses and results before the process exits.
+FINAL_FLUSH_S = 0.1
 
 #: Seconds between checks whether the drain is complete.
 DRAIN_CHECK_INTERVAL_S = 0.05
@@ -30,6 +38,22 @@
 _LOG = logging.getLogger(__name__)
 
 
+def max_drain_s(grace_s):
+    """Return the time from SIGTERM to the latest end of the drain.
+
+    Parameters
+    ----------
+    grace_s : float
+        Seconds from SIGTERM until the process is killed.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return grace_s - min(EXIT_MARGIN_S, grace_s * MAX_EXIT_MARGIN_SHARE)
+
+
 class PlannedStop:
     """Stops a node without breaking off requests that can finish in time.
 
@@ -37,8 +61,9 @@
        Requests of clients are accepted; each response closes its connection.
     2. Drain: requests of clients are refused. Calls of the local target are
        accepted while it runs requests that need them. The drain lasts until
-       nothing is in flight, at most `MAX_DRAIN_SHARE` of the grace period.
-    3. End: whatever is left is answered, and the process exits.
+       nothing is in flight, at most for `max_drain_s`.
+    3. End: whatever is left is answered. The connections stay open until the
+       answers are sent, and the process exits.
 
     Attempts that are sent during the stop have a deadline before the end of
     the longest drain.
@@ -79,7 +104,8 @@
         self.has_begun = False
         self._notice_ends_at = None
         self._drain_ends_at = None
-        self._closed_at = None
+        self._calls_end_at = None
+        self._ended_at = None
         self._timer = None
 
     def begin(self):
@@ -92,11 +118,19 @@
             extra={'event': 'stop', 'under_way': self.entry.in_flight},
         )
         now = self.node.reactor.now()
-        self._notice_ends_at = now + LEAVING_NOTICE_S
-        self._drain_ends_at = now + self.grace_s * MAX_DRAIN_SHARE
+        drain_s = max_drain_s(self.grace_s)
+        self._drain_ends_at = now + drain_s
+        self._notice_ends_at = now + min(
+            LEAVING_NOTICE_S, drain_s * MAX_NOTICE_SHARE
+        )
+        self._calls_end_at = self._drain_ends_at - min(
+            TARGET_CALL_CUTOFF_S, drain_s * MAX_CUTOFF_SHARE
+        )
+        self.entry.latest_run_end_at = self._drain_ends_at - min(
+            RESULT_MARGIN_S, drain_s * MAX_RESULT_MARGIN_SHARE
+        )
         self.target_side.stopping = True
         self.clients.draining = True
-        self.entry.latest_run_end_at = self._drain_ends_at - RESULT_MARGIN_S
         self.node.broadcast(_frames.Leaving())
         self._timer = self.node.reactor.timers.every(
             DRAIN_CHECK_INTERVAL_S, self._continue
@@ -106,19 +140,17 @@
         """Take the next step that is due."""
         if now < self._notice_ends_at:
             return
-        if self._closed_at is not None:
-            if now >= self._closed_at + FINAL_FLUSH_S:
+        if self._ended_at is not None:
+            if now >= self._ended_at + FINAL_FLUSH_S:
                 self._complete()
             return
         self._refuse_new_requests(now)
         if now >= self._drain_ends_at or self._is_drained():
-            self._close(now)
+            self._end_drain(now)
 
     def _refuse_new_requests(self, now):
         self.entry.refuses_clients = True
-        self.entry.refuses_target_calls = (
-            now >= self._drain_ends_at - TARGET_CALL_CUTOFF_S
-        )
+        self.entry.refuses_target_calls = now >= self._calls_end_at
         if not self.target_side.busy():
             # Requests that run at the target may still make calls through
             # this node, over new connections too.
@@ -130,23 +162,25 @@
             self.target_side.busy()
             or self.entry.in_flight
             or self.clients.has_unsent_output()
+            or self.node.has_unsent_results()
         )
 
-    def _close(self, now):
-        """Answer what is left and close the connections."""
-        self._closed_at = now
+    def _end_drain(self, now):
+        """Answer what is left; nothing new is accepted any more."""
+        self._ended_at = now
         self.clients.stop_accepting()
         self.entry.refuses_target_calls = True
         self.target_side.end_all()
         self.entry.end_all()
         self.clients.close_idle()
-        self.node.close()
-        self.pool.close()
 
     def _complete(self):
+        """Close the connections and have the process exit."""
+        self._timer.cancel()
+        self.node.close()
+        self.pool.close()
         _LOG.warning(
             'node stopped',
             extra={'event': 'stopped', 'under_way': self.entry.in_flight},
         )
-        self._timer.cancel()
         self.on_complete()
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -15,6 +15,11 @@
 NODE = '127.0.0.1:7000'
 GRACE_S = 6.0
 
+#: Time from a node to another one while both are busy, in seconds.
+TRANSIT_S = 0.15
+
+TARGET_BODY = b'answer of the target'
+
 
 class _Adapter(_process.Adapter):
     names = _names.HeaderNames()
@@ -36,21 +41,26 @@
 
 
 class _OtherNode(fakes.RecordingPeer):
-    """Node that runs what it gets; an attempt takes `work_s` seconds."""
+    """Node whose target answers 200 after `work_s`, or 504 at the deadline."""
 
     def __init__(self, reactor, work_s):
         super().__init__()
         self.reactor = reactor
         self.work_s = work_s
         self.is_connected = True
+        self.notices = []
 
     def send(self, attempt, on_result):
         super().send(attempt, on_result)
-        work_s = min(self.work_s, attempt.remaining_ms / 1000.0)
-        self.reactor.timers.after(work_s, lambda _now: self._end(attempt))
+        remaining_s = attempt.remaining_ms / 1000.0
+        status = 200 if self.work_s < remaining_s else 504
+        self.reactor.timers.after(
+            2 * TRANSIT_S + min(self.work_s, remaining_s),
+            lambda _now: self._end(attempt, status),
+        )
 
     def notify(self, frame):
-        pass
+        self.notices.append(frame)
 
     def maintain(self, now):
         pass
@@ -58,18 +68,20 @@
     def close(self):
         self.is_connected = False
 
-    def _end(self, attempt):
+    def _end(self, attempt, status):
         on_result = dict(
             (sent.number, on_result) for sent, on_result in self.sent
         )[attempt.number]
         if self.is_connected and attempt.number not in self.cancelled:
-            on_result(fakes.result(attempt.number))
+            on_result(
+                fakes.result(attempt.number, status=status, body=TARGET_BODY)
+            )
 
 
 class _Stop:
     """A node that is about to stop, and requests in flight."""
 
-    def __init__(self, reactor, work_s):
+    def __init__(self, reactor, work_s, grace_s):
         settings = _process.ProcessSettings(
             node_name='n1',
             failure_domain='fd-a',
@@ -81,7 +93,7 @@
             peer_listen_address=('127.0.0.1', 0),
             target_address=('127.0.0.1', 1),
             service='pages',
-            grace_s=GRACE_S,
+            grace_s=grace_s,
             budget=_node.RetryBudgetSettings(),
             targets_table='targets',
             costs_table='costs',
@@ -127,8 +139,8 @@
 
 @pytest.fixture
 def start_stop(reactor, monkeypatch):
-    def start_stop(work_s, attempts=1):
-        stop = _Stop(reactor, work_s)
+    def start_stop(work_s, attempts=1, grace_s=GRACE_S):
+        stop = _Stop(reactor, work_s, grace_s)
         stop.process.target_side.limit.value = 1
         for number in range(1, attempts + 1):
             stop.accept_attempt(number)
@@ -153,6 +165,19 @@
         pass
 
 
+class _SlowNode:
+    """Connection of another node with a result that is not sent yet."""
+
+    unsent_bytes = 10
+    caller = None
+
+    def notify(self, frame):
+        pass
+
+    def close(self, reset):
+        pass
+
+
 def _status(connection):
     (answer,) = connection.answers
     return int(answer.split(b' ')[1])
@@ -161,7 +186,7 @@
 # Guards against a planned stop that closes connections without an answer: a
 # call of the local target that is accepted shortly before the end of the
 # drain and takes longer than the rest of it.
-@pytest.mark.parametrize('accepted_after_s', [1.0, 3.0, 3.6, 4.0])
+@pytest.mark.parametrize('accepted_after_s', [1.0, 3.0, 3.6, 4.0, 4.4])
 def test_call_accepted_during_a_stop_is_answered_before_the_exit(
     start_stop, reactor, accepted_after_s
 ):
@@ -171,7 +196,19 @@
     assert len(stop.other.sent) == 2
     reactor.run(GRACE_S - accepted_after_s)
     assert stop.has_exited()
-    assert len(connection.answers) == 1
+    (answer,) = connection.answers
+    assert answer.endswith(TARGET_BODY)
+
+
+# The grace period may be shorter than the usual notice to clients.
+@pytest.mark.parametrize('grace_s', [1.0, 2.0, 3.0, 30.0])
+def test_early_request_is_answered_whatever_the_grace_period(
+    start_stop, reactor, grace_s
+):
+    stop = start_stop(work_s=2 * grace_s, grace_s=grace_s)
+    reactor.run(grace_s)
+    assert stop.has_exited()
+    assert len(stop.early_request.answers) == 1
 
 
 def test_call_that_ends_in_the_drain_gets_the_answer_of_its_target(
@@ -180,7 +217,7 @@
     stop = start_stop(work_s=0.9)
     reactor.run(3.6)
     connection = stop.call()
-    reactor.run(1.0)
+    reactor.run(1.3)
     assert _status(connection) == 200
 
 
@@ -191,13 +228,13 @@
     reactor.run(3.0)
     stop.call()
     attempt, _ = stop.other.sent[-1]
-    drain_s = GRACE_S * _planned_stop.MAX_DRAIN_SHARE
+    drain_s = _planned_stop.max_drain_s(GRACE_S)
     assert 0 < attempt.remaining_ms / 1000.0 < drain_s - 3.0
 
 
 def test_call_is_refused_when_the_drain_is_about_to_end(start_stop, reactor):
     stop = start_stop(work_s=0.1)
-    reactor.run(GRACE_S * _planned_stop.MAX_DRAIN_SHARE - 0.5)
+    reactor.run(_planned_stop.max_drain_s(GRACE_S) - 0.5)
     connection = stop.call()
     assert _status(connection) == 503
     assert len(stop.other.sent) == 1
@@ -246,3 +283,63 @@
     stop.process.clients._connections.add(_SlowReader())
     reactor.run(GRACE_S)
     assert stop.has_exited()
+
+
+def test_other_nodes_learn_of_the_stop_and_their_attempts_are_refused(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=0.1)
+    assert [type(frame) for frame in stop.other.notices] == [_frames.Leaving]
+    stop.accept_attempt(9)
+    assert (stop.results[-1].number, stop.results[-1].reason) == (
+        9,
+        _frames.Reason.LEAVING,
+    )
+
+
+def test_responses_during_a_stop_close_their_connections(start_stop):
+    assert start_stop(work_s=0.1).process.clients.draining
+
+
+def test_drain_lasts_while_a_request_is_in_flight(start_stop, reactor):
+    stop = start_stop(work_s=4.0)
+    stop.pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
+    reactor.run(3.9)
+    assert not stop.has_exited()
+    reactor.run(1.0)
+    assert stop.has_exited()
+    assert _status(stop.early_request) == 200
+
+
+# Guards against results and cancellations that are lost because the
+# connections to other nodes close before they are sent.
+def test_connections_to_other_nodes_outlast_the_drain_until_all_is_sent(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=2 * GRACE_S)
+    reactor.run(_planned_stop.max_drain_s(GRACE_S) + 0.06)
+    assert len(stop.other.cancelled) == 1
+    assert [result.number for result in stop.results] == [1]
+    assert stop.other.is_connected
+    reactor.run(_planned_stop.FINAL_FLUSH_S + 0.06)
+    assert not stop.other.is_connected
+
+
+def test_exit_waits_for_results_that_are_not_sent_yet(start_stop, reactor):
+    stop = start_stop(work_s=0.1)
+    stop.pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
+    connection = _SlowNode()
+    stop.process.node.inbound_connections.add(connection)
+    reactor.run(_planned_stop.LEAVING_NOTICE_S + 1.0)
+    assert not stop.has_exited()
+    connection.unsent_bytes = 0
+    reactor.run(0.5)
+    assert stop.has_exited()
+
+
+def test_call_between_the_drain_and_the_exit_is_refused(start_stop, reactor):
+    stop = start_stop(work_s=0.1)
+    stop.pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
+    reactor.run(_planned_stop.LEAVING_NOTICE_S + 0.08)
+    assert not stop.has_exited()
+    assert _status(stop.call()) == 503
