Count partly sent responses as progress of a slow client

Callers see: a response that ends early when reading it takes longer than the idle timeout of the configuration. Cause: the time of the last progress moved only when all output was sent. Change: output that has shrunk since the last check counts as progress. Result: test_client_that_reads_slowly_is_not_disconnected fails on the code before; tests/dataplane pass.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -41,8 +41,8 @@
     closing : bool
         Whether further input is ignored.
     last_progress_at : float
-        Time at which data was last received, a response was written or all
-        output was sent, in seconds of the node's clock.
+        Time at which data was last received, a response was written or
+        output was last seen to be sent, in seconds of the node's clock.
     """
 
     __slots__ = (
@@ -55,6 +55,7 @@
         '_paused',
         '_response_is_last',
         '_output_closed_at',
+        '_unsent_at_last_check',
     )
 
     def __init__(self, server, sock):
@@ -68,6 +69,7 @@
         self._paused = False
         self._response_is_last = False
         self._output_closed_at = 0.0
+        self._unsent_at_last_check = 0
         self.stream = _reactor.Stream(server.reactor, sock, self)
         self.stream.on_drained = self._handle_drained
 
@@ -144,13 +146,17 @@
             Seconds of the node's clock.
         """
         limits = self.server.limits
+        unsent_bytes = self.stream.unsent_bytes
+        if unsent_bytes < self._unsent_at_last_check:
+            self.last_progress_at = now
+        self._unsent_at_last_check = unsent_bytes
         elapsed_s = now - self.last_progress_at
         if self._output_closed_at:
             if now - self._output_closed_at > LINGER_S:
                 self.close()
         elif self._exchanges:
             return
-        elif self._paused or self.stream.unsent_bytes:
+        elif self._paused or unsent_bytes:
             # The client does not read its responses.
             if elapsed_s > limits.idle_timeout_s:
                 self.close()
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -156,6 +156,19 @@
     assert not connection.stream.is_open
 
 
+# Guards against a response that is cut off because it takes a slow client
+# longer than the idle timeout to read it.
+def test_client_that_reads_slowly_is_not_disconnected(
+    connection, entry, reactor
+):
+    connection.received(REQUEST % 1)
+    entry.answer(0)
+    for unsent_bytes in range(1000, 0, -100):
+        connection.stream.unsent_bytes = unsent_bytes
+        reactor.run(1.0)
+    assert connection.stream.is_open
+
+
 @pytest.mark.parametrize(
     'data, open_s, status',
     [
