--- a/tests/soak/place.py
+++ b/tests/soak/place.py
@@ -32,11 +32,14 @@
     ----------
     run_starts : list of (float, str)
         Start time and request identifier of each run.
+    unanswered_calls : list of str
+        Identifiers of the calls whose connection ended without an answer.
     """
 
     def __init__(self, ip, service, called_prefix='', **options):
         self.called_prefix = called_prefix
         self.run_starts = []
+        self.unanswered_calls = []
         self._call_numbers = iter(range(1, 1 << 30))
         super().__init__(ip, service, **options)
 
@@ -64,6 +67,8 @@
         except OSError:
             # The node is down, so the run fails.
             return False
+        if not status:
+            self.unanswered_calls.append(call_id)
         return status == 200
 
 
@@ -190,6 +195,12 @@
         called_prefix = self.called_prefix_by_service.get(service, '')
         return CallingTarget(ip, service, called_prefix)
 
+    def set_work(self, service, work_s):
+        """Set the duration of the runs at the targets of a service."""
+        for target in self.targets:
+            if target.service == service:
+                target.work_s = work_s
+
     def settings(self, ip):
         """Return the settings of a node, with the addresses of its proxies."""
         return super().settings(ip) | {
@@ -257,6 +268,13 @@
                 self._paused_s(request),
                 planned_only,
             )
+        if planned_only:
+            violations += [
+                f'lost: call {call_id} ran, but its connection was closed'
+                for target in self.targets
+                for call_id in target.unanswered_calls
+                if self.run_count(call_id)
+            ]
         for ip, drain_acked_at in self.drain_acked_at_by_ip.items():
             late_ids = promises.runs_after_drain(
                 self.target(ip).run_starts, drain_acked_at
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -33,6 +33,11 @@
 CALLED_PREFIX_BY_SERVICE = {'front': 'read', 'dues': 'read'}
 ROUTES = {'page': 'front', 'read': 'archive', 'pay': 'dues'}
 
+#: Seconds that a run of the called service takes: usually, and during the
+#: faults of half of the planned runs, so that calls outlast a planned stop.
+CALLED_WORK_S = 0.01
+SLOW_CALLED_WORK_S = 1.2
+
 
 class Soak:
     """Run of one seed: load, injected faults and checks.
@@ -62,6 +67,8 @@
     def run(self):
         """Run the seed; return a line for each violated guarantee."""
         cluster = self.cluster
+        if self.planned_only and self.random.random() < 0.5:
+            cluster.set_work('archive', SLOW_CALLED_WORK_S)
         cluster.configure(self.version, **ROUTES)
         cluster.start_all()
         started_at = gevent.get_hub().loop.now()
@@ -73,6 +80,7 @@
         gevent.joinall(injectors, raise_error=True)
         gevent.joinall(clients, raise_error=True)
         cluster.heal()
+        cluster.set_work('archive', CALLED_WORK_S)
         self._restart_exited_nodes()
         violations = self._check_recovery()
         return violations + cluster.find_violations(self.planned_only)
