Let the simulated connections of the tests reach several nodes

Seen: the entry side was tested against recorded peers, and the connections against one node, so no test cuts a node off under a request that has other targets left.

Change: the simulation of test_peers.py is a module of its own with any number of targets' nodes; a single one can be cut off.

--- /dev/null
+++ b/tests/dataplane/simulation.py
@@ -0,0 +1,260 @@
+"""Nodes and the connections between them, in virtual time."""
+
+import errno
+import random
+
+import attrs
+
+from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _peers
+from rosemarycrank.dataplane import _target
+from rosemarycrank.dataplane import _upstream
+from tests.dataplane import fakes
+
+ENTRY = '10.0.0.1:7000'
+
+#: Shortest service time, and range of the service times, in seconds.
+MIN_SERVICE_S = 0.01
+SERVICE_RANGE_S = 0.4
+
+
+class _Endpoint:
+    """Endpoint of a simulated connection."""
+
+    def __init__(self, simulation, target_address):
+        self.simulation = simulation
+        self.target_address = target_address
+        self.remote = None
+        self.owner = None
+        self.is_open = True
+        self.unsent_bytes = 0
+        self.drops_output = False
+
+    def write(self, data):
+        if self.is_open and not self.drops_output:
+            self.simulation.schedule(lambda: self.remote._receive(data))
+
+    def close(self, reset=False):
+        if not self.is_open:
+            return
+        self.is_open = False
+        if not self.drops_output:
+            error = OSError(errno.ECONNRESET, 'reset') if reset else None
+            self.simulation.schedule(lambda: self.remote._lost(error))
+
+    def _receive(self, data):
+        if self.is_open:
+            self.owner.received(data)
+
+    def _lost(self, error):
+        if self.is_open:
+            self.is_open = False
+            self.owner.closed(error)
+
+
+def set_owner(_reactor, endpoint, owner):
+    """Stand in for the constructor of `Stream`."""
+    endpoint.owner = owner
+    return endpoint
+
+
+@attrs.define(eq=False)
+class Run:
+    """Run of a request at a target.
+
+    Attributes
+    ----------
+    request_id : bytes
+        Identifier of the request.
+    target_address : str
+        Address of the target's node.
+    ended : bool
+        Whether the run has ended.
+    """
+
+    request_id: bytes
+    target_address: str
+    ended: bool = False
+
+
+class Simulation:
+    """Entry node, nodes of targets, and the connections between them.
+
+    Time is virtual; delays and service times come from a seeded generator.
+
+    Parameters
+    ----------
+    reactor : VirtualReactor
+        Clock and timers of all nodes.
+    seed : int
+        Seed of the generator.
+    target_addresses : sequence of str
+        Addresses of the targets' nodes.
+
+    Attributes
+    ----------
+    entry : Node
+        The entry node.
+    targets_by_address : dict of str to Node
+        Nodes of the targets.
+    refuses_connections, ignores_connections : bool
+        Whether new connections are refused, or stay without an answer.
+    cut_addresses : set of str
+        Nodes to which new connections stay without an answer.
+    runs : list of Run
+        Runs of all targets, in order.
+    """
+
+    def __init__(self, reactor, seed, target_addresses):
+        self.reactor = reactor
+        self.random = random.Random(seed)
+        self.links = []
+        self.refuses_connections = False
+        self.ignores_connections = False
+        self.cut_addresses = set()
+        self.runs = []
+        self.entry = self._new_node(ENTRY)
+        self.targets_by_address = {}
+        self._last_due_at = 0.0
+        for address in target_addresses:
+            self.restart(address)
+
+    def schedule(self, callback):
+        delay_s = 0.001 + 0.003 * self.random.random()
+        due_at = self.reactor.now() + delay_s
+        # Deliveries keep their order, as the bytes of a TCP connection do.
+        self._last_due_at = max(due_at, self._last_due_at + 1e-6)
+        self.reactor.timers.after(
+            self._last_due_at - self.reactor.now(), lambda _now: callback()
+        )
+
+    def restart(self, address):
+        """Replace the process of a target's node by a new one."""
+        for endpoint in self._take_links(address):
+            endpoint.remote.close(reset=True)
+        node = self.targets_by_address[address] = self._new_node(address)
+        node.target_side.update_record(fakes.record(address, slots=50))
+
+    def connect(self, _reactor, address, owner, keep_alive=False):
+        """Stand in for `rosemarycrank.dataplane._reactor.connect`."""
+        address = '%s:%d' % address
+        near, far = _Endpoint(self, address), _Endpoint(self, address)
+        near.remote, far.remote = far, near
+        near.owner = owner
+        if self.refuses_connections:
+            near.drops_output = True
+            error = OSError(errno.ECONNREFUSED, 'refused')
+            self.schedule(lambda: near._lost(error))
+        elif self.ignores_connections or address in self.cut_addresses:
+            near.drops_output = True
+        else:
+            self.links.append(near)
+            node = self.targets_by_address[address]
+            node.inbound_connections.add(_peers.InboundConnection(node, far))
+        return near
+
+    def break_connections(self, fault_kind, address=None):
+        """Break the open connections.
+
+        Parameters
+        ----------
+        fault_kind : str
+            ``reset`` sends resets to both ends, ``silent`` drops all data in
+            both directions, ``one_way`` drops the data to the entry node.
+        address : str or None
+            Only those to this node; None for all.
+        """
+        for near in self._take_links(address):
+            if fault_kind == 'reset':
+                near.close(reset=True)
+                near.owner.closed(OSError(errno.ECONNRESET, 'reset'))
+            if fault_kind in ('silent', 'one_way'):
+                near.remote.drops_output = True
+            if fault_kind == 'silent':
+                near.drops_output = True
+
+    def cut_off(self, fault_kind, address):
+        """Break the connections to a node and let no new ones through."""
+        self.cut_addresses.add(address)
+        self.break_connections(fault_kind, address)
+
+    def count_runs(self, request_id):
+        """Return how often a request ran."""
+        return sum(run.request_id == request_id for run in self.runs)
+
+    def _take_links(self, address):
+        """Remove the connections to a node, or all, and return them."""
+        taken = [
+            link
+            for link in self.links
+            if address is None or link.target_address == address
+        ]
+        self.links = [link for link in self.links if link not in taken]
+        return taken
+
+    def _new_node(self, address):
+        costs = _costs.CallCosts('archive')
+        front = _front.AdmitAll()
+        incarnation = self.random.getrandbits(60)
+        node = _node.Node(
+            self.reactor, address, incarnation, None, costs, front
+        )
+        node.set_target_side(
+            _target.TargetSide(
+                self.reactor,
+                _Pool(self, address),
+                _names.HeaderNames(),
+                _counters.Counters(),
+                costs,
+                front,
+            )
+        )
+        return node
+
+
+class _Pool:
+    """Connection pool of a target's node."""
+
+    def __init__(self, simulation, address):
+        self._simulation = simulation
+        self._address = address
+
+    def acquire(self, _idempotent):
+        return _Call(self._simulation, self._address)
+
+
+class _Call:
+    def __init__(self, simulation, address):
+        self._simulation = simulation
+        self._address = address
+        self._aborted = False
+
+    def start(self, request_id, _data, _without_body, on_answer):
+        run = Run(request_id, self._address)
+        self._simulation.runs.append(run)
+        service_s = (
+            MIN_SERVICE_S + SERVICE_RANGE_S * self._simulation.random.random()
+        )
+
+        def finish(_now):
+            run.ended = True
+            if not self._aborted:
+                on_answer(
+                    _upstream.Answer(
+                        _frames.Outcome.COMPLETE,
+                        _frames.Reason.NONE,
+                        200,
+                        b'',
+                        request_id,
+                    )
+                )
+
+        self._simulation.reactor.timers.after(service_s, finish)
+
+    def abort(self):
+        self._aborted = True
