Add failing tests of deliveries over connections that were cut

The entry node logged a retry with `offers: 1, arrivals: 0` after `node_unreachable`, although the first target had run the request.

Cause: a result with outcome unknown and one of the reasons of _NOT_DELIVERED_REASONS counts as never delivered.

Change: tests in virtual time with an entry node and three targets' nodes; each node is cut off (silent, one way, reset) after it has started the request. And a test of the entry side with each reason.

--- /dev/null
+++ b/tests/dataplane/test_delivery_limits.py
@@ -0,0 +1,122 @@
+"""Limits on deliveries when targets' nodes are cut off.
+
+An attempt that was written to a connection may have been delivered, whatever
+is found out about the connection later. It counts for the maximum number of
+attempts of its route and for the retry budget of the service.
+"""
+
+import random
+
+import pytest
+
+from rosemarycrank.dataplane import _balance
+from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _entry
+from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _routes
+from tests.dataplane import fakes
+from tests.dataplane import simulation as simulations
+
+TARGETS = ('10.0.0.2:7000', '10.0.0.3:7000', '10.0.0.4:7000')
+TIMEOUT_S = 6.0
+
+#: Retry budget of all nodes together.
+BUDGET_RATIO = 0.2
+BUDGET_SLACK = 3.0
+
+
+class _EntryNode:
+    """Entry side of a node that is connected to three targets' nodes."""
+
+    def __init__(self, simulation):
+        self.simulation = simulation
+        self.connections_by_id = {}
+        node = simulation.entry
+        node.origins.add_client_route('read')
+        for address in TARGETS:
+            node.directory.merge(fakes.record(address))
+        rng = random.Random(1)
+        self.side = _entry.EntrySide(
+            node,
+            _names.HeaderNames(),
+            'front-desk',
+            _balance.RandomTarget('fd-a', rng),
+            _routes.ServicePicker(rng),
+            _node.RetryBudgetSettings(BUDGET_RATIO, BUDGET_SLACK),
+            _counters.Counters(),
+            rng,
+        )
+        # The connections are open before the first request.
+        for address in TARGETS:
+            node.last_attempt_number += 1
+            node.peer(address).send(
+                fakes.attempt(node.last_attempt_number, instance='none'),
+                lambda _result: None,
+            )
+        simulation.reactor.run(0.1)
+
+    def set_max_attempts(self, count):
+        configuration = fakes.configuration(
+            fakes.route(max_attempts=count, timeout_s=TIMEOUT_S)
+        )
+        targets = self.simulation.targets_by_address.values()
+        for node in (self.simulation.entry, *targets):
+            node.configuration = configuration
+
+    def send(self, request_id):
+        connection = fakes.RecordingConnection()
+        self.connections_by_id[request_id] = connection
+        message = fakes.request(rosemarycrank_request_id=request_id)
+        self.side.begin(self.side.open(message, connection))
+
+    def statuses(self, request_id):
+        answers = self.connections_by_id[request_id].answers
+        return [int(answer.split(b' ')[1]) for answer in answers]
+
+
+@pytest.fixture
+def entry_node(patch_connections, reactor):
+    return _EntryNode(
+        patch_connections(simulations.Simulation(reactor, 1, TARGETS))
+    )
+
+
+@pytest.mark.parametrize('max_attempts', [1, 2])
+@pytest.mark.parametrize('fault_kind', ['silent', 'one_way', 'reset'])
+def test_request_runs_on_no_more_targets_than_its_route_allows(
+    entry_node, reactor, fault_kind, max_attempts
+):
+    simulation = entry_node.simulation
+    entry_node.set_max_attempts(max_attempts)
+    entry_node.send(b'r1')
+    cut_runs = 0
+    while reactor.now() < TIMEOUT_S + 1.0:
+        reactor.run(0.005, 0.001)
+        for run in simulation.runs[cut_runs:]:
+            simulation.cut_off(fault_kind, run.target_address)
+        cut_runs = len(simulation.runs)
+    assert simulation.count_runs(b'r1') == max_attempts
+    # A 503 would promise that the request did not run.
+    (status,) = entry_node.statuses(b'r1')
+    assert status in (502, 504)
+
+
+@pytest.mark.parametrize('fault_kind', ['silent', 'one_way', 'reset'])
+def test_retries_after_a_cut_stay_within_the_budget(
+    entry_node, reactor, fault_kind
+):
+    simulation = entry_node.simulation
+    entry_node.set_max_attempts(3)
+    request_ids = [b'r%d' % number for number in range(120)]
+    for request_id in request_ids:
+        entry_node.send(request_id)
+    reactor.run(0.005, 0.001)
+    first_runs = [run.target_address for run in simulation.runs]
+    assert len(first_runs) == len(request_ids)
+    simulation.cut_off(fault_kind, TARGETS[0])
+    reactor.run(TIMEOUT_S + 1.0)
+    limit = BUDGET_SLACK / len(TARGETS) + BUDGET_RATIO * len(request_ids)
+    assert first_runs.count(TARGETS[0]) > limit
+    retries = len(simulation.runs) - len(request_ids)
+    assert 0 < retries <= limit
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -214,6 +214,40 @@
     assert _statuses(connection) == [503]
 
 
+@pytest.mark.parametrize('reason', [reason.name for reason in _frames.Reason])
+def test_attempt_with_an_unknown_outcome_counts_as_delivered(
+    node, send, connection, reason
+):
+    send()
+    _end_last_attempt(node, 'UNKNOWN', reason)
+    _end_last_attempt(node, 'UNKNOWN', reason)
+    assert len(_sent_attempts(node)) == 2
+    assert _statuses(connection) == [502]
+
+
+@pytest.mark.parametrize(
+    'reason',
+    [
+        'OTHER_TARGET',
+        'LEAVING',
+        'NOT_ANNOUNCED',
+        'QUEUE_EXPIRED',
+        'QUEUE_FULL',
+        'CONNECT_FAILED',
+        'CANCELLED',
+        'NODE_UNREACHABLE',
+    ],
+)
+def test_attempt_that_reached_no_target_does_not_count_as_delivered(
+    node, send, connection, reason
+):
+    send()
+    for _ in range(3):
+        _end_last_attempt(node, 'NOT_RUN', reason)
+    assert len(_sent_attempts(node)) == 3
+    assert _statuses(connection) == [503]
+
+
 def test_retries_stay_within_the_budget(node, send):
     for _ in range(300):
         send()
