Count each attempt that may have been sent as a delivery

Cause: a list of reasons stood for "did not reach a target". The connections end attempts that they have sent with the outcome unknown and the reason node_unreachable, which is in the list. may_have_run followed the outcome already.

Change: the outcome decides. Not run is the proof that no target has got the attempt, except for refused_by_target, which comes from the target itself. Checked for each reason: other_target, leaving, not_announced, queue_full and queue_expired are given by the target's node for attempts that it has not started, as not run; the end of a stopping node's runs is unknown with node_restarted. connect_failed is given while the socket is still connecting, before anything is written, and the socket is closed, so a connect that succeeds late carries nothing. An entry in the queue that is revoked (cancelled) is remembered, so that it does not run when it comes again. The connections give not run only to attempts that were never written on any connection, and unknown after a restart. One count becomes lower: a queued attempt whose entry node was away too long is cancelled as not run and was taken for a delivery.

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -38,21 +38,6 @@
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _LOG = logging.getLogger(__name__)
 
-#: Reasons of results of attempts that did not reach a target.
-_NOT_DELIVERED_REASONS = frozenset(
-    int(reason)
-    for reason in (
-        _frames.Reason.OTHER_TARGET,
-        _frames.Reason.LEAVING,
-        _frames.Reason.NOT_ANNOUNCED,
-        _frames.Reason.QUEUE_EXPIRED,
-        _frames.Reason.QUEUE_FULL,
-        _frames.Reason.NODE_UNREACHABLE,
-        _frames.Reason.CONNECT_FAILED,
-    )
-)
-
-
 #: Reasons of results without a response that are the target's fault.
 _TARGET_FAILURE_REASONS = frozenset(
     int(reason)
@@ -129,6 +114,18 @@
     rank: float = 0.0
 
 
+def _may_have_reached_target(result):
+    """Return whether the attempt of a result may have reached a target.
+
+    Only the outcome proves that it has not. The reason states what became of
+    the connection, over which the attempt may have been sent before.
+    """
+    return (
+        result.outcome != _NOT_RUN
+        or result.reason == _frames.Reason.REFUSED_BY_TARGET
+    )
+
+
 class EntrySide:
     """Routes requests, sends attempts to targets and writes the responses.
 
@@ -395,7 +392,7 @@
             self._respond(exchange, result)
             return
         reason = _frames.Reason(result.reason)
-        if result.reason not in _NOT_DELIVERED_REASONS:
+        if _may_have_reached_target(result):
             exchange.deliveries += 1
         if result.outcome != _NOT_RUN:
             exchange.may_have_run = True
