Deposit into the retry budget once for each request

Seen while checking what counts for the budget: a request that full targets refuse deposits once more at each of them, up to 6 times, as nothing has been delivered yet. The limit is a ratio of the requests.

Cause: the deposit was tied to the number of deliveries, not to the request.

Change: the first attempt deposits, whatever becomes of it.

--- a/rosemarycrank/dataplane/_budget.py
+++ b/rosemarycrank/dataplane/_budget.py
@@ -6,13 +6,13 @@
 
     A retry is an attempt that follows one that may have reached a target.
     The limit on retries holds for all nodes together. Each node therefore
-    spends only the tokens that its own first attempts deposit, and its share
+    spends only the tokens that its own requests deposit, and its share
     of the slack that all nodes have together, which is its capacity.
 
     Parameters
     ----------
     ratio : float
-        Tokens deposited for each attempt that is not a retry.
+        Tokens deposited for each request.
     capacity : float
         Initial and maximum number of tokens.
     """
@@ -23,7 +23,7 @@
         self._tokens = capacity
 
     def deposit(self):
-        """Add the tokens for one attempt that is not a retry."""
+        """Add the tokens for one request."""
         self._tokens = min(self.capacity, self._tokens + self.ratio)
 
     def try_spend(self, rank=0.0):
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -335,7 +335,7 @@
             candidates, self.node.peers_by_node, route.latency_goal_s, now
         )
         exchange.instance = record.instance
-        if not exchange.deliveries:
+        if not exchange.tried_nodes:
             self._retry_budget(exchange.service).deposit()
         self.node.last_attempt_number += 1
         number = self.node.last_attempt_number
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -261,6 +261,19 @@
     assert retries <= 48 / 3 + 0.2 * 300
 
 
+def test_refusals_of_full_targets_do_not_raise_the_budget(node, send):
+    for _ in range(300):
+        send()
+        _end_last_attempt(node, 'NOT_RUN', 'QUEUE_FULL')
+        sent_before = len(_sent_attempts(node))
+        _end_last_attempt(node, 'UNKNOWN', 'ANSWER_LOST')
+        if len(_sent_attempts(node)) > sent_before:
+            _end_last_attempt(node)
+    retries = len(_sent_attempts(node)) - 2 * 300
+    # As above: a third of the slack, and 0.2 retries for each request.
+    assert retries <= 48 / 3 + 0.2 * 300
+
+
 def test_timeout_gives_504_and_cancels_the_attempt(
     node, send, connection, reactor
 ):
