Tell a cut network from a slow process by a probe connection

Cause: silence of a slow process, whose attempts go on and would run twice, gets as much time as silence of a node that cannot be reached at all.

Change: 0.3 s after an unanswered ping a further connection is opened. A slow process's operating system accepts it; if it is not established at three checks, the peer is unreachable. Checks are counted instead of seconds, so that a pause of this process is not taken for silence. The same holds for the connection that replaces a lost one. The other times stay.

--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -7,6 +7,11 @@
 outcome is unknown only if the other process has ended, or if the new
 connection fails too and the attempt is idempotent. Other attempts stay pending
 until the node is reachable again.
+
+A slow process and a cut network are both silent, but only the slow process
+should be given time: its attempts go on, and would run twice if they were sent
+elsewhere. So a silent peer is probed with a further connection, which the
+operating system of a slow process accepts.
 """
 
 import errno
@@ -29,6 +34,15 @@
 #: replaced.
 PING_TIMEOUT_S = 1.0
 
+#: Time without received data after a ping, after which a probe connection is
+#: opened.
+PROBE_DELAY_S = 0.3
+
+#: Number of calls of `Peer.maintain` during which a connection is not
+#: established, after which the peer is unreachable. Calls are counted instead
+#: of seconds, so that a pause of this process is not taken for silence.
+MAX_CONNECTING_CHECKS = 3
+
 #: Maximum time to open a connection and receive the first frame.
 CONNECT_TIMEOUT_S = 1.0
 
@@ -123,6 +137,8 @@
         self._last_attempt_at = 0.0
         self._reconnect_at = 0.0
         self._reconnect_delay_s = MIN_RECONNECT_DELAY_S
+        self._probe = None
+        self._connecting_checks = 0
 
     @property
     def outstanding(self):
@@ -197,23 +213,16 @@
             ):
                 self._connect()
         elif not self._handshake_done:
-            if now - self._connect_started_at > CONNECT_TIMEOUT_S:
+            if self._connects_too_long(self._stream):
+                self._mark_unreachable(
+                    'connection not established', process_ended=False
+                )
+            elif now - self._connect_started_at > CONNECT_TIMEOUT_S:
                 self._mark_unreachable(
                     'handshake timed out', process_ended=False
                 )
         elif self._last_ping_at > self._last_received_at:
-            if now - self._last_ping_at > PING_TIMEOUT_S:
-                _LOG.warning(
-                    'ping to peer %s unanswered; replacing the connection',
-                    self.address,
-                    extra={
-                        'event': 'peer_silent',
-                        'silent_s': round(now - self._last_received_at, 3),
-                        'outstanding': self.outstanding,
-                    },
-                )
-                self._disconnect()
-                self._connect()
+            self._check_unanswered_ping(now)
         elif not self._pending_by_number and (
             now - self._last_attempt_at > IDLE_TIMEOUT_S
         ):
@@ -239,6 +248,7 @@
     def received(self, data):
         """Decode received bytes and handle the frames."""
         self._last_received_at = self.node.reactor.now()
+        self._close_probe()
         try:
             frames = self._reader.feed(data)
         except _frames.FrameError as error:
@@ -276,10 +286,46 @@
             _frames.encode(_frames.Ping(version, oldest_pending))
         )
 
+    def _check_unanswered_ping(self, now):
+        waited_s = now - self._last_ping_at
+        if waited_s > PING_TIMEOUT_S:
+            _LOG.warning(
+                'ping to peer %s unanswered; replacing the connection',
+                self.address,
+                extra={
+                    'event': 'peer_silent',
+                    'silent_s': round(now - self._last_received_at, 3),
+                    'outstanding': self.outstanding,
+                },
+            )
+            self._disconnect()
+            self._connect()
+        elif self._probe is not None:
+            if self._connects_too_long(self._probe):
+                self._mark_unreachable(
+                    'neither ping nor probe answered', process_ended=False
+                )
+        elif waited_s > PROBE_DELAY_S:
+            self._connecting_checks = 0
+            self._probe = _Probe(self.node.reactor, self.address)
+
+    def _connects_too_long(self, connection):
+        """Count a check of a connection that may not be established yet."""
+        if not connection.is_connecting:
+            return False
+        self._connecting_checks += 1
+        return self._connecting_checks >= MAX_CONNECTING_CHECKS
+
+    def _close_probe(self):
+        if self._probe is not None:
+            self._probe.close()
+            self._probe = None
+
     def _connect(self):
         now = self.node.reactor.now()
         self._generation += 1
         self._connect_started_at = now
+        self._connecting_checks = 0
         self._reader = _frames.FrameReader()
         self._handshake_done = False
         self._stream = _reactor.connect(
@@ -292,6 +338,7 @@
         self._stream.write(_frames.encode(hello))
 
     def _disconnect(self):
+        self._close_probe()
         if self._stream is not None:
             # A reset discards data in transit, so that it cannot arrive after
             # the data that is sent over a new connection.
@@ -411,6 +458,35 @@
                 self._stream.write(pending.data)
 
 
+class _Probe:
+    """TCP connection that shows whether the VM of a silent peer is reachable.
+
+    The operating system of the peer accepts connections even while its
+    process is too busy to answer. A connection that is not established
+    therefore tells a cut network or a dead VM from a slow process.
+    """
+
+    def __init__(self, reactor, address):
+        self._stream = _reactor.connect(
+            reactor, _reactor.parse_address(address), self
+        )
+
+    @property
+    def is_connecting(self):
+        """Whether the connection has been neither accepted nor refused."""
+        return self._stream.is_open and self._stream.is_connecting
+
+    def close(self):
+        """Close the connection."""
+        self._stream.close()
+
+    def received(self, _data):
+        """Ignore received data; the peer is not asked for any."""
+
+    def closed(self, _error):
+        """Ignore the end of the connection."""
+
+
 class InboundConnection:
     """Connection that another node opened to this node.
 
--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -32,8 +32,10 @@
         self.remote = None
         self.owner = None
         self.is_open = True
+        self.is_connecting = False
         self.unsent_bytes = 0
         self.drops_output = False
+        self._held = []
 
     def write(self, data):
         if self.is_open and not self.drops_output:
@@ -48,9 +50,21 @@
             self.simulation.schedule(lambda: self.remote._lost(error))
 
     def _receive(self, data):
-        if self.is_open:
+        paused_s = self.simulation.pause_left_s(self.target_address)
+        if paused_s > 0.0 or self._held:
+            if not self._held:
+                self.simulation.reactor.timers.after(
+                    paused_s, lambda _now: self._receive_held()
+                )
+            self._held.append(data)
+        elif self.is_open:
             self.owner.received(data)
 
+    def _receive_held(self):
+        held, self._held = self._held, []
+        for data in held:
+            self._receive(data)
+
     def _lost(self, error):
         if self.is_open:
             self.is_open = False
@@ -117,6 +131,7 @@
         self.refuses_connections = False
         self.ignores_connections = False
         self.cut_addresses = set()
+        self._paused_until_by_address = {}
         self.runs = []
         self.entry = self._new_node(ENTRY)
         self.targets_by_address = {}
@@ -147,11 +162,11 @@
         near.remote, far.remote = far, near
         near.owner = owner
         if self.refuses_connections:
-            near.drops_output = True
+            near.is_connecting = near.drops_output = True
             error = OSError(errno.ECONNREFUSED, 'refused')
             self.schedule(lambda: near._lost(error))
         elif self.ignores_connections or address in self.cut_addresses:
-            near.drops_output = True
+            near.is_connecting = near.drops_output = True
         else:
             self.links.append(near)
             node = self.targets_by_address[address]
@@ -183,6 +198,18 @@
         self.cut_addresses.add(address)
         self.break_connections(fault_kind, address)
 
+    def pause(self, address, seconds):
+        """Let a target's node neither read nor send for some time.
+
+        The operating system of its VM still accepts connections.
+        """
+        self._paused_until_by_address[address] = self.reactor.now() + seconds
+
+    def pause_left_s(self, address):
+        """Return the time for which a target's node is still paused."""
+        paused_until = self._paused_until_by_address.get(address, 0.0)
+        return paused_until - self.reactor.now()
+
     def count_runs(self, request_id):
         """Return how often a request ran."""
         return sum(run.request_id == request_id for run in self.runs)
--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _peers
 from tests.dataplane import fakes
 from tests.dataplane import simulation as simulations
@@ -124,6 +125,54 @@
     assert simulation.count_runs(non_idempotent.request_id) == 1
 
 
+#: Time in which a connection to a peer that is cut off is found dead: a ping
+#: after the silence, a probe after the ping, and the checks of the probe.
+CUT_DETECTION_S = (
+    _peers.ACTIVE_PING_INTERVAL_S
+    + _peers.PROBE_DELAY_S
+    + (_peers.MAX_CONNECTING_CHECKS + 2) * _node.PEER_CHECK_INTERVAL_S
+)
+
+
+@pytest.mark.parametrize('fault_kind', ['silent', 'one_way', 'reset'])
+def test_idempotent_attempts_end_soon_after_the_peer_is_cut_off(
+    make_simulation, reactor, fault_kind
+):
+    simulation = make_simulation()
+    sent = _send(simulation, idempotent=True)
+    reactor.run(0.02, 0.001)
+    simulation.cut_off(fault_kind, TARGET)
+    reactor.run(CUT_DETECTION_S, 0.01)
+    assert _outcomes(sent) == ['UNKNOWN']
+
+
+@pytest.mark.parametrize('pause_s', [0.4, 0.8, 1.2])
+def test_attempts_at_a_slow_peer_are_not_ended(
+    make_simulation, reactor, pause_s
+):
+    simulation = make_simulation()
+    sent_attempts = [_send(simulation, idempotent=True) for _ in range(5)]
+    reactor.run(0.02, 0.001)
+    simulation.pause(TARGET, pause_s)
+    reactor.run(3.0, 0.01)
+    for sent in sent_attempts:
+        assert _outcomes(sent) == ['COMPLETE']
+        assert simulation.count_runs(sent.request_id) == 1
+
+
+def test_pause_of_the_entry_node_is_not_taken_for_silence_of_a_peer(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    simulation.ignores_connections = True
+    sent = _send(simulation)
+    # All timers are late at once, as after a pause of the process.
+    reactor.run(0.9, step_s=0.9)
+    assert _outcomes(sent) == []
+    reactor.run(0.3, 0.01)
+    assert _outcomes(sent) == ['NOT_RUN']
+
+
 def test_restarted_node_is_no_longer_leaving(make_simulation, reactor):
     simulation = make_simulation()
     _send(simulation)
