Avoid silent peers for new attempts

Seen in virtual time: between the cut of a node and its detection new requests go on to it, as its last load looks good; each needs a repeat.

Cause: targets are left out only once their node counts as unreachable.

Change: a peer whose answer to a ping or to the start of a connection is 0.2 s late is chosen only if no other target is left, and before unreachable ones. Its pending attempts go on, so nothing is repeated.

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -363,24 +363,28 @@
         return min(exchange.deadline_at, self.latest_run_end_at)
 
     def _candidates(self, records, tried_nodes):
-        """Return untried targets, unreachable ones only if no other is left.
+        """Return untried targets, those of silent peers only if needed.
 
-        Targets whose node is stopping are never returned.
+        Targets of unreachable peers are the last resort; targets whose node
+        is stopping are never returned.
         """
         peers = self.node.peers_by_node
         usable = []
+        silent = []
         unreachable = []
         for record in records:
             if record.node in tried_nodes:
                 continue
             peer = peers.get(record.node)
-            if peer is not None and peer.leaving:
+            if peer is None or peer.responsive and not peer.leaving:
+                usable.append(record)
+            elif peer.leaving:
                 continue
-            if peer is not None and not peer.reachable:
-                unreachable.append(record)
+            elif peer.reachable:
+                silent.append(record)
             else:
-                usable.append(record)
-        return usable or unreachable
+                unreachable.append(record)
+        return usable or silent or unreachable
 
     def _handle_result(self, exchange, result):
         if exchange.response is not None:
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -34,6 +34,10 @@
 #: replaced.
 PING_TIMEOUT_S = 1.0
 
+#: Time without received data after a ping or the start of a connection, after
+#: which the peer is avoided for new attempts.
+LATE_ANSWER_S = 0.2
+
 #: Time without received data after a ping, after which a probe connection is
 #: opened.
 PROBE_DELAY_S = 0.3
@@ -145,6 +149,20 @@
         """Number of attempts without a result."""
         return len(self._pending_by_number)
 
+    @property
+    def responsive(self):
+        """Whether the peer is reachable and owes no answer for long."""
+        if not self.reachable:
+            return False
+        if self._stream is None:
+            return True
+        waits_since = self._connect_started_at
+        if self._handshake_done:
+            if self._last_ping_at <= self._last_received_at:
+                return True
+            waits_since = self._last_ping_at
+        return self.node.reactor.now() - waits_since <= LATE_ANSWER_S
+
     def send(self, attempt, on_result):
         """Send an attempt.
 
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -75,11 +75,16 @@
         self.sent = []
         self.cancelled = []
         self.reachable = True
+        self.answers_late = False
         self.leaving = False
         self.load = None
         self.sent_since_load = 0
         self.outstanding = 0
 
+    @property
+    def responsive(self):
+        return self.reachable and not self.answers_late
+
     def send(self, attempt, on_result):
         self.sent.append((attempt, on_result))
 
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -309,6 +309,19 @@
     }
 
 
+def test_silent_peers_are_chosen_only_if_no_other_is_left(node, send):
+    node.peer('n1').reachable = False
+    node.peer('n2').answers_late = True
+    send()
+    for _ in range(2):
+        _end_last_attempt(node, 'NOT_RUN', 'QUEUE_FULL')
+    assert [attempt.instance for attempt, _ in _sent_attempts(node)] == [
+        'i-n3',
+        'i-n2',
+        'i-n1',
+    ]
+
+
 def test_error_response_of_the_target_is_returned(node, send, connection):
     send(target=b'/pay/1')
     _end_last_attempt(node, status=500)
--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -160,6 +160,27 @@
         assert simulation.count_runs(sent.request_id) == 1
 
 
+def test_silent_peer_is_not_responsive_before_its_attempts_are_ended(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    sent = _send(simulation, idempotent=True)
+    reactor.run(0.02, 0.001)
+    peer = simulation.entry.peer(TARGET)
+    assert peer.responsive
+    simulation.pause(TARGET, 1.2)
+    reactor.run(
+        _peers.ACTIVE_PING_INTERVAL_S
+        + 2 * _node.PEER_CHECK_INTERVAL_S
+        + _peers.LATE_ANSWER_S
+    )
+    assert not peer.responsive
+    assert peer.reachable
+    reactor.run(2.0)
+    assert peer.responsive
+    assert _outcomes(sent) == ['COMPLETE']
+
+
 def test_pause_of_the_entry_node_is_not_taken_for_silence_of_a_peer(
     make_simulation, reactor
 ):
