Test the limits on deliveries under random faults

Cause for it: the tests so far cut a node at one chosen moment. Here connections break, nodes are cut off, restarted and paused in random order while 300 requests of two routes are sent.

Checked: each request gets one answer; it runs on no more targets than its route allows, a non-idempotent one on one; 503 only if it has not run; the repeats stay within the retry budget.

--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -149,10 +149,16 @@
         )
 
     def restart(self, address):
-        """Replace the process of a target's node by a new one."""
+        """Replace the process of a target's node by a new one.
+
+        It has the configuration of the old one, as if it had read the store.
+        """
         for endpoint in self._take_links(address):
             endpoint.remote.close(reset=True)
+        previous = self.targets_by_address.get(address)
         node = self.targets_by_address[address] = self._new_node(address)
+        if previous is not None:
+            node.configuration = previous.configuration
         node.target_side.update_record(fakes.record(address, slots=50))
 
     def connect(self, _reactor, address, owner, keep_alive=False):
--- a/tests/dataplane/test_delivery_limits.py
+++ b/tests/dataplane/test_delivery_limits.py
@@ -58,16 +58,23 @@
 
     def set_max_attempts(self, count):
         configuration = fakes.configuration(
-            fakes.route(max_attempts=count, timeout_s=TIMEOUT_S)
+            fakes.route(max_attempts=count, timeout_s=TIMEOUT_S),
+            fakes.route(
+                'pay',
+                path_prefix=b'/pay/',
+                idempotent=False,
+                max_attempts=count,
+                timeout_s=TIMEOUT_S,
+            ),
         )
         targets = self.simulation.targets_by_address.values()
         for node in (self.simulation.entry, *targets):
             node.configuration = configuration
 
-    def send(self, request_id):
+    def send(self, request_id, target=b'/a/1'):
         connection = fakes.RecordingConnection()
         self.connections_by_id[request_id] = connection
-        message = fakes.request(rosemarycrank_request_id=request_id)
+        message = fakes.request(target, rosemarycrank_request_id=request_id)
         self.side.begin(self.side.open(message, connection))
 
     def statuses(self, request_id):
@@ -76,10 +83,18 @@
 
 
 @pytest.fixture
-def entry_node(patch_connections, reactor):
-    return _EntryNode(
-        patch_connections(simulations.Simulation(reactor, 1, TARGETS))
-    )
+def make_entry_node(patch_connections, reactor):
+    def make(seed):
+        return _EntryNode(
+            patch_connections(simulations.Simulation(reactor, seed, TARGETS))
+        )
+
+    return make
+
+
+@pytest.fixture
+def entry_node(make_entry_node):
+    return make_entry_node(1)
 
 
 @pytest.mark.parametrize('max_attempts', [1, 2])
@@ -120,3 +135,56 @@
     assert first_runs.count(TARGETS[0]) > limit
     retries = len(simulation.runs) - len(request_ids)
     assert 0 < retries <= limit
+
+
+def _inject_fault(simulation, source):
+    address = source.choice(TARGETS)
+    fault = source.choice(['break', 'cut', 'cut', 'heal', 'restart', 'pause'])
+    if fault == 'break':
+        simulation.break_connections(
+            source.choice(['silent', 'one_way', 'reset']), address
+        )
+    elif fault == 'cut':
+        simulation.cut_off(
+            source.choice(['silent', 'one_way', 'reset']), address
+        )
+    elif fault == 'heal':
+        simulation.cut_addresses.clear()
+    elif fault == 'restart':
+        simulation.restart(address)
+    else:
+        simulation.pause(address, 1.5 * source.random())
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_deliveries_stay_limited_under_random_faults(
+    make_entry_node, reactor, seed
+):
+    entry_node = make_entry_node(seed)
+    entry_node.set_max_attempts(2)
+    simulation = entry_node.simulation
+    source = random.Random(seed)
+    max_runs_by_id = {}
+    for step in range(300):
+        is_payment = source.random() < 0.3
+        request_id = b'r%d' % step
+        max_runs_by_id[request_id] = 1 if is_payment else 2
+        entry_node.send(request_id, b'/pay/1' if is_payment else b'/a/1')
+        if source.random() < 0.1:
+            _inject_fault(simulation, source)
+        reactor.run(0.03, 0.005)
+    reactor.run(TIMEOUT_S + 1.0, 0.01)
+    for request_id, max_runs in max_runs_by_id.items():
+        runs = simulation.count_runs(request_id)
+        assert runs <= max_runs
+        (status,) = entry_node.statuses(request_id)
+        if status == 503:
+            assert runs == 0
+        if status == 200:
+            assert runs >= 1
+    repeats = len(simulation.runs) - len(
+        {run.request_id for run in simulation.runs}
+    )
+    assert repeats <= BUDGET_SLACK / len(TARGETS) + BUDGET_RATIO * len(
+        max_runs_by_id
+    )
