--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -38,21 +38,6 @@
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _LOG = logging.getLogger(__name__)
 
-#: Reasons of results of attempts that did not reach a target.
-_NOT_DELIVERED_REASONS = frozenset(
-    int(reason)
-    for reason in (
-        _frames.Reason.OTHER_TARGET,
-        _frames.Reason.LEAVING,
-        _frames.Reason.NOT_ANNOUNCED,
-        _frames.Reason.QUEUE_EXPIRED,
-        _frames.Reason.QUEUE_FULL,
-        _frames.Reason.NODE_UNREACHABLE,
-        _frames.Reason.CONNECT_FAILED,
-    )
-)
-
-
 #: Reasons of results without a response that are the target's fault.
 _TARGET_FAILURE_REASONS = frozenset(
     int(reason)
@@ -129,6 +114,18 @@
     rank: float = 0.0
 
 
+def _may_have_reached_target(result):
+    """Return whether the attempt of a result may have reached a target.
+
+    Only the outcome proves that it has not. The reason states what became of
+    the connection, over which the attempt may have been sent before.
+    """
+    return (
+        result.outcome != _NOT_RUN
+        or result.reason == _frames.Reason.REFUSED_BY_TARGET
+    )
+
+
 class EntrySide:
     """Routes requests, sends attempts to targets and writes the responses.
 
@@ -340,7 +337,7 @@
             candidates, self.node.peers_by_node, route.latency_goal_s, now
         )
         exchange.instance = record.instance
-        if not exchange.deliveries:
+        if not exchange.tried_nodes:
             self._retry_budget(exchange.service).deposit()
         self.node.last_attempt_number += 1
         number = self.node.last_attempt_number
@@ -368,24 +365,28 @@
         return min(exchange.deadline_at, self.latest_run_end_at)
 
     def _candidates(self, records, tried_nodes):
-        """Return untried targets, unreachable ones only if no other is left.
+        """Return untried targets, those of silent peers only if needed.
 
-        Targets whose node is stopping are never returned.
+        Targets of unreachable peers are the last resort; targets whose node
+        is stopping are never returned.
         """
         peers = self.node.peers_by_node
         usable = []
+        silent = []
         unreachable = []
         for record in records:
             if record.node in tried_nodes:
                 continue
             peer = peers.get(record.node)
-            if peer is not None and peer.leaving:
+            if peer is None or peer.responsive and not peer.leaving:
+                usable.append(record)
+            elif peer.leaving:
                 continue
-            if peer is not None and not peer.reachable:
-                unreachable.append(record)
+            elif peer.reachable:
+                silent.append(record)
             else:
-                usable.append(record)
-        return usable or unreachable
+                unreachable.append(record)
+        return usable or silent or unreachable
 
     def _handle_result(self, exchange, result):
         if exchange.response is not None:
@@ -397,7 +398,7 @@
             self._respond(exchange, result)
             return
         reason = _frames.Reason(result.reason)
-        if result.reason not in _NOT_DELIVERED_REASONS:
+        if _may_have_reached_target(result):
             exchange.deliveries += 1
         if result.outcome != _NOT_RUN:
             exchange.may_have_run = True
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -214,6 +214,40 @@
     assert _statuses(connection) == [503]
 
 
+@pytest.mark.parametrize('reason', [reason.name for reason in _frames.Reason])
+def test_attempt_with_an_unknown_outcome_counts_as_delivered(
+    node, send, connection, reason
+):
+    send()
+    _end_last_attempt(node, 'UNKNOWN', reason)
+    _end_last_attempt(node, 'UNKNOWN', reason)
+    assert len(_sent_attempts(node)) == 2
+    assert _statuses(connection) == [502]
+
+
+@pytest.mark.parametrize(
+    'reason',
+    [
+        'OTHER_TARGET',
+        'LEAVING',
+        'NOT_ANNOUNCED',
+        'QUEUE_EXPIRED',
+        'QUEUE_FULL',
+        'CONNECT_FAILED',
+        'CANCELLED',
+        'NODE_UNREACHABLE',
+    ],
+)
+def test_attempt_that_reached_no_target_does_not_count_as_delivered(
+    node, send, connection, reason
+):
+    send()
+    for _ in range(3):
+        _end_last_attempt(node, 'NOT_RUN', reason)
+    assert len(_sent_attempts(node)) == 3
+    assert _statuses(connection) == [503]
+
+
 def test_retries_stay_within_the_budget(node, send):
     for _ in range(300):
         send()
@@ -227,6 +261,19 @@
     assert retries <= 48 / 3 + 0.2 * 300
 
 
+def test_refusals_of_full_targets_do_not_raise_the_budget(node, send):
+    for _ in range(300):
+        send()
+        _end_last_attempt(node, 'NOT_RUN', 'QUEUE_FULL')
+        sent_before = len(_sent_attempts(node))
+        _end_last_attempt(node, 'UNKNOWN', 'ANSWER_LOST')
+        if len(_sent_attempts(node)) > sent_before:
+            _end_last_attempt(node)
+    retries = len(_sent_attempts(node)) - 2 * 300
+    # As above: a third of the slack, and 0.2 retries for each request.
+    assert retries <= 48 / 3 + 0.2 * 300
+
+
 def test_timeout_gives_504_and_cancels_the_attempt(
     node, send, connection, reactor
 ):
@@ -262,6 +309,19 @@
     }
 
 
+def test_silent_peers_are_chosen_only_if_no_other_is_left(node, send):
+    node.peer('n1').reachable = False
+    node.peer('n2').answers_late = True
+    send()
+    for _ in range(2):
+        _end_last_attempt(node, 'NOT_RUN', 'QUEUE_FULL')
+    assert [attempt.instance for attempt, _ in _sent_attempts(node)] == [
+        'i-n3',
+        'i-n2',
+        'i-n1',
+    ]
+
+
 def test_error_response_of_the_target_is_returned(node, send, connection):
     send(target=b'/pay/1')
     _end_last_attempt(node, status=500)
