--- a/benchmarks/_deployment.py
+++ b/benchmarks/_deployment.py
@@ -307,7 +307,7 @@
         ``host:port``.
     method, path : str
         Method and path of the request.
-    value : object, optional
+    content : object, optional
         Body, sent as JSON.
 
     Returns
--- a/benchmarks/_overload_run.py
+++ b/benchmarks/_overload_run.py
@@ -82,7 +82,7 @@
         ----------
         version : int
             Version of the bundle.
-        ended : collection of str
+        ended_partners : collection of str
             Names of the partners that have left.
         """
         path = self._folder / f'overload-{version}.bundle.yaml'
--- a/benchmarks/_overload_setup.py
+++ b/benchmarks/_overload_setup.py
@@ -75,7 +75,7 @@
     ----------
     version : int
         Version of the bundle.
-    ended : collection of str
+    ended_partners : collection of str
         Names of the partners that have left.
 
     Returns
--- a/rosemarycrank/ledger/_rows.py
+++ b/rosemarycrank/ledger/_rows.py
@@ -63,7 +63,7 @@
 
     Raises
     ------
-    BadRow
+    InvalidRow
         If the row's value is not a claim.
     """
     try:
--- a/tests/soak/place.py
+++ b/tests/soak/place.py
@@ -25,8 +25,12 @@
 
     Parameters
     ----------
-    called_prefix : str
+    ip, service
+        Address and service, as for `deployment.Target`.
+    called_prefix : str, default=''
         Path prefix of the nested call; empty for none.
+    **options
+        Other parameters of `deployment.Target`.
 
     Attributes
     ----------
