--- a/benchmarks/_scale_bundles.py
+++ b/benchmarks/_scale_bundles.py
@@ -64,6 +64,7 @@
         content = bundles.content_from_bundle(bundle)
         head = bundles.unsigned_head(content)
         for name, method in (('ana', head.sign), ('berta', None)):
+            # Signing returns a new head, which is the one to approve.
             method = method or head.approve
             head = method(name, self._private_keys[name])
         self._store(head, content)
@@ -99,6 +100,7 @@
 
 
 def _bundle_holder(member):
+    # The first component is the membership.
     return member.kernel.components[1]
 
 
--- a/benchmarks/transport.py
+++ b/benchmarks/transport.py
@@ -167,6 +167,8 @@
     try:
         ready.wait(20.0)
         variant.connect()
+        # Calls before the measurement, numbered so that no measured call has
+        # the same number.
         for number in range(50):
             variant.call(-number - 1)
         gevent.sleep(0.2)
--- a/rosemarycrank/bundles/_document.py
+++ b/rosemarycrank/bundles/_document.py
@@ -8,6 +8,7 @@
 from rosemarycrank.bundles import _model
 from rosemarycrank import settings
 
+#: Largest integer that is exact in JSON decoders that use 64-bit floats.
 MAX_VERSION = 2**53 - 1
 
 
--- a/rosemarycrank/calls/_peers.py
+++ b/rosemarycrank/calls/_peers.py
@@ -68,8 +68,9 @@
     def find_usable(self, target, now, context):
         """Return the clock of a target's node if an attempt may use it.
 
-        A clock is usable up to half of the attempt validity, and only for
-        the incarnation of the node that the target was published with.
+        A clock is usable only for the incarnation of the node that the
+        target was published with, and up to half of the attempt validity. The
+        other half is left for the attempt to reach the target.
 
         Parameters
         ----------
--- a/rosemarycrank/dataplane/_budget.py
+++ b/rosemarycrank/dataplane/_budget.py
@@ -5,9 +5,10 @@
     """Retry budget for requests to one service.
 
     A retry is an attempt that follows one that may have reached a target.
-    The limit on retries holds for all nodes together. Each node therefore
-    spends only the tokens that its own first attempts deposit, and its share
-    of the slack that all nodes have together, which is its capacity.
+    The limit on retries holds for all nodes together: a ratio of the first
+    attempts, and a fixed number of further retries, the slack. Each node
+    therefore spends only the tokens that its own first attempts deposit, and
+    its share of the slack, which is its capacity.
 
     Parameters
     ----------
--- a/rosemarycrank/dataplane/_least_squares.py
+++ b/rosemarycrank/dataplane/_least_squares.py
@@ -112,9 +112,9 @@
                 )
             deviations[route] = average.update(count)
         products = self._products_by_pair
-        for one, deviation in deviations.items():
-            for other, other_deviation in deviations.items():
-                pair = (one, other)
+        for route, deviation in deviations.items():
+            for other_route, other_deviation in deviations.items():
+                pair = (route, other_route)
                 products[pair] = (
                     products.get(pair, 0.0) * decay
                     + deviation * other_deviation
@@ -139,9 +139,9 @@
         for pair in [pair for pair in products if not routes >= set(pair)]:
             del products[pair]
 
-    def products(self, one, other):
+    def products(self, route, other_route):
         """Return the decayed sum of products of two routes' deviations."""
-        return self._products_by_pair.get((one, other), 0.0)
+        return self._products_by_pair.get((route, other_route), 0.0)
 
 
 class CallFit:
@@ -202,17 +202,17 @@
         mean = self._total / runs
         matrix = [
             [
-                samples.products(one, other)
-                + (PRIOR_WEIGHT if one == other else 0.0)
-                for other in routes
+                samples.products(route, other_route)
+                + (PRIOR_WEIGHT if route == other_route else 0.0)
+                for other_route in routes
             ]
-            for one in routes
+            for route in routes
         ]
         vector = [
             self.products_by_route.get(route, 0.0) + PRIOR_WEIGHT * mean
             for route in routes
         ]
         return {
-            route: max(0.0, calls) * samples.run_sums_by_route[route]
-            for route, calls in zip(routes, solve(matrix, vector))
+            route: max(0.0, calls_per_run) * samples.run_sums_by_route[route]
+            for route, calls_per_run in zip(routes, solve(matrix, vector))
         }
--- a/rosemarycrank/ledger/_closing.py
+++ b/rosemarycrank/ledger/_closing.py
@@ -27,7 +27,19 @@
 
 
 class ClosingStatus(enum.Enum):
-    """State of a closing record with regard to one key."""
+    """State of a closing record with regard to one key.
+
+    Attributes
+    ----------
+    UNREADABLE
+        The record could not be read or decoded.
+    ABSENT
+        The node has written no record.
+    NEVER_RAN
+        The record states that the request of the key has not run there.
+    RAN
+        The record has the outcome of the key.
+    """
 
     UNREADABLE = 'unreadable'
     ABSENT = 'absent'
--- a/rosemarycrank/standins/_server.py
+++ b/rosemarycrank/standins/_server.py
@@ -212,6 +212,7 @@
         loaded = (
             settings.load(path, settings_class) if path else settings_class()
         )
+        # Only checks the flags: other fields would get their defaults.
         settings.build(settings_class, overrides, 'flags')
     except settings.SettingsError as error:
         for problem in error.exceptions:
