--- a/benchmarks/_overload_scenarios.py
+++ b/benchmarks/_overload_scenarios.py
@@ -9,8 +9,6 @@
 
 SLOW_FACTOR = 2.0
 COLD_START = {'factor': 4.0, 'duration_s': 3.0}
-#: Factor on the load in scenarios in which the trigger is a loss of targets.
-LOSS_LOAD = 1.0
 
 
 @attrs.frozen
