Split the entry side of calls by responsibility

Cause: calls/_entry.py had 650 lines and one class that kept the table of calls, waited for targets, refused early, sent attempts, asked about silent ones, decided on retries and gave the final answer. Change: one module for each. _call.py has the call and the table of calls, _discovery.py the wait for first targets, _early_refusals.py the shedding thresholds of replies, _outgoing.py the open attempts and their ends, _attempt_sender.py messages with the target's clock, _attempt_checks.py the revocation of silent attempts, _retries.py redirects and retries, _refusals.py refusals with jitter.

--- a/rosemarycrank/calls/_client_requests.py
+++ b/rosemarycrank/calls/_client_requests.py
@@ -6,7 +6,8 @@
 import attrs
 
 from rosemarycrank.calls import _allowance
-from rosemarycrank.calls import _entry
+from rosemarycrank.calls import _call
+from rosemarycrank.calls import _refusals
 from rosemarycrank import kernel
 from rosemarycrank import ledger
 from rosemarycrank import messages
@@ -80,7 +81,8 @@
             self._refuse_keyed(request, refusal)
         else:
             self._reply(
-                request.request_id, _entry.make_refusal(self.context, refusal)
+                request.request_id,
+                _refusals.make_refusal(self.context, refusal),
             )
 
     def _may_be_keyed(self, request):
@@ -97,7 +99,7 @@
         def finish(answer):
             self.keyed_waiting_ -= 1
             if answer.result.outcome is results.Outcome.NOT_RUN:
-                answer = _entry.make_refusal(self.context, refusal)
+                answer = _refusals.make_refusal(self.context, refusal)
             self._reply(request.request_id, answer)
 
         self.key_ledger.query(request.key, finish)
@@ -147,14 +149,16 @@
                 depth=parent.message.context.depth + 1,
             )
         if context.depth > bundle.policy.max_depth:
-            answer = _entry.make_refusal(self.context, results.Result.TOO_DEEP)
+            answer = _refusals.make_refusal(
+                self.context, results.Result.TOO_DEEP
+            )
             self._reply(request.request_id, answer)
             return
         if not request_class.idempotent:
             self._submit_keyed(request, context, deadline, allowance)
             return
         self.entry_calls.start(
-            _entry.Call(
+            _call.Call(
                 request=request,
                 idempotent=True,
                 context=context,
@@ -205,11 +209,11 @@
                 if bundle
                 else results.Result.NO_BUNDLE
             )
-            finish(_entry.make_refusal(self.context, result))
+            finish(_refusals.make_refusal(self.context, result))
             return
         number = next(self._sequence)
         self.entry_calls.start(
-            _entry.Call(
+            _call.Call(
                 request=request,
                 idempotent=False,
                 context=request.context,
--- a/tests/calls/test_explore.py
+++ b/tests/calls/test_explore.py
@@ -11,6 +11,7 @@
 import pytest
 
 from rosemarycrank import calls
+from rosemarycrank.calls import _attempt_checks
 from rosemarycrank import messages
 from rosemarycrank import results
 from tests.calls import network as network_module
@@ -220,9 +221,9 @@
 
 def treat_silence_as_not_run(monkeypatch):
     monkeypatch.setattr(
-        calls.EntryCalls,
-        '_check_attempt',
-        lambda self, outgoing: self._handle_refused_attempt(
+        _attempt_checks.AttemptChecks,
+        'check',
+        lambda self, outgoing: self.outgoing_attempts.end_as_refused(
             outgoing, results.Result.NO_TARGET
         ),
     )
