Split the target side of calls by responsibility

Cause: calls/_target.py had 496 lines and one class that followed the local upstream, published it, admitted attempts, called the upstream, made replies and kept them. Change: _local_upstream.py has the upstream's announcements, drain and ended partners and what is published of it; _reply_cache.py the kept replies; _replies.py the replies to attempts and to their revocation; _accepted.py the accepted attempt. The jitter of retry-after times, which stood in both sides, is in _refusals.py alone. test_explore.py plants the missing reply cache at its new place, ReplyCache.add; the fault and what has to notice it are the same.

--- a/tests/calls/test_explore.py
+++ b/tests/calls/test_explore.py
@@ -12,6 +12,7 @@
 
 from rosemarycrank import calls
 from rosemarycrank.calls import _attempt_checks
+from rosemarycrank.calls import _reply_cache
 from rosemarycrank import messages
 from rosemarycrank import results
 from tests.calls import network as network_module
@@ -191,7 +192,7 @@
 
 def skip_reply_cache(monkeypatch):
     monkeypatch.setattr(
-        calls.TargetCalls, '_cache_reply', lambda *arguments: None
+        _reply_cache.ReplyCache, 'add', lambda *arguments: None
     )
 
 
