Move the limits of calls out of the dispatch of client requests

Change: _call_limits.py sets them, with one function for calls of clients and one for nested calls; _dispatch chooses between refusal, call and ledger.

--- a/rosemarycrank/calls/_client_requests.py
+++ b/rosemarycrank/calls/_client_requests.py
@@ -1,16 +1,15 @@
 """Entry of requests from clients and from the local upstream."""
 
-import hashlib
 import itertools
 
 import attrs
 
 from rosemarycrank.calls import _allowance
 from rosemarycrank.calls import _call
+from rosemarycrank.calls import _call_limits
 from rosemarycrank.calls import _refusals
 from rosemarycrank import kernel
 from rosemarycrank import ledger
-from rosemarycrank import messages
 from rosemarycrank import results
 
 #: Refusals that apply only to the current send of a request. An earlier send
@@ -127,43 +126,36 @@
     def _dispatch(self, request):
         bundle = self.bundle_holder.current
         request_class = _classify(bundle, request)
-        deadline = self.context.now + min(
-            request_class.deadline_s,
-            request.deadline_s or request_class.deadline_s,
-        )
-        parent = self.target_calls.find_running(request.token)
-        if parent is None:
-            allowance = _allowance.Allowance(request_class.allowance)
-            context = messages.CallContext(
-                rank=request_class.rank,
-                shed_hash=_shed_hash(request),
-                depth=0,
-            )
-        else:
-            deadline = min(deadline, parent.ticket.deadline)
-            allowance = parent.allowance
-            # A nested call is at least as important as its parent request.
-            context = messages.CallContext(
-                rank=min(request_class.rank, parent.ticket.rank),
-                shed_hash=parent.ticket.shed_hash,
-                depth=parent.message.context.depth + 1,
-            )
-        if context.depth > bundle.policy.max_depth:
+        limits = self._limits(request, request_class)
+        if limits.context.depth > bundle.policy.max_depth:
             answer = _refusals.make_refusal(
                 self.context, results.Result.TOO_DEEP
             )
             self._reply(request.request_id, answer)
-            return
-        if not request_class.idempotent:
-            self._submit_keyed(request, context, deadline, allowance)
-            return
+        elif request_class.idempotent:
+            self._start_call(request, request_class, limits)
+        else:
+            self._submit_keyed(request, limits)
+
+    def _limits(self, request, request_class):
+        now = self.context.now
+        parent = self.target_calls.find_running(request.token)
+        if parent is None:
+            return _call_limits.limits_of_client_call(
+                request, request_class, now
+            )
+        return _call_limits.limits_of_nested_call(
+            request, request_class, parent, now
+        )
+
+    def _start_call(self, request, request_class, limits):
         self.entry_calls.start(
             _call.Call(
                 request=request,
                 idempotent=True,
-                context=context,
-                deadline=deadline,
-                allowance=allowance,
+                context=limits.context,
+                deadline=limits.deadline,
+                allowance=limits.allowance,
                 finish=lambda answer: self._reply(request.request_id, answer),
                 request_id=request.request_id,
                 class_name=request_class.name,
@@ -171,8 +163,9 @@
             )
         )
 
-    def _submit_keyed(self, request, context, deadline, allowance):
+    def _submit_keyed(self, request, limits):
         # The key's owner runs the request and spends the delegated retries.
+        allowance = limits.allowance
         delegated = (
             allowance.delegate_half()
             if request.token
@@ -193,8 +186,8 @@
                 path=request.path,
                 headers=request.headers,
                 body=request.body,
-                deadline=deadline,
-                context=attrs.evolve(context, allowance=delegated),
+                deadline=limits.deadline,
+                context=attrs.evolve(limits.context, allowance=delegated),
             ),
             finish,
         )
@@ -238,13 +231,3 @@
 def _classify(bundle, request):
     path = request.path.partition('?')[0]
     return bundle.classify(request.service, request.method, path)
-
-
-def _shed_hash(request):
-    """Return a number in [0, 1) that is stable for a client request.
-
-    Repeated sends with the same key get the same number.
-    """
-    identity = request.key or request.request_id
-    digest = hashlib.blake2b(identity.encode(), digest_size=8).digest()
-    return int.from_bytes(digest) / 2.0**64
