Split gossip directory and bridge by responsibility

Change: _bridge_nodes.py has the choice of bridge nodes, _beacons.py the heartbeats, _pulls.py the reading of records, _subscriptions.py subscribers and what they are sent, _lookup.py the targets of a service, _merging.py the merging of records, _joining.py joins. The node's own subscriber makes its request itself.

--- a/rosemarycrank/membership/_gossip.py
+++ b/rosemarycrank/membership/_gossip.py
@@ -1,10 +1,13 @@
 """Membership by gossip in failure domains and bridge nodes between them."""
 
-from rosemarycrank import balancing
 from rosemarycrank import kernel
 from rosemarycrank.membership import _base
 from rosemarycrank.membership import _bootstrap
 from rosemarycrank.membership import _bridge
+from rosemarycrank.membership import _bridge_nodes
+from rosemarycrank.membership import _joining
+from rosemarycrank.membership import _lookup
+from rosemarycrank.membership import _merging
 from rosemarycrank.membership import _messages
 from rosemarycrank.membership import _own_domain
 from rosemarycrank.membership import _remote
@@ -15,17 +18,6 @@
 Status = _messages.Status
 
 
-def _target(record):
-    return balancing.Target(
-        record.address,
-        record.incarnation,
-        record.service,
-        record.failure_domain,
-        record.partner,
-        record.slots,
-    )
-
-
 @kernel.register('membership', 'gossip')
 class GossipDirectory(_base.Directory):
     """Directory that the nodes maintain by gossip among themselves.
@@ -136,10 +128,8 @@
         self.tick_s = tick_s
 
     def attach(self, context):
-        """Create the state of the protocol and start its timer."""
+        """Create the parts of the protocol and start its timer."""
         super().attach(context)
-        self._cached_targets_by_service = {}
-        self._propagate_changes = True
         own_record = _messages.Record(
             context.address,
             context.incarnation,
@@ -147,6 +137,14 @@
             Status.ALIVE,
             self.failure_domain,
         )
+        self._create_parts(context, own_record)
+        self._view.apply(own_record)
+        first_delay_s = context.random.uniform(0, self.tick_s)
+        context.timers.every(
+            self.tick_s, self._tick, first_delay_s=first_delay_s
+        )
+
+    def _create_parts(self, context, own_record):
         self._view = _view.DomainView(
             context, self.suspicion_s, self.forget_s, self._on_own_change
         )
@@ -161,19 +159,30 @@
             own_record,
             self,
             self._on_resume,
-            self._clear_cached_targets,
+            lambda: self._lookup.clear(),
+        )
+        self._lookup = _lookup.TargetLookup(
+            context, self._own_domain, self._remote
+        )
+        self._merger = _merging.RecordMerger(
+            self.failure_domain, self._own_domain, self._remote
+        )
+        self._bridge_nodes = _bridge_nodes.BridgeNodes(
+            context, self._view, self.failure_domain, self.bridge_count
         )
         self._bridge = _bridge.Bridge(
-            context, self._own_domain, self._remote, self
+            context, self._own_domain, self._bridge_nodes, self._remote, self
         )
-        self._subscriber = _subscriber.Subscriber(
-            context, self._remote, self._make_subscribe
+        self._subscriber = _subscriber.Subscriber(context, self._remote)
+        self._joining = _joining.Joining(
+            context,
+            self._own_domain,
+            self._remote,
+            self._bridge_nodes,
+            self._merger,
         )
-        self._bootstrap = _bootstrap.Bootstrap(context, self, self._is_known)
-        self._view.apply(own_record)
-        first_delay_s = context.random.uniform(0, self.tick_s)
-        context.timers.every(
-            self.tick_s, self._tick, first_delay_s=first_delay_s
+        self._bootstrap = _bootstrap.Bootstrap(
+            context, self, self._joining.is_known
         )
 
     # Interface for other components
@@ -181,11 +190,7 @@
     def targets(self, service):
         """Return the targets of a service that accept work."""
         self._subscriber.subscribe(service)
-        found = self._cached_targets_by_service.get(service)
-        if found is None:
-            found = self._find_targets(service)
-            self._cached_targets_by_service[service] = found
-        return found
+        return self._lookup.targets(service)
 
     def members(self):
         """Return the addresses of running nodes of this failure domain."""
@@ -302,22 +307,13 @@
             'stale': self._own_domain.pause_detector.awaiting_reply(),
             'cut_off': self._own_domain.cut_off,
             'bridge': self._bridge.active,
-            'bridges': list(self._bridge.bridges()),
+            'bridges': list(self._bridge_nodes.addresses()),
             'members': {
-                record.address: {
-                    'status': record.status.name.lower(),
-                    'incarnation': f'{record.incarnation:016x}',
-                    'sequence': record.sequence,
-                    'service': record.service,
-                }
+                record.address: _dump_record(record)
                 for record in self._view.table.by_address.values()
             },
             'domains': {
-                name: {
-                    'reachable': domain.reachable,
-                    'bridges': list(domain.bridges),
-                    'nodes': len(domain.table.up_addresses()),
-                }
+                name: _dump_domain(domain)
                 for name, domain in self._remote.by_domain.items()
             },
         }
@@ -330,38 +326,15 @@
 
     def on_join(self, sender, message):
         """Reply with contacts, and the sender's record if it differs."""
-        record = message.record
-        known = []
-        if record.failure_domain == self.failure_domain:
-            self._merge_records(sender, [record])
-            known = self._own_domain.conflicting_records(
-                sender, record.incarnation, record.sequence
-            )
-        elif self._bridge.active:
-            if record.failure_domain not in self._remote.by_domain:
-                self._remote.set_contact(
-                    _messages.DomainContact(record.failure_domain, [sender])
-                )
-        contacts = [self._bridge.contact(), *self._remote.contacts()]
-        self.context.send(
-            sender,
-            _messages.JoinReply(self.failure_domain, contacts, known),
-        )
+        self._joining.on_join(sender, message, self._bridge.active)
 
     def on_join_reply(self, sender, message):
         """Store the contacts, and join or sync with the own domain."""
-        self._merge_records(sender, message.known)
-        if message.failure_domain == self.failure_domain:
-            self._own_domain.schedule_comparison(sender)
-        for contact in message.contacts:
-            if contact.failure_domain != self.failure_domain:
-                self._remote.set_contact(contact)
-            elif message.failure_domain != self.failure_domain:
-                self._join_through(contact.bridges)
+        self._joining.on_join_reply(sender, message)
 
     def on_ping(self, sender, message):
         """Reply to a probe."""
-        self._merge_records(sender, message.updates)
+        self._merger.merge(sender, message.updates)
         self._own_domain.answer_ping(sender, message)
 
     def on_ping_request(self, sender, message):
@@ -371,12 +344,12 @@
 
     def on_ack(self, sender, message):
         """Handle the reply to a probe."""
-        self._merge_records(sender, message.updates)
+        self._merger.merge(sender, message.updates)
         self._own_domain.on_ack(message)
 
     def on_gossip(self, sender, message):
         """Store record updates."""
-        self._merge_records(sender, message.updates)
+        self._merger.merge(sender, message.updates)
 
     def on_digest(self, sender, message):
         """Reply to the digest of a node of this domain."""
@@ -386,11 +359,11 @@
 
     def on_digest_reply(self, sender, message):
         """Store the records, and send back those that are newer here."""
-        table = self._table(message.failure_domain)
+        table = self._merger.table(message.failure_domain)
         if table is None:
             return
         newer = table.newer_than(message.buckets, message.updates)
-        self._merge_without_gossip(sender, message.updates)
+        self._merger.merge_without_gossip(sender, message.updates)
         if newer:
             self.context.send(sender, _messages.Repair(newer))
         if message.failure_domain == self.failure_domain:
@@ -400,7 +373,7 @@
 
     def on_repair(self, sender, message):
         """Store records that a digest comparison found missing here."""
-        self._merge_without_gossip(sender, message.updates)
+        self._merger.merge_without_gossip(sender, message.updates)
 
     def on_beacon(self, sender, message):
         """Handle a heartbeat from another failure domain."""
@@ -415,7 +388,7 @@
     def on_subscribe_reply(self, sender, message):
         """Store records of other domains that a bridge node sent."""
         self._remote.set_small_site(message.whole)
-        self._merge_records(sender, message.updates)
+        self._merger.merge(sender, message.updates)
         self._subscriber.on_reply(sender, message)
 
     def on_platform_reply(self, event):
@@ -427,7 +400,7 @@
     def _tick(self, now):
         self._own_domain.tick(now)
         self._bridge.tick(now)
-        bridges = self._bridge.bridges()
+        bridges = self._bridge_nodes.addresses()
         members = self._view.table.up_addresses()
         self._subscriber.tick(now, bridges, len(members))
         if self._own_domain.own_record.status is not Status.LEFT:
@@ -436,23 +409,10 @@
                 now, self._own_domain.own_record, alone, bridges
             )
 
-    def _merge_records(self, sender, records):
-        self._own_domain.on_message()
-        for record in records:
-            if record.failure_domain == self.failure_domain:
-                self._own_domain.merge_record(sender, record)
-            else:
-                self._remote.apply(record)
-
-    def _merge_without_gossip(self, sender, records):
-        self._propagate_changes = False
-        self._merge_records(sender, records)
-        self._propagate_changes = True
-
     def _on_own_change(self, record):
-        self._clear_cached_targets()
+        self._lookup.clear()
         is_own = record.address == self.context.address
-        if self._propagate_changes or is_own:
+        if self._merger.gossips or is_own:
             node_count = len(self._view.table.up_addresses())
             self._own_domain.queue.add(record, node_count)
         else:
@@ -460,7 +420,7 @@
         self._bridge.queue_own_change(record)
 
     def _on_remote_change(self, record):
-        self._clear_cached_targets()
+        self._lookup.clear()
         self._bridge.queue_remote_change(record)
 
     def _on_resume(self, pause_s):
@@ -468,53 +428,19 @@
         self._remote.mark_unconfirmed()
         self._subscriber.renew_now()
 
-    def _clear_cached_targets(self):
-        self._cached_targets_by_service.clear()
 
-    def _find_targets(self, service):
-        local_records = self._view.table.up_by_service.get(service, {})
-        if self._own_domain.cut_off:
-            own_record = local_records.get(self.context.address)
-            records = [own_record] if own_record else []
-        else:
-            records = [
-                *local_records.values(),
-                *self._remote.usable_records(service),
-            ]
-        # Suspected nodes are only used if no target is alive.
-        alive = [r for r in records if r.status is Status.ALIVE]
-        return tuple(_target(record) for record in alive or records)
-
-    def _make_subscribe(self, nonce):
-        services = sorted(self._remote.services)
-        return _messages.Subscribe(
-            nonce,
-            {s: self._remote.service_digest(s) for s in services},
-            self._remote.whole_digest(),
-            self._remote.contacts_digest(),
-        )
+def _dump_record(record):
+    return {
+        'status': record.status.name.lower(),
+        'incarnation': f'{record.incarnation:016x}',
+        'sequence': record.sequence,
+        'service': record.service,
+    }
 
-    def _join_through(self, addresses):
-        for address in addresses:
-            if not self._is_known(address):
-                self.context.send(
-                    address, _messages.Join(self._own_domain.own_record)
-                )
-
-    def _is_known(self, address):
-        if self._view.is_up(address):
-            return True
-        return any(
-            domain.reachable
-            and (
-                address in domain.bridges
-                or address in domain.table.up_addresses()
-            )
-            for domain in self._remote.by_domain.values()
-        )
 
-    def _table(self, failure_domain):
-        if failure_domain == self.failure_domain:
-            return self._view.table
-        domain = self._remote.by_domain.get(failure_domain)
-        return None if domain is None else domain.table
+def _dump_domain(domain):
+    return {
+        'reachable': domain.reachable,
+        'bridges': list(domain.bridges),
+        'nodes': len(domain.table.up_addresses()),
+    }
--- a/rosemarycrank/membership/_subscriber.py
+++ b/rosemarycrank/membership/_subscriber.py
@@ -1,7 +1,8 @@
 """Subscriptions of a node to targets in other failure domains."""
 
-from rosemarycrank.membership import _bridge
+from rosemarycrank.membership import _messages
 from rosemarycrank.membership import _probing
+from rosemarycrank.membership import _subscriptions
 
 BRIDGES_PER_NODE = 2
 SERVICE_TTL_S = 600.0
@@ -20,14 +21,11 @@
         Context of the kernel.
     remote : RemoteView
         Records of other failure domains.
-    make_request : callable
-        Takes a nonce, returns a `Subscribe`.
     """
 
-    def __init__(self, context, remote, make_request):
+    def __init__(self, context, remote):
         self.context = context
         self.remote = remote
-        self._make_request = make_request
         self._used_at_by_service = {}
         self._bridges = ()
         self._next_request_at = 0.0
@@ -69,7 +67,7 @@
             self._bridges = ()
             return
         chosen = self._choose_bridges(bridges)
-        self._period_s = _bridge.subscribe_period_s(member_count)
+        self._period_s = _subscriptions.subscribe_period_s(member_count)
         if chosen != self._bridges:
             self._bridges = chosen
             # Spread out, since all nodes of the domain learn of a new
@@ -123,6 +121,15 @@
             self._pending_nonces.add(nonce)
             self.context.send(bridge, self._make_request(nonce))
 
+    def _make_request(self, nonce):
+        services = sorted(self.remote.services)
+        return _messages.Subscribe(
+            nonce,
+            {s: self.remote.service_digest(s) for s in services},
+            self.remote.whole_digest(),
+            self.remote.contacts_digest(),
+        )
+
     def _expire_services(self, now):
         for service, used_at in list(self._used_at_by_service.items()):
             if used_at + SERVICE_TTL_S <= now:
--- a/tests/membership/test_domains.py
+++ b/tests/membership/test_domains.py
@@ -3,7 +3,7 @@
 import pytest
 
 from benchmarks import _scale_network
-from rosemarycrank.membership import _bridge
+from rosemarycrank.membership import _bridge_nodes
 
 SEEDS = ('a0:1', 'b0:1', 'c0:1')
 
@@ -129,8 +129,8 @@
 
 def test_bridges_depend_only_on_the_set_of_nodes():
     addresses = [f'n{number}:1' for number in range(50)]
-    ranked = _bridge.rank_by_hash(addresses, 3)
-    assert ranked == _bridge.rank_by_hash(addresses[::-1], 3)
+    ranked = _bridge_nodes.rank_by_hash(addresses, 3)
+    assert ranked == _bridge_nodes.rank_by_hash(addresses[::-1], 3)
     remaining = [a for a in addresses if a != ranked[0]]
     # The failure of one bridge node replaces no other one.
-    assert _bridge.rank_by_hash(remaining, 3)[:2] == ranked[1:]
+    assert _bridge_nodes.rank_by_hash(remaining, 3)[:2] == ranked[1:]
