--- a/benchmarks/_scale_bundles.py
+++ b/benchmarks/_scale_bundles.py
@@ -2,7 +2,8 @@
 
 import statistics
 
-from benchmarks import _scale_scenarios
+from benchmarks import _scale_cluster
+from benchmarks import _scale_usage
 from rosemarycrank import bundles
 from rosemarycrank.bundles import _table
 from rosemarycrank import kernel
@@ -52,11 +53,11 @@
             version=version,
             classes_by_name={'read': bundles.RequestClass('read', rank=1)},
             rules=tuple(
-                bundles.Rule(_scale_scenarios.service_name(number), 'read')
+                bundles.Rule(_scale_cluster.service_name(number), 'read')
                 for number in range(SERVICE_COUNT)
             ),
             services=tuple(
-                _scale_scenarios.service_name(number)
+                _scale_cluster.service_name(number)
                 for number in range(SERVICE_COUNT)
             ),
             policy=bundles.Policy(max_depth=1 + version % 8),
@@ -129,7 +130,7 @@
         bundle is in force at all nodes; reads from the platform per second;
         and the mean usage of a node.
     """
-    cluster = _scale_scenarios.Cluster(1, nodes, seed)
+    cluster = _scale_cluster.Cluster(1, nodes, seed)
     network = cluster.network
     platform = Platform(network)
     network.on_platform_request = platform.handle
@@ -144,18 +145,16 @@
         )
     network.run_until(lambda: _all_in_force(network, 1), timeout_s=120)
     network.run(15.0)
-    network.measures_usage = True
-    network.reset_usage()
     platform.reads = 0
     in_force_s = []
-    for version in range(2, 2 + rollout_count):
-        platform.publish(version)
-        elapsed_s = network.run_until(
-            lambda v=version: _all_in_force(network, v), timeout_s=30
-        )
-        in_force_s.append(round(elapsed_s, 1))
-        network.run(max(0.0, CHANGE_PERIOD_S - elapsed_s))
-    network.measures_usage = False
+    with _scale_usage.measuring(network):
+        for version in range(2, 2 + rollout_count):
+            platform.publish(version)
+            elapsed_s = network.run_until(
+                lambda v=version: _all_in_force(network, v), timeout_s=30
+            )
+            in_force_s.append(round(elapsed_s, 1))
+            network.run(max(0.0, CHANGE_PERIOD_S - elapsed_s))
     return _report(
         network, platform, in_force_s, rollout_count * CHANGE_PERIOD_S
     )
@@ -163,7 +162,7 @@
 
 def _report(network, platform, in_force_s, duration_s):
     members = list(network.by_address.values())
-    usage = _scale_scenarios.usage_report(members, duration_s)
+    usage = _scale_usage.usage_report(members, duration_s)
     by_kind = usage['by_kind']
     bundle_bytes_s = sum(
         by_kind[kind]['sent_bytes_s']
--- a/benchmarks/_scale_domains.py
+++ b/benchmarks/_scale_domains.py
@@ -3,7 +3,8 @@
 import resource
 import time
 
-from benchmarks import _scale_scenarios
+from benchmarks import _scale_cluster
+from benchmarks import _scale_usage
 from rosemarycrank import kernel
 from rosemarycrank.membership import _messages
 
@@ -41,11 +42,11 @@
         The cluster; and the virtual seconds until the bridge nodes knew all
         nodes (``linked_s``) and the real seconds of building (``wall_s``).
     """
-    cluster = _scale_scenarios.Cluster(
+    cluster = _scale_cluster.Cluster(
         domains, nodes, seed, services=SERVICE_COUNT
     )
     cluster.seeds = tuple(
-        _scale_scenarios.address(domain, 37 * domain)
+        _scale_cluster.address(domain, 37 * domain)
         for domain in range(domains)
     )
     started_at = time.perf_counter()
@@ -98,11 +99,9 @@
         for member in network.by_address.values()
         if not member.directory.is_bridge()
     ]
-    network.measures_usage = True
-    network.reset_usage()
-    network.run(duration_s)
-    network.measures_usage = False
-    report = _scale_scenarios.usage_report
+    with _scale_usage.measuring(network):
+        network.run(duration_s)
+    report = _scale_usage.usage_report
     busiest = max(bridges, key=lambda m: sum(m.usage.received_bytes.values()))
     return {
         'bridge': report(bridges, duration_s),
@@ -178,7 +177,7 @@
         partition until no node reports an unreachable domain (``healed_s``);
         and traffic of the bridge nodes during the latter.
     """
-    name = _scale_scenarios.domain_name(0)
+    name = _scale_cluster.domain_name(0)
     inside_addresses = {member.address for member in cluster.members_of(0)}
     outside_members = [
         member
@@ -198,19 +197,18 @@
     )
     network.run(max(0.0, cut_s - unreachable_s))
     network.is_cut = lambda sender, receiver: False
-    network.measures_usage = True
-    network.reset_usage()
-    healed_s = network.run_until(
-        lambda: (
-            not any(
-                m.directory.unreachable() for m in network.by_address.values()
-            )
-        ),
-        timeout_s=120,
-        step_s=0.5,
-    )
-    network.measures_usage = False
-    usage = _scale_scenarios.usage_report(
+    with _scale_usage.measuring(network):
+        healed_s = network.run_until(
+            lambda: (
+                not any(
+                    m.directory.unreachable()
+                    for m in network.by_address.values()
+                )
+            ),
+            timeout_s=120,
+            step_s=0.5,
+        )
+    usage = _scale_usage.usage_report(
         _bridge_members(cluster), max(healed_s, 0.5)
     )
     return {
--- a/benchmarks/_scale_memory.py
+++ b/benchmarks/_scale_memory.py
@@ -3,8 +3,8 @@
 import gc
 import tracemalloc
 
+from benchmarks import _scale_cluster
 from benchmarks import _scale_network
-from benchmarks import _scale_scenarios
 from rosemarycrank import kernel
 from rosemarycrank.membership import _messages
 
@@ -18,12 +18,12 @@
     """Yield the records of a domain in messages, as received by a node."""
     records = [
         _messages.Record(
-            _scale_scenarios.address(domain, number),
+            _scale_cluster.address(domain, number),
             (domain << 40) + (number << 20) + 12345,
             3,
             _messages.Status.ALIVE,
-            _scale_scenarios.domain_name(domain),
-            _scale_scenarios.service_name(
+            _scale_cluster.domain_name(domain),
+            _scale_cluster.service_name(
                 (number + 37 * domain) % SERVICE_COUNT
             ),
             'north',
@@ -57,7 +57,7 @@
     tracemalloc.start()
     initial_bytes = _allocated_bytes()
     member = network.start(
-        _scale_scenarios.address(0, 0), _scale_scenarios.domain_name(0)
+        _scale_cluster.address(0, 0), _scale_cluster.domain_name(0)
     )
     codec = member.codec
     _receive_domains(member, codec, [0])
--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -20,7 +20,9 @@
 from benchmarks import _scale_fit
 from benchmarks import _scale_memory
 from benchmarks import _scale_processes
+from benchmarks import _scale_propagation
 from benchmarks import _scale_scenarios
+from benchmarks import _scale_usage
 
 RESULTS_DIR = pathlib.Path(__file__).parent / 'results'
 STEADY_DURATION_S = 60.0
@@ -41,10 +43,10 @@
     network = cluster.network
     network.run(SETTLE_DURATION_S)
     figures = {'nodes': nodes, 'cold_start': cold_start_figures}
-    figures['steady'] = _scale_scenarios.measure_usage(
+    figures['steady'] = _scale_usage.measure_usage(
         cluster, cluster.members_of(0), STEADY_DURATION_S
     )
-    figures['news'] = _scale_scenarios.measure_propagation(cluster, 5)
+    figures['news'] = _scale_propagation.measure_propagation(cluster, 5)
     network.run(SETTLE_DURATION_S)
     figures['quiet'] = [
         _scale_scenarios.count_false_suspicions(cluster, 120.0, loss, pauses)
