--- a/rosemarycrank/cli/_app.py
+++ b/rosemarycrank/cli/_app.py
@@ -4,7 +4,7 @@
 
 import typer
 
-import rosemarycrank
+from rosemarycrank import _version_option
 from rosemarycrank.cli import _bundle
 from rosemarycrank.cli import _key
 from rosemarycrank.cli import _node
@@ -26,19 +26,13 @@
 application.add_typer(_partner.application, name='partner')
 
 
-def _print_version(requested):
-    if requested:
-        typer.echo(rosemarycrank.__version__)
-        raise typer.Exit
-
-
 @application.callback()
 def _options(
     version: typing.Annotated[
         bool,
         typer.Option(
             '--version',
-            callback=_print_version,
+            callback=_version_option.print_version,
             is_eager=True,
             help='Print the version and exit.',
         ),
--- a/rosemarycrank/load/__main__.py
+++ b/rosemarycrank/load/__main__.py
@@ -9,7 +9,7 @@
 import gevent
 import typer
 
-import rosemarycrank
+from rosemarycrank import _version_option
 from rosemarycrank.load import _checker
 from rosemarycrank.load import _driver
 from rosemarycrank.load import _records
@@ -26,16 +26,13 @@
 )
 
 
-def _print_version(requested):
-    if requested:
-        print(rosemarycrank.__version__)
-        raise typer.Exit
-
-
 @APP.callback()
 def _options(
     version: typing.Annotated[
-        bool, typer.Option('--version', callback=_print_version, is_eager=True)
+        bool,
+        typer.Option(
+            '--version', callback=_version_option.print_version, is_eager=True
+        ),
     ] = False,
 ):
     pass
--- a/rosemarycrank/node/__main__.py
+++ b/rosemarycrank/node/__main__.py
@@ -10,7 +10,7 @@
 import pynng
 import typer
 
-import rosemarycrank
+from rosemarycrank import _version_option
 from rosemarycrank import keys
 from rosemarycrank import node
 from rosemarycrank.node import _logging
@@ -22,12 +22,6 @@
 application = typer.Typer(add_completion=False)
 
 
-def _print_version(requested):
-    if requested:
-        typer.echo(rosemarycrank.__version__)
-        raise typer.Exit
-
-
 @application.command()
 def run(
     settings_file: typing.Annotated[
@@ -36,7 +30,9 @@
     ],
     version: typing.Annotated[
         bool,
-        typer.Option('--version', callback=_print_version, is_eager=True),
+        typer.Option(
+            '--version', callback=_version_option.print_version, is_eager=True
+        ),
     ] = False,
 ):
     """Run the node of one upstream VM until SIGTERM or SIGINT."""
--- a/rosemarycrank/standins/_server.py
+++ b/rosemarycrank/standins/_server.py
@@ -15,7 +15,6 @@
 from pythonjsonlogger import json as jsonlogger
 import typer
 
-import rosemarycrank
 from rosemarycrank import http_client
 from rosemarycrank import settings
 
@@ -260,13 +259,6 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler])
 
 
-def print_version(is_requested):
-    """Print the version and exit; callback of ``--version``."""
-    if is_requested:
-        print(rosemarycrank.__version__)
-        raise typer.Exit
-
-
 def run_program(command):
     """Run a command-line program that has a single command.
 
--- a/rosemarycrank/standins/platform.py
+++ b/rosemarycrank/standins/platform.py
@@ -12,6 +12,7 @@
 import msgspec
 import typer
 
+from rosemarycrank import _version_option
 from rosemarycrank import load
 from rosemarycrank.standins import _server
 from rosemarycrank.standins import _tables
@@ -244,7 +245,7 @@
     version: typing.Annotated[
         bool,
         typer.Option(
-            '--version', callback=_server.print_version, is_eager=True
+            '--version', callback=_version_option.print_version, is_eager=True
         ),
     ] = False,
 ):
--- a/rosemarycrank/standins/upstream.py
+++ b/rosemarycrank/standins/upstream.py
@@ -7,6 +7,7 @@
 import gevent
 import typer
 
+from rosemarycrank import _version_option
 from rosemarycrank import load
 from rosemarycrank.standins import _announcer
 from rosemarycrank.standins import _runner
@@ -135,7 +136,7 @@
     version: typing.Annotated[
         bool,
         typer.Option(
-            '--version', callback=_server.print_version, is_eager=True
+            '--version', callback=_version_option.print_version, is_eager=True
         ),
     ] = False,
 ):
