--- a/tests/calls/test_explore.py
+++ b/tests/calls/test_explore.py
@@ -11,6 +11,8 @@
 import pytest
 
 from rosemarycrank import calls
+from rosemarycrank.calls import _attempt_checks
+from rosemarycrank.calls import _reply_cache
 from rosemarycrank import messages
 from rosemarycrank import results
 from tests.calls import network as network_module
@@ -190,7 +192,7 @@
 
 def skip_reply_cache(monkeypatch):
     monkeypatch.setattr(
-        calls.TargetCalls, '_cache_reply', lambda *arguments: None
+        _reply_cache.ReplyCache, 'add', lambda *arguments: None
     )
 
 
@@ -220,9 +222,9 @@
 
 def treat_silence_as_not_run(monkeypatch):
     monkeypatch.setattr(
-        calls.EntryCalls,
-        '_check_attempt',
-        lambda self, outgoing: self._handle_refused_attempt(
+        _attempt_checks.AttemptChecks,
+        'check',
+        lambda self, outgoing: self.outgoing_attempts.end_as_refused(
             outgoing, results.Result.NO_TARGET
         ),
     )
