Issue each key once in the fake node of the stand-ins' tests

tests/load/test_driver.py::test_keys_issued_by_nodes failed now and then on a busy machine: two paid requests had the same key.

Cause: the fake node answered every question for keys with issued-0 to issued-49. A session that finds no unused key asks for a batch; a session that starts before the answer asks too, and both batches were the same.

Change: the fake numbers its keys on, as the node issues each key once.

Checked besides: the load driver keeps both batches and gives each key out once; test_sessions_that_ask_at_once_get_different_keys (3 sessions) fails on the old fake with one key for all three, without any load. The node itself has no such fault: a key has a random number of 64 bits, and the questions run one after the other in the kernel; tests/ledger/test_claims.py::test_each_key_is_issued_once (same moment, another node, after a restart) passes without a change.

--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -52,6 +52,22 @@
     assert settled_results(simulation, sent) == [R.UPSTREAM_REFUSED]
 
 
+def test_each_key_is_issued_once(simulation, nodes):
+    """Not even at the same time, by another node or after a restart."""
+    batches = [
+        simulation.call_ledger(node, node.ledger.issue, 50)
+        for node in [nodes[0], nodes[0], nodes[1]]
+    ]
+    address = nodes[0].kernel.context.address
+    simulation.crash(address)
+    restarted = simulation.start(address)
+    batches.append(
+        simulation.call_ledger(restarted, restarted.ledger.issue, 50)
+    )
+    issued = [key for batch in batches for key in batch]
+    assert len(set(issued)) == 200
+
+
 @pytest.mark.parametrize('issued', [False, True])
 def test_resends_through_any_node_run_once(simulation, nodes, issued):
     key = issue(simulation, nodes[0]) if issued else KEY
--- a/tests/load/test_driver.py
+++ b/tests/load/test_driver.py
@@ -1,9 +1,12 @@
 """The load driver against a fake node that forwards calls."""
 
 import attrs
+import gevent
 import pytest
 
+from rosemarycrank import http_client
 from rosemarycrank import load
+from rosemarycrank.load import _keys
 from rosemarycrank.load import _scenario
 
 REFUSING_ADDRESS = '127.0.0.1:1'
@@ -153,6 +156,22 @@
     assert len(set(paid)) == len(paid)
 
 
+def test_sessions_that_ask_at_once_get_different_keys(fake_node):
+    """Sessions that find no unused key request a batch each."""
+    host, _, port = fake_node.address.partition(':')
+    client = http_client.Client(host, int(port), max_connections=3)
+    source = _keys.NodeKeys({fake_node.address: client}, batch_size=2)
+    sessions = [
+        gevent.spawn(source.key_for, f'n{number}', fake_node.address)
+        for number in range(3)
+    ]
+    gevent.joinall(sessions, raise_error=True)
+    client.close()
+    assert fake_node.paths == ['/keys'] * 3
+    keys = {session.value for session in sessions}
+    assert len(keys - {''}) == 3
+
+
 def test_key_of_a_node_that_cannot_be_reached_is_replaced(drive, fake_node):
     """Every paid request gets a key from a node that can be reached."""
     scenario = _make_scenario(keys=_scenario.Keys.NODE)
--- a/tests/standins/_fake_node.py
+++ b/tests/standins/_fake_node.py
@@ -1,5 +1,6 @@
 """Fake node that forwards calls without routing, admission or retries."""
 
+import itertools
 import time
 
 import falcon
@@ -41,6 +42,7 @@
         self.dispatches_twice = False
         self.forges_not_run = False
         self._previous_body = b'{}'
+        self._key_numbers = itertools.count()
         app = falcon.App()
         # Falcon matches the most recently added sink first.
         app.add_sink(self._handle_other)
@@ -64,7 +66,11 @@
         self.paths.append(request.path)
         if request.path == '/keys':
             count = request.get_param_as_int('count')
-            response.media = {'keys': [f'issued-{n}' for n in range(count)]}
+            response.media = {'keys': self._issue_keys(count)}
+
+    def _issue_keys(self, count):
+        """Return new keys; a node issues each key once."""
+        return [f'issued-{next(self._key_numbers)}' for _ in range(count)]
 
     def _handle_call(self, request, response, service):
         self.paths.append(request.path)
