Take calls of clients out of the measured costs at once

Where the route runs no more (the target has left, the route has moved to another service), the wrong cost stays in force, and reports of other nodes are ignored for a route that this node has measured itself.

Change: the costs that the node has measured are worked out anew when the counts are dropped.

--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -305,9 +305,16 @@
         return self._runs_by_deadline.all_end_before(deadline_at)
 
     def drop_calls(self, route):
-        """Drop the call counts of a route that clients use, not targets."""
-        for key in [key for key in self._calls_by_key if key[1] == route]:
+        """Drop the call counts of a route that clients use, not targets.
+
+        The costs that this node has measured change at once: the routes that
+        seemed to make these calls may not run here any more.
+        """
+        keys = [key for key in self._calls_by_key if key[1] == route]
+        for key in keys:
             del self._calls_by_key[key]
+        if keys:
+            self._update_costs(self._own_routes)
 
     def retain(self, routes):
         """Drop the state of all routes except the given ones.
--- a/tests/dataplane/test_costs.py
+++ b/tests/dataplane/test_costs.py
@@ -206,6 +206,13 @@
     assert costs.cost('dues', 'pay') == {'dues': 1.0}
 
 
+def test_dropped_calls_count_no_more_where_the_route_runs_no_more(costs):
+    # The target has left, so no further run corrects the cost.
+    _simulate(costs, {'pay': (5, 1.0, 20)})
+    costs.drop_calls('lookup')
+    assert costs.cost('dues', 'pay') == {'dues': 1.0}
+
+
 def test_state_of_removed_routes_is_dropped(costs):
     _simulate(costs, {'pay': (5, 1.0, 20), 'old': (5, 1.0, 20)})
     costs.retain({'pay', 'lookup'})
