Start the platform tests once all nodes know all targets

Cause: a deployment counted as started when each node was ready and had acknowledged a heartbeat of its own target. The rows of the others come later, and the test silences the store just then; what a node has not read by then it cannot learn.

Change: the fixture waits until the state dump of each node has all ready targets. The tests assert as much as before, and the soak starts its load as early as before: requests that arrive before the nodes know each other are part of what it checks.

Nodes that say that they are ready before they know all targets are not at fault here: the table had been read, and it was empty then.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -12,7 +12,11 @@
 import gevent
 from gevent import pywsgi
 import gevent.socket
+import msgspec
 
+from rosemarycrank.dataplane import _directory
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.platform import __main__ as node
 from rosemarycrank.standins import row_store
 
 CLIENT_PORT = 8304
@@ -263,6 +267,36 @@
                 f'{ip} has not acknowledged a heartbeat',
             )
 
+    def dump_state(self, ip):
+        """Return the state dump of a node."""
+        _, text = exchange(ip, node.METRICS_PORT, 'GET', '/state')
+        return json.loads(text)
+
+    def known_instances(self, ip):
+        """Return the targets that a node takes to be ready."""
+        records = (
+            msgspec.convert(value, _frames.TargetRecord)
+            for value in self.dump_state(ip)['targets']
+        )
+        return {
+            record.instance
+            for record in records
+            if record.state == _directory.READY
+        }
+
+    def wait_until_targets_are_known(self):
+        """Wait until each node knows the targets of all others.
+
+        The nodes read the rows of the others some seconds after their start;
+        without the store they cannot make up for it.
+        """
+        instances = {target.instance for target in self.targets}
+        for ip in self.ips:
+            self.wait_until(
+                lambda ip=ip: self.known_instances(ip) == instances,
+                f'{ip} does not know all targets',
+            )
+
     def send(self, ip, prefix, deadline_ms=4000):
         """Send one request as a client.
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -23,14 +23,17 @@
     cluster = deployment.Deployment(
         tmp_path, f'127.1.{number}', ['archive', 'archive', 'dues']
     )
-    cluster.configure(1, read='archive', pay='dues')
-    cluster.start_all()
-    cluster.wait_until(
-        lambda: cluster.send(cluster.ips[0], 'pay')[1] == 200,
-        'no payment was answered with 200',
-    )
-    yield cluster
-    cluster.close()
+    try:
+        cluster.configure(1, read='archive', pay='dues')
+        cluster.start_all()
+        cluster.wait_until_targets_are_known()
+        cluster.wait_until(
+            lambda: cluster.send(cluster.ips[0], 'pay')[1] == 200,
+            'no payment was answered with 200',
+        )
+        yield cluster
+    finally:
+        cluster.close()
 
 
 def _check_results(cluster, results):
