--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -226,6 +226,8 @@
         self._observed_s_by_route = {}
         # Routes whose costs come from this node's own counts.
         self._own_routes = set()
+        # Routes that clients use; calls of them are not counted.
+        self._client_routes = set()
 
     def record_run_start(self, run):
         """Count a run that starts at the local target.
@@ -305,9 +307,17 @@
         return self._runs_by_deadline.all_end_before(deadline_at)
 
     def drop_calls(self, route):
-        """Drop the call counts of a route that clients use, not targets."""
-        for key in [key for key in self._calls_by_key if key[1] == route]:
+        """Drop the call counts of a route that clients use, not targets.
+
+        The costs that this node has measured change at once: the routes that
+        seemed to make these calls may not run here any more.
+        """
+        self._client_routes.add(route)
+        keys = [key for key in self._calls_by_key if key[1] == route]
+        for key in keys:
             del self._calls_by_key[key]
+        if keys:
+            self._update_costs(self._own_routes)
 
     def retain(self, routes):
         """Drop the state of all routes except the given ones.
@@ -374,6 +384,8 @@
         if stored.service != self.service:
             return
         for call in stored.calls:
+            if call.route in self._client_routes:
+                continue
             if not self._is_trusted(call.caller):
                 calls = self._calls_by_key.setdefault(
                     (call.service, call.route), _CallCounts()
