Make HTTP clients of an address in one place

Cause: splitting host:port and making a client from it stood in the node, the load driver, three benchmarks and a test. Change: http_client.Client.for_address serves all six. Places that check the address first and report it in their own way stay as they are. Of the benchmarks, transport and the latency comparison were imported, not run.

--- a/benchmarks/_deployment.py
+++ b/benchmarks/_deployment.py
@@ -320,8 +320,7 @@
     rosemarycrank.http_client.HttpError
         If no complete response was received.
     """
-    host, _, port = address.rpartition(':')
-    client = http_client.Client(host, int(port))
+    client = http_client.Client.for_address(address)
     body = b'' if content is None else json.dumps(content).encode()
     headers = {'Content-Type': 'application/json'} if body else {}
     try:
--- a/benchmarks/_overload_latency.py
+++ b/benchmarks/_overload_latency.py
@@ -131,8 +131,14 @@
 def _measure_latencies(deployment, rate, duration_s):
     entry, leaf = deployment.targets
     clients_and_paths = {
-        'nodes_ms': (_make_client(entry.http_address), '/call/leaf/renewal/'),
-        'direct_ms': (_make_client(leaf.upstream_address), '/renewal/'),
+        'nodes_ms': (
+            http_client.Client.for_address(entry.http_address),
+            '/call/leaf/renewal/',
+        ),
+        'direct_ms': (
+            http_client.Client.for_address(leaf.upstream_address),
+            '/renewal/',
+        ),
     }
     latencies = {name: [] for name in clients_and_paths}
     rng = random.Random(1)
@@ -161,11 +167,6 @@
     latencies.append((time.perf_counter() - started_at) * 1000)
 
 
-def _make_client(address):
-    host, _, port = address.rpartition(':')
-    return http_client.Client(host, int(port))
-
-
 def _percentiles(values_ms):
     ordered_ms = sorted(values_ms)
     return {
--- a/benchmarks/transport.py
+++ b/benchmarks/transport.py
@@ -126,8 +126,7 @@
 
     def connect(self):
         """Open the client side."""
-        host, _, port = HTTP_ADDRESS.rpartition(':')
-        self._client = http_client.Client(host, int(port))
+        self._client = http_client.Client.for_address(HTTP_ADDRESS)
         self._codec = messages.Codec(CLUSTER_KEY, CLIENT_ADDRESS)
 
     def call(self, number):
--- a/rosemarycrank/http_client/_client.py
+++ b/rosemarycrank/http_client/_client.py
@@ -146,6 +146,25 @@
         self._pool.size = -1
         self._client._connection_pool = self._pool
 
+    @classmethod
+    def for_address(cls, address, **parameters):
+        """Return a client of the server at an address.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the server.
+        **parameters
+            Further parameters of the constructor.
+
+        Returns
+        -------
+        Client
+            The client.
+        """
+        host, _, port = address.rpartition(':')
+        return cls(host, int(port), **parameters)
+
     def request(self, method, target, body=b'', headers=None, timeout_s=None):
         """Send a request once and read the complete answer.
 
--- a/rosemarycrank/load/_driver.py
+++ b/rosemarycrank/load/_driver.py
@@ -46,7 +46,10 @@
         self._record = record
         self._random = random.Random(f'{scenario.seed} nodes')
         self._clients_by_node = {
-            node: _create_client(node, scenario.connections) for node in nodes
+            node: http_client.Client.for_address(
+                node, max_connections=scenario.connections
+            )
+            for node in nodes
         }
         self._keys = self._create_key_source()
         self._sessions = pool.Group()
@@ -126,8 +129,3 @@
         result=int(get_header('rosemarycrank-result', '0')),
         status=response.status,
     )
-
-
-def _create_client(address, connections):
-    host, _, port = address.rpartition(':')
-    return http_client.Client(host, int(port), max_connections=connections)
--- a/rosemarycrank/node/_upstream.py
+++ b/rosemarycrank/node/_upstream.py
@@ -56,10 +56,8 @@
         if announcement.address == self._address:
             return
         self._address = announcement.address
-        host, _, port = announcement.address.rpartition(':')
-        self._client = http_client.Client(
-            host,
-            int(port),
+        self._client = http_client.Client.for_address(
+            announcement.address,
             max_connections=announcement.max_connections
             or DEFAULT_MAX_CONNECTIONS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
--- a/tests/node/test_security.py
+++ b/tests/node/test_security.py
@@ -78,8 +78,7 @@
     address, method, target, authorization='', body=b'', **parameters
 ):
     """Send one request on a new connection, and return the response."""
-    host, _, port = address.rpartition(':')
-    client = http_client.Client(host, int(port), **parameters)
+    client = http_client.Client.for_address(address, **parameters)
     headers = {'Content-Type': 'application/json'}
     if authorization:
         headers['Authorization'] = authorization
