Make client events of responses in one place

Cause: reading outcome, result and status of a response into a client event stood in the load driver (queries of keys) and in its sessions (answers). Change: _session.event_from_response serves both; the fields of either event stay the same.

--- a/rosemarycrank/load/_driver.py
+++ b/rosemarycrank/load/_driver.py
@@ -11,7 +11,6 @@
 
 from rosemarycrank import http_client
 from rosemarycrank.load import _keys
-from rosemarycrank.load import _records
 from rosemarycrank.load import _scenario
 from rosemarycrank.load import _session
 from rosemarycrank.load import _statistics
@@ -113,19 +112,9 @@
                 )
             except http_client.HttpError:
                 continue
-            self._record(_key_query_event(session, node, response))
+            self._record(
+                _session.event_from_response(
+                    'asked', session.arrival.nonce, session.key, node, response
+                )
+            )
             return
-
-
-def _key_query_event(session, node, response):
-    get_header = response.headers.get
-    return _records.ClientEvent(
-        event='asked',
-        nonce=session.arrival.nonce,
-        at=time.time(),
-        key=session.key,
-        node=node,
-        outcome=get_header('rosemarycrank-outcome', ''),
-        result=int(get_header('rosemarycrank-result', '0')),
-        status=response.status,
-    )
--- a/rosemarycrank/load/_session.py
+++ b/rosemarycrank/load/_session.py
@@ -177,17 +177,11 @@
         return self._answer_event(node, response), self._backoff_s(response)
 
     def _answer_event(self, node, response):
-        get_header = response.headers.get
-        return _records.ClientEvent(
-            event='answer',
-            nonce=self.arrival.nonce,
-            at=time.time(),
-            key=self.key,
-            node=node,
-            outcome=get_header('rosemarycrank-outcome', ''),
-            result=int(get_header('rosemarycrank-result', '0')),
-            status=response.status,
-            request_id=get_header('rosemarycrank-request-id', ''),
+        return attrs.evolve(
+            event_from_response(
+                'answer', self.arrival.nonce, self.key, node, response
+            ),
+            request_id=response.headers.get('rosemarycrank-request-id', ''),
             answer_digest=_records.answer_digest(response.body),
         )
 
@@ -210,3 +204,37 @@
         if delay_ms is not None:
             return min(int(delay_ms) / 1000, MAX_RETRY_AFTER_S)
         return BACKOFF_S
+
+
+def event_from_response(event, nonce, key, node, response):
+    """Return the event of a response with the outcome that it states.
+
+    Parameters
+    ----------
+    event : str
+        Name of the event, as in `ClientEvent`.
+    nonce : str
+        Nonce of the request.
+    key : str
+        Idempotency key; empty if there is none.
+    node : str
+        ``host:port`` of the node that responded.
+    response : rosemarycrank.http_client.Response
+        The response.
+
+    Returns
+    -------
+    ClientEvent
+        The event, at the current time.
+    """
+    get_header = response.headers.get
+    return _records.ClientEvent(
+        event=event,
+        nonce=nonce,
+        at=time.time(),
+        key=key,
+        node=node,
+        outcome=get_header('rosemarycrank-outcome', ''),
+        result=int(get_header('rosemarycrank-result', '0')),
+        status=response.status,
+    )
