--- a/tests/calls/network.py
+++ b/tests/calls/network.py
@@ -155,14 +155,22 @@
         upstream=None,
         controller=None,
         bundle=BUNDLE,
+        **target_parameters,
     ):
-        """Start a node whose upstream serves a service."""
+        """Start a node whose upstream serves a service.
+
+        Further parameters are those of `TargetCalls`.
+        """
         incarnation = next(self.incarnations)
         context = kernel.Context(address, incarnation, self.seed + incarnation)
         directory = FakeDirectory(self)
         holder = BundleHolder(bundle)
         target = calls.TargetCalls(
-            'a', directory, controller or admission.PassThrough(), holder
+            'a',
+            directory,
+            controller or admission.PassThrough(),
+            holder,
+            **target_parameters,
         )
         key_ledger = DirectLedger(self)
         entry = calls.EntryCalls(
