Ignore load reports of targets that serve nothing

Cause: a target that has completed nothing since the start of its node reports no service time; with such reports only, the share was left as it was while its age stayed recent. The node of a target that had left reported this way for its service, and relayed the share to others. Change: a report without a service time is not stored, and replaces an earlier one of the same target; reports of targets that are not ready are ignored.

--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -251,7 +251,9 @@
             Time of receipt, in seconds of the node's clock.
         """
         record = self.directory.records_by_node.get(address)
-        if record is not None:
+        # A target that is leaving gets no new work, so its load says nothing
+        # about the service.
+        if record is not None and record.state == _directory.READY:
             self.front.receive_load(record.service, address, load, now)
         for service, pressure in load.pressures.items():
             self.front.receive_pressure(service, pressure, now)
--- a/rosemarycrank/dataplane/_pressure.py
+++ b/rosemarycrank/dataplane/_pressure.py
@@ -142,6 +142,9 @@
     def receive_load(self, reporter, load, now):
         """Store the load of one target.
 
+        The load of a target that has completed nothing since its start says
+        nothing about the capacity of the service and is not stored.
+
         Parameters
         ----------
         reporter : str
@@ -151,7 +154,10 @@
         now : float
             Seconds of the node's clock.
         """
-        self._reports_by_node[reporter] = (load, now)
+        if load.service_s > 0.0:
+            self._reports_by_node[reporter] = (load, now)
+        else:
+            self._reports_by_node.pop(reporter, None)
 
     def last_report_at(self):
         """Return when the newest report was received; None without any."""
@@ -184,7 +190,7 @@
         ):
             if now - received_at > MAX_REPORT_AGE_S:
                 del self._reports_by_node[reporter]
-            elif load.service_s > 0.0:
+            else:
                 reporting += 1
                 limit += load.limit
                 arrivals += load.arrivals_per_s
@@ -195,8 +201,6 @@
         if not self._reports_by_node:
             self.share = 0.0
             return
-        if capacity <= 0.0:
-            return
         # The expected calls are those to all targets, the other sums are
         # those of the targets that have reported.
         expected *= reporting / max(reporting, target_count)
--- a/tests/dataplane/test_front.py
+++ b/tests/dataplane/test_front.py
@@ -107,6 +107,27 @@
             assert first.pressures(now) == second.pressures(now) == {}
 
 
+# Guards against shedding that outlasts an overload: the reports of a target
+# that has run nothing since its start are recent, but say nothing.
+def test_share_ends_when_no_target_reports_a_service_time(front):
+    for step in range(50):
+        front.receive_load('leaf', 'n1', _load(4000, 500), 0.1 * step)
+        front.update(0.1 * step)
+    assert front.pressures(4.9)['leaf'].share > 0.3
+    for step in range(50, 80):
+        restarted = _load(0, 0, service_s=0.0)
+        front.receive_load('leaf', 'n1', restarted, 0.1 * step)
+        front.update(0.1 * step)
+    assert front.pressures(7.9) == {}
+
+
+def test_relayed_report_counts_while_no_target_reports_a_service_time(front):
+    front.receive_load('leaf', 'n1', _load(0, 0, service_s=0.0), 0.0)
+    front.receive_pressure('leaf', _frames.Pressure(0.9, 0.0), 0.0)
+    front.update(0.0)
+    assert front.pressures(0.1)['leaf'].share == 0.9
+
+
 def test_direct_reports_take_precedence_over_relayed_ones(front):
     front.receive_load('leaf', 'n1', _load(0, 0), 0.0)
     front.receive_pressure('leaf', _frames.Pressure(0.9, 0.0), 0.0)
--- /dev/null
+++ b/tests/dataplane/test_node.py
@@ -0,0 +1,53 @@
+"""State of a node that both sides of a call share."""
+
+import pytest
+
+from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _target
+from tests.dataplane import fakes
+
+NODE = '127.0.0.1:7000'
+
+
+class _RecordingFront(_front.AdmitAll):
+    def __init__(self):
+        self.reporters = []
+
+    def receive_load(self, service, reporter, load, now):
+        self.reporters.append(reporter)
+
+
+@pytest.fixture
+def node(reactor):
+    costs = _costs.CallCosts('archive')
+    node = _node.Node(reactor, NODE, 1, None, costs, _RecordingFront())
+    node.set_target_side(
+        _target.TargetSide(
+            reactor,
+            fakes.FakePool(),
+            _names.HeaderNames(),
+            _counters.Counters(),
+            costs,
+            node.front,
+        )
+    )
+    return node
+
+
+# Guards against a node whose target has left and that takes the idle target
+# for the state of the whole service, so that it sheds nothing for it.
+@pytest.mark.parametrize('address', [NODE, 'n2'])
+def test_only_ready_targets_report_for_their_service(node, reactor, address):
+    record = fakes.record(address)
+    node.announce(record) if address == NODE else node.merge(record)
+    node.receive_load(node.target_side.load(), address, reactor.now())
+    assert node.front.reporters == [address]
+    left = fakes.record(address, state='draining', sequence=2)
+    node.announce(left) if address == NODE else node.merge(left)
+    node.receive_load(node.target_side.load(), address, reactor.now())
+    reactor.run(0.5)
+    assert node.front.reporters == [address]
