Age relayed pressures by the time for which they are cached

Cause: the ages are computed every 0.1 s and sent with every result in between, so that the receiver takes the share to be up to 0.1 s more recent than it is. Two nodes that relay it to each other gain as much as passes. Change: the ages sent are those at the end of the 0.1 s. Result: test_relayed_reports_expire_although_ages_are_computed_before_sending fails on the code before; tests/dataplane pass. Services whose reports every entry node gets itself were not affected.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -514,7 +514,9 @@
     def _update_rates(self, now):
         self.arrivals.update(now)
         self._demand_per_s = self.demand.total_per_s(now)
-        self.pressures = self.front.pressures(now)
+        # Sent until the next update, so the ages are those at its time.
+        # Otherwise nodes that relay a report to each other keep it recent.
+        self.pressures = self.front.pressures(now + RATE_UPDATE_INTERVAL_S)
 
     def _expire_lost_callers(self, now):
         for caller in list(self.callers_by_incarnation.values()):
--- a/tests/dataplane/test_front.py
+++ b/tests/dataplane/test_front.py
@@ -11,10 +11,13 @@
 import pytest
 
 from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _limit
+from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _pressure
+from rosemarycrank.dataplane import _target
 from rosemarycrank import kernel
 from tests.dataplane import fakes
 
@@ -23,10 +26,30 @@
 LIST = fakes.route('list', priority=2)
 
 
+#: Time of a report from one node to another, in seconds.
+TRANSIT_S = 0.001
+
+
 def _one_target(_service):
     return 1
 
 
+class _RelayingNode:
+    """Node that relays the pressures which it has received."""
+
+    def __init__(self, reactor):
+        costs = _costs.CallCosts('front')
+        self.front = _front.AdmitByCost(costs, _one_target)
+        self.side = _target.TargetSide(
+            reactor,
+            fakes.FakePool(),
+            _names.HeaderNames(),
+            _counters.Counters(),
+            costs,
+            self.front,
+        )
+
+
 @pytest.fixture
 def costs():
     costs = _costs.CallCosts('front')
@@ -107,6 +130,25 @@
             assert first.pressures(now) == second.pressures(now) == {}
 
 
+# Guards against shedding that outlasts an overload: two nodes that refresh
+# each other's record of it, as they compute the age of the record some time
+# before they send it.
+def test_relayed_reports_expire_although_ages_are_computed_before_sending(
+    reactor,
+):
+    nodes = [_RelayingNode(reactor) for _ in range(2)]
+    nodes[0].front.receive_pressure('leaf', _frames.Pressure(0.5, 0.0), 0.0)
+    for _ in range(1000):
+        for sender, receiver in (nodes, nodes[::-1]):
+            for service, pressure in sender.side.load().pressures.items():
+                receiver.front.receive_pressure(
+                    service, pressure, reactor.now() + TRANSIT_S
+                )
+        reactor.run(0.005, step_s=0.005)
+    now = reactor.now()
+    assert [node.front.pressures(now) for node in nodes] == [{}, {}]
+
+
 # Guards against shedding that outlasts an overload: the reports of a target
 # that has run nothing since its start are recent, but say nothing.
 def test_share_ends_when_no_target_reports_a_service_time(front):
