Take a result code of a later release as an unknown outcome

Callers would see: 'not run' for a request that ran, when the target's node is of a later release. The entry node raised KeyError for a result code that it does not know, after it had closed the attempt, and answered DEADLINE_TOO_SHORT at the deadline. Change: results.from_message maps unknown codes to ANSWER_LOST, in the call path as in the forwarding of keyed requests, which had this of its own. Result: test_result_of_a_later_release_leaves_the_outcome_unknown fails on the code before for both methods; tests/calls/test_answers.py, tests/ledger and tests/test_results.py pass.

--- a/rosemarycrank/calls/_outgoing.py
+++ b/rosemarycrank/calls/_outgoing.py
@@ -228,7 +228,7 @@
 
 def _answer_from(reply):
     return kernel.Answer(
-        result=results.from_number(reply.result),
+        result=results.from_message(reply.result),
         status=reply.status,
         headers=reply.headers,
         body=reply.body,
--- a/rosemarycrank/ledger/_forwarding.py
+++ b/rosemarycrank/ledger/_forwarding.py
@@ -156,13 +156,8 @@
 
 
 def _to_answer(reply):
-    try:
-        result = results.from_number(reply.result)
-    except KeyError:
-        # A code of a later release: the outcome is unknown to this node.
-        result = results.Result.ANSWER_LOST
     return kernel.Answer(
-        result,
+        results.from_message(reply.result),
         reply.status,
         reply.headers,
         reply.body,
--- a/rosemarycrank/results/_codes.py
+++ b/rosemarycrank/results/_codes.py
@@ -231,6 +231,23 @@
     return _RESULTS_BY_NUMBER[number]
 
 
+def from_message(number):
+    """Return the result that another node reports in a message.
+
+    Parameters
+    ----------
+    number : int
+        Number of a result code, which may be one of a later release.
+
+    Returns
+    -------
+    Result
+        Result code; `Result.ANSWER_LOST`, whose outcome is unknown, if no
+        code has the number.
+    """
+    return _RESULTS_BY_NUMBER.get(number, Result.ANSWER_LOST)
+
+
 def markdown_table():
     """Return the table of result codes for ``docs/RESULT_CODES.md``.
 
--- a/tests/calls/test_answers.py
+++ b/tests/calls/test_answers.py
@@ -6,8 +6,10 @@
 
 import random
 
+import attrs
 import pytest
 
+from rosemarycrank import messages
 from rosemarycrank import results
 from tests.calls import network as network_module
 
@@ -79,3 +81,26 @@
         if answer.result.outcome is results.Outcome.NOT_RUN:
             assert runs == 0
     assert complete_count > 0.9 * REQUEST_COUNT
+
+
+class _LaterReleaseNetwork(network_module.Network):
+    """Network whose targets' nodes report a result that is not known yet."""
+
+    def _send(self, sender, destination, message):
+        if isinstance(message, messages.AttemptReply):
+            message = attrs.evolve(message, result=999)
+        super()._send(sender, destination, message)
+
+
+# Guards against a request that ran and is called not run.
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_result_of_a_later_release_leaves_the_outcome_unknown(method):
+    network = _LaterReleaseNetwork()
+    network.add_node('e0:1', 'front')
+    network.add_node('n0:1', 's')
+    network.run(0.5)
+    network.send_request('e0:1', 'r1', method)
+    network.run(30.0)
+    assert network.count_runs('/r1') >= 1
+    answer = network.answers_by_request_id['r1']
+    assert answer.result.outcome is results.Outcome.UNKNOWN
