Find the planted fault of the bundle holder in every example

Seen: make test failed on test_oracle_catches_a_holder_without_the_monotone_ check (DID NOT RAISE); alone, or with tests/bundles, it passed. Cause: hypothesis mixes literals of loaded local modules into its examples, so the examples change with the selection and with each literal of the code. Change: each example ends with two roll-outs, healing, and every older answer delivered to all nodes; the rule deliver_out_of_order does it in the middle for one node. The test asserts more than before: the failure must be the return to an older version, and settle checks it before it checks times, so no other assertion hides it. No number of examples or steps is raised. Result: the test passes with each of the 17 folders of tests/ added in turn and over the whole selection.

--- a/tests/bundles/test_holder.py
+++ b/tests/bundles/test_holder.py
@@ -51,7 +51,9 @@
     def check(self, cluster):
         for address, node in cluster.nodes.items():
             accepted = [bundle.version for bundle in node.accepted]
-            assert accepted == sorted(set(accepted)), (address, accepted)
+            assert accepted == sorted(set(accepted)), (
+                f'{address} returned to an older version: {accepted}'
+            )
             assert node.version == (accepted[-1] if accepted else 0)
             for bundle in node.accepted:
                 found = bundles.content_from_bundle(bundle).hash
@@ -63,9 +65,12 @@
 
     No node ever returns to an older version. `settle` checks that after
     `MAX_SPREAD_S` all connected nodes have the newest version among them.
+    Each example ends with `teardown`, which delivers every older answer to
+    nodes that have a newer version, whatever the rules before it did.
     """
 
     make_holder = bundles.BundleHolder
+    cluster = None
 
     @stateful.initialize(seed=strategies.integers(0, 2**32 - 1))
     def start(self, seed):
@@ -143,6 +148,12 @@
         event = kernel.Received('escazu:0', whole)
         self.cluster.schedule_delivery(address, event)
 
+    @stateful.precondition(lambda self: len(self.replays) > 1)
+    @stateful.rule(address=strategies.sampled_from(ADDRESSES))
+    def deliver_out_of_order(self, address):
+        for whole in reversed(self.replays[-2:]):
+            self._deliver(address, whole)
+
     @stateful.rule(
         address=strategies.sampled_from(ADDRESSES),
         ahead=strategies.integers(1, 3),
@@ -167,6 +178,7 @@
             self.wake()
         expected = list(self._expected())
         self.cluster.run(MAX_SPREAD_S)
+        self.oracle.check(self.cluster)
         for component, version in expected:
             for address, node in self._reachable(component):
                 assert node.version >= version, address
@@ -175,6 +187,23 @@
     def never_an_older_version(self):
         self.oracle.check(self.cluster)
 
+    def teardown(self):
+        if self.cluster is None:
+            return
+        self.roll_out()
+        self.roll_out()
+        self.settle(heal_first=True)
+        for older in self.replays[:-1]:
+            for address in ADDRESSES:
+                self._deliver(address, older)
+        self.oracle.check(self.cluster)
+
+    def _deliver(self, address, whole):
+        """Deliver an answer before any that is scheduled later."""
+        event = kernel.Received('escazu:0', whole)
+        self.cluster.schedule_delivery(address, event)
+        self.cluster.run(simulation.STEP_S)
+
     def _expected(self):
         for component in self.cluster.components():
             reachable = self._reachable(component)
@@ -223,7 +252,7 @@
         report_multiple_bugs=False,
         print_blob=False,
     )
-    with pytest.raises(AssertionError):
+    with pytest.raises(AssertionError, match='returned to an older version'):
         stateful.run_state_machine_as_test(
             NonMonotonicMachine, settings=fault_settings
         )
