Report costs until other nodes have followed them

Change: CostReports keeps the average of all reports on the routes of its service, as the receivers have it, and reports a measured cost until this average has followed: also down to no calls, and for routes that run here no more. Services without calls still report nothing.

--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -82,6 +82,23 @@
     return False
 
 
+def average_report(known, reported):
+    """Update the known costs of a route with a report, as receivers do.
+
+    Parameters
+    ----------
+    known : dict of str to float
+        Calls by service; updated in place.
+    reported : dict of str to float
+        Calls by service.
+    """
+    for service in known.keys() | reported.keys():
+        old_calls = known.get(service, 0.0)
+        known[service] = old_calls + REPORT_WEIGHT * (
+            reported.get(service, 0.0) - old_calls
+        )
+
+
 class StoredCall(msgspec.Struct):
     """Calls to one route that one request of another route makes directly.
 
@@ -362,12 +379,8 @@
             known = self.costs_by_service_route.get((service, route))
             if known is None:
                 self.costs_by_service_route[(service, route)] = dict(costs)
-                continue
-            for name in set(known) | set(costs):
-                old = known.get(name, 0.0)
-                known[name] = old + REPORT_WEIGHT * (
-                    costs.get(name, 0.0) - old
-                )
+            else:
+                average_report(known, costs)
 
     def restore(self, stored):
         """Load stored costs of routes for which no newer costs are known.
@@ -429,6 +442,10 @@
             if name == service
         )
 
+    def has_measured(self, route):
+        """Return whether the cost of a route comes from own counts."""
+        return route in self._own_routes
+
     def cost(self, service, route):
         """Return the calls that one request causes, by service.
 
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from rosemarycrank.dataplane import _cost_reports
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
@@ -24,10 +25,6 @@
 #: interval.
 MAX_UNREPORTED_DEMAND_CHANGE = 0.3
 
-#: Seconds between reports of the costs of requests if they have not changed
-#: significantly.
-MAX_COSTS_REPORT_INTERVAL_S = 5.0
-
 #: Seconds between checks of the connections to other nodes.
 PEER_CHECK_INTERVAL_S = 0.1
 
@@ -118,7 +115,7 @@
         )
         self._listener = None
         self._reported_demands = {}
-        self._reported_costs = ({}, 0.0)
+        self._cost_reports = _cost_reports.CostReports(costs)
         reactor.timers.every(PEER_CHECK_INTERVAL_S, self._check_peers)
         reactor.timers.every(_costs.WINDOW_S, self._report_costs)
         reactor.timers.every(_front.UPDATE_INTERVAL_S, self._update_front)
@@ -214,7 +211,9 @@
             },
         )
         self.configuration = configuration
-        self.costs.retain({route.name for route in configuration.routes})
+        routes = {route.name for route in configuration.routes}
+        self.costs.retain(routes)
+        self._cost_reports.retain(routes)
         for callback in self.on_configuration:
             callback(configuration)
 
@@ -309,6 +308,8 @@
             )
         elif isinstance(frame, _frames.RouteCosts):
             self.costs.update_from_report(frame.service, frame.costs_by_route)
+            if frame.service == self.costs.service:
+                self._cost_reports.receive(frame.costs_by_route)
         elif isinstance(frame, _frames.Leaving):
             peer = self.peers_by_node.get(connection.address)
             if peer is not None:
@@ -376,16 +377,8 @@
 
     def _report_costs(self, now):
         """Close the counting window; report the costs if they changed."""
-        costs = self.costs.close_window()
-        if not any(len(cost) > 1 for cost in costs.values()):
-            return
-        reported, reported_at = self._reported_costs
-        changed = any(
-            _costs.differ_significantly(cost, reported.get(route, {}))
-            for route, cost in costs.items()
-        )
-        if changed or now - reported_at > MAX_COSTS_REPORT_INTERVAL_S:
-            self._reported_costs = (reported | costs, now)
+        costs = self._cost_reports.close_window(now)
+        if costs:
             self.broadcast(_frames.RouteCosts(self.costs.service, costs))
 
     def _check_peers(self, now):
