--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,6 +19,15 @@
     45,
 )
 
+#: Seeds with planned operations only that failed in the past.
+PLANNED_REGRESSIONS = (
+    # Calls that outlasted the planned stop of their node got no answer.
+    5,
+    # Nodes went on shedding load for a service whose targets had restarted and
+    # reported nothing.
+    7,
+)
+
 VALID_REQUEST = promises.SentRequest(
     'q1', 'pay', '127.0.0.1', 1.0, 1.2, 200, 'q1@dues', signed=True
 )
@@ -91,9 +100,10 @@
     assert violations == [], soak.log
 
 
-def test_short_run_of_planned_work(tmp_path):
+@pytest.mark.parametrize('seed', [1, *PLANNED_REGRESSIONS])
+def test_short_run_of_planned_work(tmp_path, seed):
     """Planned operations alone interrupt no request either."""
     violations, soak = runner.run_seed(
-        1, tmp_path, seconds=4.0, planned_only=True
+        seed, tmp_path, seconds=4.0, planned_only=True
     )
     assert violations == [], soak.log
