Return no address twice for processes of the tests

Cause: that node is the one behind a proxy, the only one whose peer socket has an address from a call of its own to `free_addresses`. The address of that call was not listened on yet when the 30 addresses of the deployment were drawn by the next call, so it still looked free, and was drawn again (one in 667 for each start, from 20,000 ports). Ruled out: an outgoing connection that took the port (the ephemeral range is 32768 to 60999), and a process of an earlier test (it would not have looked free).

Change: ports that were returned are remembered and left out. Too few ports are an error; before, the search went on without end.

--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -1,5 +1,6 @@
 """Starts, stops, kills and pauses the processes of a benchmark or test."""
 
+import itertools
 import json
 import random
 import select
@@ -13,6 +14,7 @@
 STOP_TIMEOUT_S = 20.0
 KILL_TIMEOUT_S = 10.0
 LISTEN_PORTS = range(12000, 32000)
+_issued_ports = set()
 _POLL_INTERVAL_S = 0.02
 _STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
@@ -26,6 +28,8 @@
 
     The ports are below the system's ephemeral port range. Otherwise an
     outgoing connection could take a port before the process listens on it.
+    No port is returned twice: one that was returned earlier may not be
+    listened on yet, and would still look free.
 
     Parameters
     ----------
@@ -36,13 +40,20 @@
     -------
     list of str
         Distinct addresses, as ``host:port``.
+
+    Raises
+    ------
+    StartError
+        If too few ports are left.
     """
-    generator = random.SystemRandom()
-    ports = set()
-    while len(ports) < count:
-        port = generator.choice(LISTEN_PORTS)
-        if port not in ports and _is_free(port):
-            ports.add(port)
+    candidates = [port for port in LISTEN_PORTS if port not in _issued_ports]
+    random.SystemRandom().shuffle(candidates)
+    ports = list(itertools.islice(filter(_is_free, candidates), count))
+    if len(ports) < count:
+        raise StartError(
+            f'{count} free ports are needed, {len(ports)} are left'
+        )
+    _issued_ports.update(ports)
     return [f'127.0.0.1:{port}' for port in ports]
 
 
