Report a node ready once it knows targets of other nodes

What callers saw: nothing on record; found by reading. A node that had just started counted as ready as soon as a configuration and its own target were known. While the store had not answered, it took requests for all services and refused those of every service but its own ("no target").

Change: the records of other nodes count, or a complete read of the table. A lone node becomes ready when the table has been read.

Result: test_own_target_alone_does_not_make_a_node_ready fails on the code before and passes now.

--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -328,6 +328,13 @@
         self.directory.merge(record)
         self.broadcast(_frames.Announcement([record]))
 
+    def knows_other_nodes(self):
+        """Return whether the target of another node is known."""
+        return any(
+            address != self.address
+            for address in self.directory.records_by_node
+        )
+
     def has_unsent_results(self):
         """Return whether results for other nodes have not been sent."""
         return any(
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -303,14 +303,14 @@
         """Return whether clients may send requests.
 
         The node needs a configuration, and targets from the store or from
-        other nodes.
+        other nodes. Its own target alone does not show which targets the
+        services have.
         """
         return (
             not self.planned_stop.has_begun
             and self.node.configuration is not None
             and (
-                self.target_follower.has_read
-                or bool(self.node.directory.records_by_node)
+                self.target_follower.has_read or self.node.knows_other_nodes()
             )
         )
 
--- /dev/null
+++ b/tests/dataplane/test_process.py
@@ -0,0 +1,104 @@
+"""Readiness of a node process whose components have no open sockets."""
+
+import pytest
+
+from rosemarycrank import dataplane
+from rosemarycrank.dataplane import _directory
+from rosemarycrank.dataplane import _discovery
+from rosemarycrank.dataplane import _frames
+
+OWN_ADDRESS = '10.0.0.1:7620'
+OTHER_ADDRESS = '10.0.0.2:7620'
+
+
+class SilentStore(_discovery.Store):
+    """Store that answers no call."""
+
+    def read(self, table, on_reply):
+        """Ignore the call."""
+
+    def follow(self, table, after, wait_s, on_reply):
+        """Ignore the call."""
+
+    def write(self, table, row, on_reply):
+        """Ignore the call."""
+
+
+class Adapter(dataplane.Adapter):
+    """Adapter with a silent store; every document is a configuration."""
+
+    names = dataplane.HeaderNames()
+
+    def open_store(self, reactor):
+        """Return the silent store."""
+        return SilentStore()
+
+    def decode_configuration(self, body):
+        """Return a configuration without routes."""
+        return dataplane.Configuration(1, (), dataplane.Limits(), body)
+
+    def handle_control(self, message, registration):
+        """Acknowledge every message."""
+        return dataplane.Reply(200)
+
+    def is_readiness_probe(self, message):
+        """Take every request for a probe."""
+        return True
+
+
+@pytest.fixture
+def process():
+    settings = dataplane.ProcessSettings(
+        node_name='vm-1',
+        failure_domain='a',
+        client_address=('10.0.0.1', 8304),
+        ready_address=('10.0.0.1', 8302),
+        control_address=('10.0.0.1', 8306),
+        metrics_address=None,
+        peer_address=OWN_ADDRESS,
+        peer_listen_address=('10.0.0.1', 7620),
+        target_address=('10.0.0.1', 8301),
+        service='archive',
+        grace_s=6.0,
+        budget=dataplane.RetryBudgetSettings(),
+        targets_table='targets',
+        costs_table='costs',
+        configuration_table='configuration',
+        configuration_key='current',
+    )
+    return dataplane.NodeProcess(settings, Adapter())
+
+
+def record_of(address):
+    return _frames.TargetRecord(
+        node=address,
+        service='archive',
+        instance=f'i-{address}',
+        failure_domain='a',
+        slots=8,
+        state=_directory.READY,
+        sequence=1,
+        born_ms=1,
+    )
+
+
+# Guards against a restarted node that takes requests for all services while
+# it knows no target but its own, because the store has not answered.
+def test_own_target_alone_does_not_make_a_node_ready(process):
+    process.node.install(b'{}', 'test')
+    process.node.announce(record_of(OWN_ADDRESS))
+    assert not process.ready()
+    process.node.merge(record_of(OTHER_ADDRESS))
+    assert process.ready()
+
+
+def test_only_node_is_ready_once_the_table_is_read(process):
+    process.node.install(b'{}', 'test')
+    process.node.announce(record_of(OWN_ADDRESS))
+    process.target_follower.has_read = True
+    assert process.ready()
+
+
+def test_node_without_a_configuration_is_not_ready(process):
+    process.node.merge(record_of(OTHER_ADDRESS))
+    assert not process.ready()
