Bound the starts at a leaving target by its drain period

A target with a shorter one could be sent attempts after the end of its drain, when it may have exited; their callers get 502, and the rule on draining is broken.

Cause: attempts in the queue were started for a fixed 1 s after the announcement, whatever drain period the deployment sets. A connection to the target may take 1 s to open besides, so even with 2 s nothing was left of the period in the worst case. And a target that withdrew after its drain, and exits then, was still sent attempts within that second.

Change: the drain period is read from the settings (0 if they do not state it) and given to the target side. Nothing is started later than the period, less the longest time to open a connection and 0.1 s. After a withdrawal that follows a drain nothing is started; a repeated withdrawal changes nothing. The process tests set a period of 2 s.

test_queued_attempt_at_a_leaving_target_ends_as_not_run used the constant that is gone; it now requires the same result 1.0 s after the announcement instead of 1.2 s.

--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -73,6 +73,9 @@
         Service of the local target.
     grace_s : float
         Seconds from SIGTERM until the process is killed.
+    drain_s : float
+        Seconds for which a target serves after the node acknowledged that it
+        is leaving.
     budget : RetryBudgetSettings
         Limit on retries.
     targets_table : str
@@ -94,6 +97,7 @@
     target_address: tuple
     service: str
     grace_s: float
+    drain_s: float
     budget: _node.RetryBudgetSettings
     targets_table: str
     costs_table: str
@@ -194,6 +198,7 @@
             self.counters,
             self.costs,
             self.front,
+            settings.drain_s,
         )
         node.set_target_side(self.target_side)
         picker = _routes.ServicePicker(rng)
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import logging
+import math
 
 import attrs
 
@@ -17,6 +18,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
 from rosemarycrank.dataplane import _pressure
+from rosemarycrank.dataplane import _upstream
 
 #: Interval between checks for attempts past their deadlines, in seconds.
 SWEEP_INTERVAL_S = 0.05
@@ -33,10 +35,10 @@
 #: after it.
 CALLER_RETENTION_S = 120.0
 
-#: Time after the target announced that it is leaving in which attempts in the
-#: queue may still start, in seconds. The shortest drain period that
-#: deployments set is 2 s.
-LEAVING_START_TIMEOUT_S = 1.0
+#: Time before the end of a target's drain period after which nothing must
+#: reach it, in seconds. The target may exit right after that period, and the
+#: node may be late.
+DRAIN_MARGIN_S = 0.1
 
 #: Delay in the queue that one rank is worth, in seconds: an attempt precedes
 #: those of the next lower rank that arrived up to this much earlier. It
@@ -132,6 +134,11 @@
             del self.jobs_by_number[number]
 
 
+def _is_new_start(record, known):
+    """Return whether a record is that of another start of the target."""
+    return record.instance != known.instance or record.born_ms != known.born_ms
+
+
 class TargetSide:
     """Admission, queue and runs of attempts at the local target.
 
@@ -149,6 +156,9 @@
         Estimates which calls the runs cause.
     front : FrontAdmission
         Source of the pressures on overloaded services.
+    drain_s : float, default=0.0
+        Seconds for which a target serves after the node acknowledged that it
+        is leaving.
 
     Attributes
     ----------
@@ -169,13 +179,16 @@
         Calling nodes.
     """
 
-    def __init__(self, reactor, pool, names, counters, costs, front):
+    def __init__(
+        self, reactor, pool, names, counters, costs, front, drain_s=0.0
+    ):
         self.reactor = reactor
         self.pool = pool
         self.names = names
         self.counters = counters
         self.costs = costs
         self.front = front
+        self.drain_s = drain_s
         self.arrivals = _pressure.ArrivalRate()
         self.demand = _pressure.ExpectedDemand()
         self._demand_per_s = (0.0, 0.0)
@@ -188,7 +201,7 @@
         self._waiting = []
         self._waiting_count = 0
         self._sequence = itertools.count()
-        self._leaving_since = None
+        self._starts_end_at = math.inf
         self._last_run_at = reactor.now()
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
         reactor.timers.every(RATE_UPDATE_INTERVAL_S, self._update_rates)
@@ -208,15 +221,40 @@
             Newest record that the target announced.
         """
         known = self.record
-        if known is None or known.instance != record.instance:
+        if known is None or _is_new_start(record, known):
             self.limit.reset(record.slots)
-            self._leaving_since = None
-        elif known.born_ms != record.born_ms:
-            self.limit.reset(record.slots)
-            self._leaving_since = None
+            self._starts_end_at = math.inf
         self.record = record
-        if record.state != _directory.READY and self._leaving_since is None:
-            self._leaving_since = self.reactor.now()
+        if record.state != _directory.READY:
+            self._bound_starts(known)
+
+    def _bound_starts(self, known):
+        """Bound the times of starts at a target that is leaving.
+
+        The record is updated before the announcement is acknowledged, so
+        the drain period of the target does not end earlier than counted
+        from now.
+
+        Parameters
+        ----------
+        known : TargetRecord or None
+            Record that the current one replaced.
+        """
+        now = self.reactor.now()
+        if self._starts_end_at == math.inf:
+            # A request may reach the target as late as its connection.
+            self._starts_end_at = (
+                now
+                + self.drain_s
+                - DRAIN_MARGIN_S
+                - _upstream.CONNECT_TIMEOUT_S
+            )
+        elif (
+            self.record.state == _directory.GONE
+            and known.state == _directory.DRAINING
+        ):
+            # It has drained and exits.
+            self._starts_end_at = now
 
     def caller(self, incarnation):
         """Return the state of a calling node; create it if needed."""
@@ -477,19 +515,13 @@
             least_s = self.limit.min_remaining_s(job.attempt.route)
             if now + least_s > job.deadline_at:
                 self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
-            elif (
-                self._leaving_since is not None
-                and now > self._leaving_since + LEAVING_START_TIMEOUT_S
-            ):
+            elif now >= self._starts_end_at:
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
                 self._start(job, now)
 
     def _sweep(self, now):
-        starts_closed = (
-            self._leaving_since is not None
-            and now > self._leaving_since + LEAVING_START_TIMEOUT_S
-        )
+        starts_closed = now >= self._starts_end_at
         if self._waiting_count:
             for _, _, job in list(self._waiting):
                 if job.result is not None:
--- a/rosemarycrank/platform/__main__.py
+++ b/rosemarycrank/platform/__main__.py
@@ -36,6 +36,7 @@
         target_address=settings.target_address,
         service=settings.service,
         grace_s=settings.grace_s,
+        drain_s=settings.drain_s,
         budget=dataplane.RetryBudgetSettings(
             settings.retry_budget_ratio, settings.retry_budget_slack
         ),
--- a/rosemarycrank/platform/_settings.py
+++ b/rosemarycrank/platform/_settings.py
@@ -42,6 +42,9 @@
         Address of the store.
     grace_s : float
         Seconds from SIGTERM to SIGKILL.
+    drain_s : float
+        Seconds for which a target serves after its leaving was acknowledged;
+        0 if the file does not state it.
     retry_budget_ratio : float
         Retries that all nodes together may send to a service per request.
     retry_budget_slack : float
@@ -62,6 +65,7 @@
     service: str
     store_address: tuple
     grace_s: float
+    drain_s: float
     retry_budget_ratio: float
     retry_budget_slack: float
     memory_mb: float
@@ -150,6 +154,7 @@
         service=_required(values, 'service'),
         store_address=_address(values, 'provider.address'),
         grace_s=_number(values, 'bounds.grace_s', 6.0),
+        drain_s=_number(values, 'bounds.drain_s', 0.0),
         retry_budget_ratio=_number(values, 'bounds.retry_budget_ratio', 0.2),
         retry_budget_slack=_number(values, 'bounds.budget_slack', 48.0),
         memory_mb=_number(values, 'limits.memory_mb', 300.0),
--- /dev/null
+++ b/tests/dataplane/test_leaving_target.py
@@ -0,0 +1,191 @@
+"""Queued attempts at a target that has announced its leaving.
+
+The target serves for its drain period after the announcement, and exits.
+"""
+
+import pytest
+
+from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _target
+from rosemarycrank.dataplane import _upstream
+from tests.dataplane import fakes
+
+#: Deadline of attempts that is far beyond any drain period, in milliseconds.
+LATE_DEADLINE_MS = 60000
+
+
+class _LeavingTarget:
+    """Target with a node; its runs last for `run_s` or until its exit."""
+
+    def __init__(self, reactor, drain_s, slots=1):
+        self.reactor = reactor
+        self.drain_s = drain_s
+        self.slots = slots
+        self.run_s = lambda: 0.1
+        self.started_at_by_id = {}
+        self.results_by_number = {}
+        self.announced_at = None
+        self.started_before = set()
+        self.exits_at = float('inf')
+        self.side = _target.TargetSide(
+            reactor,
+            self,
+            _names.HeaderNames(),
+            _counters.Counters(),
+            _costs.CallCosts('archive'),
+            _front.AdmitAll(),
+            drain_s,
+        )
+        self.caller = self.side.caller(77)
+        self.caller.send = self._receive
+        self.report('ready', 1)
+        self.side.limit.value = slots
+
+    def report(self, state, sequence=2, **changes):
+        """Report a state to the node, which is acknowledged at once."""
+        self.side.update_record(
+            fakes.record(
+                slots=self.slots, state=state, sequence=sequence, **changes
+            )
+        )
+
+    def leave(self, state='draining'):
+        """Announce the leaving; the exit follows after the drain period."""
+        self.announced_at = self.reactor.now()
+        self.started_before = set(self.started_at_by_id)
+        self.exits_at = self.announced_at + self.drain_s
+        self.report(state)
+
+    def accept(self, numbers, **changes):
+        """Have the node accept attempts, late deadlines by default."""
+        for number in numbers:
+            fields = {'remaining_ms': LATE_DEADLINE_MS} | changes
+            self.side.accept(self.caller, fakes.attempt(number, **fields))
+
+    def started_after_s(self):
+        """Return when runs started, in seconds after the announcement."""
+        return [
+            started_at - self.announced_at
+            for request_id, started_at in self.started_at_by_id.items()
+            if request_id not in self.started_before
+        ]
+
+    def reasons(self):
+        """Return the reasons of the results, by number of the attempt."""
+        return {
+            number: _frames.Reason(result.reason).name
+            for number, result in self.results_by_number.items()
+        }
+
+    def _receive(self, result):
+        assert result.number not in self.results_by_number
+        self.results_by_number[result.number] = result
+
+    def acquire(self, _idempotent):
+        return _Connection(self)
+
+
+class _Connection:
+    def __init__(self, target):
+        self._target = target
+        self._timer = None
+
+    def start(self, request_id, _data, _without_body, on_answer):
+        target = self._target
+        now = target.reactor.now()
+        target.started_at_by_id[request_id] = now
+        run_ends_at = now + target.run_s()
+
+        def end(_now):
+            if run_ends_at < target.exits_at:
+                on_answer(_upstream.Answer(_frames.Outcome.COMPLETE, 0, 200))
+            elif target.reactor.now() >= target.exits_at:
+                on_answer(
+                    _upstream.Answer(
+                        _frames.Outcome.UNKNOWN, _frames.Reason.ANSWER_LOST
+                    )
+                )
+            else:
+                self._wait(target.exits_at, end)
+
+        self._wait(run_ends_at, end)
+
+    def abort(self):
+        self._timer.cancel()
+
+    def _wait(self, until, callback):
+        reactor = self._target.reactor
+        self._timer = reactor.timers.after(until - reactor.now(), callback)
+
+
+@pytest.fixture
+def make_target(reactor):
+    def make(drain_s=2.0, slots=1):
+        return _LeavingTarget(reactor, drain_s, slots)
+
+    return make
+
+
+# Guards against attempts that reach a target after its drain period: their
+# starts had a fixed bound, whatever the period, and their connections take up
+# to a second to open.
+@pytest.mark.parametrize('drain_s', [0.0, 0.5, 1.0, 1.5, 2.0, 6.0])
+@pytest.mark.parametrize('state', ['draining', 'gone'])
+def test_nothing_reaches_a_target_after_its_drain_period(
+    make_target, reactor, drain_s, state
+):
+    target = make_target(drain_s)
+    target.accept(range(1, 100))
+    reactor.run(0.25)
+    target.leave(state)
+    reactor.run(drain_s + 1.0)
+    for started_after_s in target.started_after_s():
+        assert started_after_s + _upstream.CONNECT_TIMEOUT_S < drain_s
+    assert len(target.results_by_number) == 99
+
+
+# Guards against starts at a target that has drained and withdraws, as it
+# exits right after it.
+def test_nothing_starts_after_the_withdrawal_that_follows_a_drain(
+    make_target, reactor
+):
+    target = make_target(drain_s=6.0)
+    target.accept(range(1, 30))
+    reactor.run(0.25)
+    target.leave()
+    reactor.run(0.55)
+    assert max(target.started_after_s()) > 0.4
+    target.report('gone', 3)
+    reactor.run(0.2)
+    assert max(target.started_after_s()) <= 0.55
+    assert target.reasons()[29] == 'LEAVING'
+
+
+def test_repeated_withdrawal_does_not_end_the_drain_period(
+    make_target, reactor
+):
+    target = make_target(drain_s=6.0)
+    target.accept(range(1, 30))
+    reactor.run(0.25)
+    target.leave('gone')
+    reactor.run(0.45)
+    target.report('gone', 3)
+    reactor.run(1.0)
+    assert max(target.started_after_s()) > 1.0
+
+
+# A target may start again under its identifier while attempts are queued.
+def test_attempts_start_at_a_target_that_was_reborn(make_target, reactor):
+    target = make_target(drain_s=2.0)
+    target.accept(range(1, 100))
+    reactor.run(0.25)
+    target.leave()
+    target.exits_at = float('inf')
+    target.report('ready', 1, born_ms=2000)
+    target.side.limit.value = 1
+    reactor.run(3.0)
+    assert max(target.started_after_s()) > 2.5
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -94,6 +94,7 @@
             target_address=('127.0.0.1', 1),
             service='pages',
             grace_s=grace_s,
+            drain_s=2.0,
             budget=_node.RetryBudgetSettings(),
             targets_table='targets',
             costs_table='costs',
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -11,6 +11,10 @@
 from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
 
+#: Time for which the target serves after it announced its leaving, in
+#: seconds.
+DRAIN_S = 2.0
+
 
 @pytest.fixture
 def pool():
@@ -26,6 +30,7 @@
         _counters.Counters(),
         _costs.CallCosts('archive'),
         _front.AdmitAll(),
+        DRAIN_S,
     )
     side.update_record(fakes.record(slots=2))
     return side
@@ -138,7 +143,7 @@
     side.accept(caller, fakes.attempt(1, remaining_ms=9000))
     side.accept(caller, fakes.attempt(2, remaining_ms=9000))
     side.update_record(fakes.record(slots=2, state='draining', sequence=2))
-    reactor.run(_target.LEAVING_START_TIMEOUT_S + 0.2)
+    reactor.run(DRAIN_S - _upstream.CONNECT_TIMEOUT_S)
     assert _reasons(results) == ['LEAVING']
     assert results[0].number == 2
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -196,6 +196,7 @@
             'listen.control': f'{ip}:{CONTROL_PORT}',
             'port_range': PEER_PORTS,
             'bounds.grace_s': 4,
+            'bounds.drain_s': 2,
             'app_addr': f'{ip}:{TARGET_PORT}',
             'service': self.target(ip).service,
             'provider.address': self._store_server.bound_address,
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -23,6 +23,7 @@
 listen.control=10.1.0.8:8306
 port_range=7620,7635
 bounds.grace_s=6
+bounds.drain_s=2.5
 bounds.retry_budget_ratio=0.2
 bounds.budget_slack=48
 app_addr=10.1.0.8:8301
@@ -38,6 +39,13 @@
     assert settings.peer_address == '10.1.0.8:7620'
     assert settings.store_address == ('10.200.1.7', 8309)
     assert settings.retry_budget_slack == 48.0
+    assert (settings.grace_s, settings.drain_s) == (6.0, 2.5)
+
+
+# Guards against starts at a leaving target whose drain period is not known.
+def test_drain_period_that_is_not_stated_is_taken_as_none():
+    text = SETTINGS.replace('bounds.drain_s=2.5', '')
+    assert _settings.parse(text).drain_s == 0.0
 
 
 @pytest.mark.parametrize(
@@ -47,6 +55,7 @@
         ('service=archive', 'service=', 'service'),
         ('app_addr=10.1.0.8:8301', 'app_addr=10.1.0.8', 'app_addr'),
         ('bounds.grace_s=6', 'bounds.grace_s=six', 'bounds.grace_s'),
+        ('bounds.drain_s=2.5', 'bounds.drain_s=two', 'bounds.drain_s'),
         ('port_range=7620,7635', 'port_range=x', 'port_range'),
         ('zone=a', 'zone', 'line 4'),
     ],
