Give back at once what would outlast a leaving target

What callers saw: requests that waited in the queue of a target when it announced its leaving were started there for up to 0.9 s more. If their runs lasted longer than the rest of its drain period, they were cut off by its exit and ended as unknown, which is a 502 for a request that is not idempotent. The others waited until then and were sent elsewhere with that much less time.

Cause: a start was bounded by the time since the announcement only, not by the time at which its run is expected to end.

Change: a queued attempt is started at a leaving target only if its run is expected to end 0.1 s before the drain period does: by the longest of the latest runs of its route, which the limit now estimates besides the short ones, or by its deadline, if that is earlier. The deadline alone counts for a route without a run so far. Their nodes try another target at no cost to the retry budget; the order in the next queue is that of the absolute latency goals and the ranks, so no place is lost by it.

--- a/rosemarycrank/dataplane/_limit.py
+++ b/rosemarycrank/dataplane/_limit.py
@@ -1,5 +1,7 @@
 """Concurrency limit of the local target, and its service times."""
 
+import math
+
 #: Weight of a new sample in the moving average of the service time.
 SAMPLE_WEIGHT = 0.05
 
@@ -15,6 +17,10 @@
 FASTER_SAMPLE_WEIGHT = 0.2
 SLOWER_SAMPLE_WEIGHT = 0.01
 
+#: Weight of a sample below the estimate in the estimate of a route's long
+#: service times; a sample above it replaces it.
+SHORTER_SAMPLE_WEIGHT = 0.01
+
 #: Minimum time left to start a request, as a share of the estimate of its
 #: route's short service times. Requests that cannot complete in time would
 #: take capacity from those that can.
@@ -40,6 +46,7 @@
         self.value = DEFAULT_SLOTS
         self.service_s = 0.0
         self._short_service_s_by_route = {}
+        self._long_service_s_by_route = {}
 
     def reset(self, slots):
         """Start over for a target that has just started.
@@ -53,6 +60,7 @@
         self.value = max(1, int(slots * USED_SLOTS_SHARE))
         self.service_s = 0.0
         self._short_service_s_by_route.clear()
+        self._long_service_s_by_route.clear()
 
     def observe(self, route, duration_s, complete):
         """Update the estimates with a request that has ended.
@@ -81,6 +89,10 @@
         self._short_service_s_by_route[route] = short_s + weight * (
             duration_s - short_s
         )
+        long_s = self._long_service_s_by_route.get(route, duration_s)
+        self._long_service_s_by_route[route] = max(
+            duration_s, long_s + SHORTER_SAMPLE_WEIGHT * (duration_s - long_s)
+        )
 
     def min_remaining_s(self, route):
         """Return the minimum time left to start a request, in seconds.
@@ -93,6 +105,14 @@
             route, 0.0
         )
 
+    def long_service_s(self, route):
+        """Return the estimate of a route's long service times, in seconds.
+
+        It is near the longest of the latest service times, and infinite
+        before the first sample.
+        """
+        return self._long_service_s_by_route.get(route, math.inf)
+
     def expected_wait_s(self, ahead):
         """Return the expected queue delay in seconds.
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -35,9 +35,9 @@
 #: after it.
 CALLER_RETENTION_S = 120.0
 
-#: Time before the end of a target's drain period after which nothing must
-#: reach it, in seconds. The target may exit right after that period, and the
-#: node may be late.
+#: Time before the end of a target's drain period by which its runs should
+#: end, and after which nothing must reach it, in seconds. The target may exit
+#: right after that period, and the node may be late.
 DRAIN_MARGIN_S = 0.1
 
 #: Delay in the queue that one rank is worth, in seconds: an attempt precedes
@@ -201,7 +201,9 @@
         self._waiting = []
         self._waiting_count = 0
         self._sequence = itertools.count()
+        # Latest start of a run, and time by which it should end.
         self._starts_end_at = math.inf
+        self._runs_end_at = math.inf
         self._last_run_at = reactor.now()
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
         reactor.timers.every(RATE_UPDATE_INTERVAL_S, self._update_rates)
@@ -224,12 +226,15 @@
         if known is None or _is_new_start(record, known):
             self.limit.reset(record.slots)
             self._starts_end_at = math.inf
+            self._runs_end_at = math.inf
         self.record = record
         if record.state != _directory.READY:
-            self._bound_starts(known)
+            self._bound_runs(known)
+            # Other nodes learn of the leaving before they get attempts back.
+            self.reactor.call_soon(self._give_back_waiting)
 
-    def _bound_starts(self, known):
-        """Bound the times of starts at a target that is leaving.
+    def _bound_runs(self, known):
+        """Bound the times of runs at a target that is leaving.
 
         The record is updated before the announcement is acknowledged, so
         the drain period of the target does not end earlier than counted
@@ -241,20 +246,18 @@
             Record that the current one replaced.
         """
         now = self.reactor.now()
-        if self._starts_end_at == math.inf:
+        if self._runs_end_at == math.inf:
+            self._runs_end_at = now + self.drain_s - DRAIN_MARGIN_S
             # A request may reach the target as late as its connection.
             self._starts_end_at = (
-                now
-                + self.drain_s
-                - DRAIN_MARGIN_S
-                - _upstream.CONNECT_TIMEOUT_S
+                self._runs_end_at - _upstream.CONNECT_TIMEOUT_S
             )
         elif (
             self.record.state == _directory.GONE
             and known.state == _directory.DRAINING
         ):
             # It has drained and exits.
-            self._starts_end_at = now
+            self._starts_end_at = self._runs_end_at = now
 
     def caller(self, incarnation):
         """Return the state of a calling node; create it if needed."""
@@ -515,26 +518,58 @@
             least_s = self.limit.min_remaining_s(job.attempt.route)
             if now + least_s > job.deadline_at:
                 self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
-            elif now >= self._starts_end_at:
+            elif self._outlasts_target(job, now):
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
                 self._start(job, now)
 
+    def _outlasts_target(self, job, start_at):
+        """Return whether a run may outlast a target that is leaving.
+
+        Parameters
+        ----------
+        job : Job
+            The attempt.
+        start_at : float
+            Start of its run, in seconds of the node's clock.
+        """
+        if start_at >= self._starts_end_at:
+            return True
+        service_s = self.limit.long_service_s(job.attempt.route)
+        # A run ends at its deadline at the latest.
+        end_at = min(start_at + service_s, job.deadline_at)
+        return end_at > self._runs_end_at
+
+    def _give_back_waiting(self):
+        """Give back the attempts in the queue that may outlast the target.
+
+        Their nodes send them elsewhere. This includes attempts that are
+        expected to start too late, so that most of their time is left.
+        """
+        if self._runs_end_at == math.inf:
+            return
+        now = self.reactor.now()
+        ahead = 0
+        for _, _, job in sorted(self._waiting):
+            if job.result is not None:
+                continue
+            start_at = now + self.limit.expected_wait_s(ahead)
+            if self._outlasts_target(job, start_at):
+                self._waiting_count -= 1
+                self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
+            else:
+                ahead += 1
+
     def _sweep(self, now):
-        starts_closed = now >= self._starts_end_at
+        self._give_back_waiting()
         if self._waiting_count:
             for _, _, job in list(self._waiting):
                 if job.result is not None:
                     continue
                 least_s = self.limit.min_remaining_s(job.attempt.route)
-                if starts_closed or now + least_s > job.deadline_at:
-                    reason = (
-                        _frames.Reason.LEAVING
-                        if starts_closed
-                        else _frames.Reason.QUEUE_EXPIRED
-                    )
+                if now + least_s > job.deadline_at:
                     self._waiting_count -= 1
-                    self._finish(job, _NOT_RUN, reason)
+                    self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
         elif self._waiting:
             self._waiting.clear()
         for job in list(self._running):
--- a/tests/dataplane/test_leaving_target.py
+++ b/tests/dataplane/test_leaving_target.py
@@ -3,6 +3,9 @@
 The target serves for its drain period after the announcement, and exits.
 """
 
+import itertools
+import random
+
 import pytest
 
 from rosemarycrank.dataplane import _costs
@@ -189,3 +192,130 @@
     target.side.limit.value = 1
     reactor.run(3.0)
     assert max(target.started_after_s()) > 2.5
+
+
+def _outcomes_of_started(target):
+    """Return the outcomes of runs that started after the announcement."""
+    started = target.started_at_by_id.keys() - target.started_before
+    return [
+        _frames.Outcome(result.outcome).name
+        for number, result in target.results_by_number.items()
+        if b'r%d' % number in started
+    ]
+
+
+# Guards against queued attempts whose runs outlast the target that runs them:
+# they ended as unknown when it exited, and may not be sent elsewhere.
+@pytest.mark.parametrize('run_s', [0.3, 0.9, 1.7, 3.0])
+@pytest.mark.parametrize('state', ['draining', 'gone'])
+def test_no_run_that_starts_at_a_leaving_target_is_cut_off(
+    make_target, reactor, run_s, state
+):
+    target = make_target(drain_s=2.0, slots=4)
+    target.run_s = lambda: run_s
+    target.accept(range(1, 5))
+    reactor.run(run_s + 0.05)
+    target.accept(range(5, 9))
+    reactor.run(0.7 * run_s)
+    target.accept(range(9, 40))
+    target.leave(state)
+    reactor.run(3.0)
+    assert set(_outcomes_of_started(target)) <= {'COMPLETE'}
+    assert len(target.results_by_number) == 39
+
+
+# Guards against attempts that wait at a leaving target until they are given
+# back, so that little of their time is left.
+def test_attempts_that_do_not_fit_are_given_back_at_once(make_target, reactor):
+    target = make_target(drain_s=2.0)
+    target.run_s = lambda: 0.5
+    target.accept(range(1, 8))
+    reactor.run(0.55)
+    target.leave()
+    reactor.run(0.01)
+    reasons = target.reasons()
+    del reasons[1]
+    # The second attempt runs; the third one starts in half a second.
+    assert reasons == dict.fromkeys(range(4, 8), 'LEAVING')
+
+
+def test_attempts_are_given_back_after_the_announcement_has_been_sent(
+    make_target, reactor
+):
+    target = make_target(drain_s=2.0)
+    target.run_s = lambda: 3.0
+    target.accept(range(1, 4))
+    target.leave()
+    assert target.results_by_number == {}
+    reactor.run(0.0)
+    assert target.reasons() == {2: 'LEAVING', 3: 'LEAVING'}
+
+
+def test_attempts_that_fit_run_at_the_leaving_target(make_target, reactor):
+    target = make_target(drain_s=2.0)
+    target.accept(range(1, 9))
+    reactor.run(0.15)
+    target.leave()
+    reactor.run(1.0)
+    assert set(target.reasons().values()) == {'NONE'}
+    assert len(target.started_after_s()) == 6
+
+
+# The time that a run takes is unknown until one has ended; it is over at its
+# deadline at the latest.
+@pytest.mark.parametrize(
+    'remaining_ms, reason', [(1500, 'NONE'), (2500, 'LEAVING')]
+)
+def test_attempt_of_an_unknown_route_runs_if_its_deadline_is_early(
+    make_target, reactor, remaining_ms, reason
+):
+    target = make_target(drain_s=2.0)
+    target.accept([1])
+    target.accept([2], route='list', remaining_ms=remaining_ms)
+    target.leave()
+    reactor.run(1.0)
+    assert target.reasons()[2] == reason
+
+
+# Guards against an estimate of the time of runs that follows the short or the
+# usual ones: the long runs of the route would be cut off.
+def test_long_runs_of_a_route_decide_not_its_short_ones(make_target, reactor):
+    target = make_target(drain_s=2.0, slots=8)
+    durations_s = itertools.cycle([0.05, 0.05, 0.05, 1.95])
+    target.run_s = lambda: next(durations_s)
+    target.accept(range(1, 300))
+    reactor.run(12.0)
+    target.leave()
+    reactor.run(3.0)
+    assert target.started_after_s() == []
+    assert len(target.results_by_number) == 299
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_leaving_under_random_load_cuts_off_no_run_that_started_then(
+    make_target, reactor, seed
+):
+    source = random.Random(seed)
+    drain_s = source.choice([0.5, 1.3, 2.0, 6.0])
+    target = make_target(drain_s, slots=source.randint(1, 8))
+    run_s = source.uniform(0.02, 2.0)
+    target.run_s = lambda: run_s * source.uniform(0.9, 1.1)
+    count = 0
+    leaves_at = source.uniform(3.0, 8.0)
+    while reactor.now() < leaves_at:
+        numbers = range(count + 1, count + 1 + source.randint(0, 2))
+        count += len(numbers)
+        target.accept(
+            numbers,
+            remaining_ms=source.randint(200, 9000),
+            soft_deadline_ms=source.randint(100, 2000),
+            rank=source.choice([0.0, 1.0, 2.0]),
+            idempotent=source.random() < 0.5,
+        )
+        reactor.run(source.uniform(0.01, 0.3))
+    target.leave(source.choice(['draining', 'gone']))
+    reactor.run(drain_s + 10.0)
+    assert len(target.results_by_number) == count
+    for started_after_s in target.started_after_s():
+        assert started_after_s + _upstream.CONNECT_TIMEOUT_S < drain_s
+    assert set(_outcomes_of_started(target)) <= {'COMPLETE'}
