Split the connections between nodes by their jobs

_peers.py had 622 lines on four matters: the traffic with a peer, the life of one connection to it, the attempts without a result, and the connections that other nodes open. Whoever looked for why a peer is left had to read all of it.

Now _peers.py (335 lines) has the peer and its attempts, _peer_connection.py one outgoing connection from its opening to its loss (handshake, pings, answers that are late), _probe.py the probe, _pending_attempts.py what becomes of an attempt when its peer cannot be reached, and _inbound.py the connections of other nodes. State that belongs to one connection ends with it, instead of being reset by hand for the next one. Log events, frames and metrics are the same.

--- /dev/null
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -0,0 +1,125 @@
+"""Connections that other nodes opened to this one, to call its target."""
+
+import logging
+
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _reactor
+
+_LOG = logging.getLogger(__name__)
+
+
+class InboundConnection:
+    """Connection that another node opened to this node.
+
+    Parameters
+    ----------
+    node : Node
+        This node.
+    sock : socket.socket
+        Socket of the connection.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` at which the other node accepts attempts; empty before
+        the handshake.
+    caller : Caller or None
+        State of the other node as a caller; None before the handshake.
+    """
+
+    def __init__(self, node, sock):
+        self.node = node
+        self.address = ''
+        self.caller = None
+        self._generation = -1
+        self._reader = _frames.FrameReader()
+        self._stream = _reactor.Stream(node.reactor, sock, self)
+
+    @property
+    def unsent_bytes(self):
+        """Number of written bytes that have not been sent."""
+        return self._stream.unsent_bytes
+
+    def received(self, data):
+        """Decode received bytes and handle the frames."""
+        try:
+            frames = self._reader.feed(data)
+        except _frames.FrameError as error:
+            _LOG.warning(
+                'invalid frame from node %s; closing the connection: %s',
+                self.address,
+                error,
+                extra={'event': 'bad_frame'},
+            )
+            self.close()
+            return
+        for frame in frames:
+            if not self._stream.is_open:
+                return
+            self._handle_frame(frame)
+
+    def closed(self, _error):
+        """Record the loss of the connection."""
+        self.node.inbound_connections.discard(self)
+        caller = self.caller
+        if caller is not None and caller.generation == self._generation:
+            caller.send = None
+            caller.lost_at = self.node.reactor.now()
+
+    def close(self, reset=True):
+        """Close the connection.
+
+        Parameters
+        ----------
+        reset : bool, default=True
+            Whether data that has not been delivered is discarded.
+        """
+        self._stream.close(reset)
+        self.closed(None)
+
+    def notify(self, frame):
+        """Send a notification."""
+        self._stream.write(_frames.encode(frame))
+
+    def _handle_frame(self, frame):
+        kind = type(frame)
+        if kind is _frames.Hello:
+            self._handle_hello(frame)
+        elif self.caller is None:
+            self.close()
+        elif kind is _frames.Attempt:
+            self.node.target_side.accept(self.caller, frame)
+        elif kind is _frames.Cancel:
+            self.node.target_side.cancel(self.caller, frame.number)
+        elif kind is _frames.Ping:
+            self.caller.discard_results_before(frame.oldest_pending)
+            self.notify(
+                _frames.Pong(
+                    self.node.configuration_version(),
+                    self.node.target_side.load(),
+                )
+            )
+            self.node.request_newer_configuration(
+                frame.configuration_version, self
+            )
+        else:
+            self.node.receive_notification(frame, self)
+
+    def _handle_hello(self, hello):
+        if hello.protocol != _frames.PROTOCOL_VERSION:
+            self.close()
+            return
+        self.address = hello.node
+        caller = self.node.target_side.caller(hello.incarnation)
+        if hello.generation <= caller.generation:
+            # The caller has replaced this connection by a newer one.
+            self.close()
+            return
+        for connection in list(self.node.inbound_connections):
+            if connection is not self and connection.caller is caller:
+                connection.close()
+        self.caller = caller
+        self._generation = caller.generation = hello.generation
+        caller.send = self.notify
+        self.notify(self.node.hello(0))
+        self.node.receive_hello(hello, self)
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -10,6 +10,7 @@
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _inbound
 from rosemarycrank.dataplane import _local_peer
 from rosemarycrank.dataplane import _origins
 from rosemarycrank.dataplane import _peers
@@ -133,7 +134,7 @@
             self.reactor,
             address,
             lambda sock, _ip: self.inbound_connections.add(
-                _peers.InboundConnection(self, sock)
+                _inbound.InboundConnection(self, sock)
             ),
         )
 
--- /dev/null
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -0,0 +1,214 @@
+"""Connection that this node opened to a peer: handshake, pings and probe.
+
+A slow process and a cut network are both silent, but only the slow process
+should be given time: its attempts go on, and would run twice if they were sent
+elsewhere. So a silent peer is probed with a further connection, which the
+operating system of a slow process accepts.
+"""
+
+import logging
+
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _probe
+from rosemarycrank.dataplane import _reactor
+
+#: Time without received data after which a peer is pinged: an active peer,
+#: whose load has to be current, and an idle one.
+ACTIVE_PING_INTERVAL_S = 0.4
+IDLE_PING_INTERVAL_S = 2.0
+
+#: Time without received data after a ping, after which the connection is
+#: replaced.
+PING_TIMEOUT_S = 1.0
+
+#: Time without received data after a ping, after which a probe connection is
+#: opened.
+PROBE_DELAY_S = 0.3
+
+#: Number of checks during which a connection is not established, after which
+#: the peer is unreachable. Checks are counted instead of seconds, so that a
+#: pause of this process is not taken for silence.
+MAX_CONNECTING_CHECKS = 3
+
+#: Maximum time to open a connection and receive the first frame.
+CONNECT_TIMEOUT_S = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+
+class PeerConnection:
+    """Connection to a peer, from its opening until it is closed or lost.
+
+    Reports received frames and failures to the peer.
+
+    Parameters
+    ----------
+    peer : Peer
+        The other node.
+    generation : int
+        Number of the connection; increases with each connection to the peer.
+
+    Attributes
+    ----------
+    stream : Stream
+        Stream of the connection.
+    is_ready : bool
+        Whether the peer has answered the handshake.
+    opened_at : float
+        Time at which the connection was opened, in seconds of the node's
+        clock.
+    last_received_at : float
+        Time at which data was last received; 0 before that.
+    last_ping_at : float
+        Time of the last ping; 0 if there was none.
+    """
+
+    def __init__(self, peer, generation):
+        self.peer = peer
+        self.node = peer.node
+        self.is_ready = False
+        self.opened_at = self.node.reactor.now()
+        self.last_received_at = 0.0
+        self.last_ping_at = 0.0
+        self._reader = _frames.FrameReader()
+        self._probe = None
+        self._connecting_checks = 0
+        self.stream = _reactor.connect(
+            self.node.reactor,
+            _reactor.parse_address(peer.address),
+            self,
+            keep_alive=True,
+        )
+        self.stream.write(_frames.encode(self.node.hello(generation)))
+
+    @property
+    def awaits_answer(self):
+        """Whether a handshake or a ping has not been answered."""
+        return not self.is_ready or self.last_ping_at > self.last_received_at
+
+    def check_answer(self, now):
+        """Report to the peer if an awaited answer is too late.
+
+        Called periodically while an answer is awaited.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the node's clock.
+        """
+        if self.is_ready:
+            self._check_ping_answer(now)
+        elif self._connects_too_long(self.stream):
+            self.peer.mark_unreachable(
+                'connection not established', process_ended=False
+            )
+        elif now - self.opened_at > CONNECT_TIMEOUT_S:
+            self.peer.mark_unreachable(
+                'handshake timed out', process_ended=False
+            )
+
+    def ping_if_due(self, now, is_active):
+        """Ping the peer if it has been silent or was not pinged for long.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the node's clock.
+        is_active : bool
+            Whether the peer gets attempts, so that its load has to be
+            current.
+        """
+        silent_s = now - self.last_received_at
+        if is_active:
+            # A ping also allows the peer to discard results that have
+            # arrived here.
+            is_due = (
+                silent_s > ACTIVE_PING_INTERVAL_S
+                or now - self.last_ping_at > IDLE_PING_INTERVAL_S
+            )
+        else:
+            is_due = silent_s > IDLE_PING_INTERVAL_S
+        if is_due:
+            self._send_ping(now)
+
+    def received(self, data):
+        """Decode received bytes and pass the frames to the peer."""
+        now = self.last_received_at = self.node.reactor.now()
+        if self._probe is not None:
+            self._close_probe()
+        try:
+            frames = self._reader.feed(data)
+        except _frames.FrameError as error:
+            self.peer.mark_unreachable(
+                f'invalid frame: {error}', process_ended=False
+            )
+            return
+        for frame in frames:
+            if type(frame) is _frames.Result:
+                self.peer.handle_result(frame, now)
+            elif type(frame) is _frames.Hello:
+                self._handle_hello(frame)
+            else:
+                self.peer.handle_notification(frame, now)
+
+    def closed(self, error):
+        """Report the loss of the connection to the peer."""
+        self.peer.connection_lost(error)
+
+    def close(self):
+        """Close the connection and discard what has not been delivered."""
+        self._close_probe()
+        # A reset discards data in transit, so that it cannot arrive after
+        # the data that is sent over a new connection.
+        self.stream.close(reset=True)
+
+    def _handle_hello(self, hello):
+        if hello.protocol != _frames.PROTOCOL_VERSION:
+            self.peer.mark_unreachable(
+                f'unsupported protocol version {hello.protocol}',
+                process_ended=False,
+            )
+            return
+        self.is_ready = True
+        self.peer.handle_hello(hello)
+
+    def _send_ping(self, now):
+        self.last_ping_at = now
+        ping = _frames.Ping(
+            self.node.configuration_version(), self.peer.oldest_pending()
+        )
+        self.stream.write(_frames.encode(ping))
+
+    def _check_ping_answer(self, now):
+        waited_s = now - self.last_ping_at
+        if waited_s > PING_TIMEOUT_S:
+            _LOG.warning(
+                'ping to peer %s unanswered; replacing the connection',
+                self.peer.address,
+                extra={
+                    'event': 'peer_silent',
+                    'silent_s': round(now - self.last_received_at, 3),
+                    'outstanding': self.peer.outstanding,
+                },
+            )
+            self.peer.replace_connection()
+        elif self._probe is not None:
+            if self._connects_too_long(self._probe):
+                self.peer.mark_unreachable(
+                    'neither ping nor probe answered', process_ended=False
+                )
+        elif waited_s > PROBE_DELAY_S:
+            self._connecting_checks = 0
+            self._probe = _probe.Probe(self.node.reactor, self.peer.address)
+
+    def _connects_too_long(self, connection):
+        """Count a check of a connection that may not be established yet."""
+        if not connection.is_connecting:
+            return False
+        self._connecting_checks += 1
+        return self._connecting_checks >= MAX_CONNECTING_CHECKS
+
+    def _close_probe(self):
+        if self._probe is not None:
+            self._probe.close()
+            self._probe = None
--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -9,9 +9,9 @@
 from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _inbound
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
-from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _target
 from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
@@ -176,7 +176,7 @@
         else:
             self.links.append(near)
             node = self.targets_by_address[address]
-            node.inbound_connections.add(_peers.InboundConnection(node, far))
+            node.inbound_connections.add(_inbound.InboundConnection(node, far))
         return near
 
     def break_connections(self, fault_kind, address=None):
--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -7,6 +7,7 @@
 
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _peer_connection
 from rosemarycrank.dataplane import _peers
 from tests.dataplane import fakes
 from tests.dataplane import simulation as simulations
@@ -128,9 +129,10 @@
 #: Time in which a connection to a peer that is cut off is found dead: a ping
 #: after the silence, a probe after the ping, and the checks of the probe.
 CUT_DETECTION_S = (
-    _peers.ACTIVE_PING_INTERVAL_S
-    + _peers.PROBE_DELAY_S
-    + (_peers.MAX_CONNECTING_CHECKS + 2) * _node.PEER_CHECK_INTERVAL_S
+    _peer_connection.ACTIVE_PING_INTERVAL_S
+    + _peer_connection.PROBE_DELAY_S
+    + (_peer_connection.MAX_CONNECTING_CHECKS + 2)
+    * _node.PEER_CHECK_INTERVAL_S
 )
 
 
@@ -170,7 +172,7 @@
     assert peer.responsive
     simulation.pause(TARGET, 1.2)
     reactor.run(
-        _peers.ACTIVE_PING_INTERVAL_S
+        _peer_connection.ACTIVE_PING_INTERVAL_S
         + 2 * _node.PEER_CHECK_INTERVAL_S
         + _peers.LATE_ANSWER_S
     )
