Split the entry side of a call by its jobs

_entry.py had 587 lines: admission and routing of a request, choice of the target and attempts, limits on retries, and encoding and logging of refusals.

Now _entry.py (284 lines) admits, routes and answers a request, _exchange.py is the state of a request, _attempts.py sends it to targets and handles the results, _candidates.py lists the targets that may be chosen, _retry_limits.py decides on retries and keeps the budgets, and _refusals.py encodes, counts and logs the responses of the node itself. The planned stop limits the deadlines of attempts by EntrySide.limit_run_end instead of setting an attribute. Log events and their fields, statuses, headers and metrics are the same.

The tests of dataplane, platform, plug-ins, pages, style and recorded formats pass.

--- /dev/null
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -0,0 +1,187 @@
+"""Attempts of a request: choice of the target, result and retries."""
+
+import logging
+import math
+
+from rosemarycrank.dataplane import _candidates
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _retry_limits
+
+_COMPLETE = int(_frames.Outcome.COMPLETE)
+_NOT_RUN = int(_frames.Outcome.NOT_RUN)
+_LOG = logging.getLogger(__name__)
+
+#: Reasons of results without a response that are the target's fault.
+_TARGET_FAILURE_REASONS = frozenset(
+    int(reason)
+    for reason in (
+        _frames.Reason.REFUSED_BY_TARGET,
+        _frames.Reason.ANSWER_LOST,
+        _frames.Reason.ANSWER_INVALID,
+    )
+)
+
+
+def _may_have_reached_target(result):
+    """Return whether the attempt of a result may have reached a target.
+
+    Only the outcome proves that it has not. The reason states what became of
+    the connection, over which the attempt may have been sent before.
+    """
+    return (
+        result.outcome != _NOT_RUN
+        or result.reason == _frames.Reason.REFUSED_BY_TARGET
+    )
+
+
+class Attempts:
+    """Sends requests to targets, again if an attempt fails and may be retried.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    chooser : TargetChooser
+        Chooses the target of each attempt.
+    budget_settings : RetryBudgetSettings
+        Limits on retries.
+    counters : Counters
+        Counters for the metrics page.
+    on_complete : callable
+        Called with the exchange and the `Result` that answers it.
+    on_failure : callable
+        Called with the exchange and a reason when no further attempt is made.
+
+    Attributes
+    ----------
+    latest_run_end_at : float
+        Latest deadline given to attempts, in seconds of the node's clock.
+        Infinite except during a planned stop.
+    """
+
+    def __init__(
+        self,
+        node,
+        chooser,
+        budget_settings,
+        counters,
+        on_complete,
+        on_failure,
+    ):
+        self.node = node
+        self.chooser = chooser
+        self.counters = counters
+        self.on_complete = on_complete
+        self.on_failure = on_failure
+        self.latest_run_end_at = math.inf
+        self._retry_limits = _retry_limits.RetryLimits(
+            node.directory, budget_settings
+        )
+
+    def send(self, exchange):
+        """Send a request to a target that has not been tried."""
+        records = self.node.directory.ready_targets(exchange.service)
+        candidates = _candidates.select(
+            records, exchange.tried_nodes, self.node.peers_by_node
+        )
+        if not candidates:
+            self.on_failure(exchange, 'no target')
+            return
+        now = self.node.reactor.now()
+        route = exchange.route
+        record = self.chooser.choose(
+            candidates, self.node.peers_by_node, route.latency_goal_s, now
+        )
+        exchange.instance = record.instance
+        if not exchange.tried_nodes:
+            self._retry_limits.budget(exchange.service).deposit()
+        self.node.last_attempt_number += 1
+        number = self.node.last_attempt_number
+        attempt = _frames.Attempt(
+            number,
+            record.instance,
+            len(exchange.tried_nodes),
+            max(1, int((self._run_deadline_at(exchange) - now) * 1000.0)),
+            int((exchange.arrived_at + route.latency_goal_s - now) * 1000.0),
+            exchange.rank,
+            route.idempotent,
+            route.name,
+            exchange.request_id,
+            exchange.head,
+            exchange.message.body,
+        )
+        exchange.attempt_number = number
+        exchange.tried_nodes.append(record.node)
+        exchange.peer = self.node.peer(record.node)
+        exchange.peer.send(
+            attempt, lambda result: self._handle_result(exchange, result)
+        )
+
+    def cancel(self, exchange):
+        """Cancel the attempt in flight, if there is one.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request, whose response is given by other means.
+        """
+        if exchange.attempt_number:
+            exchange.peer.cancel(exchange.attempt_number)
+            exchange.attempt_number = 0
+            exchange.may_have_run = True
+
+    def record_timeout(self, exchange, now):
+        """Report to the chooser that an attempt has no result in time."""
+        if exchange.attempt_number:
+            self.chooser.record_outcome(exchange.instance, True, now)
+
+    def _run_deadline_at(self, exchange):
+        return min(exchange.deadline_at, self.latest_run_end_at)
+
+    def _handle_result(self, exchange, result):
+        if exchange.response is not None:
+            return
+        exchange.attempt_number = 0
+        self._record_outcome(exchange, result)
+        if result.outcome == _COMPLETE:
+            exchange.deliveries += 1
+            self.on_complete(exchange, result)
+            return
+        reason = _frames.Reason(result.reason)
+        if _may_have_reached_target(result):
+            exchange.deliveries += 1
+        if result.outcome != _NOT_RUN:
+            exchange.may_have_run = True
+        if self._retry_limits.allow_retry(
+            exchange,
+            self.node.reactor.now(),
+            self._run_deadline_at(exchange),
+        ):
+            self.counters.retries_by_reason[reason.name.lower()] += 1
+            _LOG.info(
+                'retrying on another node after %s',
+                reason.name.lower(),
+                extra={
+                    'event': 'retry',
+                    'request_id': exchange.request_id,
+                    'last': exchange.tried_nodes[-1],
+                    'offers': len(exchange.tried_nodes),
+                    'arrivals': exchange.deliveries,
+                },
+            )
+            self.send(exchange)
+        else:
+            self.on_failure(exchange, reason.name.lower())
+
+    def _record_outcome(self, exchange, result):
+        """Report to the chooser whether the target served the attempt.
+
+        Results that are not due to the target are not reported.
+        """
+        complete = result.outcome == _COMPLETE
+        if complete or result.reason in _TARGET_FAILURE_REASONS:
+            self.chooser.record_outcome(
+                exchange.instance,
+                not complete or result.status >= 500,
+                self.node.reactor.now(),
+            )
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -1,133 +1,19 @@
-"""Entry side of a call: routes a request, retries it and responds."""
+"""Entry side of a call: admits and routes a request, and responds."""
 
 import heapq
 import itertools
-import logging
-import math
 
-import attrs
-
-from rosemarycrank.dataplane import _budget
-from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _attempts
+from rosemarycrank.dataplane import _exchange
 from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _refusals
 
 #: Seconds between checks for requests whose deadline has passed.
 SWEEP_INTERVAL_S = 0.02
 
-#: Maximum number of nodes to which one request is sent, whether or not it
-#: reached a target there. Bounds the work per request while targets start
-#: and stop.
-MAX_NODES_TRIED = 6
-
-#: Share of the configured retry budget that this node uses. The remainder
-#: absorbs the unevenness of short measurement windows.
-RETRY_BUDGET_SHARE = 0.7
-
-#: Bounds of the Retry-After header, in seconds, while nothing is shed.
-MAX_RETRY_AFTER_S = 1.0
-MIN_RETRY_AFTER_S = 0.1
-
-#: Relative growth of the upper bound of Retry-After when all requests of a
-#: route are shed; the growth is proportional to the share that is shed.
-RETRY_AFTER_SHED_GROWTH = 4.0
-
-#: Minimum time left before the deadline for a retry, in seconds.
-MIN_RETRY_TIME_LEFT_S = 0.02
-
-_COMPLETE = int(_frames.Outcome.COMPLETE)
-_NOT_RUN = int(_frames.Outcome.NOT_RUN)
-_LOG = logging.getLogger(__name__)
-
-#: Reasons of results without a response that are the target's fault.
-_TARGET_FAILURE_REASONS = frozenset(
-    int(reason)
-    for reason in (
-        _frames.Reason.REFUSED_BY_TARGET,
-        _frames.Reason.ANSWER_LOST,
-        _frames.Reason.ANSWER_INVALID,
-    )
-)
-
-
-@attrs.define(eq=False, slots=True)
-class Exchange:
-    """A request from a client or the local target, and its response.
-
-    Attributes
-    ----------
-    request_id : bytes
-        Request identifier set by the sender; empty if missing.
-    connection : ClientConnection
-        Connection on which the response is written.
-    keep_alive : bool
-        Whether the connection may carry another request.
-    message : Message or None
-        The parsed request; None once the response is set.
-    arrived_at, deadline_at : float
-        Arrival time and deadline, in seconds of the node's clock.
-    route : Route or None
-        The matching route; None until the request is routed.
-    service : str
-        Service to which the request is sent.
-    head : bytes
-        Request line and headers as they are forwarded.
-    response : bytes or None
-        The encoded response; None while the request is in flight.
-    attempt_number : int
-        Number of the attempt in flight; 0 if there is none.
-    peer : object
-        Peer to which the newest attempt was sent.
-    instance : str
-        Target to which the newest attempt was sent.
-    tried_nodes : list of str
-        Nodes to which the request was sent, in order.
-    deliveries : int
-        Number of attempts that may have reached a target.
-    may_have_run : bool
-        Whether a target may have run the request.
-    from_target : bool
-        Whether the local target sent the request as a call that it makes
-        while it runs another request.
-    rank : float
-        Urgency; 0 is the most urgent. The priority of the route or, for a
-        call of the local target, the rank of the request for which it is
-        made.
-    """
-
-    request_id: bytes
-    connection: object
-    keep_alive: bool
-    message: object
-    arrived_at: float
-    deadline_at: float = 0.0
-    route: object = None
-    service: str = ''
-    head: bytes = b''
-    response: object = None
-    attempt_number: int = 0
-    peer: object = None
-    instance: str = ''
-    tried_nodes: list = attrs.field(factory=list)
-    deliveries: int = 0
-    may_have_run: bool = False
-    from_target: bool = False
-    rank: float = 0.0
-
-
-def _may_have_reached_target(result):
-    """Return whether the attempt of a result may have reached a target.
-
-    Only the outcome proves that it has not. The reason states what became of
-    the connection, over which the attempt may have been sent before.
-    """
-    return (
-        result.outcome != _NOT_RUN
-        or result.reason == _frames.Reason.REFUSED_BY_TARGET
-    )
-
 
 class EntrySide:
-    """Routes requests, sends attempts to targets and writes the responses.
+    """Routes requests, has them sent to targets and writes the responses.
 
     Parameters
     ----------
@@ -158,9 +44,6 @@
     refuses_target_calls : bool
         Whether calls of the local target are refused too; has an effect
         only while `refuses_clients` is set.
-    latest_run_end_at : float
-        Latest deadline given to attempts, in seconds of the node's clock.
-        Infinite except during a planned stop.
     """
 
     def __init__(
@@ -177,21 +60,25 @@
         self.node = node
         self.names = names
         self.caller_service = caller_service
-        self.chooser = chooser
         self.picker = picker
-        self.budget_settings = budget_settings
         self.counters = counters
-        self.random = random
         self.in_flight = 0
         self.refuses_clients = False
         self.refuses_target_calls = False
-        self.latest_run_end_at = math.inf
+        self._attempts = _attempts.Attempts(
+            node,
+            chooser,
+            budget_settings,
+            counters,
+            self._respond,
+            self._fail,
+        )
+        self._refusals = _refusals.Refusals(node, names, counters, random)
         self._dropped_headers = names.set_by_nodes()
         self._caller_header = b'%b: %b\r\n' % (
             names.caller_service,
             caller_service.encode(),
         )
-        self._retry_budgets_by_service = {}
         self._deadline_heap = []
         self._tie_breakers = itertools.count()
         node.reactor.timers.every(SWEEP_INTERVAL_S, self._expire)
@@ -208,7 +95,7 @@
         """
         self.counters.requests += 1
         self.in_flight += 1
-        return Exchange(
+        return _exchange.Exchange(
             message.values_by_name.get(self.names.request_id, b''),
             connection,
             message.keep_alive,
@@ -228,9 +115,10 @@
         """
         self.in_flight += 1
         now = self.node.reactor.now()
-        exchange = Exchange(b'', connection, False, None, now)
-        self._log_refusal(exchange, error.status, error.reason)
-        exchange.response = _http1.response(error.status)
+        exchange = _exchange.Exchange(b'', connection, False, None, now)
+        exchange.response = self._refusals.response(
+            exchange, error.status, error.reason
+        )
         self._finish(exchange, error.status)
         return exchange
 
@@ -277,7 +165,7 @@
             self._deadline_heap,
             (exchange.deadline_at, next(self._tie_breakers), exchange),
         )
-        self._send_attempt(exchange)
+        self._attempts.send(exchange)
 
     def _refusal_reason(self, exchange, requested_deadline_at):
         """Return why a request is refused unsent; None if it is admitted."""
@@ -294,7 +182,7 @@
         )
         if self.refuses_clients and (from_client or self.refuses_target_calls):
             return 'node stopping'
-        if exchange.arrived_at >= self.latest_run_end_at:
+        if exchange.arrived_at >= self._attempts.latest_run_end_at:
             return 'node stopping'
         if from_client:
             admitted = node.front.admit(route, exchange.service)
@@ -309,13 +197,23 @@
             exchange.rank = rank
         return None
 
+    def limit_run_end(self, latest_run_end_at):
+        """Limit the deadlines given to attempts, during a planned stop.
+
+        Parameters
+        ----------
+        latest_run_end_at : float
+            Latest deadline, in seconds of the node's clock. Requests that
+            arrive later are refused.
+        """
+        self._attempts.latest_run_end_at = latest_run_end_at
+
     def abandon(self, exchange):
         """Cancel a request whose client has disconnected."""
         if exchange.response is not None:
             return
         self.counters.cancelled += 1
-        if exchange.attempt_number:
-            exchange.peer.cancel(exchange.attempt_number)
+        self._attempts.cancel(exchange)
         exchange.response = b''
         self._finish(exchange, 0)
 
@@ -325,145 +223,6 @@
             if exchange.response is None:
                 self._give_up(exchange, 'node stopping')
 
-    def _send_attempt(self, exchange):
-        records = self.node.directory.ready_targets(exchange.service)
-        candidates = self._candidates(records, exchange.tried_nodes)
-        if not candidates:
-            self._fail(exchange, 'no target')
-            return
-        now = self.node.reactor.now()
-        route = exchange.route
-        record = self.chooser.choose(
-            candidates, self.node.peers_by_node, route.latency_goal_s, now
-        )
-        exchange.instance = record.instance
-        if not exchange.tried_nodes:
-            self._retry_budget(exchange.service).deposit()
-        self.node.last_attempt_number += 1
-        number = self.node.last_attempt_number
-        attempt = _frames.Attempt(
-            number,
-            record.instance,
-            len(exchange.tried_nodes),
-            max(1, int((self._run_deadline_at(exchange) - now) * 1000.0)),
-            int((exchange.arrived_at + route.latency_goal_s - now) * 1000.0),
-            exchange.rank,
-            route.idempotent,
-            route.name,
-            exchange.request_id,
-            exchange.head,
-            exchange.message.body,
-        )
-        exchange.attempt_number = number
-        exchange.tried_nodes.append(record.node)
-        exchange.peer = self.node.peer(record.node)
-        exchange.peer.send(
-            attempt, lambda result: self._handle_result(exchange, result)
-        )
-
-    def _run_deadline_at(self, exchange):
-        return min(exchange.deadline_at, self.latest_run_end_at)
-
-    def _candidates(self, records, tried_nodes):
-        """Return untried targets, those of silent peers only if needed.
-
-        Targets of unreachable peers are the last resort; targets whose node
-        is stopping are never returned.
-        """
-        peers = self.node.peers_by_node
-        usable = []
-        silent = []
-        unreachable = []
-        for record in records:
-            if record.node in tried_nodes:
-                continue
-            peer = peers.get(record.node)
-            if peer is None or peer.responsive and not peer.leaving:
-                usable.append(record)
-            elif peer.leaving:
-                continue
-            elif peer.reachable:
-                silent.append(record)
-            else:
-                unreachable.append(record)
-        return usable or silent or unreachable
-
-    def _handle_result(self, exchange, result):
-        if exchange.response is not None:
-            return
-        exchange.attempt_number = 0
-        self._record_outcome(exchange, result)
-        if result.outcome == _COMPLETE:
-            exchange.deliveries += 1
-            self._respond(exchange, result)
-            return
-        reason = _frames.Reason(result.reason)
-        if _may_have_reached_target(result):
-            exchange.deliveries += 1
-        if result.outcome != _NOT_RUN:
-            exchange.may_have_run = True
-        if self._may_retry(exchange, result):
-            self.counters.retries_by_reason[reason.name.lower()] += 1
-            _LOG.info(
-                'retrying on another node after %s',
-                reason.name.lower(),
-                extra={
-                    'event': 'retry',
-                    'request_id': exchange.request_id,
-                    'last': exchange.tried_nodes[-1],
-                    'offers': len(exchange.tried_nodes),
-                    'arrivals': exchange.deliveries,
-                },
-            )
-            self._send_attempt(exchange)
-        else:
-            self._fail(exchange, reason.name.lower())
-
-    def _record_outcome(self, exchange, result):
-        """Report to the chooser whether the target served the attempt.
-
-        Results that are not due to the target are not reported.
-        """
-        complete = result.outcome == _COMPLETE
-        if complete or result.reason in _TARGET_FAILURE_REASONS:
-            self.chooser.record_outcome(
-                exchange.instance,
-                not complete or result.status >= 500,
-                self.node.reactor.now(),
-            )
-
-    def _may_retry(self, exchange, result):
-        route = exchange.route
-        if exchange.may_have_run and not route.idempotent:
-            return False
-        if exchange.deliveries >= route.max_attempts:
-            return False
-        if len(exchange.tried_nodes) >= MAX_NODES_TRIED:
-            return False
-        now = self.node.reactor.now()
-        if now + MIN_RETRY_TIME_LEFT_S > self._run_deadline_at(exchange):
-            return False
-        if exchange.deliveries == 0:
-            return True
-        return self._retry_budget(exchange.service).try_spend(exchange.rank)
-
-    def _retry_budget(self, service):
-        """Return this node's retry budget for a service.
-
-        The settings hold for all nodes together, so the slack is divided
-        among the known nodes.
-        """
-        budget = self._retry_budgets_by_service.get(service)
-        if budget is None:
-            settings = self.budget_settings
-            node_count = max(1, len(self.node.directory.records_by_node))
-            budget = _budget.RetryBudget(
-                settings.ratio * RETRY_BUDGET_SHARE,
-                max(1.0, settings.slack * RETRY_BUDGET_SHARE / node_count),
-            )
-            self._retry_budgets_by_service[service] = budget
-        return budget
-
     def _fail(self, exchange, reason):
         """Refuse a request after its last attempt.
 
@@ -477,68 +236,10 @@
             self._refuse(exchange, 503, reason)
 
     def _refuse(self, exchange, status, reason):
-        self._log_refusal(exchange, status, reason)
-        headers = b''
-        if exchange.request_id:
-            headers = b'%b: %b\r\n' % (
-                self.names.request_id,
-                exchange.request_id,
-            )
-        if status == 503:
-            retry_after_s = self._retry_after_s(exchange)
-            headers += b'Retry-After: %.2f\r\n' % retry_after_s
-        exchange.response = _http1.response(status, headers)
+        exchange.response = self._refusals.response(exchange, status, reason)
         self._finish(exchange, status)
         exchange.connection.response_ready(exchange)
 
-    def _retry_after_s(self, exchange):
-        # A random value, so that clients do not all retry at the same time.
-        # The larger the share that is shed, the longer it takes until there
-        # is capacity again, and the less likely an early retry succeeds.
-        max_s = MAX_RETRY_AFTER_S
-        if exchange.route is not None:
-            max_s = min(max_s, exchange.route.timeout_s / 6.0)
-            share = self.node.front.refused_share(
-                exchange.route, exchange.service
-            )
-            max_s *= 1.0 + RETRY_AFTER_SHED_GROWTH * share
-        range_s = max(0.0, max_s - MIN_RETRY_AFTER_S)
-        return MIN_RETRY_AFTER_S + range_s * self.random.random()
-
-    def _log_refusal(self, exchange, status, reason):
-        self.counters.refusals_by_reason[reason] += 1
-        configuration = self.node.configuration
-        now = self.node.reactor.now()
-        _LOG.info(
-            'responded with status %d: %s',
-            status,
-            reason,
-            extra={
-                'event': 'refused',
-                'request_id': exchange.request_id,
-                'status': status,
-                'route': exchange.route.name if exchange.route else None,
-                'service': exchange.service,
-                'tried': exchange.tried_nodes,
-                'may_have_run': exchange.may_have_run,
-                'from_target': exchange.from_target,
-                'waited_s': round(now - exchange.arrived_at, 4),
-                'remaining_ms': (
-                    int((exchange.deadline_at - now) * 1000.0)
-                    if exchange.route
-                    else None
-                ),
-                'configuration': (
-                    configuration.version if configuration else None
-                ),
-                'targets': len(
-                    self.node.directory.ready_targets(exchange.service)
-                ),
-                # Share of the load to shed and age in seconds, by service.
-                'pressures': self.node.front.pressures(now),
-            },
-        )
-
     def _respond(self, exchange, result):
         status = result.status
         body = result.body
@@ -574,14 +275,10 @@
             exchange = heapq.heappop(heap)[2]
             if exchange.response is not None:
                 continue
-            if exchange.attempt_number:
-                self.chooser.record_outcome(exchange.instance, True, now)
+            self._attempts.record_timeout(exchange, now)
             self._give_up(exchange, 'deadline')
 
     def _give_up(self, exchange, reason):
         """Cancel the attempt of a request and answer the request."""
-        if exchange.attempt_number:
-            exchange.peer.cancel(exchange.attempt_number)
-            exchange.attempt_number = 0
-            exchange.may_have_run = True
+        self._attempts.cancel(exchange)
         self._fail(exchange, reason)
--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -126,8 +126,9 @@
         self._calls_end_at = self._drain_ends_at - min(
             TARGET_CALL_CUTOFF_S, drain_s * MAX_CUTOFF_SHARE
         )
-        self.entry.latest_run_end_at = self._drain_ends_at - min(
-            RESULT_MARGIN_S, drain_s * MAX_RESULT_MARGIN_SHARE
+        self.entry.limit_run_end(
+            self._drain_ends_at
+            - min(RESULT_MARGIN_S, drain_s * MAX_RESULT_MARGIN_SHARE)
         )
         self.target_side.stopping = True
         self.clients.draining = True
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -4,7 +4,7 @@
 import pytest
 
 from rosemarycrank.dataplane import _clients
-from rosemarycrank.dataplane import _entry
+from rosemarycrank.dataplane import _exchange
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _reactor
 
@@ -51,7 +51,7 @@
 
     def open(self, message, connection):
         now = self.reactor.now()
-        return _entry.Exchange(
+        return _exchange.Exchange(
             message.target, connection, message.keep_alive, message, now
         )
 
@@ -62,7 +62,7 @@
         self.abandoned.append(exchange.request_id)
 
     def refuse_message(self, error, connection):
-        exchange = _entry.Exchange(
+        exchange = _exchange.Exchange(
             b'', connection, False, None, self.reactor.now()
         )
         exchange.response = _http1.response(error.status)
