Shed by the capacity of targets whose nodes take attempts

Cause: the share to shed was computed as if each ready target carried its part of the load. The target of a node that is stopping or out of reach was counted, and the load that its node had reported stayed for 1.5 s, although all calls went to the remaining targets.

Change: only targets are counted whose nodes are neither stopping nor out of reach, and their reported load is discarded at once. The test of the process passes the drain period that the settings have now.

--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -63,6 +63,18 @@
             Time of the report.
         """
 
+    @abc.abstractmethod
+    def discard_load(self, service, reporter):
+        """Discard the load of a target that gets no more work.
+
+        Parameters
+        ----------
+        service : str
+            Service of the target.
+        reporter : str
+            Address of the target's node.
+        """
+
     @abc.abstractmethod
     def receive_pressure(self, service, pressure, now):
         """Store the pressure on a service, as relayed by another node.
@@ -113,6 +125,9 @@
     def receive_load(self, service, reporter, load, now):
         """Ignore a load report."""
 
+    def discard_load(self, service, reporter):
+        """Do nothing."""
+
     def receive_pressure(self, service, pressure, now):
         """Ignore a relayed pressure."""
 
@@ -183,6 +198,12 @@
             self._direct_by_service[service] = direct
         direct.receive_load(reporter, load, now)
 
+    def discard_load(self, service, reporter):
+        """Discard the load of a target that gets no more work."""
+        direct = self._direct_by_service.get(service)
+        if direct is not None:
+            direct.discard_load(reporter)
+
     def receive_pressure(self, service, pressure, now):
         """Store the pressure on a service if it is newer than the stored."""
         reported_at = now - pressure.age_s
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -251,9 +251,13 @@
             Time of receipt, in seconds of the node's clock.
         """
         record = self.directory.records_by_node.get(address)
-        # A target that is leaving gets no new work, so its load says nothing
-        # about the service.
-        if record is not None and record.state == _directory.READY:
+        # A target that is leaving, or whose node stops, gets no new work, so
+        # its load says nothing about the service.
+        if (
+            record is not None
+            and record.state == _directory.READY
+            and self._takes_attempts(address)
+        ):
             self.front.receive_load(record.service, address, load, now)
         for service, pressure in load.pressures.items():
             self.front.receive_pressure(service, pressure, now)
@@ -314,9 +318,20 @@
             if frame.service == self.costs.service:
                 self._cost_reports.receive(frame.costs_by_route)
         elif isinstance(frame, _frames.Leaving):
-            peer = self.peers_by_node.get(connection.address)
-            if peer is not None:
-                peer.mark_leaving()
+            self.mark_leaving(connection.address)
+
+    def mark_leaving(self, address):
+        """Record that a node is shutting down and takes no more attempts."""
+        peer = self.peers_by_node.get(address)
+        if peer is not None:
+            peer.mark_leaving()
+        self.discard_load(address)
+
+    def discard_load(self, address):
+        """Discard the load that a node reported before it became unusable."""
+        record = self.directory.records_by_node.get(address)
+        if record is not None:
+            self.front.discard_load(record.service, address)
 
     def merge(self, record):
         """Add the record of another node's target if it is newer."""
@@ -329,6 +344,20 @@
         self.directory.merge(record)
         self.broadcast(_frames.Announcement([record]))
 
+    def count_targets(self, service):
+        """Return the number of ready targets whose nodes take attempts.
+
+        Nodes that are stopping, or that this node cannot reach, take none.
+        """
+        return sum(
+            self._takes_attempts(record.node)
+            for record in self.directory.ready_targets(service)
+        )
+
+    def _takes_attempts(self, address):
+        peer = self.peers_by_node.get(address)
+        return peer is None or peer.reachable and not peer.leaving
+
     def knows_other_nodes(self):
         """Return whether the target of another node is known."""
         return any(
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -212,6 +212,7 @@
             )
         self.reachable = False
         self.load = None
+        self.node.discard_load(self.address)
         self._reconnect_at = self.node.reactor.now() + self._reconnect_delay_s
         self._reconnect_delay_s = min(
             MAX_RECONNECT_DELAY_S, self._reconnect_delay_s * 2.0
@@ -314,8 +315,6 @@
             self.node.request_newer_configuration(
                 frame.configuration_version, self
             )
-        elif isinstance(frame, _frames.Leaving):
-            self.mark_leaving()
         else:
             self.node.receive_notification(frame, self)
 
--- a/rosemarycrank/dataplane/_pressure.py
+++ b/rosemarycrank/dataplane/_pressure.py
@@ -159,6 +159,16 @@
         else:
             self._reports_by_node.pop(reporter, None)
 
+    def discard_load(self, reporter):
+        """Discard the load of a target that gets no more work.
+
+        Parameters
+        ----------
+        reporter : str
+            Address of the target's node.
+        """
+        self._reports_by_node.pop(reporter, None)
+
     def last_report_at(self):
         """Return when the newest report was received; None without any."""
         return max(
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -174,7 +174,9 @@
         self.incarnation = rng.getrandbits(62)
         self.counters = _counters.Counters()
         self.costs = _costs.CallCosts(settings.service)
-        self.front = _front.AdmitByCost(self.costs, self._count_targets)
+        self.front = _front.AdmitByCost(
+            self.costs, lambda service: self.node.count_targets(service)
+        )
         self._stopped = gevent.event.Event()
         self.node = _node.Node(
             self.reactor,
@@ -333,9 +335,6 @@
             ),
         )
 
-    def _count_targets(self, service):
-        return len(self.node.directory.ready_targets(service))
-
     def _is_costs_writer(self):
         """Return whether this node stores the costs of its service.
 
--- a/tests/dataplane/test_front.py
+++ b/tests/dataplane/test_front.py
@@ -238,6 +238,32 @@
         )
 
 
+# Guards against a leaf service whose remaining targets get the load of those
+# whose nodes stop, because the share to shed is computed from all targets.
+def test_share_to_shed_is_computed_from_the_remaining_targets(costs):
+    targets = ['n1', 'n2', 'n3']
+    front = _front.AdmitByCost(costs, lambda service: len(targets))
+
+    def share_after_update(now):
+        for reporter in targets:
+            # Each target can run 2000 calls a second; 3000 are expected.
+            load = _frames.Load(
+                0, 0, 100, 0.05, 3000.0 / len(targets), 3000.0, 3000.0
+            )
+            front.receive_load('leaf', reporter, load, now)
+        front.update(now)
+        pressure = front.pressures(now).get('leaf')
+        return pressure.share if pressure else 0.0
+
+    shares = [share_after_update(step * 0.1) for step in range(30)]
+    assert max(shares) == 0.0
+    for reporter in ('n3', 'n2'):
+        targets.remove(reporter)
+        front.discard_load('leaf', reporter)
+    shares = [share_after_update(3.0 + step * 0.1) for step in range(20)]
+    assert shares[-1] == pytest.approx(1 / 3, rel=0.05)
+
+
 @pytest.mark.parametrize('nodes', [12, 85])
 def test_many_entry_nodes_keep_the_leaf_busy_without_a_long_queue(nodes):
     rng = random.Random(5)
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -20,6 +20,9 @@
     def receive_load(self, service, reporter, load, now):
         self.reporters.append(reporter)
 
+    def discard_load(self, service, reporter):
+        self.reporters.remove(reporter)
+
 
 @pytest.fixture
 def node(reactor):
@@ -51,3 +54,24 @@
     node.receive_load(node.target_side.load(), address, reactor.now())
     reactor.run(0.5)
     assert node.front.reporters == [address]
+
+
+# Guards against load shedding that counts the targets of stopping or
+# unreachable nodes as capacity, so that the remaining targets are overloaded.
+@pytest.mark.parametrize('cause', ['leaving', 'unreachable'])
+def test_targets_of_unusable_nodes_are_not_counted_as_capacity(
+    node, reactor, cause
+):
+    for address in ('n2', 'n3', 'n4'):
+        node.merge(fakes.record(address))
+    node.receive_load(node.target_side.load(), 'n3', reactor.now())
+    assert node.count_targets('archive') == 3
+    peer = node.peer('n3')
+    if cause == 'leaving':
+        node.mark_leaving('n3')
+    else:
+        peer.mark_unreachable('test', process_ended=False)
+    assert node.count_targets('archive') == 2
+    assert node.front.reporters == []
+    node.receive_load(node.target_side.load(), 'n3', reactor.now())
+    assert node.front.reporters == []
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -60,6 +60,7 @@
         target_address=('10.0.0.1', 8301),
         service='archive',
         grace_s=6.0,
+        drain_s=2.0,
         budget=dataplane.RetryBudgetSettings(),
         targets_table='targets',
         costs_table='costs',
