Serve attempts of other nodes in the notice period of a planned stop

Cause: a node refused all attempts of other nodes from SIGTERM on, though it has to run for 2.3 s of notice and its target goes on serving. With the drain, the restart and the wait for the target's report, each stop took a target out of service for 4 s or more.

Change: attempts are accepted until the notice ends if they are expected to end before the drain does; other nodes are told at the end of the notice. Queued attempts that would outlast the stop are given back at once. The time limits of runs, set by a leaving target and by the stop of its node, have a module of their own (_run_limits). The test that attempts are refused from SIGTERM on asks for it after the notice.

--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -57,16 +57,19 @@
 class PlannedStop:
     """Stops a node without breaking off requests that can finish in time.
 
-    1. Notice: other nodes are told, and attempts of theirs are refused.
-       Requests of clients are accepted; each response closes its connection.
-    2. Drain: requests of clients are refused. Calls of the local target are
-       accepted while it runs requests that need them. The drain lasts until
-       nothing is in flight, at most for `max_drain_s`.
+    1. Notice: requests of clients and attempts of other nodes are accepted,
+       so that the target serves while the node has to run anyway. Each
+       response to a client closes its connection.
+    2. Drain: other nodes are told. Requests of clients and attempts are
+       refused. Calls of the local target are accepted while it runs requests
+       that need them. The drain lasts until nothing is in flight, at most
+       for `max_drain_s`.
     3. End: whatever is left is answered. The connections stay open until the
        answers are sent, and the process exits.
 
     Attempts that are sent during the stop have a deadline before the end of
-    the longest drain.
+    the longest drain. Attempts of other nodes are accepted only if their runs
+    are expected to end before it.
 
     Parameters
     ----------
@@ -126,13 +129,12 @@
         self._calls_end_at = self._drain_ends_at - min(
             TARGET_CALL_CUTOFF_S, drain_s * MAX_CUTOFF_SHARE
         )
-        self.entry.limit_run_end(
-            self._drain_ends_at
-            - min(RESULT_MARGIN_S, drain_s * MAX_RESULT_MARGIN_SHARE)
+        runs_end_at = self._drain_ends_at - min(
+            RESULT_MARGIN_S, drain_s * MAX_RESULT_MARGIN_SHARE
         )
-        self.target_side.stopping = True
+        self.entry.limit_run_end(runs_end_at)
+        self.target_side.limit_run_end(runs_end_at)
         self.clients.draining = True
-        self.node.broadcast(_frames.Leaving())
         self._timer = self.node.reactor.timers.every(
             DRAIN_CHECK_INTERVAL_S, self._continue
         )
@@ -141,6 +143,9 @@
         """Take the next step that is due."""
         if now < self._notice_ends_at:
             return
+        if not self.target_side.stopping:
+            self.target_side.stopping = True
+            self.node.broadcast(_frames.Leaving())
         if self._ended_at is not None:
             if now >= self._ended_at + FINAL_FLUSH_S:
                 self._complete()
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -18,7 +18,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
 from rosemarycrank.dataplane import _pressure
-from rosemarycrank.dataplane import _upstream
+from rosemarycrank.dataplane import _run_limits
 
 #: Interval between checks for attempts past their deadlines, in seconds.
 SWEEP_INTERVAL_S = 0.05
@@ -35,11 +35,6 @@
 #: after it.
 CALLER_RETENTION_S = 120.0
 
-#: Time before the end of a target's drain period by which its runs should
-#: end, and after which nothing must reach it, in seconds. The target may exit
-#: right after that period, and the node may be late.
-DRAIN_MARGIN_S = 0.1
-
 #: Delay in the queue that one rank is worth, in seconds: an attempt precedes
 #: those of the next lower rank that arrived up to this much earlier. It
 #: exceeds the usual time in the queue, so that the most important attempts
@@ -134,11 +129,6 @@
             del self.jobs_by_number[number]
 
 
-def _is_new_start(record, known):
-    """Return whether a record is that of another start of the target."""
-    return record.instance != known.instance or record.born_ms != known.born_ms
-
-
 class TargetSide:
     """Admission, queue and runs of attempts at the local target.
 
@@ -172,7 +162,7 @@
         Newest record of the local target; None until it has announced
         itself.
     stopping : bool
-        Whether the node is about to stop.
+        Whether the node is about to stop and accepts no more attempts.
     limit : ConcurrencyLimit
         Limit on the attempts that run at once.
     callers_by_incarnation : dict of int to Caller
@@ -188,7 +178,6 @@
         self.counters = counters
         self.costs = costs
         self.front = front
-        self.drain_s = drain_s
         self.arrivals = _pressure.ArrivalRate()
         self.demand = _pressure.ExpectedDemand()
         self._demand_per_s = (0.0, 0.0)
@@ -201,9 +190,7 @@
         self._waiting = []
         self._waiting_count = 0
         self._sequence = itertools.count()
-        # Latest start of a run, and time by which it should end.
-        self._starts_end_at = math.inf
-        self._runs_end_at = math.inf
+        self._run_limits = _run_limits.RunLimits(drain_s)
         self._last_run_at = reactor.now()
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
         reactor.timers.every(RATE_UPDATE_INTERVAL_S, self._update_rates)
@@ -223,41 +210,24 @@
             Newest record that the target announced.
         """
         known = self.record
-        if known is None or _is_new_start(record, known):
+        if known is None or _run_limits.is_new_start(record, known):
             self.limit.reset(record.slots)
-            self._starts_end_at = math.inf
-            self._runs_end_at = math.inf
         self.record = record
+        self._run_limits.update_target(record, known, self.reactor.now())
         if record.state != _directory.READY:
-            self._bound_runs(known)
             # Other nodes learn of the leaving before they get attempts back.
             self.reactor.call_soon(self._give_back_waiting)
 
-    def _bound_runs(self, known):
-        """Bound the times of runs at a target that is leaving.
-
-        The record is updated before the announcement is acknowledged, so
-        the drain period of the target does not end earlier than counted
-        from now.
+    def limit_run_end(self, runs_end_at):
+        """Accept and start only attempts that are expected to end in time.
 
         Parameters
         ----------
-        known : TargetRecord or None
-            Record that the current one replaced.
+        runs_end_at : float
+            Time by which runs have to end because the node stops, in seconds
+            of its clock.
         """
-        now = self.reactor.now()
-        if self._runs_end_at == math.inf:
-            self._runs_end_at = now + self.drain_s - DRAIN_MARGIN_S
-            # A request may reach the target as late as its connection.
-            self._starts_end_at = (
-                self._runs_end_at - _upstream.CONNECT_TIMEOUT_S
-            )
-        elif (
-            self.record.state == _directory.GONE
-            and known.state == _directory.DRAINING
-        ):
-            # It has drained and exits.
-            self._starts_end_at = self._runs_end_at = now
+        self._run_limits.stop_node(runs_end_at)
 
     def caller(self, incarnation):
         """Return the state of a calling node; create it if needed."""
@@ -365,14 +335,18 @@
             return _frames.Reason.OTHER_TARGET
         if record.state != _directory.READY:
             return _frames.Reason.LEAVING
-        if len(self._running) < self.limit.value:
-            return None
-        priority_at = self._priority_at(attempt, now)
-        ahead = sum(1 for entry in self._waiting if entry[0] <= priority_at)
-        expected_s = self.limit.expected_wait_s(ahead)
-        expected_s += self.limit.min_remaining_s(attempt.route)
-        if now + expected_s > job.deadline_at:
-            return _frames.Reason.QUEUE_FULL
+        start_at = now
+        if len(self._running) >= self.limit.value:
+            priority_at = self._priority_at(attempt, now)
+            ahead = sum(
+                1 for entry in self._waiting if entry[0] <= priority_at
+            )
+            start_at += self.limit.expected_wait_s(ahead)
+            least_s = self.limit.min_remaining_s(attempt.route)
+            if start_at + least_s > job.deadline_at:
+                return _frames.Reason.QUEUE_FULL
+        if self._ends_too_late(job, start_at):
+            return _frames.Reason.LEAVING
         return None
 
     @staticmethod
@@ -518,13 +492,13 @@
             least_s = self.limit.min_remaining_s(job.attempt.route)
             if now + least_s > job.deadline_at:
                 self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
-            elif self._outlasts_target(job, now):
+            elif self._ends_too_late(job, now):
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
                 self._start(job, now)
 
-    def _outlasts_target(self, job, start_at):
-        """Return whether a run may outlast a target that is leaving.
+    def _ends_too_late(self, job, start_at):
+        """Return whether a run may outlast the target or its node.
 
         Parameters
         ----------
@@ -533,20 +507,20 @@
         start_at : float
             Start of its run, in seconds of the node's clock.
         """
-        if start_at >= self._starts_end_at:
-            return True
-        service_s = self.limit.long_service_s(job.attempt.route)
-        # A run ends at its deadline at the latest.
-        end_at = min(start_at + service_s, job.deadline_at)
-        return end_at > self._runs_end_at
+        limits = self._run_limits
+        return limits.runs_end_at != math.inf and not limits.allow(
+            start_at,
+            self.limit.long_service_s(job.attempt.route),
+            job.deadline_at,
+        )
 
     def _give_back_waiting(self):
-        """Give back the attempts in the queue that may outlast the target.
+        """Give back the attempts in the queue that would end too late.
 
         Their nodes send them elsewhere. This includes attempts that are
         expected to start too late, so that most of their time is left.
         """
-        if self._runs_end_at == math.inf:
+        if self._run_limits.runs_end_at == math.inf:
             return
         now = self.reactor.now()
         ahead = 0
@@ -554,7 +528,7 @@
             if job.result is not None:
                 continue
             start_at = now + self.limit.expected_wait_s(ahead)
-            if self._outlasts_target(job, start_at):
+            if self._ends_too_late(job, start_at):
                 self._waiting_count -= 1
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -134,6 +134,12 @@
         self.process.entry.begin(exchange)
         return connection
 
+    def leaving_notices(self):
+        """Return how often the other node was told of the stop."""
+        return sum(
+            isinstance(frame, _frames.Leaving) for frame in self.other.notices
+        )
+
     def has_exited(self):
         return self.process._stopped.is_set()
 
@@ -290,12 +296,62 @@
     start_stop, reactor
 ):
     stop = start_stop(work_s=0.1)
-    assert [type(frame) for frame in stop.other.notices] == [_frames.Leaving]
+    reactor.run(_planned_stop.LEAVING_NOTICE_S + 0.1)
+    assert stop.leaving_notices() == 1
+    stop.accept_attempt(9)
+    assert (stop.results[-1].number, stop.results[-1].reason) == (
+        9,
+        _frames.Reason.LEAVING,
+    )
+
+
+# Guards against a service without any target while the nodes of all its
+# targets stop one after the other, although the targets go on running.
+@pytest.mark.parametrize('accepted_after_s', [0.0, 1.0, 2.2])
+def test_attempts_that_end_in_time_are_served_until_others_are_told(
+    start_stop, reactor, accepted_after_s
+):
+    stop = start_stop(work_s=0.1)
+    stop.pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
+    stop.process.target_side.limit.observe('page', 0.5, True)
+    reactor.run(accepted_after_s)
+    assert not stop.leaving_notices()
+    stop.accept_attempt(9)
+    assert len(stop.pool.calls) == 2
+    reactor.run(0.5)
+    stop.pool.calls[1].on_answer(_upstream.Answer(0, 0, 200))
+    assert (stop.results[-1].number, stop.results[-1].outcome) == (
+        9,
+        _frames.Outcome.COMPLETE,
+    )
+
+
+# Guards against runs at the local target that outlast a planned stop and are
+# broken off at its end.
+def test_attempts_that_may_outlast_the_stop_are_refused(start_stop, reactor):
+    stop = start_stop(work_s=0.1)
+    stop.pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
+    reactor.run(1.0)
+    stop.process.target_side.limit.observe('page', 4.5, True)
     stop.accept_attempt(9)
     assert (stop.results[-1].number, stop.results[-1].reason) == (
         9,
         _frames.Reason.LEAVING,
     )
+    assert len(stop.pool.calls) == 1
+
+
+# Guards against queued attempts that keep their entry nodes waiting until the
+# end of a planned stop and are then given back with too little time left.
+def test_queued_attempts_that_would_outlast_the_stop_are_given_back_at_once(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=0.1, attempts=2)
+    stop.process.target_side.limit.observe('page', 4.0, True)
+    reactor.run(0.1)
+    assert [(result.number, result.reason) for result in stop.results] == [
+        (2, _frames.Reason.LEAVING)
+    ]
 
 
 def test_responses_during_a_stop_close_their_connections(start_stop):
