Test that attempts given back run once at other targets

Entry node, three targets' nodes and their connections in virtual time: 60 requests that may not be repeated, a retry budget of none, and one target that leaves with a queue. All end with 200, each after one run, five seeds for drain periods of 0 and 2 s.

--- a/tests/dataplane/test_leaving_target.py
+++ b/tests/dataplane/test_leaving_target.py
@@ -8,14 +8,19 @@
 
 import pytest
 
+from rosemarycrank.dataplane import _balance
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _entry
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _routes
 from rosemarycrank.dataplane import _target
 from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
+from tests.dataplane import simulation as simulations
 
 #: Deadline of attempts that is far beyond any drain period, in milliseconds.
 LATE_DEADLINE_MS = 60000
@@ -319,3 +324,89 @@
     for started_after_s in target.started_after_s():
         assert started_after_s + _upstream.CONNECT_TIMEOUT_S < drain_s
     assert set(_outcomes_of_started(target)) <= {'COMPLETE'}
+
+
+class _Service:
+    """Entry node, and three nodes of targets that run two requests at once.
+
+    Nothing that may have reached a target is sent again.
+    """
+
+    addresses = ('10.0.0.2:7000', '10.0.0.3:7000', '10.0.0.4:7000')
+
+    def __init__(self, simulation):
+        self.simulation = simulation
+        self.connections = []
+        node = simulation.entry
+        node.configuration = fakes.configuration(
+            fakes.route(idempotent=False, max_attempts=1, timeout_s=9.0)
+        )
+        node.origins.add_client_route('read')
+        for address, target_node in simulation.targets_by_address.items():
+            target_node.configuration = node.configuration
+            target_node.target_side.limit.value = 2
+            node.directory.merge(fakes.record(address))
+        rng = random.Random(1)
+        self.entry = _entry.EntrySide(
+            node,
+            _names.HeaderNames(),
+            'front-desk',
+            _balance.RandomTarget('fd-a', rng),
+            _routes.ServicePicker(rng),
+            _node.RetryBudgetSettings(0.0, 0.0),
+            _counters.Counters(),
+            rng,
+        )
+
+    def send(self, request_id):
+        connection = fakes.RecordingConnection()
+        self.connections.append(connection)
+        message = fakes.request(rosemarycrank_request_id=request_id)
+        self.entry.begin(self.entry.open(message, connection))
+
+    def leave(self, address, drain_s):
+        target_node = self.simulation.targets_by_address[address]
+        target_node.target_side.drain_s = drain_s
+        target_node.announce(
+            fakes.record(address, slots=50, state='draining', sequence=2)
+        )
+
+    def statuses(self):
+        return [
+            int(answer.split(b' ')[1])
+            for connection in self.connections
+            for answer in connection.answers
+        ]
+
+
+# Guards against requests that get no answer from another target, or run
+# twice, when the target in whose queue they wait leaves.
+@pytest.mark.parametrize('drain_s', [0.0, 2.0])
+@pytest.mark.parametrize('seed', range(5))
+def test_attempts_given_back_run_once_at_other_targets(
+    patch_connections, reactor, seed, drain_s
+):
+    simulation = patch_connections(
+        simulations.Simulation(reactor, seed, _Service.addresses)
+    )
+    service = _Service(simulation)
+    request_ids = [b'r%d' % number for number in range(60)]
+    for request_id in request_ids:
+        service.send(request_id)
+    reactor.run(0.8)
+    left = _Service.addresses[0]
+    service.leave(left, drain_s)
+    left_side = simulation.targets_by_address[left].target_side
+    queued_count = left_side.load().waiting
+    run_count = len(simulation.runs)
+    reactor.run(9.0)
+    assert queued_count > 5
+    assert service.statuses() == [200] * len(request_ids)
+    assert all(simulation.count_runs(r) == 1 for r in request_ids)
+    runs_at_left = [
+        run
+        for run in simulation.runs[run_count:]
+        if run.target_address == left
+    ]
+    assert len(runs_at_left) < queued_count
+    assert drain_s or not runs_at_left
