--- a/rosemarycrank/dataplane/_cost_reports.py
+++ b/rosemarycrank/dataplane/_cost_reports.py
@@ -1,5 +1,6 @@
 """Choice of the costs of requests that a node reports to other nodes."""
 
+from rosemarycrank.dataplane import _cost_changes
 from rosemarycrank.dataplane import _costs
 
 #: Seconds between reports of costs that have not changed significantly.
@@ -61,7 +62,7 @@
         ):
             return {}
         changed = any(
-            _costs.differ_significantly(cost, averages.get(route, {}))
+            _cost_changes.differ_significantly(cost, averages.get(route, {}))
             for route, cost in costs_by_route.items()
         )
         if not changed and now - self._reported_at <= MAX_REPORT_INTERVAL_S:
@@ -95,8 +96,9 @@
             if not self._costs.has_measured(route):
                 continue
             cost = self._costs.cost(self._costs.service, route)
-            if average.keys() - cost.keys() or _costs.differ_significantly(
-                cost, average
+            if (
+                average.keys() - cost.keys()
+                or _cost_changes.differ_significantly(cost, average)
             ):
                 costs_by_route[route] = cost
         return costs_by_route
@@ -106,7 +108,7 @@
         if average is None:
             self._averages_by_route[route] = dict(cost)
             return
-        _costs.average_report(average, cost)
+        _cost_changes.average_report(average, cost)
         for service in average.keys() - cost.keys():
             if average[service] < _costs.MIN_CALLS_PER_RUN:
                 del average[service]
--- a/rosemarycrank/dataplane/_cost_rows.py
+++ b/rosemarycrank/dataplane/_cost_rows.py
@@ -9,14 +9,15 @@
 
 import msgspec
 
-from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _cost_changes
 from rosemarycrank.dataplane import _discovery
+from rosemarycrank.dataplane import _stored_costs
 
 #: Interval between comparisons of the measured with the stored costs, in
 #: seconds.
 CHECK_INTERVAL_S = 5.0
 
-_DECODER = msgspec.json.Decoder(_costs.StoredCosts)
+_DECODER = msgspec.json.Decoder(_stored_costs.StoredCosts)
 _LOG = logging.getLogger(__name__)
 
 
@@ -101,7 +102,7 @@
             return
         snapshot = self.costs.snapshot()
         changed = any(
-            _costs.differ_significantly(
+            _cost_changes.differ_significantly(
                 cost, self._stored_costs_by_route.get(route, {})
             )
             for route, cost in snapshot.costs_by_route.items()
--- a/rosemarycrank/dataplane/_costs.py
+++ b/rosemarycrank/dataplane/_costs.py
@@ -9,10 +9,11 @@
 that run them, so the costs of a route cover its whole call tree.
 """
 
-import msgspec
-
+from rosemarycrank.dataplane import _call_counts
 from rosemarycrank.dataplane import _call_links
+from rosemarycrank.dataplane import _cost_changes
 from rosemarycrank.dataplane import _least_squares
+from rosemarycrank.dataplane import _stored_costs
 
 #: Length of a counting window, in seconds.
 WINDOW_S = 0.5
@@ -35,10 +36,6 @@
 #: Observation time that is credited to costs read from the store, in seconds.
 STORED_OBSERVED_S = 30.0
 
-#: Least share of the calls that must be attributed by deadlines for these
-#: attributions to be used.
-MIN_ATTRIBUTED_SHARE = 0.1
-
 #: Calls per run below which a route is taken to make no calls.
 MIN_CALLS_PER_RUN = 0.05
 
@@ -55,164 +52,6 @@
 #: seconds.
 MAX_FAILING_OBSERVED_S = 4.0
 
-#: Weight of one node's report in the known costs of its service.
-REPORT_WEIGHT = 0.3
-
-#: A change of a cost is significant if it exceeds the sum of a share of the
-#: old cost and a number of calls.
-SIGNIFICANT_CHANGE_SHARE = 0.3
-SIGNIFICANT_CHANGE_CALLS = 0.3
-
-
-def differ_significantly(new, old):
-    """Return whether new costs of a route differ from old ones beyond noise.
-
-    Parameters
-    ----------
-    new, old : dict of str to float
-        Calls by service.
-    """
-    for service in new.keys() | old.keys():
-        new_calls, old_calls = new.get(service, 0.0), old.get(service, 0.0)
-        if (
-            abs(new_calls - old_calls)
-            > SIGNIFICANT_CHANGE_CALLS + SIGNIFICANT_CHANGE_SHARE * old_calls
-        ):
-            return True
-    return False
-
-
-def average_report(known, reported):
-    """Update the known costs of a route with a report, as receivers do.
-
-    Parameters
-    ----------
-    known : dict of str to float
-        Calls by service; updated in place.
-    reported : dict of str to float
-        Calls by service.
-    """
-    for service in known.keys() | reported.keys():
-        old_calls = known.get(service, 0.0)
-        known[service] = old_calls + REPORT_WEIGHT * (
-            reported.get(service, 0.0) - old_calls
-        )
-
-
-class StoredCall(msgspec.Struct):
-    """Calls to one route that one request of another route makes directly.
-
-    The field names are part of the format of the store.
-
-    Attributes
-    ----------
-    service, route : str
-        Service and route that are called.
-    caller : str
-        Route of the request that makes the calls.
-    count : float
-        Calls per request.
-    """
-
-    service: str
-    route: str
-    caller: str
-    count: float
-
-
-class StoredCosts(msgspec.Struct):
-    """Costs of the routes that run at one service.
-
-    The field names are part of the format of the store.
-
-    Attributes
-    ----------
-    service : str
-        Name of the service.
-    costs_by_route : dict of str to dict of str to float
-        Calls at each service in the whole call tree of one request, by
-        route and service.
-    calls : list of StoredCall
-        Direct calls of its routes.
-    """
-
-    service: str
-    costs_by_route: dict[str, dict[str, float]]
-    calls: list[StoredCall]
-
-
-class _RunCounts:
-    """Counts of the runs of one route in a window."""
-
-    __slots__ = ('started', 'ended', 'failed')
-
-    def __init__(self):
-        self.started = 0
-        self.ended = 0
-        self.failed = 0
-
-    def mean(self):
-        """Return the mean of the numbers of started and ended runs."""
-        return 0.5 * (self.started + self.ended)
-
-
-class _CallCounts:
-    """Calls of the local target to one route of another service."""
-
-    def __init__(self):
-        self.total = 0.0
-        self.in_window = 0
-        self.in_sample = 0
-        self.excess_by_route = {}
-        self.fit = _least_squares.CallFit()
-        self.calls_by_route = {}
-
-    def sample(self, samples, decay):
-        """Add the calls since the previous sample to the fit.
-
-        Parameters
-        ----------
-        samples : RunSamples
-            Samples of the runs in flight.
-        decay : float
-            Factor applied to the weight of older samples.
-        """
-        self.total = self.total * decay + self.in_sample
-        self.fit.add(samples, self.in_sample, decay)
-        self.in_sample = 0
-
-    def shares(self, samples, excluded_routes):
-        """Return the share of these calls that each route makes.
-
-        Parameters
-        ----------
-        samples : RunSamples
-            Samples of the runs in flight.
-        excluded_routes : set of str
-            Routes that make no calls.
-
-        Returns
-        -------
-        dict of str to float
-            Shares by route; empty if no calls can be attributed.
-        """
-        attributed = {
-            route: excess.significant_excess()
-            for route, excess in self.excess_by_route.items()
-            if route not in excluded_routes
-        }
-        if sum(attributed.values()) < MIN_ATTRIBUTED_SHARE * self.total:
-            routes = [
-                r
-                for r in samples.run_sums_by_route
-                if r not in excluded_routes
-            ]
-            attributed = self.fit.estimate(samples, routes)
-        total = sum(attributed.values())
-        if total <= 0.0:
-            return {}
-        return {route: calls / total for route, calls in attributed.items()}
-
 
 class CallCosts:
     """Costs of the routes of the local target and of other services.
@@ -301,7 +140,7 @@
         key = (service, route)
         calls = self._calls_by_key.get(key)
         if calls is None:
-            calls = self._calls_by_key[key] = _CallCounts()
+            calls = self._calls_by_key[key] = _call_counts.CallCounts()
         calls.in_window += 1
         calls.in_sample += 1
         caller = None
@@ -380,7 +219,7 @@
             if known is None:
                 self.costs_by_service_route[(service, route)] = dict(costs)
             else:
-                average_report(known, costs)
+                _cost_changes.average_report(known, costs)
 
     def restore(self, stored):
         """Load stored costs of routes for which no newer costs are known.
@@ -401,7 +240,7 @@
                 continue
             if not self._is_trusted(call.caller):
                 calls = self._calls_by_key.setdefault(
-                    (call.service, call.route), _CallCounts()
+                    (call.service, call.route), _call_counts.CallCounts()
                 )
                 calls.calls_by_route[call.caller] = call.count
         for route in stored.costs_by_route:
@@ -420,14 +259,16 @@
             Costs of the local service.
         """
         routes = [r for r in self._observed_s_by_route if self._is_trusted(r)]
-        return StoredCosts(
+        return _stored_costs.StoredCosts(
             self.service,
             {
                 route: self.costs_by_service_route[(self.service, route)]
                 for route in routes
             },
             [
-                StoredCall(service, called, route, calls.calls_by_route[route])
+                _stored_costs.StoredCall(
+                    service, called, route, calls.calls_by_route[route]
+                )
                 for (service, called), calls in self._calls_by_key.items()
                 for route in routes
                 if route in calls.calls_by_route
@@ -508,7 +349,7 @@
     def _run_counts(self, route):
         runs = self._runs_by_route.get(route)
         if runs is None:
-            runs = self._runs_by_route[route] = _RunCounts()
+            runs = self._runs_by_route[route] = _call_counts.RunCounts()
         return runs
 
     def _update_estimate(self, calls, route, runs, share, many_fail):
--- a/tests/dataplane/test_cost_reports.py
+++ b/tests/dataplane/test_cost_reports.py
@@ -7,6 +7,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _stored_costs
 
 #: Seconds in which a wrong cost has to be corrected at all nodes.
 CORRECTION_TIMEOUT_S = 15.0
@@ -104,10 +105,10 @@
 
 
 def test_stored_cost_that_is_wrong_is_corrected(node, receiver):
-    stored = _costs.StoredCosts(
+    stored = _stored_costs.StoredCosts(
         'front',
         WRONG_COSTS_BY_ROUTE,
-        [_costs.StoredCall('dues', 'pay', 'page', 4.0)],
+        [_stored_costs.StoredCall('dues', 'pay', 'page', 4.0)],
     )
     for costs in (node.costs, receiver.costs):
         costs.restore(stored)
--- a/tests/dataplane/test_cost_rows.py
+++ b/tests/dataplane/test_cost_rows.py
@@ -5,15 +5,17 @@
 import msgspec
 import pytest
 
+from rosemarycrank.dataplane import _cost_changes
 from rosemarycrank.dataplane import _cost_rows
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _discovery
+from rosemarycrank.dataplane import _stored_costs
 from tests.dataplane import fakes
 
-STORED = _costs.StoredCosts(
+STORED = _stored_costs.StoredCosts(
     'dues',
     {'pay': {'dues': 1.0, 'leaf': 8.0}},
-    [_costs.StoredCall('leaf', 'lookup', 'pay', 8.0)],
+    [_stored_costs.StoredCall('leaf', 'lookup', 'pay', 8.0)],
 )
 
 
@@ -82,7 +84,7 @@
     reactor.run(_cost_rows.CHECK_INTERVAL_S + 0.1)
     (row,) = _written_rows(store)
     assert row.version == 3
-    written = msgspec.json.decode(row.value, type=_costs.StoredCosts)
+    written = msgspec.json.decode(row.value, type=_stored_costs.StoredCosts)
     assert written.costs_by_route['pay']['leaf'] == 4.0
     assert written.calls == STORED.calls
 
@@ -100,5 +102,6 @@
 )
 def test_small_changes_are_not_significant(calls, differs):
     assert (
-        _costs.differ_significantly({'leaf': calls}, {'leaf': 8.0}) is differs
+        _cost_changes.differ_significantly({'leaf': calls}, {'leaf': 8.0})
+        is differs
     )
--- a/tests/dataplane/test_costs.py
+++ b/tests/dataplane/test_costs.py
@@ -12,6 +12,7 @@
 from rosemarycrank.dataplane import _call_links
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _least_squares
+from rosemarycrank.dataplane import _stored_costs
 
 #: Seconds from the answer to a call to the next step of the run.
 STEP_DELAY_S = 0.0003
@@ -261,11 +262,11 @@
     # The stored costs were written while the routes could not be
     # distinguished.
     calls = [
-        _costs.StoredCall('leaf', 'lookup', route, 3.0)
+        _stored_costs.StoredCall('leaf', 'lookup', route, 3.0)
         for route in ('pay', 'status')
     ]
     costs.restore(
-        _costs.StoredCosts(
+        _stored_costs.StoredCosts(
             'dues',
             {
                 'pay': {'dues': 1.0, 'leaf': 3.0},
@@ -281,7 +282,7 @@
 
 
 def test_measured_costs_take_precedence_over_stored_costs(costs):
-    stored = _costs.StoredCosts(
+    stored = _stored_costs.StoredCosts(
         'dues', {'pay': {'dues': 1.0, 'leaf': 50.0}}, []
     )
     _simulate(costs, {'pay': (8, 1.0, 30)})
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -16,8 +16,8 @@
 
 from rosemarycrank import bundles
 from rosemarycrank.bundles import _content
-from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _stored_costs
 from rosemarycrank.ledger import _closing
 from rosemarycrank.ledger import _keys
 from rosemarycrank.ledger import _rows
@@ -145,7 +145,7 @@
 #: Types of the values in JSON, by name of the recorded item.
 ROW_TYPES_BY_NAME = {
     'target row': _frames.TargetRecord,
-    'cost row': _costs.StoredCosts,
+    'cost row': _stored_costs.StoredCosts,
     'claim row': _rows.Claim,
     'closing row': _closing._ClosingRow,
     'current bundle row': bundles.CurrentRow,
