Give the times of a planned stop a module of their own

Cause: the drain, its margins and its cut-offs, and how they scale with the grace period, stood in the data path's planned stop. The product's own interface needs the same times.

--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -3,12 +3,7 @@
 import logging
 
 from rosemarycrank.dataplane import _frames
-
-#: Seconds between the end of the drain and the end of the grace period, so
-#: that the process exits before it is killed, and the maximum share of the
-#: grace period.
-EXIT_MARGIN_S = 0.5
-MAX_EXIT_MARGIN_SHARE = 0.3
+from rosemarycrank import stop_times
 
 #: Seconds from SIGTERM during which requests of clients are still accepted, so
 #: that clients have time to learn that the node is leaving, and the maximum
@@ -16,19 +11,6 @@
 LEAVING_NOTICE_S = 2.3
 MAX_NOTICE_SHARE = 0.5
 
-#: Seconds between the latest deadline of attempts and the end of the drain,
-#: and the maximum share of the drain. A target answers at its deadline, which
-#: its node counts from the arrival of the attempt; and the answer has to
-#: arrive.
-RESULT_MARGIN_S = 0.4
-MAX_RESULT_MARGIN_SHARE = 0.1
-
-#: Seconds before the end of the drain in which calls of the local target are
-#: refused, because they might not finish in time, and the maximum share of the
-#: drain.
-TARGET_CALL_CUTOFF_S = 1.0
-MAX_CUTOFF_SHARE = 0.2
-
 #: Seconds to send the last responses and results before the process exits.
 FINAL_FLUSH_S = 0.1
 
@@ -38,22 +20,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-def max_drain_s(grace_s):
-    """Return the time from SIGTERM to the latest end of the drain.
-
-    Parameters
-    ----------
-    grace_s : float
-        Seconds from SIGTERM until the process is killed.
-
-    Returns
-    -------
-    float
-        Seconds.
-    """
-    return grace_s - min(EXIT_MARGIN_S, grace_s * MAX_EXIT_MARGIN_SHARE)
-
-
 class PlannedStop:
     """Stops a node without breaking off requests that can finish in time.
 
@@ -61,7 +27,7 @@
        Requests of clients are accepted; each response closes its connection.
     2. Drain: requests of clients are refused. Calls of the local target are
        accepted while it runs requests that need them. The drain lasts until
-       nothing is in flight, at most for `max_drain_s`.
+       nothing is in flight, at most until `StopTimes.drain_ends_at`.
     3. End: whatever is left is answered. The connections stay open until the
        answers are sent, and the process exits.
 
@@ -103,8 +69,7 @@
         self.on_complete = on_complete
         self.has_begun = False
         self._notice_ends_at = None
-        self._drain_ends_at = None
-        self._calls_end_at = None
+        self._times = None
         self._ended_at = None
         self._timer = None
 
@@ -118,17 +83,13 @@
             extra={'event': 'stop', 'under_way': self.entry.in_flight},
         )
         now = self.node.reactor.now()
-        drain_s = max_drain_s(self.grace_s)
-        self._drain_ends_at = now + drain_s
-        self._notice_ends_at = now + min(
-            LEAVING_NOTICE_S, drain_s * MAX_NOTICE_SHARE
-        )
-        self._calls_end_at = self._drain_ends_at - min(
-            TARGET_CALL_CUTOFF_S, drain_s * MAX_CUTOFF_SHARE
-        )
-        self.entry.latest_run_end_at = self._drain_ends_at - min(
-            RESULT_MARGIN_S, drain_s * MAX_RESULT_MARGIN_SHARE
+        self._times = stop_times.plan(now, self.grace_s)
+        self._notice_ends_at = now + stop_times.limit_to_share(
+            LEAVING_NOTICE_S,
+            stop_times.max_drain_s(self.grace_s),
+            MAX_NOTICE_SHARE,
         )
+        self.entry.latest_run_end_at = self._times.runs_end_at
         self.target_side.stopping = True
         self.clients.draining = True
         self.node.broadcast(_frames.Leaving())
@@ -145,12 +106,12 @@
                 self._complete()
             return
         self._refuse_new_requests(now)
-        if now >= self._drain_ends_at or self._is_drained():
+        if now >= self._times.drain_ends_at or self._is_drained():
             self._end_drain(now)
 
     def _refuse_new_requests(self, now):
         self.entry.refuses_clients = True
-        self.entry.refuses_target_calls = now >= self._calls_end_at
+        self.entry.refuses_target_calls = now >= self._times.calls_end_at
         if not self.target_side.busy():
             # Requests that run at the target may still make calls through
             # this node, over new connections too.
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -10,6 +10,7 @@
 from rosemarycrank.dataplane import _planned_stop
 from rosemarycrank.dataplane import _process
 from rosemarycrank.dataplane import _upstream
+from rosemarycrank import stop_times
 from tests.dataplane import fakes
 
 NODE = '127.0.0.1:7000'
@@ -228,13 +229,13 @@
     reactor.run(3.0)
     stop.call()
     attempt, _ = stop.other.sent[-1]
-    drain_s = _planned_stop.max_drain_s(GRACE_S)
+    drain_s = stop_times.max_drain_s(GRACE_S)
     assert 0 < attempt.remaining_ms / 1000.0 < drain_s - 3.0
 
 
 def test_call_is_refused_when_the_drain_is_about_to_end(start_stop, reactor):
     stop = start_stop(work_s=0.1)
-    reactor.run(_planned_stop.max_drain_s(GRACE_S) - 0.5)
+    reactor.run(stop_times.max_drain_s(GRACE_S) - 0.5)
     connection = stop.call()
     assert _status(connection) == 503
     assert len(stop.other.sent) == 1
@@ -317,7 +318,7 @@
     start_stop, reactor
 ):
     stop = start_stop(work_s=2 * GRACE_S)
-    reactor.run(_planned_stop.max_drain_s(GRACE_S) + 0.06)
+    reactor.run(stop_times.max_drain_s(GRACE_S) + 0.06)
     assert len(stop.other.cancelled) == 1
     assert [result.number for result in stop.results] == [1]
     assert stop.other.is_connected
