Take the bounds of the leaf overload test from the stated targets

The bounds of 0.5 for the share of admitted requests that are served, and for the use of the capacity left, are stated nowhere.

--- a/tests/dataplane/test_leaf_overload.py
+++ b/tests/dataplane/test_leaf_overload.py
@@ -36,13 +36,13 @@
 #: Mean time from the admission of a request to its first call, in seconds.
 OWN_WORK_S = 0.25
 
-#: Minimum share of the admitted requests that are served. Those that fail have
-#: used the leaf in vain.
-MIN_SERVED_SHARE = 0.5
+#: Maximum share of the leaf's completed calls that belong to requests that
+#: fail: the target for wasted work in docs/OVERLOAD.md.
+MAX_WASTED_SHARE = 0.05
 
 #: Minimum share of the capacity left by the more important route with which
-#: requests of the other one are served.
-MIN_USED_SHARE = 0.5
+#: requests of the other one are served: the goal of issue 10.
+MIN_USED_SHARE = 0.9
 
 READ = fakes.route(priority=2, timeout_s=1.2)
 PAY = fakes.route('pay', priority=0, timeout_s=1.5)
@@ -99,6 +99,8 @@
     ----------
     served_by_route, failed_by_route : dict of str to int
         Admitted requests that have ended after `SETTLED_AFTER_S`.
+    completed_calls, wasted_calls : int
+        Completed calls of these requests, and those of the failed ones.
     """
 
     def __init__(self, reactor, seed, front):
@@ -118,6 +120,8 @@
         self.caller.send = self._receive
         self.served_by_route = {'read': 0, 'pay': 0}
         self.failed_by_route = {'read': 0, 'pay': 0}
+        self.completed_calls = 0
+        self.wasted_calls = 0
         self._numbers = itertools.count(1)
         self._requests_by_number = {}
 
@@ -174,8 +178,13 @@
             self._end(request, self.served_by_route)
 
     def _end(self, request, counts_by_route):
-        if self.reactor.now() > SETTLED_AFTER_S:
-            counts_by_route[request.route.name] += 1
+        if self.reactor.now() <= SETTLED_AFTER_S:
+            return
+        counts_by_route[request.route.name] += 1
+        calls = CALLS_PER_REQUEST - request.calls_left
+        self.completed_calls += calls
+        if request.calls_left:
+            self.wasted_calls += calls
 
     def run(self, reads_per_s, pays_per_s):
         """Play the load for `DURATION_S`."""
@@ -204,9 +213,9 @@
     return _front.AdmitByCost(costs, lambda _service: 1)
 
 
-def _served_share(load, route):
-    served = load.served_by_route[route.name]
-    return served / (served + load.failed_by_route[route.name])
+def _wasted_share(load):
+    """Return the share of completed calls that belong to failed requests."""
+    return load.wasted_calls / load.completed_calls
 
 
 @pytest.fixture
@@ -232,7 +241,7 @@
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_half_of_the_leaf_serves_requests(play, seed):
     load = play(seed, (16.0, 3.0), pays_per_s=45.0)
-    assert _served_share(load, READ) >= MIN_SERVED_SHARE
+    assert _wasted_share(load) <= MAX_WASTED_SHARE
     assert _used_share(load, 45.0) >= MIN_USED_SHARE
 
 
@@ -242,5 +251,5 @@
 @pytest.mark.parametrize('costs', [(8.0, 8.0), (16.0, 3.0)])
 def test_quarter_of_the_leaf_serves_requests(play, seed, costs):
     load = play(seed, costs, pays_per_s=80.0)
-    assert _served_share(load, READ) >= MIN_SERVED_SHARE
+    assert _wasted_share(load) <= MAX_WASTED_SHARE
     assert _used_share(load, 80.0) >= MIN_USED_SHARE
