Let the last response reach the client before a planned stop closes

What callers saw: a response that ends early, by a reset, in a planned stop. Found by review, with real sockets: 4,096 of 200,062 bytes arrived at a client with a small receive buffer that had sent a further request.

Cause: in a planned stop, idle connections are closed every 0.05 s, and one whose last response was handed to the operating system counted as idle. A socket that is closed with unread input sends a reset, which destroys what has not been delivered. The drain also ended while such a response was on its way.

Change: a connection whose last response is sent is closed by the client or after the linger time, and the drain waits for it, at most until its end.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -106,9 +106,18 @@
         self.stream.close()
         self.closed(None)
 
+    @property
+    def has_unsent_output(self):
+        """Whether a response may not have reached the client yet.
+
+        After the last response the connection stays open for `LINGER_S`,
+        unless the client closes it first.
+        """
+        return self._response_is_last or self.stream.unsent_bytes > 0
+
     def close_when_idle(self):
         """Close the connection if it is idle and all output is sent."""
-        if self.is_idle and self.stream.unsent_bytes == 0:
+        if self.is_idle and not self.has_unsent_output:
             self.close()
 
     def response_ready(self, _exchange):
@@ -272,9 +281,9 @@
             connection.close_when_idle()
 
     def has_unsent_output(self):
-        """Return whether a client has not read all of its responses."""
+        """Return whether a client may not have received its responses."""
         return any(
-            connection.stream.unsent_bytes for connection in self._connections
+            connection.has_unsent_output for connection in self._connections
         )
 
     def stop_accepting(self):
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -235,3 +235,22 @@
 def test_stopping_node_closes_idle_connections(connection, server):
     server.close_idle()
     assert not connection.stream.is_open
+
+
+# Guards against a planned stop that resets a connection whose last response
+# is sent but has not reached the client: a further request that arrives after
+# the close destroys the response.
+def test_stopping_node_lets_the_last_response_reach_the_client(
+    connection, entry, server, reactor
+):
+    reactor.run(0.1)
+    server.draining = True
+    connection.received(REQUEST % 1)
+    entry.answer(0)
+    assert connection.stream.write_closed
+    server.close_idle()
+    assert connection.stream.is_open
+    assert server.has_unsent_output()
+    reactor.run(_clients.LINGER_S + 2 * _clients.SWEEP_INTERVAL_S)
+    assert not connection.stream.is_open
+    assert not server.has_unsent_output()
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -163,8 +163,7 @@
 class _SlowReader:
     """Client connection with a response that is not sent yet."""
 
-    def __init__(self):
-        self.stream = types.SimpleNamespace(unsent_bytes=10)
+    has_unsent_output = True
 
     def close_when_idle(self):
         pass
@@ -279,7 +278,7 @@
     stop.process.clients._connections.add(reader)
     reactor.run(_planned_stop.LEAVING_NOTICE_S + 1.0)
     assert not stop.has_exited()
-    reader.stream.unsent_bytes = 0
+    reader.has_unsent_output = False
     reactor.run(0.5)
     assert stop.has_exited()
 
