Bound accepted runs by the calls they may make and by runs under way

What callers saw: nothing on record; found by review of the attempts that are accepted in the notice period of a planned stop. A run that was expected to end before the drain (5.1 s at a grace period of 6 s) had its calls refused from 4.5 s on, and failed. And while a service below has just become slow, the times of ended runs are short: a further run was accepted although one of its route had lasted for 2.2 s already, and both were broken off.

Change: runs have to be expected to end before calls of the target are refused, and last at least as long as the oldest run of their route has. The test of leaving targets set a parameter that had moved, so that its case with a drain period ran without one; it sets the right one, and asks for runs at the leaving target there.

--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -93,7 +93,8 @@
             MAX_NOTICE_SHARE,
         )
         self.entry.limit_run_end(self._times.runs_end_at)
-        self.target_side.limit_run_end(self._times.runs_end_at)
+        # A run may make calls until it ends.
+        self.target_side.limit_run_end(self._times.calls_end_at)
         self.clients.draining = True
         self._timer = self.node.reactor.timers.every(
             DRAIN_CHECK_INTERVAL_S, self._continue
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -508,11 +508,28 @@
             Start of its run, in seconds of the node's clock.
         """
         limits = self._run_limits
-        return limits.runs_end_at != math.inf and not limits.allow(
-            start_at,
+        if limits.runs_end_at == math.inf:
+            return False
+        duration_s = max(
             self.limit.long_service_s(job.attempt.route),
-            job.deadline_at,
+            self._oldest_run_age_s(job.attempt.route),
         )
+        return not limits.allow(start_at, duration_s, job.deadline_at)
+
+    def _oldest_run_age_s(self, route):
+        """Return for how long a route's oldest run has lasted, in seconds.
+
+        While a service below is slow, it exceeds the times of ended runs.
+        """
+        started_at = min(
+            (
+                job.started_at
+                for job in self._running
+                if job.attempt.route == route
+            ),
+            default=math.inf,
+        )
+        return max(0.0, self.reactor.now() - started_at)
 
     def _give_back_waiting(self):
         """Give back the attempts in the queue that would end too late.
--- a/tests/dataplane/test_leaving_target.py
+++ b/tests/dataplane/test_leaving_target.py
@@ -366,7 +366,7 @@
 
     def leave(self, address, drain_s):
         target_node = self.simulation.targets_by_address[address]
-        target_node.target_side.drain_s = drain_s
+        target_node.target_side._run_limits.drain_s = drain_s
         target_node.announce(
             fakes.record(address, slots=50, state='draining', sequence=2)
         )
@@ -409,4 +409,4 @@
         if run.target_address == left
     ]
     assert len(runs_at_left) < queued_count
-    assert drain_s or not runs_at_left
+    assert bool(runs_at_left) == bool(drain_s)
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -1,7 +1,5 @@
 """Planned stop of a node, in virtual time."""
 
-import types
-
 import pytest
 
 from rosemarycrank.dataplane import _frames
@@ -341,6 +339,40 @@
     assert len(stop.pool.calls) == 1
 
 
+# Guards against runs that are accepted in a planned stop and whose calls are
+# refused before they end.
+@pytest.mark.parametrize(
+    ('work_s', 'is_accepted'), [(2.2, True), (2.4, False)]
+)
+def test_accepted_runs_end_before_calls_of_the_target_are_refused(
+    start_stop, reactor, work_s, is_accepted
+):
+    stop = start_stop(work_s=0.1)
+    stop.pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
+    stop.process.target_side.limit.observe('page', work_s, True)
+    reactor.run(2.2)
+    stop.accept_attempt(9)
+    assert len(stop.pool.calls) == 1 + is_accepted
+    reactor.run(2.2)
+    assert stop.process.entry.refuses_target_calls != is_accepted
+
+
+# Guards against runs that are broken off at the end of a planned stop because
+# a service below has just become slow, which no ended run shows yet.
+def test_runs_under_way_show_that_a_further_one_may_outlast_the_stop(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=0.1)
+    stop.process.target_side.limit.value = 4
+    stop.process.target_side.limit.observe('page', 0.1, True)
+    reactor.run(2.28)
+    stop.accept_attempt(9)
+    assert (stop.results[-1].number, stop.results[-1].reason) == (
+        9,
+        _frames.Reason.LEAVING,
+    )
+
+
 # Guards against queued attempts that keep their entry nodes waiting until the
 # end of a planned stop and are then given back with too little time left.
 def test_queued_attempts_that_would_outlast_the_stop_are_given_back_at_once(
