Leave ended attempts out of the length of a queue

What callers saw: attempts refused as "queue full" although the queue was short. Found by review: one attempt waited, 78 stood in the heap, and an attempt with 1.5 s left was refused, though it would have waited for 0.2 s.

Cause: cancelled attempts, and those that were given back, stay in the heap until they come up, and were counted as ahead of a new one. Under overload many clients leave, so that this is common.

Result: test_cancelled_attempts_do_not_count_as_ahead_in_the_queue fails on the code before and passes now.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -339,7 +339,9 @@
         if len(self._running) >= self.limit.value:
             priority_at = self._priority_at(attempt, now)
             ahead = sum(
-                1 for entry in self._waiting if entry[0] <= priority_at
+                1
+                for waiting_at, _, waiting in self._waiting
+                if waiting_at <= priority_at and waiting.result is None
             )
             start_at += self.limit.expected_wait_s(ahead)
             least_s = self.limit.min_remaining_s(attempt.route)
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -298,3 +298,20 @@
     side.accept(caller, fakes.attempt(3, remaining_ms=9000, rank=0.0))
     pool.calls[0].on_answer(_complete())
     assert pool.calls[-1].request_id == b'r2'
+
+
+# Guards against attempts that are refused although the queue is short, since
+# cancelled ones in front of them are counted.
+def test_cancelled_attempts_do_not_count_as_ahead_in_the_queue(
+    side, caller, results, reactor
+):
+    side.limit.value = 1
+    side.limit.observe('read', 0.1, True)
+    for number in range(1, 81):
+        side.accept(caller, fakes.attempt(number, remaining_ms=60000))
+    for number in range(3, 81):
+        side.cancel(caller, number)
+    assert side.load().waiting == 1
+    side.accept(caller, fakes.attempt(81, remaining_ms=1500))
+    assert not results
+    assert side.load().waiting == 2
