Leave 0.6 s for answers of targets at the end of a planned stop

Cause: 0.4 s are left between the latest deadline and the end of the drain. The target's node counts the deadline from the arrival, so both ways count.

Change: 0.6 s, at most 0.12 of the drain.

Result: test_answers_of_targets_arrive_over_slow_ways fails in two of three cases before and passes now.

--- a/rosemarycrank/stop_times/_times.py
+++ b/rosemarycrank/stop_times/_times.py
@@ -17,9 +17,10 @@
 
 #: Seconds between the latest end of runs and the end of the drain, and the
 #: maximum share of the drain. A target answers at its deadline, which its node
-#: counts from the arrival of the attempt; and the answer has to arrive.
-RESULT_MARGIN_S = 0.4
-MAX_RESULT_MARGIN_SHARE = 0.1
+#: counts from the arrival of the attempt; and the answer has to arrive. Each
+#: way may take 0.3 s while both nodes are busy.
+RESULT_MARGIN_S = 0.6
+MAX_RESULT_MARGIN_SHARE = 0.12
 
 #: Seconds before the end of the drain in which calls of the local upstream are
 #: refused, because they might not finish in time, and the maximum share of the
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -339,6 +339,23 @@
     assert len(stop.pool.calls) == 1
 
 
+# Guards against answers of targets that arrive after the end of the drain,
+# because the ways between busy nodes take long.
+@pytest.mark.parametrize(
+    ('accepted_after_s', 'work_s'), [(3.6, 1.28), (3.6, 1.45), (4.4, 0.65)]
+)
+def test_answers_of_targets_arrive_over_slow_ways(
+    start_stop, reactor, monkeypatch, accepted_after_s, work_s
+):
+    monkeypatch.setattr('tests.dataplane.test_planned_stop.TRANSIT_S', 0.27)
+    stop = start_stop(work_s=work_s)
+    reactor.run(accepted_after_s)
+    connection = stop.call()
+    reactor.run(GRACE_S - accepted_after_s)
+    (answer,) = connection.answers
+    assert answer.endswith(TARGET_BODY)
+
+
 # Guards against runs that are accepted in a planned stop and whose calls are
 # refused before they end.
 @pytest.mark.parametrize(
--- a/tests/stop_times/test_times.py
+++ b/tests/stop_times/test_times.py
@@ -37,7 +37,7 @@
     times = stop_times.plan(0.0, 30.0, closing_s=5.0)
     assert times.exits_at == pytest.approx(29.5)
     assert times.drain_ends_at == pytest.approx(24.5)
-    assert times.runs_end_at == pytest.approx(24.1)
+    assert times.runs_end_at == pytest.approx(23.9)
     assert times.calls_end_at == pytest.approx(23.5)
 
 
@@ -45,5 +45,5 @@
     times = stop_times.plan(0.0, 1.0, closing_s=5.0)
     assert times.exits_at == pytest.approx(0.7)
     assert times.drain_ends_at == pytest.approx(0.525)
-    assert times.runs_end_at == pytest.approx(0.4725)
+    assert times.runs_end_at == pytest.approx(0.462)
     assert times.calls_end_at == pytest.approx(0.42)
