Discard the load of leaving targets at once; count usable targets cheaply

What callers saw: nothing on record; found by review. The load of a target that announced its leaving stayed in the sums for 1.4 s (share to shed 0.0, right 0.2), as that of a stopping node had. The notice of a node that this one had never called was dropped, and its target stayed counted. At 9,200 nodes the count took 2.9 ms each 0.1 s, about 3% of a core.

Change: a record that is not ready any more discards the load; a notice always has effect; only nodes that are marked as unusable are looked at, instead of all targets of a service.

--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -108,6 +108,7 @@
         self.peers_by_node = {}
         self.inbound_connections = set()
         self.last_attempt_number = 0
+        self._unusable_nodes = set()
         self.target_side = None
         self.on_configuration = []
         self.on_client_route = []
@@ -322,26 +323,35 @@
 
     def mark_leaving(self, address):
         """Record that a node is shutting down and takes no more attempts."""
-        peer = self.peers_by_node.get(address)
-        if peer is not None:
-            peer.mark_leaving()
-        self.discard_load(address)
+        if address != self.address:
+            self.peer(address).mark_leaving()
+            self.mark_unusable(address)
 
-    def discard_load(self, address):
-        """Discard the load that a node reported before it became unusable."""
-        record = self.directory.records_by_node.get(address)
+    def mark_unusable(self, address):
+        """Record that a node takes no attempts, until its peer says so.
+
+        The load that it has reported says nothing about its service any more.
+        """
+        self._unusable_nodes.add(address)
+        self._discard_load(self.directory.records_by_node.get(address))
+
+    def _discard_load(self, record):
         if record is not None:
-            self.front.discard_load(record.service, address)
+            self.front.discard_load(record.service, record.node)
 
     def merge(self, record):
         """Add the record of another node's target if it is newer."""
         if record.node != self.address:
-            self.directory.merge(record)
+            self._merge(record)
+
+    def _merge(self, record):
+        if self.directory.merge(record) and (record.state != _directory.READY):
+            self._discard_load(record)
 
     def announce(self, record):
         """Apply a new record of the local target and send it to all peers."""
         self.target_side.update_record(record)
-        self.directory.merge(record)
+        self._merge(record)
         self.broadcast(_frames.Announcement([record]))
 
     def count_targets(self, service):
@@ -349,9 +359,20 @@
 
         Nodes that are stopping, or that this node cannot reach, take none.
         """
-        return sum(
-            self._takes_attempts(record.node)
-            for record in self.directory.ready_targets(service)
+        unusable = sum(
+            1
+            for address in self._unusable_nodes
+            if not self._takes_attempts(address)
+            and self._has_ready_target(address, service)
+        )
+        return len(self.directory.ready_targets(service)) - unusable
+
+    def _has_ready_target(self, address, service):
+        record = self.directory.records_by_node.get(address)
+        return (
+            record is not None
+            and record.service == service
+            and record.state == _directory.READY
         )
 
     def _takes_attempts(self, address):
@@ -429,6 +450,8 @@
     def _check_peers(self, now):
         for peer in list(self.peers_by_node.values()):
             peer.maintain(now)
+        usable = filter(self._takes_attempts, self._unusable_nodes)
+        self._unusable_nodes.difference_update(list(usable))
 
 
 def encode_record(record):
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -212,7 +212,7 @@
             )
         self.reachable = False
         self.load = None
-        self.node.discard_load(self.address)
+        self.node.mark_unusable(self.address)
         self._reconnect_at = self.node.reactor.now() + self._reconnect_delay_s
         self._reconnect_delay_s = min(
             MAX_RECONNECT_DELAY_S, self._reconnect_delay_s * 2.0
