Avoid a stopping node that refuses an attempt

What callers saw: a further hop for many requests while a node is in the notice period of its planned stop and refuses long runs.

Change: a refusal as leaving, of a target whose record is ready, marks the node as stopping. Announcements of targets arrive before such refusals.

Result: test_stopping_node_that_refuses_an_attempt_is_avoided[ready-True] fails on the code before and passes now.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -4,6 +4,7 @@
 import math
 
 from rosemarycrank.dataplane import _candidates
+from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _retry_limits
 
@@ -152,6 +153,8 @@
             exchange.deliveries += 1
         if result.outcome != _NOT_RUN:
             exchange.may_have_run = True
+        elif reason is _frames.Reason.LEAVING:
+            self._avoid_stopping_node(exchange)
         if self._retry_limits.allow_retry(
             exchange,
             self.node.reactor.now(),
@@ -173,6 +176,17 @@
         else:
             self.on_failure(exchange, reason.name.lower())
 
+    def _avoid_stopping_node(self, exchange):
+        """Avoid a node that refuses attempts of a target that stays.
+
+        An announcement of the target would have arrived before the refusal,
+        so the node itself is stopping and accepts short runs at most.
+        """
+        address = exchange.tried_nodes[-1]
+        record = self.node.directory.records_by_node.get(address)
+        if record is not None and record.state == _directory.READY:
+            self.node.mark_leaving(address)
+
     def _record_outcome(self, exchange, result):
         """Report to the chooser whether the target served the attempt.
 
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -91,6 +91,9 @@
     def cancel(self, number):
         self.cancelled.append(number)
 
+    def mark_leaving(self):
+        self.leaving = True
+
 
 class RecordingConnection:
     """Client connection that records the responses as `answers`."""
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -45,6 +45,9 @@
             self.peers_by_node[address] = fakes.RecordingPeer()
         return self.peers_by_node[address]
 
+    def mark_leaving(self, address):
+        self.peer(address).mark_leaving()
+
 
 class _RefuseAll(_front.AdmitAll):
     def admit(self, route, service):
@@ -187,6 +190,21 @@
     assert len({attempt.instance for attempt, _ in _sent_attempts(node)}) == 3
 
 
+# Guards against a node that is about to stop and refuses long runs at once,
+# and that attracts further attempts because it is idle.
+@pytest.mark.parametrize(
+    ('state', 'is_avoided'), [('ready', True), ('draining', False)]
+)
+def test_stopping_node_that_refuses_an_attempt_is_avoided(
+    node, send, state, is_avoided
+):
+    send()
+    address = next(a for a, p in node.peers_by_node.items() if p.sent)
+    node.directory.merge(fakes.record(address, state=state, sequence=2))
+    _end_last_attempt(node, 'NOT_RUN', 'LEAVING')
+    assert node.peers_by_node[address].leaving == is_avoided
+
+
 def test_unknown_outcome_is_retried_only_if_idempotent(node, send, connection):
     send(target=b'/a/1')
     _end_last_attempt(node, 'UNKNOWN', 'ANSWER_LOST')
