End the planned stop of the product's node within its grace period

What callers saw: a node that was stopped waited for what ran, up to the deadline of each request. A supervisor that killed it earlier cut those requests without an answer, and paid requests at other entry nodes stayed pending until their deadlines.

Cause: the drain had no end, and there was no setting of the grace period, so work was accepted and kept that could outlast the process. The exit waited up to 2 s for each server even if only idle connections were left.

Change: the setting `grace_s` (1 to 600 s, 30 s unless set) and the times of `stop_times`. What is sent on during the stop has a deadline before the end of the drain, retries, keyed calls to other owners and runs at the own upstream too. At the end of the drain the target side, then the calls, then the ledger answer what is left: not run only if it was never sent on. The closing record has what was cut off as unknown, and is given up at the exit. The exit waits for responses that are not sent, for half of its margin, and not for idle connections.

Ruled out: bounding the deadline of the call itself. The entry side then gives up at the same time as the target, and reports a queued attempt as unknown.

--- a/rosemarycrank/calls/_attempt_sender.py
+++ b/rosemarycrank/calls/_attempt_sender.py
@@ -1,5 +1,7 @@
 """Sending of attempts, each with a recent clock of the target's node."""
 
+import math
+
 import attrs
 
 from rosemarycrank import messages
@@ -25,6 +27,11 @@
         Last received clocks of other nodes.
     attempt_timeout_s : float
         Time without a reply, in seconds, after which an attempt is checked.
+
+    Attributes
+    ----------
+    latest_run_end_at : float
+        Latest deadline of attempts, in seconds of the local clock.
     """
 
     def __init__(
@@ -40,6 +47,7 @@
         self.checks = checks
         self.peer_clocks = peer_clocks
         self.attempt_timeout_s = attempt_timeout_s
+        self.latest_run_end_at = math.inf
 
     def start(self, call, target):
         """Start an attempt of a call at a target.
@@ -62,6 +70,10 @@
         else:
             self._send(outgoing, clock)
 
+    def may_send(self):
+        """Return whether an attempt that is sent now may end in time."""
+        return self.context.now < self.latest_run_end_at
+
     def handle_hello_reply(self, sender, message):
         """Send the attempts that wait for the clock in a reply.
 
@@ -78,7 +90,7 @@
         for outgoing in self.outgoing_attempts.take_awaiting_clock(sender):
             if not self.outgoing_attempts.is_open(outgoing):
                 continue
-            if message.accepting:
+            if message.accepting and self.may_send():
                 self._send(outgoing, clock)
             else:
                 self.outgoing_attempts.end_as_refused(
@@ -114,7 +126,8 @@
             context=attrs.evolve(
                 call.context, allowance=outgoing.delegated_retries
             ),
-            remaining_s=call.deadline - self.context.now,
+            remaining_s=min(call.deadline, self.latest_run_end_at)
+            - self.context.now,
             target_incarnation=clock.incarnation,
             target_tick=clock.tick,
             idempotent=call.idempotent,
--- a/rosemarycrank/calls/_client_requests.py
+++ b/rosemarycrank/calls/_client_requests.py
@@ -1,6 +1,7 @@
 """Entry of requests from clients and from the local upstream."""
 
 import itertools
+import math
 
 import attrs
 
@@ -55,12 +56,15 @@
         self.target_calls = target_calls
         self.entry_calls = entry_calls
         self.draining_ = False
+        self._calls_end_at = math.inf
         self.keyed_waiting_ = 0
         self._sequence = itertools.count(1)
         key_ledger.run = self._run_keyed
 
-    def start_drain(self):
+    def start_drain(self, times=None):
         self.draining_ = True
+        if times is not None:
+            self._calls_end_at = times.calls_end_at
 
     def is_idle(self):
         return self.keyed_waiting_ == 0
@@ -107,7 +111,7 @@
         bundle = self.bundle_holder.current
         if bundle is None:
             return results.Result.NO_BUNDLE
-        if self.draining_ and not request.token:
+        if self._is_refused_by_drain(request):
             return results.Result.LEAVING
         if (
             request.token
@@ -123,6 +127,12 @@
             return results.Result.KEY_REQUIRED
         return None
 
+    def _is_refused_by_drain(self, request):
+        if self.context.now >= self._calls_end_at:
+            return True
+        # Requests that run at the local upstream may need calls to finish.
+        return self.draining_ and not request.token
+
     def _dispatch(self, request):
         bundle = self.bundle_holder.current
         request_class = _classify(bundle, request)
--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -92,6 +92,17 @@
             self.attempt_timeout_s,
         )
 
+    def start_drain(self, times=None):
+        if times is not None:
+            self._sender.latest_run_end_at = times.runs_end_at
+
+    def end_drain(self):
+        """Answer all calls: as not run only if nothing was sent on."""
+        for call in list(self.calls_by_request_id_.values()):
+            self.context.count('entry.cut_off')
+            self._abandon_attempt(call)
+            self._finish_as_leaving(call)
+
     def is_idle(self):
         return not self.calls_by_request_id_
 
@@ -156,6 +167,9 @@
     # Attempts
 
     def _start_attempt(self, call):
+        if not self._sender.may_send():
+            self._finish_as_leaving(call)
+            return
         service = call.request.service
         targets = self.directory.targets(service)
         if not targets and self._discovery.is_pending(
@@ -258,6 +272,10 @@
             result = results.Result.DEADLINE_TOO_SHORT
         self._finish(call, kernel.Answer(result))
 
+    def _finish_as_leaving(self, call):
+        answer = _refusals.make_refusal(self.context, results.Result.LEAVING)
+        self._finish(call, answer)
+
     def _finish(self, call, answer):
         if call.done:
             return
--- a/rosemarycrank/calls/_target.py
+++ b/rosemarycrank/calls/_target.py
@@ -1,5 +1,7 @@
 """Target side of a call: refusals, admission and the local upstream."""
 
+import math
+
 import attrs
 
 from rosemarycrank import admission
@@ -91,6 +93,7 @@
             attempt_validity_s, max_cached_bytes
         )
         self._expiry_timer = None
+        self._latest_run_end_at = math.inf
 
     def attach(self, context):
         """Create the parts of the target side and start its timer."""
@@ -131,8 +134,24 @@
         """
         return self._running_by_token.get(token)
 
-    def start_drain(self):
+    def start_drain(self, times=None):
         self._upstream.start_drain()
+        if times is not None:
+            self._latest_run_end_at = times.runs_end_at
+            self.context.timers.after(
+                times.calls_end_at - self.context.now, self._refuse_all_queued
+            )
+
+    def end_drain(self):
+        """Refuse queued attempts, and report running ones as unknown."""
+        self._refuse_all_queued(self.context.now)
+        for token in list(self._running_by_token):
+            self.context.count('target.cut_off')
+            self.context.emit(kernel.UpstreamCancel(token))
+            self._end_run(
+                self._running_by_token.pop(token),
+                kernel.UpstreamAnswer(token, results.Result.ANSWER_LOST),
+            )
 
     def is_idle(self):
         return not self.accepted_by_attempt_id_
@@ -248,9 +267,8 @@
         now = self.context.now
         attempt.started_at = now
         self._running_by_token[attempt.token] = attempt
-        remaining_s = max(
-            MIN_UPSTREAM_TIMEOUT_S, attempt.ticket.deadline - now
-        )
+        deadline = min(attempt.ticket.deadline, self._latest_run_end_at)
+        remaining_s = max(MIN_UPSTREAM_TIMEOUT_S, deadline - now)
         message = attempt.message
         self.context.count('target.upstream_calls')
         self.context.emit(
@@ -270,9 +288,12 @@
         if attempt is None:
             self.context.count('target.late_upstream_answers')
             return
-        del self.accepted_by_attempt_id_[attempt.message.attempt_id]
         if self.cancel_nested is not None:
             self.cancel_nested(event.token)
+        self._end_run(attempt, event)
+
+    def _end_run(self, attempt, event):
+        del self.accepted_by_attempt_id_[attempt.message.attempt_id]
         self._replies.send_answer(attempt, event)
         sample = admission.Sample(
             latency_s=self.context.now - attempt.started_at,
@@ -311,6 +332,13 @@
             self._expiry_timer.cancel()
             self._expiry_timer = None
 
+    def _refuse_all_queued(self, now):
+        accepted = list(self.accepted_by_attempt_id_.values())
+        for attempt in accepted:
+            if attempt.started_at is None:
+                self.controller.withdraw(attempt.ticket, now)
+                self._refuse_queued(attempt.ticket, results.Result.LEAVING)
+
     def _refuse_queued(self, ticket, result):
         attempt = self.accepted_by_attempt_id_.pop(ticket.attempt_id)
         self._replies.send_refusal(attempt.sender, attempt.message, result)
--- a/rosemarycrank/kernel/__init__.py
+++ b/rosemarycrank/kernel/__init__.py
@@ -27,6 +27,7 @@
 ResetPeer = _effects.ResetPeer
 Send = _effects.Send
 SendFailed = _effects.SendFailed
+StopBegun = _effects.StopBegun
 StopNow = _effects.StopNow
 UpstreamAnnounced = _effects.UpstreamAnnounced
 UpstreamAnswer = _effects.UpstreamAnswer
@@ -59,6 +60,7 @@
     'ResetPeer',
     'Send',
     'SendFailed',
+    'StopBegun',
     'StopNow',
     'Timer',
     'Timers',
--- a/rosemarycrank/kernel/_effects.py
+++ b/rosemarycrank/kernel/_effects.py
@@ -217,6 +217,17 @@
     operation: object
 
 
+@attrs.frozen
+class StopBegun:
+    """A planned stop has begun.
+
+    ``exits_at`` is the latest time of `StopNow`, in seconds of the driver's
+    monotonic clock.
+    """
+
+    exits_at: float
+
+
 @attrs.frozen
 class StopNow:
     """Let the process exit: the planned stop is complete."""
--- a/rosemarycrank/kernel/_kernel.py
+++ b/rosemarycrank/kernel/_kernel.py
@@ -146,8 +146,20 @@
         """
         self.context = context
 
-    def start_drain(self):
-        """Begin a planned stop: refuse new work and finish what is running."""
+    def start_drain(self, times=None):
+        """Refuse new work and finish what is running.
+
+        Parameters
+        ----------
+        times : rosemarycrank.stop_times.StopTimes, optional
+            Times of the planned stop; None for a drain without an end.
+        """
+
+    def end_drain(self):
+        """Answer what is left at the end of a planned stop.
+
+        It may be called again for what has arrived since.
+        """
 
     def is_idle(self):
         """Return whether a planned stop may complete.
--- a/rosemarycrank/ledger/_claims.py
+++ b/rosemarycrank/ledger/_claims.py
@@ -7,6 +7,8 @@
 decision depends on a lease or on membership.
 """
 
+import math
+
 from rosemarycrank import kernel
 from rosemarycrank.ledger import _base
 from rosemarycrank.ledger import _claiming
@@ -121,6 +123,7 @@
         self._open_sends = set()
         self._has_issued_keys = False
         self._draining = False
+        self._exits_at = math.inf
         context.timers.every(_SWEEP_PERIOD_S, self._entries.remove_expired)
 
     def submit(self, request, finish):
@@ -177,16 +180,30 @@
             for _ in range(count)
         ]
 
-    def start_drain(self):
+    def start_drain(self, times=None):
         """Accept no new keys, and write the closing record at the end."""
         if not self._draining:
             self._draining = True
+            if times is not None:
+                self._exits_at = times.exits_at
+                self._forwarder.latest_run_end_at = times.runs_end_at
             self.context.timers.every(
                 _DRAIN_CHECK_PERIOD_S,
                 self._close_if_finished,
                 first_delay_s=0.0,
             )
 
+    def end_drain(self):
+        """Answer all sends as unknown, and write the closing record.
+
+        A key whose request runs has that outcome in the record.
+        """
+        self._local_owner.end_runs()
+        for send in list(self._open_sends):
+            self.context.count('ledger_cut_off')
+            send.cut_off(self.context)
+        self._close_if_finished(self.context.now)
+
     def is_idle(self):
         """Return whether the node may exit.
 
@@ -267,7 +284,7 @@
             _keys.key_hash(key),
             request,
             digest,
-            deadline,
+            min(deadline, self._exits_at),
             may_run=not self._draining,
             call_id=call_id,
         )
@@ -289,7 +306,9 @@
             return
         self._local_owner.closed = True
         if self._has_issued_keys or self._resolver.has_claimed_keys:
-            self._closing_writer.start(self._entries)
+            self._closing_writer.start(
+                self._entries, self._exits_at - self.context.now
+            )
         else:
             self._closing_writer.done = True
 
--- a/rosemarycrank/ledger/_closing.py
+++ b/rosemarycrank/ledger/_closing.py
@@ -8,6 +8,7 @@
 
 import enum
 import functools
+import math
 
 import attrs
 import msgspec
@@ -121,7 +122,7 @@
         self._operations = []
         self.done = False
 
-    def start(self, entries):
+    def start(self, entries, max_s=math.inf):
         """Start to write the record.
 
         Parameters
@@ -129,6 +130,9 @@
         entries : Entries
             Keys that this node owned. No request of theirs is running,
             and none may start.
+        max_s : float, default=math.inf
+            Seconds until the process exits; the write is given up then, if
+            its own time limit is not reached before.
         """
         shards = _to_shards(entries)
         row = msgspec.to_builtins(_ClosingRow(len(shards)))
@@ -142,7 +146,9 @@
         self._operations.append(
             table_service.TableWrite(TABLE, self._name, row, 0, self._write_id)
         )
-        self._context.timers.after(self._timeout_s, self._on_timeout)
+        self._context.timers.after(
+            max(0.0, min(self._timeout_s, max_s)), self._on_timeout
+        )
         self._execute_next()
 
     def _execute_next(self, _now=None):
--- a/rosemarycrank/ledger/_forwarding.py
+++ b/rosemarycrank/ledger/_forwarding.py
@@ -7,6 +7,7 @@
 """
 
 import functools
+import math
 
 import attrs
 
@@ -35,12 +36,18 @@
     resend_s : float
         Delay of the first resend, in seconds; it doubles with each
         resend, up to 2 s.
+
+    Attributes
+    ----------
+    latest_run_end_at : float
+        Latest deadline of forwarded calls, in seconds of the local clock.
     """
 
     def __init__(self, context, resend_s):
         self._context = context
         self._resend_s = resend_s
         self._by_call_id = {}
+        self.latest_run_end_at = math.inf
 
     def __len__(self):
         return len(self._by_call_id)
@@ -100,7 +107,8 @@
         if not call.send.is_open:
             self.abandon(call_id)
             return
-        remaining_s = call.send.deadline - self._context.now
+        deadline = min(call.send.deadline, self.latest_run_end_at)
+        remaining_s = deadline - self._context.now
         self._context.send(
             call.address, _to_message(call_id, call.send, remaining_s)
         )
--- a/rosemarycrank/ledger/_owner.py
+++ b/rosemarycrank/ledger/_owner.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from rosemarycrank import kernel
 from rosemarycrank.ledger import _entries
 from rosemarycrank import results
 
@@ -58,6 +59,14 @@
         else:
             self._run_or_refuse(entry, send)
 
+    def end_runs(self):
+        """End all running requests with an unknown outcome."""
+        for _, entry in list(self._entries.items()):
+            if entry.state is _State.RUNNING:
+                self._on_run_finished(
+                    entry, kernel.Answer(results.Result.ANSWER_LOST)
+                )
+
     def _join_running(self, entry, send):
         call_ids = (waiting.call_id for waiting in entry.waiting_sends)
         if send.call_id and send.call_id in call_ids:
--- a/rosemarycrank/ledger/_resolving.py
+++ b/rosemarycrank/ledger/_resolving.py
@@ -12,10 +12,10 @@
 
 from rosemarycrank.ledger import _closing
 from rosemarycrank.ledger import _entries
+from rosemarycrank.ledger import _sends
 from rosemarycrank import results
 
 _MAX_FORWARDS = 6
-_MIN_RETRY_AFTER_S = 1.0
 _MAX_CLOSING_READS = 3
 _CLOSING_RETRY_DELAY_S = 0.3
 
@@ -329,7 +329,4 @@
             send.finish(closed_key.answer(send.allowance))
 
     def _finish_with_result(self, send, result):
-        retry_after_s = _MIN_RETRY_AFTER_S * (
-            1.0 + self._context.random.random()
-        )
-        send.finish_with_result(result, retry_after_s)
+        send.finish_with_result(result, _sends.retry_after_s(self._context))
--- a/rosemarycrank/ledger/_sends.py
+++ b/rosemarycrank/ledger/_sends.py
@@ -13,6 +13,9 @@
 #: can give its own answer at the deadline.
 _DEADLINE_MARGIN_S = 0.05
 
+#: Minimum retry-after time, in seconds.
+_MIN_RETRY_AFTER_S = 1.0
+
 
 @attrs.define(eq=False)
 class Send:
@@ -115,9 +118,38 @@
             )
         )
 
+    def cut_off(self, context):
+        """Answer as unknown before the deadline, because the node exits.
+
+        Parameters
+        ----------
+        context : rosemarycrank.kernel.Context
+            Context of the kernel.
+        """
+        result = self.timeout_result
+        if result is results.Result.DEADLINE_PASSED:
+            result = results.Result.CLAIM_UNREADABLE
+        self.finish_with_result(result, retry_after_s(context))
+
     def drop(self):
         """End the send without an answer, because its duplicate gets one."""
         self.finish(None)
 
     def _on_timeout(self, _now):
         self.finish_with_result(self.timeout_result)
+
+
+def retry_after_s(context):
+    """Return a retry-after time with jitter.
+
+    Parameters
+    ----------
+    context : rosemarycrank.kernel.Context
+        Context whose random source adds the jitter.
+
+    Returns
+    -------
+    float
+        Retry-after time in seconds.
+    """
+    return _MIN_RETRY_AFTER_S * (1.0 + context.random.random())
--- a/rosemarycrank/node/_build.py
+++ b/rosemarycrank/node/_build.py
@@ -94,7 +94,9 @@
         entry_calls,
         key_ledger,
     )
-    lifecycle = calls.Lifecycle(directory, target_calls, drained_components)
+    lifecycle = calls.Lifecycle(
+        directory, target_calls, drained_components, settings.grace_s
+    )
     return kernel.Kernel(
         context,
         (
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -18,6 +18,7 @@
 from rosemarycrank.node import _transport
 from rosemarycrank.node import _upstream
 from rosemarycrank.node import _web
+from rosemarycrank import stop_times
 from rosemarycrank import table_service
 
 LOG = logging.getLogger(__name__)
@@ -25,9 +26,8 @@
 #: Maximum number of connections to the admin address.
 MAX_ADMIN_CONNECTIONS = 32
 
-#: Longest wait for open client connections when the process stops, in
-#: seconds.
-STOP_TIMEOUT_S = 2.0
+#: Share of the time for the exit in which the last responses are sent.
+RESPONSE_SHARE = 0.5
 
 
 class Node:
@@ -107,6 +107,7 @@
             MAX_ADMIN_CONNECTIONS,
             tls_context,
         )
+        self._respond_by = 0.0
         self._register_executors()
 
     @property
@@ -199,15 +200,25 @@
         self.post(kernel.DrainRequested(stop=True))
 
     def close(self):
-        """Stop all servers and tasks, and close all connections."""
-        self._client_server.stop(timeout=STOP_TIMEOUT_S)
-        self._admin_server.stop(timeout=STOP_TIMEOUT_S)
+        """Stop all servers and tasks, and close all connections.
+
+        After a planned stop, the connections are closed once all responses
+        are sent, if that is in time for the exit.
+        """
+        for server in (self._client_server, self._admin_server):
+            server.stop_after_responses(self._respond_by - time.monotonic())
         self._kernel_task.stop()
         self._platform.stop()
         self._upstream.stop()
         self._transport.stop()
         LOG.info('node stopped', extra={'address': self.settings.address})
 
+    def _on_stop_begun(self, effect):
+        self._respond_by = (
+            effect.exits_at
+            + stop_times.exit_margin_s(self.settings.grace_s) * RESPONSE_SHARE
+        )
+
     def _register_executors(self):
         task = self._kernel_task
         task.register_executor(kernel.Send, self._transport.send)
@@ -216,6 +227,7 @@
         task.register_executor(kernel.UpstreamCancel, self._upstream.cancel)
         task.register_executor(kernel.PlatformRequest, self._platform.request)
         task.register_executor(kernel.Reply, self._client_application.reply)
+        task.register_executor(kernel.StopBegun, self._on_stop_begun)
         task.register_executor(
             kernel.StopNow, lambda effect: self.stopped.set()
         )
--- a/rosemarycrank/node/_web.py
+++ b/rosemarycrank/node/_web.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import ssl as standard_ssl
+import time
 
 import gevent
 from gevent import pool
@@ -15,19 +16,32 @@
 #: Timeout of each read from a client, in seconds.
 READ_TIMEOUT_S = 60.0
 
+#: Interval at which a server that stops checks whether all responses are
+#: sent, in seconds.
+STOP_CHECK_PERIOD_S = 0.02
 
 #: Key of the connection's socket in the WSGI environment.
 SOCKET_KEY = 'rosemarycrank.socket'
 
 
 class _Handler(pywsgi.WSGIHandler):
-    """Handler that adds the connection's socket to the WSGI environment."""
+    """Handler that adds the connection's socket to the WSGI environment.
+
+    It counts the open requests of its server.
+    """
 
     def get_environ(self):
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    def handle_one_response(self):
+        self.server.open_requests_ += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.open_requests_ -= 1
+
 
 class Server(pywsgi.WSGIServer):
     """WSGI server for one application.
@@ -48,6 +62,8 @@
     ----------
     failed_handshakes_ : int
         Number of connections closed because their TLS handshake failed.
+    open_requests_ : int
+        Number of requests whose responses are not sent yet.
     """
 
     def __init__(
@@ -55,6 +71,7 @@
     ):
         host, _, port = address.rpartition(':')
         self.failed_handshakes_ = 0
+        self.open_requests_ = 0
         tls_parameters = {}
         if tls_context is not None:
             tls_parameters = {
@@ -88,6 +105,21 @@
         sock.settimeout(READ_TIMEOUT_S)
         super().handle(sock, address)
 
+    def stop_after_responses(self, max_s):
+        """Stop accepting, then close connections once responses are sent.
+
+        Parameters
+        ----------
+        max_s : float
+            Longest wait for the responses, in seconds.
+        """
+        self.close()
+        give_up_at = time.monotonic() + max_s
+        while self.open_requests_ and time.monotonic() < give_up_at:
+            gevent.sleep(STOP_CHECK_PERIOD_S)
+        # The connections that are left are idle or past the wait.
+        self.stop(timeout=0)
+
     def _handshake(self, tls_socket):
         """Return whether the peer completed the handshake in time."""
         # pywsgi sets no time limit: a peer that sends nothing would occupy
--- a/rosemarycrank/settings/_node.py
+++ b/rosemarycrank/settings/_node.py
@@ -65,6 +65,9 @@
         Maximum number of open connections of the HTTP server.
     max_body_bytes : int
         Maximum length of a request body, in bytes.
+    grace_s : float
+        Seconds from the stop signal until a supervisor kills the process.
+        The node answers all requests and exits within that time.
     log_level : str
         Minimum level of the log lines that are written.
     seed : int
@@ -92,6 +95,7 @@
     attempt_timeout_s: float = 0.5
     max_connections: int = 512
     max_body_bytes: int = 1_048_576
+    grace_s: float = 30.0
     log_level: str = 'INFO'
     seed: int = 0
 
@@ -123,6 +127,7 @@
         'max_body_bytes': _constraints.Interval(
             int, 1, 64 * 1024 * 1024, 'bytes'
         ),
+        'grace_s': _constraints.Interval(float, 1.0, 600.0, 's'),
         'log_level': _constraints.Options(LOG_LEVELS),
         'seed': _constraints.Interval(int, 0, MAX_SEED),
     }
--- a/tests/calls/network.py
+++ b/tests/calls/network.py
@@ -22,6 +22,7 @@
 
 MESSAGE_LATENCY_S = 0.001
 SERVICE_TIME_S = 0.010
+GRACE_S = 30.0
 BUNDLE = bundles.Bundle(
     name='test',
     version=1,
@@ -155,6 +156,7 @@
         upstream=None,
         controller=None,
         bundle=BUNDLE,
+        grace_s=GRACE_S,
         **target_parameters,
     ):
         """Start a node whose upstream serves a service.
@@ -182,7 +184,7 @@
         )
         requests = calls.ClientRequests(holder, key_ledger, target, entry)
         drained = (target, requests, entry)
-        lifecycle = calls.Lifecycle(directory, target, drained)
+        lifecycle = calls.Lifecycle(directory, target, drained, grace_s)
         node = kernel.Kernel(
             context, (directory, key_ledger, *drained, lifecycle)
         )
@@ -342,7 +344,9 @@
         """Drop all messages on a connection until it is replaced."""
         self.silent_connections.add((sender, destination))
 
-    def nested_call(self, address, token, service, path, on_answer):
+    def nested_call(
+        self, address, token, service, path, on_answer, method='GET', key=''
+    ):
         """Make a nested call from the upstream of a node through that node."""
         request_id = f'nested-{next(self._sequence)}'
         self._nested_callbacks[request_id] = on_answer
@@ -351,7 +355,14 @@
             lambda: self.deliver(
                 address,
                 kernel.ClientRequest(
-                    request_id, service, 'GET', path, {}, b'', token=token
+                    request_id,
+                    service,
+                    method,
+                    path,
+                    {},
+                    b'',
+                    key=key,
+                    token=token,
                 ),
             ),
         )
--- a/tests/ledger/machine.py
+++ b/tests/ledger/machine.py
@@ -111,6 +111,13 @@
         if node is not None:
             self.simulation.call_ledger(node, node.ledger.start_drain)
 
+    @stateful.rule(number=NUMBERS)
+    def end_drain(self, number):
+        node = self._node(number)
+        if node is not None:
+            self.simulation.call_ledger(node, node.ledger.start_drain)
+            self.simulation.call_ledger(node, node.ledger.end_drain)
+
     @stateful.rule()
     def exit_idle(self):
         for address, node in list(self.simulation.nodes_by_address.items()):
--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -7,10 +7,13 @@
 import pytest
 
 from rosemarycrank import results
+from rosemarycrank import stop_times
 from tests.ledger import world
 
 R = results.Result
 KEY = 'client-key'
+GRACE_S = 3.0
+CLOSING_S = 1.0
 
 
 def issue(simulation, node):
@@ -43,6 +46,13 @@
     simulation.crash(node.kernel.context.address)
 
 
+def begin_stop(simulation, node):
+    """Begin the planned stop of a node, and return its times."""
+    times = stop_times.plan(simulation.now, GRACE_S, closing_s=CLOSING_S)
+    simulation.call_ledger(node, node.ledger.start_drain, times)
+    return times
+
+
 def refuse_once(simulation, node, key):
     """Submit a request that the upstream refuses as not run."""
     sent = simulation.submit(node, key)
@@ -237,6 +247,61 @@
     assert nodes[0].ledger.is_idle()
 
 
+# Guards against a second run of a key whose run the end of a drain cut off.
+@pytest.mark.parametrize('issued', [False, True])
+def test_end_of_a_drain_leaves_what_runs_unknown(simulation, nodes, issued):
+    key = issue(simulation, nodes[0]) if issued else KEY
+    sent = simulation.submit(nodes[0], key, timeout_s=60.0)
+    simulation.deliver_all()
+    simulation.deliver_all()
+    assert len(simulation.open_runs()) == 1
+    begin_stop(simulation, nodes[0])
+    simulation.call_ledger(nodes[0], nodes[0].ledger.end_drain)
+    assert sent.answers[0].result is R.ANSWER_LOST
+    simulation.deliver_all()
+    simulation.deliver_all()
+    assert nodes[0].ledger.is_idle()
+    simulation.crash(nodes[0].kernel.context.address)
+    later = [simulation.submit(node, key) for node in nodes[1:]]
+    later.append(simulation.query(nodes[1], key))
+    assert set(settled_results(simulation, *later)) == {R.ANSWER_LOST}
+    assert len(simulation.runs) == 1
+
+
+# Guards against a send that waits for the table or another owner when the
+# process exits.
+def test_end_of_a_drain_answers_sends_that_wait(simulation, nodes):
+    other = issue(simulation, nodes[1])
+    sent = [
+        simulation.submit(nodes[0], KEY, timeout_s=60.0),
+        simulation.submit(nodes[0], other, timeout_s=60.0),
+    ]
+    begin_stop(simulation, nodes[0])
+    simulation.call_ledger(nodes[0], nodes[0].ledger.end_drain)
+    results_of_sends = [send.answers[0].result for send in sent]
+    assert results_of_sends == [R.CLAIM_UNREADABLE, R.OWNER_UNREACHABLE]
+    assert all(send.answers[0].retry_after_s > 0 for send in sent)
+
+
+# Guards against a closing record that is waited for after the grace period.
+def test_closing_record_is_given_up_before_the_exit(simulation, nodes):
+    issue(simulation, nodes[0])
+    times = begin_stop(simulation, nodes[0])
+    advance_with_platform_down(simulation, times.exits_at - simulation.now)
+    assert nodes[0].ledger.is_idle()
+
+
+# Guards against a deadline at the owner that is beyond the end of the drain.
+def test_send_that_a_stop_forwards_has_to_end_in_the_drain(simulation, nodes):
+    key = issue(simulation, nodes[1])
+    times = begin_stop(simulation, nodes[0])
+    simulation.submit(nodes[0], key, timeout_s=60.0)
+    ((_, _, message),) = simulation.messages
+    assert message.remaining_s == pytest.approx(
+        times.runs_end_at - simulation.now
+    )
+
+
 def test_late_copy_of_a_refused_call_does_not_run(simulation, nodes):
     """A duplicate of a call answered as not run must not run the request."""
     key = issue(simulation, nodes[0])
--- a/tests/ledger/test_machine.py
+++ b/tests/ledger/test_machine.py
@@ -10,6 +10,7 @@
 from hypothesis import stateful
 import pytest
 
+from rosemarycrank import kernel
 from rosemarycrank.ledger import _claiming
 from rosemarycrank.ledger import _claims
 from rosemarycrank.ledger import _closing
@@ -17,6 +18,7 @@
 from rosemarycrank.ledger import _owner
 from rosemarycrank.ledger import _resolving
 from rosemarycrank.ledger import _rows
+from rosemarycrank import results
 from tests.ledger import machine
 from tests.ledger import world
 
@@ -122,6 +124,18 @@
     monkeypatch.setattr(_claims.Claims, '_close_if_finished', close)
 
 
+def _report_cut_off_runs_as_not_run(monkeypatch):
+    """Take what runs at the end of a drain as not run."""
+    answer = kernel.Answer(results.Result.LEAVING)
+
+    def end_runs(owner):
+        for _, entry in list(owner._entries.items()):
+            if entry.state is _entries.State.RUNNING:
+                owner._on_run_finished(entry, answer)
+
+    monkeypatch.setattr(_owner.LocalOwner, 'end_runs', end_runs)
+
+
 def _lose_the_answer_to_a_claim(state):
     # Each node reads the row of the claim; the first one writes it.
     state.submit_everywhere(key=0)
@@ -172,6 +186,12 @@
     state.query(number=0, key=0)
 
 
+def _end_the_drain_and_query(state):
+    state.submit(number=0, key=0, body=b'body')
+    state.end_drain(number=0)
+    state.query(number=0, key=0)
+
+
 #: Safeguards that are removed, with the state machine that shows it and a
 #: sequence of its rules that always does.
 PLANTED_FAULTS = [
@@ -182,6 +202,7 @@
     (_run_late_copies, ISSUED_KEYS, _duplicate_messages),
     (_remove_entries_early, ISSUED_KEYS, _query_after_a_pause),
     (_close_without_waiting, ISSUED_KEYS, _drain_and_query),
+    (_report_cut_off_runs_as_not_run, ISSUED_KEYS, _end_the_drain_and_query),
 ]
 
 
--- a/tests/settings/test_loader.py
+++ b/tests/settings/test_loader.py
@@ -134,3 +134,10 @@
             isinstance(problem, settings.ProblemError)
             for problem in error.exceptions
         )
+
+
+# Guards against grace periods in which a node can't answer what is left.
+@pytest.mark.parametrize('value', [b'0.9', b'601', b'-1', b'never'])
+def test_grace_period_is_checked(value):
+    problems = problems_of(NODE + b'grace_s: ' + value + b'\n')
+    assert problems['grace_s'].allowed == 'a number from 1.0 to 600.0 s'
