Tell callers when to come back if the ledger refuses during a stop

What callers saw: a paid request that the stopping owner of its key refused with 302 had no Retry-After if another key was still running there; every other refusal of a stop has one.

Cause: the owner's refusals carry no retry-after time. The others come from the resolver or the call path, which add it.

Change: 302 from the owner has the resolver's jittered time. The other refusals of the owner are left as they are: they do not pass with time.

Result: test_refusal_during_a_stop_has_a_retry_after_time fails on the code before (0 s) and passes now, as does the rest of test_claims.py.

--- a/rosemarycrank/ledger/_owner.py
+++ b/rosemarycrank/ledger/_owner.py
@@ -6,6 +6,7 @@
 
 from rosemarycrank import kernel
 from rosemarycrank.ledger import _entries
+from rosemarycrank.ledger import _sends
 from rosemarycrank import results
 
 _State = _entries.State
@@ -85,7 +86,12 @@
             self._start(entry, send)
         else:
             _record_refused_call(entry, send)
-            send.finish_with_result(result)
+            send.finish_with_result(result, self._retry_after_s(result))
+
+    def _retry_after_s(self, result):
+        if result is results.Result.LEAVING:
+            return _sends.retry_after_s(self._context)
+        return 0.0
 
     def _refusal_result(self, entry, send):
         """Return the result code if the send must not run, else None."""
--- a/tests/ledger/test_claims.py
+++ b/tests/ledger/test_claims.py
@@ -302,6 +302,17 @@
     )
 
 
+# Guards against a refusal that does not say when to come back.
+def test_refusal_during_a_stop_has_a_retry_after_time(simulation, nodes):
+    refuse_once(simulation, nodes[0], 'refused')
+    simulation.submit(nodes[0], issue(simulation, nodes[0]))
+    assert len(simulation.open_runs()) == 1
+    begin_stop(simulation, nodes[0])
+    sent = simulation.submit(nodes[0], 'refused')
+    assert sent.answers[0].result is R.LEAVING
+    assert sent.answers[0].retry_after_s > 0
+
+
 def test_late_copy_of_a_refused_call_does_not_run(simulation, nodes):
     """A duplicate of a call answered as not run must not run the request."""
     key = issue(simulation, nodes[0])
