Close connections with each response while a node stops

What callers saw: a client that keeps its connection open sends the next request over it whenever it likes, also at the moment at which the stopped node exits; then the connection is closed without a response. From reading the code; not seen in a run.

Cause: responses during a planned stop kept their connections open, so the client did not learn that the node was leaving.

Change: from the beginning of the stop each response of the client server carries `Connection: close`, and the connection is closed. What remains is a connection that has been idle since before the stop.

Result: test_responses_during_a_stop_close_their_connections fails on the code before (the connection stays open until the test's timeout) and passes now, over HTTP/1.1 and HTTP/1.0 with keep-alive.

--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -218,6 +218,7 @@
             effect.exits_at
             + stop_times.exit_margin_s(self.settings.grace_s) * RESPONSE_SHARE
         )
+        self._client_server.closes_connections = True
 
     def _register_executors(self):
         task = self._kernel_task
--- a/rosemarycrank/node/_web.py
+++ b/rosemarycrank/node/_web.py
@@ -27,7 +27,8 @@
 class _Handler(pywsgi.WSGIHandler):
     """Handler that adds the connection's socket to the WSGI environment.
 
-    It counts the open requests of its server.
+    It counts the open requests of its server, and closes the connection after
+    a response if the server says so.
     """
 
     def get_environ(self):
@@ -42,6 +43,17 @@
         finally:
             self.server.open_requests_ -= 1
 
+    def finalize_headers(self):
+        super().finalize_headers()
+        if self.server.closes_connections:
+            self.close_connection = True
+            self.response_headers = [
+                (name, value)
+                for name, value in self.response_headers
+                if name.lower() != b'connection'
+            ]
+            self.response_headers.append((b'Connection', b'close'))
+
 
 class Server(pywsgi.WSGIServer):
     """WSGI server for one application.
@@ -60,6 +72,8 @@
 
     Attributes
     ----------
+    closes_connections : bool
+        Whether each response closes its connection.
     failed_handshakes_ : int
         Number of connections closed because their TLS handshake failed.
     open_requests_ : int
@@ -70,6 +84,7 @@
         self, address, application, max_connections, tls_context=None
     ):
         host, _, port = address.rpartition(':')
+        self.closes_connections = False
         self.failed_handshakes_ = 0
         self.open_requests_ = 0
         tls_parameters = {}
--- a/tests/node/test_stop.py
+++ b/tests/node/test_stop.py
@@ -1,7 +1,8 @@
 """Stop of the HTTP servers.
 
-The tests guard against responses that a stop cuts, and against an exit that
-waits for idle connections until the process is killed.
+The tests guard against responses that a stop cuts, against requests on
+connections that the exit is about to close, and against an exit that waits
+for idle connections until the process is killed.
 """
 
 import gevent
@@ -87,3 +88,24 @@
     assert connection.recv(4096).endswith(b'answer')
     server.stop_after_responses(2 * TIMEOUT_S)
     assert read_all(connection) == b''
+
+
+@pytest.mark.parametrize(
+    'request_bytes',
+    [
+        REQUEST,
+        REQUEST.replace(b'1.1', b'1.0').replace(
+            b'n\r\n', b'n\r\nConnection: keep-alive\r\n'
+        ),
+    ],
+)
+def test_responses_during_a_stop_close_their_connections(
+    server, application, connection, request_bytes
+):
+    server.closes_connections = True
+    application.may_answer.set()
+    connection.sendall(request_bytes)
+    response = read_all(connection)
+    assert response.endswith(b'answer')
+    assert response.lower().count(b'connection: close') == 1
+    assert b'keep-alive' not in response.lower()
