--- a/rosemarycrank/ledger/_owner.py
+++ b/rosemarycrank/ledger/_owner.py
@@ -4,7 +4,9 @@
 
 import attrs
 
+from rosemarycrank import kernel
 from rosemarycrank.ledger import _entries
+from rosemarycrank.ledger import _sends
 from rosemarycrank import results
 
 _State = _entries.State
@@ -58,6 +60,14 @@
         else:
             self._run_or_refuse(entry, send)
 
+    def end_runs(self):
+        """End all running requests with an unknown outcome."""
+        for _, entry in list(self._entries.items()):
+            if entry.state is _State.RUNNING:
+                self._on_run_finished(
+                    entry, kernel.Answer(results.Result.ANSWER_LOST)
+                )
+
     def _join_running(self, entry, send):
         call_ids = (waiting.call_id for waiting in entry.waiting_sends)
         if send.call_id and send.call_id in call_ids:
@@ -76,7 +86,12 @@
             self._start(entry, send)
         else:
             _record_refused_call(entry, send)
-            send.finish_with_result(result)
+            send.finish_with_result(result, self._retry_after_s(result))
+
+    def _retry_after_s(self, result):
+        if result is results.Result.LEAVING:
+            return _sends.retry_after_s(self._context)
+        return 0.0
 
     def _refusal_result(self, entry, send):
         """Return the result code if the send must not run, else None."""
