Let no byte follow lost ones in the soak's proxy

Cause: found by reading. Faults overlap: while one drops the bytes of a link, another may set the same link to pass again. Its open connections then went on with a gap, which TCP never delivers. Nodes would be blamed for frames that they cannot decode, or for mixed-up answers.

Change: after a lost byte a connection forwards nothing more in that direction, until `heal` resets it. Ruled out: a reset when the mode changes, since a silent connection is the fault that is meant.

Result: test_nothing_follows_lost_bytes fails on the code before (the byte after the gap arrives) and passes now.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -24,6 +24,9 @@
     listen, target : tuple of (str, int)
         Address to listen on, and address to forward connections to.
 
+    Bytes that follow lost ones on a connection are never forwarded, as TCP
+    delivers none after a gap.
+
     Attributes
     ----------
     forward, backward : str
@@ -38,16 +41,23 @@
         self.backward = 'pass'
         self.delay_s = 0.05
         self._socket_pairs = set()
+        self._has_lost_bytes = False
         self._server = gevent.server.StreamServer(
             listen, self._handle_connection
         )
         self._server.start()
 
+    @property
+    def address(self):
+        """Address on which the proxy listens, as (host, port)."""
+        return self._server.address
+
     def heal(self):
-        """Forward all bytes again; reset connections if bytes were dropped."""
+        """Forward all bytes again; reset connections if bytes were lost."""
         lossy = 'drop' in (self.forward, self.backward)
         self.forward = self.backward = 'pass'
-        if lossy:
+        if lossy or self._has_lost_bytes:
+            self._has_lost_bytes = False
             self.reset()
 
     def reset(self):
@@ -80,6 +90,7 @@
             sock.close()
 
     def _pump(self, source, sink, direction):
+        is_lossy = False
         while True:
             try:
                 data = source.recv(CHUNK_BYTES)
@@ -91,7 +102,8 @@
                 if not data:
                     sink.shutdown(socket.SHUT_WR)
                     return
-                if mode == 'drop':
+                if mode == 'drop' or is_lossy:
+                    is_lossy = self._has_lost_bytes = True
                     continue
                 sink.sendall(data)
             except OSError as error:
