Run two builds together in the soak

A fourth series restarts nodes by planned stop or kill, and each restart may switch the node's build in either direction, on the same store. All guarantees are checked as before; invalid frames, rows and configurations and unhandled errors in a node's log are violations of such a run. Violations name the time at which the request was sent, and the starts of a failed seed are kept with the build of each, so that a violation can be traced to a build.

A node that is started without its own working directory runs the build under test: test_node_runs_the_code_of_its_checkout fails then.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -4,11 +4,13 @@
 import collections
 import json
 import os
+import pathlib
 import signal
 import subprocess
 import sys
 import time
 
+import attrs
 import gevent
 from gevent import pywsgi
 import gevent.socket
@@ -28,6 +30,46 @@
 _REQUEST_ID_KEY = 'HTTP_X_ROSEMARYCRANK_REQUEST_ID'
 
 
+@attrs.frozen
+class Build:
+    """Checkout whose code a node runs.
+
+    Attributes
+    ----------
+    checkout : pathlib.Path
+        Root of the checkout.
+    python : str
+        Interpreter with the packages that the checkout needs.
+    """
+
+    checkout: pathlib.Path
+    python: str
+
+    @classmethod
+    def at(cls, checkout):
+        """Return the build of a checkout with a virtual environment.
+
+        Parameters
+        ----------
+        checkout : pathlib.Path
+            Root of the checkout; its environment is in ``.venv``.
+
+        Raises
+        ------
+        FileNotFoundError
+            If the checkout has no virtual environment.
+        """
+        checkout = checkout.resolve()
+        python = checkout / '.venv' / 'bin' / 'python'
+        if not python.is_file():
+            raise FileNotFoundError(f'{python} does not exist')
+        return cls(checkout, str(python))
+
+
+#: Build under test.
+OWN_BUILD = Build(pathlib.Path(__file__).parents[2], sys.executable)
+
+
 class Target:
     """Target that responds after `work_s` seconds and counts its runs."""
 
@@ -201,6 +243,10 @@
             'provider.address': self._store_server.bound_address,
         }
 
+    def choose_build(self, _ip):
+        """Return the build for the next start of a node."""
+        return OWN_BUILD
+
     def start(self, ip):
         """Start the node at an address."""
         path = self.directory / f'{ip}.conf'
@@ -209,9 +255,12 @@
                 f'{key}={value}\n' for key, value in self.settings(ip).items()
             )
         )
+        build = self.choose_build(ip)
         with open(self.directory / f'{ip}.log', 'ab') as log:
+            # The interpreter imports from its working directory first.
             self._processes_by_ip[ip] = subprocess.Popen(
-                [sys.executable, '-m', 'rosemarycrank.platform'],
+                [build.python, '-m', 'rosemarycrank.platform'],
+                cwd=build.checkout,
                 env=os.environ | {'ROSEMARYCRANK_CONFIG': str(path)},
                 stdout=log,
                 stderr=log,
--- a/tests/soak/place.py
+++ b/tests/soak/place.py
@@ -7,6 +7,7 @@
 import gevent.socket
 
 from tests.platform import deployment
+from tests.soak import builds
 from tests.soak import promises
 from tests.soak import proxy
 
@@ -163,9 +164,19 @@
         Service of each target.
     called_prefix_by_service : dict of str to str
         Path prefix that the targets of a service call.
+    seed : int, default=0
+        Seed of the choices between two builds.
+    other_build : Build, default=None
+        Build that a part of the nodes runs; None for the build under test
+        only.
 
     Attributes
     ----------
+    build_sequence : BuildSequence or None
+        Chooses the builds of the nodes; None without another build.
+    starts : list of (float, str, str, str)
+        Time of each start of a node, the word ``start`` as in the log of
+        faults, the address of the node, and the checkout of its build.
     requests : list of SentRequest
         All requests of clients.
     services_by_prefix : dict of str to set of str
@@ -178,9 +189,23 @@
 
     deadline_ms = 2500
 
-    def __init__(self, directory, prefix, services, called_prefix_by_service):
+    def __init__(
+        self,
+        directory,
+        prefix,
+        services,
+        called_prefix_by_service,
+        seed=0,
+        other_build=None,
+    ):
         self.called_prefix_by_service = called_prefix_by_service
         super().__init__(directory, prefix, services)
+        self.build_sequence = (
+            builds.BuildSequence(other_build, self.ips, seed)
+            if other_build is not None
+            else None
+        )
+        self.starts = []
         host, port = self._store_server.bound_address.rsplit(':', 1)
         self.store_proxies = {}
         self.peer_proxies = {}
@@ -205,6 +230,15 @@
             if target.service == service:
                 target.work_s = work_s
 
+    def choose_build(self, ip):
+        """Return the build for the next start of a node, and record it."""
+        build = super().choose_build(ip)
+        if self.build_sequence is not None:
+            build = self.build_sequence.next_build(ip)
+        now = round(gevent.get_hub().loop.now(), 2)
+        self.starts.append((now, 'start', ip, str(build.checkout)))
+        return build
+
     def settings(self, ip):
         """Return the settings of a node, with the addresses of its proxies."""
         return super().settings(ip) | {
@@ -287,6 +321,10 @@
                 violations.append(
                     f'drain: {late_ids[:3]} started at {ip} after its draining'
                 )
+        if self.build_sequence is not None:
+            for ip in self.ips:
+                log_path = self.directory / f'{ip}.log'
+                violations += builds.find_invalid_data(log_path)
         return violations
 
 
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -71,7 +71,10 @@
     list of str
         The violations, each with its kind before a colon.
     """
-    label = f'{request.request_id} ({request.prefix} at {request.ip})'
+    label = (
+        f'{request.request_id} ({request.prefix} at {request.ip}, '
+        f'sent {request.sent_at:.2f})'
+    )
     violations = []
     if request.status == 200:
         if not request.body.startswith(f'{request.request_id}@'):
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -1,14 +1,21 @@
 """Randomized soak test: real processes, injected faults, checked guarantees.
 
     python -m tests.soak.runner --seeds 1-50 [--seconds 8] [--planned]
+        [--other-build CHECKOUT]
 
 Each seed determines a plan of faults, injected by three concurrent series, so
 that they overlap. The exit status is 1 if a guarantee was violated in any
 seed; the logs of such a seed are kept.
+
+With ``--other-build`` a part of the nodes runs the code of another checkout,
+with the environment in its ``.venv``. A fourth series then restarts nodes, and
+each restart may switch the build of the node. Data that a node cannot decode
+counts as a violation in such a run.
 """
 
 import argparse
 import json
+import operator
 import pathlib
 import shutil
 import signal
@@ -17,6 +24,7 @@
 
 import gevent
 
+from tests.platform import deployment
 from tests.soak import place as soak_place
 
 #: Maximum seconds after the last fault until requests are served again.
@@ -77,6 +85,8 @@
         injectors = [
             gevent.spawn(self._inject_faults, until) for _ in range(3)
         ]
+        if cluster.build_sequence is not None:
+            injectors.append(gevent.spawn(self._restart_nodes, until))
         gevent.joinall(injectors, raise_error=True)
         gevent.joinall(clients, raise_error=True)
         cluster.heal()
@@ -113,6 +123,15 @@
             gevent.sleep(self.random.uniform(0.0, 0.8))
             self.random.choice(faults)(self.random.uniform(0.1, 2.5))
 
+    def _restart_nodes(self, until):
+        """Restart one node after the other, as in a rolling upgrade."""
+        restarts = [self._stop_node]
+        if not self.planned_only:
+            restarts.append(self._kill_node)
+        while gevent.get_hub().loop.now() < until:
+            gevent.sleep(self.random.uniform(0.0, 0.8))
+            self.random.choice(restarts)(self.random.uniform(0.1, 2.5))
+
     def _choose_node(self):
         """Return a node that no other fault disrupts now, or None."""
         undisrupted = [
@@ -240,7 +259,7 @@
         ]
 
 
-def run_seed(seed, directory, seconds, planned_only=False):
+def run_seed(seed, directory, seconds, planned_only=False, other_build=None):
     """Run one seed.
 
     Parameters
@@ -253,6 +272,8 @@
         Duration of the load and of the fault injection.
     planned_only : bool, default=False
         Whether only planned operations are injected.
+    other_build : Build, default=None
+        Build that a part of the nodes runs.
 
     Returns
     -------
@@ -261,7 +282,12 @@
     """
     prefix = f'127.3.{1 + seed % 250}'
     cluster = soak_place.ProxiedDeployment(
-        directory, prefix, SERVICES, CALLED_PREFIX_BY_SERVICE
+        directory,
+        prefix,
+        SERVICES,
+        CALLED_PREFIX_BY_SERVICE,
+        seed,
+        other_build,
     )
     soak = Soak(cluster, seed, seconds, planned_only)
     try:
@@ -284,6 +310,37 @@
         )
 
 
+def _parse_build(text):
+    try:
+        return deployment.Build.at(pathlib.Path(text))
+    except FileNotFoundError as error:
+        raise argparse.ArgumentTypeError(str(error)) from error
+
+
+def _summarize(seed, soak, violations):
+    """Return the figures of a seed for its line of output."""
+    requests = soak.cluster.requests
+    figures = {
+        'seed': seed,
+        'sent': len(requests),
+        'served': sum(request.status == 200 for request in requests),
+        'faults': len(soak.log),
+        'broken': violations[:5],
+    }
+    sequence = soak.cluster.build_sequence
+    if sequence is not None:
+        figures['upgrades'] = sequence.upgrades
+        figures['downgrades'] = sequence.downgrades
+    return figures
+
+
+def _write_findings(directory, soak, violations):
+    """Write the violations, and the faults and starts in order of time."""
+    events = sorted(soak.log + soak.cluster.starts, key=operator.itemgetter(0))
+    (directory / 'faults.json').write_text(json.dumps(events))
+    (directory / 'violations.json').write_text(json.dumps(violations))
+
+
 def main():
     """Run the seeds given on the command line."""
     _exit_on_signals()
@@ -291,31 +348,22 @@
     parser.add_argument('--seeds', type=_parse_seeds, default=range(1, 4))
     parser.add_argument('--seconds', type=float, default=8.0)
     parser.add_argument('--planned', action='store_true')
+    parser.add_argument('--other-build', type=_parse_build, metavar='CHECKOUT')
     options = parser.parse_args()
     failed_seeds = 0
     for seed in options.seeds:
         directory = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         violations, soak = run_seed(
-            seed, directory, options.seconds, options.planned
-        )
-        served = sum(
-            request.status == 200 for request in soak.cluster.requests
-        )
-        print(
-            json.dumps(
-                {
-                    'seed': seed,
-                    'sent': len(soak.cluster.requests),
-                    'served': served,
-                    'faults': len(soak.log),
-                    'broken': violations[:5],
-                }
-            ),
-            flush=True,
+            seed,
+            directory,
+            options.seconds,
+            options.planned,
+            options.other_build,
         )
+        print(json.dumps(_summarize(seed, soak, violations)), flush=True)
         if violations:
             failed_seeds += 1
-            (directory / 'faults.json').write_text(json.dumps(soak.log))
+            _write_findings(directory, soak, violations)
             print(f'logs of seed {seed}: {directory}', flush=True)
         else:
             shutil.rmtree(directory)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,7 +1,13 @@
 """Tests of the soak test's checks, and short seeded runs with processes."""
 
+import json
+import pathlib
+import sys
+
 import pytest
 
+from tests.platform import deployment
+from tests.soak import builds
 from tests.soak import promises
 from tests.soak import runner
 
@@ -93,6 +99,78 @@
     assert promises.runs_after_drain(run_starts, drain_acked_at=1.0) == ['c']
 
 
+def test_nodes_run_both_builds_and_switch_between_them():
+    other_build = deployment.Build(pathlib.Path('/other'), 'python')
+    both_builds = {deployment.OWN_BUILD, other_build}
+    for seed in range(20):
+        ips = [f'127.0.0.{n}' for n in range(1, 6)]
+        sequence = builds.BuildSequence(other_build, ips, seed)
+        assert {sequence.next_build(ip) for ip in ips} == both_builds
+        assert (sequence.upgrades, sequence.downgrades) == (0, 0)
+        ip = ips[0]
+        for _ in range(30):
+            previous = sequence.current_by_ip[ip]
+            upgrades, downgrades = sequence.upgrades, sequence.downgrades
+            build = sequence.next_build(ip)
+            assert sequence.current_by_ip[ip] is build
+            is_switched = build is not previous
+            is_upgrade = is_switched and build is deployment.OWN_BUILD
+            assert sequence.upgrades - upgrades == is_upgrade
+            assert sequence.downgrades - downgrades == (
+                is_switched and not is_upgrade
+            )
+        assert sequence.upgrades and sequence.downgrades
+
+
+@pytest.mark.parametrize(
+    'text, is_seen',
+    [
+        (json.dumps({'event': 'bad_frame', 'message': 'm'}), True),
+        (json.dumps({'event': 'row_invalid', 'message': 'm'}), True),
+        (json.dumps({'event': 'configuration_invalid', 'message': 'm'}), True),
+        (
+            json.dumps(
+                {'event': 'peer_lost', 'message': 'unreachable: bad frame: 1'}
+            ),
+            True,
+        ),
+        (
+            json.dumps(
+                {'event': 'peer_lost', 'message': 'unreachable: timed out'}
+            ),
+            False,
+        ),
+        ('Traceback (most recent call last):', True),
+        ('{"event": "bad_fr', False),
+        ('{"message": "m"}', False),
+    ],
+)
+def test_undecodable_data_is_seen_in_logs(tmp_path, text, is_seen):
+    log_path = tmp_path / '127.0.0.1.log'
+    log_path.write_text(f'{json.dumps({"event": "start"})}\n{text}\n')
+    expected = [f'undecodable: 127.0.0.1: {text}'] if is_seen else []
+    assert builds.find_invalid_data(log_path) == expected
+
+
+def test_node_runs_the_code_of_its_checkout(tmp_path):
+    """A node of another build imports nothing of the build under test."""
+    package = tmp_path / 'other' / 'rosemarycrank' / 'platform'
+    package.mkdir(parents=True)
+    (package.parent / '__init__.py').touch()
+    (package / '__init__.py').touch()
+    (package / '__main__.py').write_text('print("other build", flush=True)\n')
+    other_build = deployment.Build(tmp_path / 'other', sys.executable)
+    cluster = deployment.Deployment(tmp_path, '127.1.250', ['archive'])
+    cluster.choose_build = lambda ip: other_build
+    ip = cluster.ips[0]
+    try:
+        cluster.start(ip)
+        assert cluster.wait_for_exit(ip) == 0
+    finally:
+        cluster.close()
+    assert (tmp_path / f'{ip}.log').read_text() == 'other build\n'
+
+
 @pytest.mark.parametrize('seed', [1, *REGRESSIONS])
 def test_short_run(tmp_path, seed):
     """Random overlapping faults violate no guarantee."""
