Run two builds together in the demo

Cause: the soak covers the nodes of the platform only; that nodes of the product's own interface work with those of another build was shown by scripts that nobody kept.

The summary counts messages that nodes could not decode; one of them fails the demo. `Build` moves to `benchmarks/_builds.py`, which the soak uses as well, and folders of a process group are made absolute, since processes run in their checkout.

The tests of the demo, of addresses and of the stand-ins' processes pass.

--- a/benchmarks/_deployment.py
+++ b/benchmarks/_deployment.py
@@ -185,6 +185,16 @@
             lambda dump: dump['bundle']['version'] >= version
         )
 
+    def undecodable_messages(self):
+        """Return the number of messages that live nodes could not decode."""
+        return sum(
+            request(target.admin_address, 'GET', '/dump')[1]['transport'][
+                'undecodable'
+            ]
+            for target in self.targets
+            if target.node.exit_status is None
+        )
+
     def _sees_all_nodes(self, dump):
         membership = dump['membership']
         members = sorted(
--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -1,5 +1,6 @@
 """Starts, stops, kills and pauses the processes of a benchmark or test."""
 
+import collections
 import itertools
 import json
 import random
@@ -7,9 +8,10 @@
 import signal
 import socket
 import subprocess
-import sys
 import time
 
+from benchmarks import _builds
+
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 KILL_TIMEOUT_S = 10.0
@@ -79,6 +81,8 @@
         Command-line arguments of the module.
     folder : pathlib.Path
         Folder of the log file, to which standard error is written.
+    build : Build, default=OWN_BUILD
+        Build whose module is run.
 
     Attributes
     ----------
@@ -87,7 +91,9 @@
         empty until then.
     """
 
-    def __init__(self, name, module, arguments, folder):
+    def __init__(
+        self, name, module, arguments, folder, build=_builds.OWN_BUILD
+    ):
         self.name = name
         self.ready_line = {}
         self.log_path = folder / f'{name}.log'
@@ -95,7 +101,8 @@
             # In a new session the process does not receive the SIGINT of
             # the terminal's Ctrl-C: the parent stops its processes in order.
             self._popen = subprocess.Popen(
-                [sys.executable, '-m', module, *arguments],
+                [build.python, '-m', module, *arguments],
+                cwd=build.checkout,
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=log,
@@ -213,11 +220,16 @@
     ----------
     folder : pathlib.Path
         Folder of the log files.
+    other_build : Build, default=None
+        Build that every second process of a module runs; None to run one
+        build only.
     """
 
-    def __init__(self, folder):
-        self.folder = folder
+    def __init__(self, folder, other_build=None):
+        self.folder = folder.resolve()
         self.processes = []
+        self._other_build = other_build
+        self._counts_by_module = collections.Counter()
         self._previous_handlers = {}
         self._defers_signals = False
         self._deferred_signal = None
@@ -255,7 +267,8 @@
         # A signal handled after the process is started and before it is
         # added to the list would leave the process running.
         self._defers_signals = True
-        process = Process(name, module, list(arguments), self.folder)
+        build = self._next_build(module)
+        process = Process(name, module, list(arguments), self.folder, build)
         self.processes.append(process)
         self._defers_signals = False
         if self._deferred_signal is not None:
@@ -295,6 +308,12 @@
         for process in self.processes:
             process.wait(KILL_TIMEOUT_S)
 
+    def _next_build(self, module):
+        self._counts_by_module[module] += 1
+        if self._other_build and self._counts_by_module[module] % 2 == 0:
+            return self._other_build
+        return _builds.OWN_BUILD
+
     def _on_signal(self, signal_number, frame):
         if self._defers_signals:
             self._deferred_signal = signal_number
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -6,6 +6,9 @@
 Then it stops all processes gracefully and compares the outcomes that clients
 received with the runs that the upstreams recorded. The last line of the
 output is one JSON object.
+
+With ``--other-build`` every second node, and every second process of the
+other kinds, runs the code of another checkout, as during a rolling upgrade.
 """
 
 import json
@@ -20,6 +23,7 @@
 import msgspec
 import typer
 
+from benchmarks import _builds
 from benchmarks import _deployment
 from benchmarks import _operators
 from benchmarks import _processes
@@ -86,12 +90,20 @@
         Duration of the load, in seconds.
     seed : int
         Seed of the load; the seeds of the upstreams are derived from it.
+
+    Attributes
+    ----------
+    organisations : list of Organisation
+        The organisations with their deployments.
+    undecodable_messages : int
+        Messages that nodes could not decode, counted at the end of the load.
     """
 
     def __init__(self, processes, duration_s, seed):
         self.duration_s = duration_s
         self.seed = seed
         self.started_at = time.monotonic()
+        self.undecodable_messages = 0
         self._processes = processes
         self._folder = processes.folder
         self._operators = _operators.Operators(self._folder)
@@ -109,6 +121,10 @@
         """
         self._start_all()
         self._run_load_with_faults()
+        self.undecodable_messages = sum(
+            organisation.deployment.undecodable_messages()
+            for organisation in self.organisations
+        )
         self._stop_all()
         return self._check_outcomes()
 
@@ -306,6 +322,10 @@
     folder: typing.Annotated[
         pathlib.Path, typer.Option(help='folder for logs and records')
     ] = None,
+    other_build: typing.Annotated[
+        pathlib.Path,
+        typer.Option(help='checkout with an environment in .venv'),
+    ] = None,
     hold: typing.Annotated[
         bool, typer.Option(help='serve without load until Ctrl-C')
     ] = False,
@@ -316,7 +336,8 @@
     ) as temporary_folder:
         folder = folder or pathlib.Path(temporary_folder)
         folder.mkdir(parents=True, exist_ok=True)
-        with _processes.ProcessGroup(folder) as processes:
+        build = _builds.Build.at(other_build) if other_build else None
+        with _processes.ProcessGroup(folder, build) as processes:
             demo = Demo(processes, duration_s, seed)
             if hold:
                 demo.hold()
@@ -324,8 +345,10 @@
     _print_table(demo.organisations)
     for suspect in report.suspects:
         print(suspect)
-    print(json.dumps(_summarize(report)))
-    sys.exit(0 if report.passed else 1)
+    summary = _summarize(report)
+    summary['undecodable_messages'] = demo.undecodable_messages
+    print(json.dumps(summary))
+    sys.exit(0 if report.passed and not demo.undecodable_messages else 1)
 
 
 if __name__ == '__main__':
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -4,18 +4,16 @@
 import collections
 import json
 import os
-import pathlib
 import signal
 import subprocess
-import sys
 import time
 
-import attrs
 import gevent
 from gevent import pywsgi
 import gevent.socket
 import msgspec
 
+from benchmarks import _builds
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.platform import __main__ as node
@@ -30,46 +28,6 @@
 _REQUEST_ID_KEY = 'HTTP_X_ROSEMARYCRANK_REQUEST_ID'
 
 
-@attrs.frozen
-class Build:
-    """Checkout whose code a node runs.
-
-    Attributes
-    ----------
-    checkout : pathlib.Path
-        Root of the checkout.
-    python : str
-        Interpreter with the packages that the checkout needs.
-    """
-
-    checkout: pathlib.Path
-    python: str
-
-    @classmethod
-    def at(cls, checkout):
-        """Return the build of a checkout with a virtual environment.
-
-        Parameters
-        ----------
-        checkout : pathlib.Path
-            Root of the checkout; its environment is in ``.venv``.
-
-        Raises
-        ------
-        FileNotFoundError
-            If the checkout has no virtual environment.
-        """
-        checkout = checkout.resolve()
-        python = checkout / '.venv' / 'bin' / 'python'
-        if not python.is_file():
-            raise FileNotFoundError(f'{python} does not exist')
-        return cls(checkout, str(python))
-
-
-#: Build under test.
-OWN_BUILD = Build(pathlib.Path(__file__).parents[2], sys.executable)
-
-
 class Target:
     """Target that responds after `work_s` seconds and counts its runs."""
 
@@ -245,7 +203,7 @@
 
     def choose_build(self, _ip):
         """Return the build for the next start of a node."""
-        return OWN_BUILD
+        return _builds.OWN_BUILD
 
     def start(self, ip):
         """Start the node at an address."""
@@ -257,7 +215,6 @@
         )
         build = self.choose_build(ip)
         with open(self.directory / f'{ip}.log', 'ab') as log:
-            # The interpreter imports from its working directory first.
             self._processes_by_ip[ip] = subprocess.Popen(
                 [build.python, '-m', 'rosemarycrank.platform'],
                 cwd=build.checkout,
--- a/tests/soak/builds.py
+++ b/tests/soak/builds.py
@@ -3,7 +3,7 @@
 import json
 import random
 
-from tests.platform import deployment
+from benchmarks import _builds
 
 #: Probability that a node is restarted with the other one of the two builds.
 SWITCH_PROBABILITY = 0.8
@@ -56,7 +56,7 @@
             build = (
                 self.other_build
                 if ip in self._first_other_ips
-                else deployment.OWN_BUILD
+                else _builds.OWN_BUILD
             )
         elif self._random.random() < SWITCH_PROBABILITY:
             build = self._switch(previous)
@@ -66,11 +66,11 @@
         return build
 
     def _switch(self, previous):
-        if previous is deployment.OWN_BUILD:
+        if previous is _builds.OWN_BUILD:
             self.downgrades += 1
             return self.other_build
         self.upgrades += 1
-        return deployment.OWN_BUILD
+        return _builds.OWN_BUILD
 
 
 def find_invalid_data(log_path):
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -24,7 +24,7 @@
 
 import gevent
 
-from tests.platform import deployment
+from benchmarks import _builds
 from tests.soak import place as soak_place
 
 #: Maximum seconds after the last fault until requests are served again.
@@ -312,7 +312,7 @@
 
 def _parse_build(text):
     try:
-        return deployment.Build.at(pathlib.Path(text))
+        return _builds.Build.at(pathlib.Path(text))
     except FileNotFoundError as error:
         raise argparse.ArgumentTypeError(str(error)) from error
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from benchmarks import _builds
 from tests.platform import deployment
 from tests.soak import builds
 from tests.soak import promises
@@ -100,8 +101,8 @@
 
 
 def test_nodes_run_both_builds_and_switch_between_them():
-    other_build = deployment.Build(pathlib.Path('/other'), 'python')
-    both_builds = {deployment.OWN_BUILD, other_build}
+    other_build = _builds.Build(pathlib.Path('/other'), 'python')
+    both_builds = {_builds.OWN_BUILD, other_build}
     for seed in range(20):
         ips = [f'127.0.0.{n}' for n in range(1, 6)]
         sequence = builds.BuildSequence(other_build, ips, seed)
@@ -114,7 +115,7 @@
             build = sequence.next_build(ip)
             assert sequence.current_by_ip[ip] is build
             is_switched = build is not previous
-            is_upgrade = is_switched and build is deployment.OWN_BUILD
+            is_upgrade = is_switched and build is _builds.OWN_BUILD
             assert sequence.upgrades - upgrades == is_upgrade
             assert sequence.downgrades - downgrades == (
                 is_switched and not is_upgrade
@@ -159,7 +160,7 @@
     (package.parent / '__init__.py').touch()
     (package / '__init__.py').touch()
     (package / '__main__.py').write_text('print("other build", flush=True)\n')
-    other_build = deployment.Build(tmp_path / 'other', sys.executable)
+    other_build = _builds.Build(tmp_path / 'other', sys.executable)
     cluster = deployment.Deployment(tmp_path, '127.1.250', ['archive'])
     cluster.choose_build = lambda ip: other_build
     ip = cluster.ips[0]
