--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -73,6 +73,9 @@
         Service of the local target.
     grace_s : float
         Seconds from SIGTERM until the process is killed.
+    drain_s : float
+        Seconds for which a target serves after the node acknowledged that it
+        is leaving.
     budget : RetryBudgetSettings
         Limit on retries.
     targets_table : str
@@ -94,6 +97,7 @@
     target_address: tuple
     service: str
     grace_s: float
+    drain_s: float
     budget: _node.RetryBudgetSettings
     targets_table: str
     costs_table: str
@@ -170,7 +174,9 @@
         self.incarnation = rng.getrandbits(62)
         self.counters = _counters.Counters()
         self.costs = _costs.CallCosts(settings.service)
-        self.front = _front.AdmitByCost(self.costs, self._count_targets)
+        self.front = _front.AdmitByCost(
+            self.costs, lambda service: self.node.count_targets(service)
+        )
         self._stopped = gevent.event.Event()
         self.node = _node.Node(
             self.reactor,
@@ -194,6 +200,7 @@
             self.counters,
             self.costs,
             self.front,
+            settings.drain_s,
         )
         node.set_target_side(self.target_side)
         picker = _routes.ServicePicker(rng)
@@ -328,9 +335,6 @@
             ),
         )
 
-    def _count_targets(self, service):
-        return len(self.node.directory.ready_targets(service))
-
     def _is_costs_writer(self):
         """Return whether this node stores the costs of its service.
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 import logging
+import math
 
 import attrs
 
@@ -17,6 +18,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
 from rosemarycrank.dataplane import _pressure
+from rosemarycrank.dataplane import _run_limits
 
 #: Interval between checks for attempts past their deadlines, in seconds.
 SWEEP_INTERVAL_S = 0.05
@@ -33,11 +35,6 @@
 #: after it.
 CALLER_RETENTION_S = 120.0
 
-#: Time after the target announced that it is leaving in which attempts in the
-#: queue may still start, in seconds. The shortest drain period that
-#: deployments set is 2 s.
-LEAVING_START_TIMEOUT_S = 1.0
-
 #: Delay in the queue that one rank is worth, in seconds: an attempt precedes
 #: those of the next lower rank that arrived up to this much earlier. It
 #: exceeds the usual time in the queue, so that the most important attempts
@@ -149,6 +146,9 @@
         Estimates which calls the runs cause.
     front : FrontAdmission
         Source of the pressures on overloaded services.
+    drain_s : float, default=0.0
+        Seconds for which a target serves after the node acknowledged that it
+        is leaving.
 
     Attributes
     ----------
@@ -162,14 +162,16 @@
         Newest record of the local target; None until it has announced
         itself.
     stopping : bool
-        Whether the node is about to stop.
+        Whether the node is about to stop and accepts no more attempts.
     limit : ConcurrencyLimit
         Limit on the attempts that run at once.
     callers_by_incarnation : dict of int to Caller
         Calling nodes.
     """
 
-    def __init__(self, reactor, pool, names, counters, costs, front):
+    def __init__(
+        self, reactor, pool, names, counters, costs, front, drain_s=0.0
+    ):
         self.reactor = reactor
         self.pool = pool
         self.names = names
@@ -188,7 +190,7 @@
         self._waiting = []
         self._waiting_count = 0
         self._sequence = itertools.count()
-        self._leaving_since = None
+        self._run_limits = _run_limits.RunLimits(drain_s)
         self._last_run_at = reactor.now()
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
         reactor.timers.every(RATE_UPDATE_INTERVAL_S, self._update_rates)
@@ -208,15 +210,24 @@
             Newest record that the target announced.
         """
         known = self.record
-        if known is None or known.instance != record.instance:
-            self.limit.reset(record.slots)
-            self._leaving_since = None
-        elif known.born_ms != record.born_ms:
+        if known is None or _run_limits.is_new_start(record, known):
             self.limit.reset(record.slots)
-            self._leaving_since = None
         self.record = record
-        if record.state != _directory.READY and self._leaving_since is None:
-            self._leaving_since = self.reactor.now()
+        self._run_limits.update_target(record, known, self.reactor.now())
+        if record.state != _directory.READY:
+            # Other nodes learn of the leaving before they get attempts back.
+            self.reactor.call_soon(self._give_back_waiting)
+
+    def limit_run_end(self, runs_end_at):
+        """Accept and start only attempts that are expected to end in time.
+
+        Parameters
+        ----------
+        runs_end_at : float
+            Time by which runs have to end because the node stops, in seconds
+            of its clock.
+        """
+        self._run_limits.stop_node(runs_end_at)
 
     def caller(self, incarnation):
         """Return the state of a calling node; create it if needed."""
@@ -324,14 +335,18 @@
             return _frames.Reason.OTHER_TARGET
         if record.state != _directory.READY:
             return _frames.Reason.LEAVING
-        if len(self._running) < self.limit.value:
-            return None
-        priority_at = self._priority_at(attempt, now)
-        ahead = sum(1 for entry in self._waiting if entry[0] <= priority_at)
-        expected_s = self.limit.expected_wait_s(ahead)
-        expected_s += self.limit.min_remaining_s(attempt.route)
-        if now + expected_s > job.deadline_at:
-            return _frames.Reason.QUEUE_FULL
+        start_at = now
+        if len(self._running) >= self.limit.value:
+            priority_at = self._priority_at(attempt, now)
+            ahead = sum(
+                1 for entry in self._waiting if entry[0] <= priority_at
+            )
+            start_at += self.limit.expected_wait_s(ahead)
+            least_s = self.limit.min_remaining_s(attempt.route)
+            if start_at + least_s > job.deadline_at:
+                return _frames.Reason.QUEUE_FULL
+        if self._ends_too_late(job, start_at):
+            return _frames.Reason.LEAVING
         return None
 
     @staticmethod
@@ -477,32 +492,58 @@
             least_s = self.limit.min_remaining_s(job.attempt.route)
             if now + least_s > job.deadline_at:
                 self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
-            elif (
-                self._leaving_since is not None
-                and now > self._leaving_since + LEAVING_START_TIMEOUT_S
-            ):
+            elif self._ends_too_late(job, now):
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
                 self._start(job, now)
 
-    def _sweep(self, now):
-        starts_closed = (
-            self._leaving_since is not None
-            and now > self._leaving_since + LEAVING_START_TIMEOUT_S
+    def _ends_too_late(self, job, start_at):
+        """Return whether a run may outlast the target or its node.
+
+        Parameters
+        ----------
+        job : Job
+            The attempt.
+        start_at : float
+            Start of its run, in seconds of the node's clock.
+        """
+        limits = self._run_limits
+        return limits.runs_end_at != math.inf and not limits.allow(
+            start_at,
+            self.limit.long_service_s(job.attempt.route),
+            job.deadline_at,
         )
+
+    def _give_back_waiting(self):
+        """Give back the attempts in the queue that would end too late.
+
+        Their nodes send them elsewhere. This includes attempts that are
+        expected to start too late, so that most of their time is left.
+        """
+        if self._run_limits.runs_end_at == math.inf:
+            return
+        now = self.reactor.now()
+        ahead = 0
+        for _, _, job in sorted(self._waiting):
+            if job.result is not None:
+                continue
+            start_at = now + self.limit.expected_wait_s(ahead)
+            if self._ends_too_late(job, start_at):
+                self._waiting_count -= 1
+                self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
+            else:
+                ahead += 1
+
+    def _sweep(self, now):
+        self._give_back_waiting()
         if self._waiting_count:
             for _, _, job in list(self._waiting):
                 if job.result is not None:
                     continue
                 least_s = self.limit.min_remaining_s(job.attempt.route)
-                if starts_closed or now + least_s > job.deadline_at:
-                    reason = (
-                        _frames.Reason.LEAVING
-                        if starts_closed
-                        else _frames.Reason.QUEUE_EXPIRED
-                    )
+                if now + least_s > job.deadline_at:
                     self._waiting_count -= 1
-                    self._finish(job, _NOT_RUN, reason)
+                    self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
         elif self._waiting:
             self._waiting.clear()
         for job in list(self._running):
