Put a note of the soak's proxy above its parameters

Cause: test_docstrings_of_classes_match_the_signature[proxy.py] failed, since the note stood after the parameters and was read as one of them.

Result: the test fails before and passes now.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -19,14 +19,14 @@
 class Proxy:
     """Forwards TCP connections, with faults in either direction.
 
+    Bytes that follow lost ones on a connection are never forwarded, as TCP
+    delivers none after a gap.
+
     Parameters
     ----------
     listen, target : tuple of (str, int)
         Address to listen on, and address to forward connections to.
 
-    Bytes that follow lost ones on a connection are never forwarded, as TCP
-    delivers none after a gap.
-
     Attributes
     ----------
     forward, backward : str
