--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -6,7 +6,6 @@
 import os
 import signal
 import subprocess
-import sys
 import time
 
 import gevent
@@ -14,6 +13,7 @@
 import gevent.socket
 import msgspec
 
+from benchmarks import _builds
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.platform import __main__ as node
@@ -202,6 +202,10 @@
             'provider.address': self._store_server.bound_address,
         }
 
+    def choose_build(self, _ip):
+        """Return the build for the next start of a node."""
+        return _builds.OWN_BUILD
+
     def start(self, ip):
         """Start the node at an address."""
         path = self.directory / f'{ip}.conf'
@@ -210,9 +214,11 @@
                 f'{key}={value}\n' for key, value in self.settings(ip).items()
             )
         )
+        build = self.choose_build(ip)
         with open(self.directory / f'{ip}.log', 'ab') as log:
             self._processes_by_ip[ip] = subprocess.Popen(
-                [sys.executable, '-m', 'rosemarycrank.platform'],
+                [build.python, '-m', 'rosemarycrank.platform'],
+                cwd=build.checkout,
                 env=os.environ | {'ROSEMARYCRANK_CONFIG': str(path)},
                 stdout=log,
                 stderr=log,
