Count pauses of the soak's own process as pauses

Clients run in the process of the soak, so its own pauses made requests late.

Change: a greenlet records the times in which the process of the soak does not run; they extend the deadline of a request as pauses of its entry node do. The limit of 1.5 s stays, and so does every other check.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,11 +4,13 @@
 import pathlib
 import sys
 
+import gevent
 import pytest
 
 from benchmarks import _builds
 from tests.platform import deployment
 from tests.soak import builds
+from tests.soak import place
 from tests.soak import promises
 from tests.soak import runner
 
@@ -172,6 +174,25 @@
     assert (tmp_path / f'{ip}.log').read_text() == 'other build\n'
 
 
+# Guards against requests that count as late because the process of the soak,
+# which reads the answers, did not run.
+def test_pauses_of_the_soak_itself_are_recorded():
+    now = 0.0
+    delays_s = iter([0.0, 0.05, 1.6, 0.0])
+    pauses = []
+
+    def sleep(seconds):
+        nonlocal now
+        delay_s = next(delays_s, None)
+        if delay_s is None:
+            raise gevent.GreenletExit
+        now += seconds + delay_s
+
+    with pytest.raises(gevent.GreenletExit):
+        place.record_pauses(pauses, lambda: now, sleep)
+    assert [round(end - start, 6) for start, end in pauses] == [1.6]
+
+
 @pytest.mark.parametrize('seed', [1, *REGRESSIONS])
 def test_short_run(tmp_path, seed):
     """Random overlapping faults violate no guarantee."""
