Check deadlines of a stop against the end of its drain

test_late_call_has_to_end_before_the_drain and test_late_call_is_not_retried_beyond_its_latest_end computed the times of the stop without the time for the closing record. With a grace period of 6 s they allowed a deadline up to 5.5 s after the stop signal, while the drain ends after 4.1 s, so the first one passed with a deadline at the target that lies at the end of the drain. Both use the times of the node now.

--- a/tests/calls/test_stop_times.py
+++ b/tests/calls/test_stop_times.py
@@ -10,6 +10,7 @@
 
 from rosemarycrank import admission
 from rosemarycrank import bundles
+from rosemarycrank.calls import _lifecycle
 from rosemarycrank import kernel
 from rosemarycrank import results
 from rosemarycrank import stop_times
@@ -20,6 +21,10 @@
 GRACE_S = 6.0
 RUN_S = 3 * GRACE_S
 STOP_AT_S = 1.0
+
+#: Times of a stop that begins at `STOP_AT_S`.
+STOP_TIMES = stop_times.plan(STOP_AT_S, GRACE_S, _lifecycle.CLOSING_S)
+
 BUNDLE = attrs.evolve(
     network_module.BUNDLE,
     classes_by_name={
@@ -162,7 +167,8 @@
     stop.run(3.0)
     stop.upstream.call()
     stop.run(3.1)
-    assert 0 < remaining_s[0] < stop_times.max_drain_s(GRACE_S) - 3.0
+    latest_s = STOP_TIMES.runs_end_at - (STOP_AT_S + 3.0)
+    assert 0 < remaining_s[0] <= latest_s
 
 
 # Guards against retries that the drain cuts.
@@ -179,10 +185,9 @@
     stop.run(3.25)
     stop.upstream.call()
     stop.run(GRACE_S)
-    times = stop_times.plan(STOP_AT_S, GRACE_S)
     arrivals = [a for a in stop.network.arrivals if a.path == '/nested']
     assert len(arrivals) == 1
-    assert all(arrival.time < times.runs_end_at for arrival in arrivals)
+    assert arrivals[0].time < STOP_TIMES.runs_end_at
     assert len(stop.upstream.answers) == 1
 
 
