Name and explain parts of the planned stop and its tests

What stopped a reader: the function `retry_after_s` of the ledger had the name of the values that it draws, and the replaced result code of a cut-off send had no reason; `Request` of the state machine of stops listed no attributes, its constants did not say whose services and slots they are, and an upstream that refuses changed a recorded arrival without a word; the set of ports that were handed out stood among the constants; the requests of the process test were built by two nested loops in one expression, the test of two builds looped over its seeds, and `Build.at` did not say what it returns.

No behaviour changes. The twenty seeds of the test of two builds are parameters now, with the same checks.

--- a/benchmarks/_builds.py
+++ b/benchmarks/_builds.py
@@ -31,6 +31,11 @@
         checkout : pathlib.Path
             Root of the checkout; its environment is in ``.venv``.
 
+        Returns
+        -------
+        Build
+            Build that runs the checkout with the environment's interpreter.
+
         Raises
         ------
         FileNotFoundError
--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -16,10 +16,12 @@
 STOP_TIMEOUT_S = 20.0
 KILL_TIMEOUT_S = 10.0
 LISTEN_PORTS = range(12000, 32000)
-_issued_ports = set()
 _POLL_INTERVAL_S = 0.02
 _STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
+#: Ports that `free_addresses` has returned in this process.
+_issued_ports = set()
+
 
 class StartError(Exception):
     """A process ended, or did not report that it is ready in time."""
--- a/rosemarycrank/ledger/_owner.py
+++ b/rosemarycrank/ledger/_owner.py
@@ -90,7 +90,7 @@
 
     def _retry_after_s(self, result):
         if result is results.Result.LEAVING:
-            return _sends.retry_after_s(self._context)
+            return _sends.draw_retry_after_s(self._context)
         return 0.0
 
     def _refusal_result(self, entry, send):
--- a/rosemarycrank/ledger/_resolving.py
+++ b/rosemarycrank/ledger/_resolving.py
@@ -329,4 +329,6 @@
             send.finish(closed_key.answer(send.allowance))
 
     def _finish_with_result(self, send, result):
-        send.finish_with_result(result, _sends.retry_after_s(self._context))
+        send.finish_with_result(
+            result, _sends.draw_retry_after_s(self._context)
+        )
--- a/rosemarycrank/ledger/_sends.py
+++ b/rosemarycrank/ledger/_sends.py
@@ -128,8 +128,9 @@
         """
         result = self.timeout_result
         if result is results.Result.DEADLINE_PASSED:
+            # The deadline has not passed, and the outcome is not known.
             result = results.Result.CLAIM_UNREADABLE
-        self.finish_with_result(result, retry_after_s(context))
+        self.finish_with_result(result, draw_retry_after_s(context))
 
     def drop(self):
         """End the send without an answer, because its duplicate gets one."""
@@ -139,8 +140,8 @@
         self.finish_with_result(self.timeout_result)
 
 
-def retry_after_s(context):
-    """Return a retry-after time with jitter.
+def draw_retry_after_s(context):
+    """Return a retry-after time with random jitter.
 
     Parameters
     ----------
--- a/tests/calls/stop_machine.py
+++ b/tests/calls/stop_machine.py
@@ -14,13 +14,19 @@
 
 GRACE_S = 6.0
 ADDRESSES = ('n0:1', 'n1:1', 'n2:1')
+
+#: Service of the upstream of each node, in the order of their addresses.
 SERVICES = ('s', 's', 's1')
+
+#: Requests that an upstream runs at a time; others wait in the queue.
 SLOTS = 2
 
-#: Longest run in seconds; it outlasts the grace period, and so do deadlines.
+#: Longest run and deadline of all requests, in seconds. Both outlast the grace
+#: period.
 MAX_RUN_S = 3 * GRACE_S
 DEADLINE_S = 4 * GRACE_S
 
+CALLED_SERVICES = tuple(sorted(set(SERVICES)))
 BUNDLE = bundles.Bundle(
     name='stop',
     version=1,
@@ -29,14 +35,21 @@
             'read', rank=1, allowance=3, deadline_s=DEADLINE_S
         ),
         'paid': bundles.RequestClass(
-            'paid', 0, idempotent=False, allowance=3, deadline_s=DEADLINE_S
+            'paid',
+            rank=0,
+            idempotent=False,
+            allowance=3,
+            deadline_s=DEADLINE_S,
         ),
     },
     rules=(
-        *(bundles.Rule(s, 'paid', method='POST') for s in ('s', 's1')),
-        *(bundles.Rule(s, 'read') for s in ('s', 's1')),
+        *(
+            bundles.Rule(service, 'paid', method='POST')
+            for service in CALLED_SERVICES
+        ),
+        *(bundles.Rule(service, 'read') for service in CALLED_SERVICES),
     ),
-    services=('s', 's1'),
+    services=CALLED_SERVICES,
 )
 
 NUMBERS = strategies.integers(0, 1000)
@@ -55,7 +68,23 @@
 
 @attrs.define(eq=False)
 class Request:
-    """A request that a node has accepted; ``ending`` is that of its runs."""
+    """A request that was sent to a node.
+
+    Attributes
+    ----------
+    address : str
+        Node that received it.
+    incarnation : int
+        Incarnation of that node.
+    method, path : str
+        Method, and path that no other request has.
+    run_s : float
+        Duration of its runs, in seconds.
+    ending : Result
+        Result of its runs.
+    answers : list of Answer
+        Answers to a call of an upstream; unused for requests of clients.
+    """
 
     address: str
     incarnation: int
@@ -96,6 +125,7 @@
     def _run_upstream(self, network, address, call):
         request = self.requests_by_path[call.path]
         if request.ending is results.Result.UPSTREAM_REFUSED:
+            # It does not count as a run.
             network.arrivals[-1].started = False
         incarnation = self._incarnation(address)
         self.running.append((address, incarnation, call.token))
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -26,6 +26,7 @@
 ANSWER_TIMEOUT_S = 30.0
 DEADLINE_S = 120.0
 
+#: Services of the example ``oficina`` whose nodes are called and stopped.
 CALLED, STOPPING = 'cuotas', 'registro-socios'
 
 
@@ -164,6 +165,18 @@
     executor.shutdown(wait=False)
 
 
+def _submit_requests(executor, node, path):
+    """Send an idempotent and a paid request; return their futures."""
+    key = f'key-{node.plan.service}'
+    return [
+        executor.submit(_send, node.http_address, method, path, None, headers)
+        for method, headers in (
+            ('GET', {}),
+            ('POST', {'Idempotency-Key': key}),
+        )
+    ]
+
+
 def _supervise(process):
     """Stop a process, kill it after the grace period; return its status."""
     process.terminate()
@@ -188,15 +201,8 @@
 ):
     called, stopping = targets
     early = [
-        executor.submit(_send, node.http_address, method, path, None, headers)
-        for node, path in (
-            (stopping, f'/call/{CALLED}/early'),
-            (called, f'/call/{STOPPING}/early'),
-        )
-        for method, headers in (
-            ('GET', {}),
-            ('POST', {'Idempotency-Key': f'key-{node.plan.service}'}),
-        )
+        *_submit_requests(executor, stopping, f'/call/{CALLED}/early'),
+        *_submit_requests(executor, called, f'/call/{STOPPING}/early'),
     ]
     called.upstream.wait_for_requests(2)
     stopping.upstream.wait_for_requests(2)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -102,27 +102,28 @@
     assert promises.runs_after_drain(run_starts, drain_acked_at=1.0) == ['c']
 
 
-def test_nodes_run_both_builds_and_switch_between_them():
+# Guards against a deployment of two builds in which one of them does not run.
+@pytest.mark.parametrize('seed', range(20))
+def test_nodes_run_both_builds_and_switch_between_them(seed):
     other_build = _builds.Build(pathlib.Path('/other'), 'python')
     both_builds = {_builds.OWN_BUILD, other_build}
-    for seed in range(20):
-        ips = [f'127.0.0.{n}' for n in range(1, 6)]
-        sequence = builds.BuildSequence(other_build, ips, seed)
-        assert {sequence.next_build(ip) for ip in ips} == both_builds
-        assert (sequence.upgrades, sequence.downgrades) == (0, 0)
-        ip = ips[0]
-        for _ in range(30):
-            previous = sequence.current_by_ip[ip]
-            upgrades, downgrades = sequence.upgrades, sequence.downgrades
-            build = sequence.next_build(ip)
-            assert sequence.current_by_ip[ip] is build
-            is_switched = build is not previous
-            is_upgrade = is_switched and build is _builds.OWN_BUILD
-            assert sequence.upgrades - upgrades == is_upgrade
-            assert sequence.downgrades - downgrades == (
-                is_switched and not is_upgrade
-            )
-        assert sequence.upgrades and sequence.downgrades
+    ips = [f'127.0.0.{n}' for n in range(1, 6)]
+    sequence = builds.BuildSequence(other_build, ips, seed)
+    assert {sequence.next_build(ip) for ip in ips} == both_builds
+    assert (sequence.upgrades, sequence.downgrades) == (0, 0)
+    ip = ips[0]
+    for _ in range(30):
+        previous = sequence.current_by_ip[ip]
+        upgrades, downgrades = sequence.upgrades, sequence.downgrades
+        build = sequence.next_build(ip)
+        assert sequence.current_by_ip[ip] is build
+        is_switched = build is not previous
+        is_upgrade = is_switched and build is _builds.OWN_BUILD
+        assert sequence.upgrades - upgrades == is_upgrade
+        assert sequence.downgrades - downgrades == (
+            is_switched and not is_upgrade
+        )
+    assert sequence.upgrades and sequence.downgrades
 
 
 @pytest.mark.parametrize(
