Split the construction of a node process

Parts move into functions of their own. Everything is created in the same order, and nothing behaves differently.

--- a/rosemarycrank/node/_build.py
+++ b/rosemarycrank/node/_build.py
@@ -69,18 +69,8 @@
         controller=kernel.create('admission', settings.admission),
         bundle_holder=bundle_holder,
     )
-    entry_calls = calls.EntryCalls(
-        directory=directory,
-        balancer=kernel.create(
-            'balancing',
-            settings.balancing,
-            failure_domain=settings.failure_domain,
-            random=context.random,
-        ),
-        budget=kernel.create('retry', settings.retry),
-        bundle_holder=bundle_holder,
-        target_calls=target_calls,
-        attempt_timeout_s=settings.attempt_timeout_s,
+    entry_calls = _create_entry_calls(
+        settings, context, directory, bundle_holder, target_calls
     )
     client_requests = calls.ClientRequests(
         bundle_holder=bundle_holder,
@@ -109,3 +99,22 @@
             lifecycle,
         ),
     )
+
+
+def _create_entry_calls(
+    settings, context, directory, bundle_holder, target_calls
+):
+    balancer = kernel.create(
+        'balancing',
+        settings.balancing,
+        failure_domain=settings.failure_domain,
+        random=context.random,
+    )
+    return calls.EntryCalls(
+        directory=directory,
+        balancer=balancer,
+        budget=kernel.create('retry', settings.retry),
+        bundle_holder=bundle_holder,
+        target_calls=target_calls,
+        attempt_timeout_s=settings.attempt_timeout_s,
+    )
--- a/rosemarycrank/node/_process.py
+++ b/rosemarycrank/node/_process.py
@@ -68,12 +68,7 @@
             self.post,
         )
         self._upstream = _upstream.UpstreamTask(self.post)
-        platform_client = None
-        if settings.platform_url:
-            platform_client = table_service.HttpPlatform(settings.platform_url)
-        self._platform = _platform_task.PlatformTask(
-            platform_client, self.post
-        )
+        self._platform = self._create_platform_task()
         key_ledger = next(
             component
             for component in self.kernel.components
@@ -85,28 +80,20 @@
             key_ledger,
             settings.max_body_bytes,
         )
-        tls_context = None
-        if settings.tls_certificate_file or settings.tls_key_file:
-            tls_context = _web.server_tls_context(
-                settings.tls_certificate_file, settings.tls_key_file
-            )
+        tls_context = self._load_tls_context()
         self._client_server = _web.Server(
             settings.http_address,
             self._client_application.wsgi,
             settings.max_connections,
             tls_context,
         )
-        operator_tokens = ()
-        if settings.operator_token_file:
-            operator_tokens = http_client.read_tokens(
-                settings.operator_token_file
-            )
         self._admin_server = _web.Server(
             settings.admin_address,
-            _admin.AdminApplication(self, operator_tokens).wsgi,
+            _admin.AdminApplication(self, self._read_operator_tokens()).wsgi,
             MAX_ADMIN_CONNECTIONS,
             tls_context,
         )
+        # Without a planned stop, `close` does not wait for responses.
         self._respond_by = 0.0
         self._register_executors()
 
@@ -213,6 +200,28 @@
         self._transport.stop()
         LOG.info('node stopped', extra={'address': self.settings.address})
 
+    def _create_platform_task(self):
+        platform_client = None
+        if self.settings.platform_url:
+            platform_client = table_service.HttpPlatform(
+                self.settings.platform_url
+            )
+        return _platform_task.PlatformTask(platform_client, self.post)
+
+    def _load_tls_context(self):
+        """Return the TLS context of the servers; None without TLS."""
+        settings = self.settings
+        if not (settings.tls_certificate_file or settings.tls_key_file):
+            return None
+        return _web.server_tls_context(
+            settings.tls_certificate_file, settings.tls_key_file
+        )
+
+    def _read_operator_tokens(self):
+        if not self.settings.operator_token_file:
+            return ()
+        return http_client.read_tokens(self.settings.operator_token_file)
+
     def _on_stop_begun(self, effect):
         self._respond_by = (
             effect.exits_at
