Log clients that leave, lost calling nodes and pauses of the event loop

client_left has the request, its age, the attempt in flight and whether there was a connection over which it could be cancelled; caller_lost and caller_connected have the number of unfinished attempts; held_up has the seconds.

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import logging
 
 from rosemarycrank.dataplane import _attempts
 from rosemarycrank.dataplane import _exchange
@@ -11,6 +12,8 @@
 #: Seconds between checks for requests whose deadline has passed.
 SWEEP_INTERVAL_S = 0.02
 
+_LOG = logging.getLogger(__name__)
+
 
 class EntrySide:
     """Routes requests, has them sent to targets and writes the responses.
@@ -213,10 +216,29 @@
         if exchange.response is not None:
             return
         self.counters.cancelled += 1
+        self._log_client_left(exchange)
         self._attempts.cancel(exchange)
         exchange.response = b''
         self._finish(exchange, 0)
 
+    def _log_client_left(self, exchange):
+        is_in_flight = exchange.attempt_number != 0
+        _LOG.info(
+            'client closed its connection before the response',
+            extra={
+                'event': 'client_left',
+                'request_id': exchange.request_id,
+                'route': exchange.route.name if exchange.route else '',
+                'from_target': exchange.from_target,
+                'waited_s': round(
+                    self.node.reactor.now() - exchange.arrived_at, 4
+                ),
+                'tried': exchange.tried_nodes,
+                'attempt': exchange.attempt_number,
+                'peer_connected': is_in_flight and exchange.peer.connected,
+            },
+        )
+
     def end_all(self):
         """Answer all requests in flight, as the node is about to exit."""
         for _, _, exchange in list(self._deadline_heap):
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -63,8 +63,7 @@
         self.node.inbound_connections.discard(self)
         caller = self.caller
         if caller is not None and caller.generation == self._generation:
-            caller.send = None
-            caller.lost_at = self.node.reactor.now()
+            self.node.target_side.lose_caller(caller, self.address)
 
     def close(self, reset=True):
         """Close the connection.
@@ -120,6 +119,6 @@
                 connection.close()
         self.caller = caller
         self._generation = caller.generation = hello.generation
-        caller.send = self.notify
+        self.node.target_side.restore_caller(caller, self.address, self.notify)
         self.notify(self.node.hello(0))
         self.node.receive_hello(hello, self)
--- a/rosemarycrank/dataplane/_local_peer.py
+++ b/rosemarycrank/dataplane/_local_peer.py
@@ -15,7 +15,7 @@
     def __init__(self, target_side, caller):
         self.target_side = target_side
         self.caller = caller
-        self.reachable = self.responsive = True
+        self.reachable = self.responsive = self.connected = True
         self.sent_since_load = 0
         self._on_result_by_number = {}
         caller.send = self._deliver_result
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -90,6 +90,11 @@
         """Number of attempts without a result."""
         return len(self._pending_by_number)
 
+    @property
+    def connected(self):
+        """Whether there is a connection with a complete handshake."""
+        return self._connection is not None and self._connection.is_ready
+
     @property
     def responsive(self):
         """Whether the peer is reachable and owes no answer for long."""
@@ -140,9 +145,8 @@
 
     def notify(self, frame):
         """Send a notification if the peer is connected."""
-        connection = self._connection
-        if connection is not None and connection.is_ready:
-            connection.stream.write(_frames.encode(frame))
+        if self.connected:
+            self._connection.stream.write(_frames.encode(frame))
 
     def close(self):
         """Close the connection."""
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -18,6 +18,10 @@
 #: Interval at which the timer service runs; the resolution of time-outs.
 TICK_INTERVAL_S = 0.01
 
+#: Delay of a tick above which the event loop counts as held up. A process
+#: that was stopped or short of processor time finds input that is as old.
+HELD_UP_S = 0.25
+
 #: Maximum number of bytes that one read from a socket returns.
 MAX_READ_BYTES = 65536
 
@@ -70,8 +74,16 @@
         self.loop.run_callback(callback)
 
     def _tick(self):
+        now = time.monotonic()
+        late_s = now - self.timers.now - TICK_INTERVAL_S
+        if late_s > HELD_UP_S:
+            _LOG.warning(
+                'event loop was held up for %.3f s',
+                late_s,
+                extra={'event': 'held_up', 'held_up_s': round(late_s, 3)},
+            )
         try:
-            self.timers.advance(time.monotonic())
+            self.timers.advance(now)
         except Exception:
             _LOG.exception('timer callback failed')
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -109,6 +109,11 @@
         self.jobs_by_number = {}
         self.discarded_below = 0
 
+    @property
+    def unfinished_count(self):
+        """Number of its attempts without a result."""
+        return sum(job.result is None for job in self.jobs_by_number.values())
+
     def discard_results_before(self, oldest):
         """Discard the results of attempts that the sender has received.
 
@@ -237,6 +242,46 @@
             self.callers_by_incarnation[incarnation] = caller
         return caller
 
+    def lose_caller(self, caller, address):
+        """Record that the connection of a calling node was lost.
+
+        Parameters
+        ----------
+        caller : Caller
+            State of that node.
+        address : str
+            Address of that node, for the log.
+        """
+        caller.send = None
+        caller.lost_at = self.reactor.now()
+        self._log_caller('caller_lost', 'lost', caller, address)
+
+    def restore_caller(self, caller, address, send):
+        """Record that a calling node has connected.
+
+        Parameters
+        ----------
+        caller : Caller
+            State of that node.
+        address : str
+            Address of that node, for the log.
+        send : callable
+            Sends a result to the node.
+        """
+        caller.send = send
+        self._log_caller('caller_connected', 'opened', caller, address)
+
+    @staticmethod
+    def _log_caller(event, verb, caller, address):
+        unfinished = caller.unfinished_count
+        if unfinished:
+            _LOG.info(
+                'connection of calling node %s %s with unfinished attempts',
+                address,
+                verb,
+                extra={'event': event, 'unfinished': unfinished},
+            )
+
     def load(self):
         """Return the `Load` of the target, as reported to other nodes."""
         return _frames.Load(
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -75,6 +75,7 @@
         self.sent = []
         self.cancelled = []
         self.reachable = True
+        self.connected = True
         self.answers_late = False
         self.leaving = False
         self.load = None
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -317,6 +317,20 @@
     assert entry.in_flight == 0
 
 
+def test_line_of_a_client_that_left_says_where_its_attempt_is(
+    node, entry, send, caplog
+):
+    exchange = send()
+    (peer,) = node.peers_by_node.values()
+    peer.connected = False
+    with caplog.at_level(logging.INFO):
+        entry.abandon(exchange)
+    (line,) = [r for r in caplog.records if r.event == 'client_left']
+    assert line.request_id == b'r1'
+    assert line.attempt == 1
+    assert not line.peer_connected
+
+
 def test_leaving_and_unreachable_nodes_are_not_chosen(node, send):
     node.peer('n1').leaving = True
     node.peer('n2').reachable = False
--- a/tests/dataplane/test_reactor.py
+++ b/tests/dataplane/test_reactor.py
@@ -1,6 +1,8 @@
 """Streams over real sockets."""
 
+import logging
 import socket
+import time
 
 import gevent
 import pytest
@@ -59,3 +61,16 @@
     assert stream.unsent_bytes > 0
     assert _read_to_the_end(reader) == RESPONSE
     assert stream.unsent_bytes == 0
+
+
+def test_time_for_which_the_loop_was_held_up_is_logged(caplog):
+    _reactor.Reactor()
+    gevent.sleep(0.05)
+    # Blocks the loop, as a stop of the process does.
+    time.sleep(_reactor.HELD_UP_S + 0.1)
+    with caplog.at_level(logging.WARNING):
+        gevent.sleep(0.05)
+    # Reactors of earlier tests share the loop.
+    lines = [r for r in caplog.records if r.event == 'held_up']
+    assert lines
+    assert all(line.held_up_s >= _reactor.HELD_UP_S for line in lines)
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -1,5 +1,7 @@
 """Admission, queueing and runs of attempts at the local target."""
 
+import logging
+
 import pytest
 
 from rosemarycrank.dataplane import _costs
@@ -176,6 +178,18 @@
     assert pool.calls[0].aborted
 
 
+def test_lost_connection_of_a_calling_node_is_logged_with_its_attempts(
+    side, caller, caplog
+):
+    for number in (1, 2, 3):
+        side.accept(caller, fakes.attempt(number))
+    with caplog.at_level(logging.INFO):
+        side.lose_caller(caller, 'n2')
+        side.restore_caller(caller, 'n2', lambda _result: None)
+    lines = [(r.event, r.unfinished) for r in caplog.records]
+    assert lines == [('caller_lost', 3), ('caller_connected', 3)]
+
+
 def test_attempt_past_its_deadline_is_aborted_at_the_target(
     side, caller, pool, results, reactor
 ):
