Show that cancellations are lost with the connection between two nodes

Runs of 8 s are cancelled after 0.5 s, in virtual time, with the connection to the target's node unbroken, reset, silent in both directions or in one, 0, 2 and 20 ms before; with the link cut for 0.6 to 3 s; down a chain of two calls; in the queue; and under random faults in twelve seeds.

--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -89,11 +89,15 @@
         Address of the target's node.
     ended : bool
         Whether the run has ended.
+    aborted_at : float or None
+        Virtual time at which the target's node aborted it; None if it has
+        not.
     """
 
     request_id: bytes
     target_address: str
     ended: bool = False
+    aborted_at: float | None = None
 
 
 class Simulation:
@@ -122,6 +126,10 @@
         Nodes to which new connections stay without an answer.
     runs : list of Run
         Runs of all targets, in order.
+    service_s : float or None
+        Duration of each run in seconds; None for random ones.
+    on_run_start, on_run_abort : callable or None
+        Called with each `Run` that starts or is aborted.
     """
 
     def __init__(self, reactor, seed, target_addresses):
@@ -133,6 +141,9 @@
         self.cut_addresses = set()
         self._paused_until_by_address = {}
         self.runs = []
+        self.service_s = None
+        self.on_run_start = None
+        self.on_run_abort = None
         self.entry = self._new_node(ENTRY)
         self.targets_by_address = {}
         self._last_due_at = 0.0
@@ -265,18 +276,21 @@
     def __init__(self, simulation, address):
         self._simulation = simulation
         self._address = address
-        self._aborted = False
+        self._run = None
 
     def start(self, request_id, _data, _without_body, on_answer):
-        run = Run(request_id, self._address)
-        self._simulation.runs.append(run)
-        service_s = (
-            MIN_SERVICE_S + SERVICE_RANGE_S * self._simulation.random.random()
-        )
+        simulation = self._simulation
+        run = self._run = Run(request_id, self._address)
+        simulation.runs.append(run)
+        service_s = simulation.service_s
+        if service_s is None:
+            service_s = (
+                MIN_SERVICE_S + SERVICE_RANGE_S * simulation.random.random()
+            )
 
         def finish(_now):
             run.ended = True
-            if not self._aborted:
+            if run.aborted_at is None:
                 on_answer(
                     _upstream.Answer(
                         _frames.Outcome.COMPLETE,
@@ -287,7 +301,11 @@
                     )
                 )
 
-        self._simulation.reactor.timers.after(service_s, finish)
+        simulation.reactor.timers.after(service_s, finish)
+        if simulation.on_run_start is not None:
+            simulation.on_run_start(run)
 
     def abort(self):
-        self._aborted = True
+        self._run.aborted_at = self._simulation.reactor.now()
+        if self._simulation.on_run_abort is not None:
+            self._simulation.on_run_abort(self._run)
--- /dev/null
+++ b/tests/dataplane/test_cancellation.py
@@ -0,0 +1,210 @@
+"""Cancelled attempts end at the target's node, whatever was lost meanwhile."""
+
+import random
+
+import attrs
+import pytest
+
+from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _peer_connection
+from tests.dataplane import fakes
+from tests.dataplane import simulation as simulations
+
+FIRST = '10.0.0.2:7000'
+SECOND = '10.0.0.3:7000'
+
+#: Duration of each run, in seconds; far longer than a test waits.
+SERVICE_S = 8.0
+
+#: Time in which a run has to end after its cancellation, in seconds, from
+#: the moment at which the two nodes can exchange frames.
+END_BOUND_S = 0.5
+
+#: Time in which a connection that has gone silent is replaced, in seconds: a
+#: ping after the silence, its time-out, and the checks in between.
+REPLACEMENT_S = (
+    _peer_connection.ACTIVE_PING_INTERVAL_S
+    + _peer_connection.PING_TIMEOUT_S
+    + 2 * _node.PEER_CHECK_INTERVAL_S
+)
+
+
+@pytest.fixture
+def make_simulation(patch_connections, reactor):
+    def make(seed=1):
+        simulation = simulations.Simulation(reactor, seed, [FIRST, SECOND])
+        simulation.service_s = SERVICE_S
+        return patch_connections(simulation)
+
+    return make
+
+
+@attrs.define(eq=False)
+class _Sent:
+    """An attempt that was sent by a node to another one."""
+
+    peer: object
+    number: int
+    request_id: bytes
+    idempotent: bool
+    cancelled_at: float | None = None
+
+    def cancel(self, now):
+        self.cancelled_at = now
+        self.peer.cancel(self.number)
+
+
+def _send(sender, address, idempotent=True):
+    sender.last_attempt_number += 1
+    number = sender.last_attempt_number
+    sent = _Sent(
+        sender.peer(address),
+        number,
+        b'%b/%d' % (address.encode(), number),
+        idempotent,
+    )
+    attempt = fakes.attempt(
+        number,
+        instance=f'i-{address}',
+        remaining_ms=int(SERVICE_S * 1000.0),
+        idempotent=idempotent,
+        request_id=sent.request_id,
+    )
+    sent.peer.send(attempt, lambda _result: None)
+    return sent
+
+
+def _has_ended(simulation, sent):
+    return all(
+        run.ended or run.aborted_at is not None
+        for run in simulation.runs
+        if run.request_id == sent.request_id
+    )
+
+
+# Guards against runs that go on after their cancellation: the frame was not
+# sent while the connection was being replaced, and not repeated when it was
+# lost with the connection.
+@pytest.mark.parametrize('before_s', [0.0, 0.002, 0.02])
+@pytest.mark.parametrize('idempotent', [True, False])
+@pytest.mark.parametrize('fault_kind', ['none', 'reset', 'silent', 'one_way'])
+def test_run_ends_after_its_cancellation_over_a_broken_connection(
+    make_simulation, reactor, fault_kind, before_s, idempotent
+):
+    simulation = make_simulation()
+    sent = _send(simulation.entry, FIRST, idempotent)
+    reactor.run(0.5, 0.001)
+    if fault_kind != 'none':
+        simulation.break_connections(fault_kind)
+    reactor.run(before_s, 0.001)
+    sent.cancel(reactor.now())
+    is_silent = fault_kind in ('silent', 'one_way')
+    reactor.run(END_BOUND_S + is_silent * REPLACEMENT_S, 0.001)
+    assert simulation.count_runs(sent.request_id) == 1
+    assert _has_ended(simulation, sent)
+
+
+# Guards against the same loss when the link itself is cut: the attempt is
+# given up as unreachable, or cancelled meanwhile, and goes on after it heals.
+@pytest.mark.parametrize('cut_s', [0.6, 1.2, 3.0])
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_run_ends_once_the_link_to_its_node_is_restored(
+    make_simulation, reactor, cut_s, idempotent
+):
+    simulation = make_simulation()
+    sent = _send(simulation.entry, FIRST, idempotent)
+    reactor.run(0.5, 0.001)
+    simulation.cut_off('silent', FIRST)
+    reactor.run(0.1, 0.01)
+    sent.cancel(reactor.now())
+    reactor.run(cut_s, 0.01)
+    simulation.cut_addresses.clear()
+    reactor.run(4.0, 0.01)
+    assert _has_ended(simulation, sent)
+
+
+# Guards against a loss further down: the run is aborted, and the cancellation
+# of the call that it has made is lost.
+@pytest.mark.parametrize('address', [FIRST, SECOND])
+@pytest.mark.parametrize('fault_kind', ['reset', 'silent'])
+def test_calls_of_a_cancelled_run_end_too(
+    make_simulation, reactor, fault_kind, address
+):
+    simulation = make_simulation()
+    calls = []
+
+    def call_second(run):
+        if run.target_address == FIRST:
+            node = simulation.targets_by_address[FIRST]
+            calls.append(_send(node, SECOND))
+
+    def cancel_calls(run):
+        if run.target_address == FIRST:
+            for call in calls:
+                call.cancel(reactor.now())
+
+    simulation.on_run_start = call_second
+    simulation.on_run_abort = cancel_calls
+    sent = _send(simulation.entry, FIRST)
+    reactor.run(0.5, 0.001)
+    simulation.break_connections(fault_kind, address)
+    sent.cancel(reactor.now())
+    reactor.run(REPLACEMENT_S + 2 * END_BOUND_S, 0.001)
+    assert len(simulation.runs) == 2
+    assert all(_has_ended(simulation, item) for item in [sent, *calls])
+
+
+# Guards against the same loss in the queue: the attempt starts when its turn
+# comes, long after its client has left.
+def test_cancelled_attempt_in_the_queue_does_not_start_after_a_reset(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    node = simulation.targets_by_address[FIRST]
+    node.target_side.limit.value = 1
+    simulation.service_s = 1.0
+    _send(simulation.entry, FIRST)
+    queued = _send(simulation.entry, FIRST)
+    reactor.run(0.3, 0.001)
+    simulation.break_connections('reset')
+    queued.cancel(reactor.now())
+    reactor.run(2.0, 0.01)
+    assert simulation.count_runs(queued.request_id) == 0
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_no_run_outlives_its_cancellation_under_random_faults(
+    make_simulation, reactor, seed
+):
+    simulation = make_simulation(seed)
+    source = random.Random(seed)
+    sent_attempts = []
+    for _ in range(120):
+        if source.random() < 0.7:
+            address = source.choice([FIRST, SECOND])
+            idempotent = source.random() < 0.5
+            sent_attempts.append(_send(simulation.entry, address, idempotent))
+        open_attempts = [s for s in sent_attempts if s.cancelled_at is None]
+        if open_attempts and source.random() < 0.5:
+            source.choice(open_attempts).cancel(reactor.now())
+        fault = source.random()
+        address = source.choice([FIRST, SECOND])
+        if fault < 0.08:
+            kind = source.choice(['reset', 'silent', 'one_way'])
+            simulation.break_connections(kind, address)
+        elif fault < 0.10:
+            simulation.restart(address)
+        elif fault < 0.12:
+            simulation.cut_off('silent', address)
+        elif fault < 0.16:
+            simulation.cut_addresses.clear()
+        reactor.run(0.03, 0.005)
+    simulation.cut_addresses.clear()
+    # Reconnections back off for up to 2 s.
+    reactor.run(4.0, 0.01)
+    running = [
+        sent.request_id
+        for sent in sent_attempts
+        if sent.cancelled_at is not None and not _has_ended(simulation, sent)
+    ]
+    assert running == []
