Repeat cancellations until the target's node has confirmed them

Cause: a cancellation was sent once, and only if a connection was ready at that moment. While a connection is replaced, after a reset or a silence, it was forgotten; a frame on a connection that broke was lost. On the new connection only pending attempts are sent again, and the target's node keeps those of a caller that reconnects, so nothing told it which are no longer wanted. The same happened to idempotent attempts that are given up as their node is unreachable. Class of fault: a state is sent as a single event, and two nodes that reconnect do not compare it.

Change: cancelled numbers are kept per peer until a ping that follows them on the same connection is answered, and sent again with each handshake. A peer with unconfirmed cancellations is pinged and reconnected like one with pending attempts. A new process of the peer clears them. The frames are unchanged, so earlier builds understand them.

--- a/rosemarycrank/dataplane/_peer_connection.py
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -178,6 +178,7 @@
             self.node.configuration_version(), self.peer.oldest_pending()
         )
         self.stream.write(_frames.encode(ping))
+        self.peer.ping_sent()
 
     def _check_ping_answer(self, now):
         waited_s = now - self.last_ping_at
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -6,12 +6,14 @@
 recognises those that it already has by their numbers. An outcome is unknown
 only if the other process has ended, or if the new connection fails too and
 the attempt is idempotent. Other attempts stay pending until the node is
-reachable again.
+reachable again. Cancellations are sent again too, until the other node has
+confirmed them.
 """
 
 import errno
 import logging
 
+from rosemarycrank.dataplane import _cancellations
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _peer_connection
 from rosemarycrank.dataplane import _pending_attempts
@@ -81,6 +83,7 @@
         self._connection = None
         self._generation = 0
         self._pending_by_number = {}
+        self._cancellations = _cancellations.UnconfirmedCancellations()
         self._last_attempt_at = 0.0
         self._reconnect_at = 0.0
         self._reconnect_delay_s = MIN_RECONNECT_DELAY_S
@@ -141,6 +144,7 @@
         """Cancel an attempt; its result is ignored."""
         pending = self._pending_by_number.pop(number, None)
         if pending is not None and pending.sent_to_incarnation:
+            self._cancellations.add(number)
             self.notify(_frames.Cancel(number))
 
     def notify(self, frame):
@@ -175,20 +179,20 @@
         if self.leaving and now > self._leaving_since + LEAVING_EXPIRY_S:
             self.leaving = False
         connection = self._connection
-        has_pending = bool(self._pending_by_number)
+        needs_peer = self._needs_peer
         idle_s = now - self._last_attempt_at
         if connection is None:
             if now >= self._reconnect_at and (
-                has_pending or not self.reachable
+                needs_peer or not self.reachable
             ):
                 self._connect()
         elif connection.awaits_answer:
             connection.check_answer(now)
-        elif not has_pending and idle_s > IDLE_TIMEOUT_S:
+        elif not needs_peer and idle_s > IDLE_TIMEOUT_S:
             self.close()
         else:
             connection.ping_if_due(
-                now, is_active=has_pending or idle_s < ACTIVE_PERIOD_S
+                now, is_active=needs_peer or idle_s < ACTIVE_PERIOD_S
             )
 
     def mark_leaving(self):
@@ -224,6 +228,9 @@
         for pending in list(self._pending_by_number.values()):
             result = pending.result_without_peer(process_ended)
             if result is not None:
+                if pending.sent_to_incarnation:
+                    # It may still be queued or run there.
+                    self._cancellations.add(pending.number)
                 self._finish(pending, result)
 
     def replace_connection(self):
@@ -244,7 +251,7 @@
         if connection is not None and connection.is_ready and not self.leaving:
             # The process may still run; a new connection will show it.
             self.close()
-            if self._pending_by_number:
+            if self._needs_peer:
                 self._connect()
             return
         self.leaving = False
@@ -261,7 +268,7 @@
         """Handle the peer's answer to the handshake.
 
         Pending attempts are sent, or sent again; those at an earlier process
-        of the peer are finished.
+        of the peer are finished. Unconfirmed cancellations are sent again.
 
         Parameters
         ----------
@@ -279,6 +286,8 @@
         if self.incarnation != hello.incarnation:
             self.leaving = False
             self.incarnation = hello.incarnation
+            self._cancellations.clear()
+        self._repeat_cancellations()
         self.node.receive_hello(hello, self)
         for pending in list(self._pending_by_number.values()):
             if pending.sent_to_incarnation not in (0, hello.incarnation):
@@ -287,6 +296,10 @@
                 pending.sent_to_incarnation = hello.incarnation
                 self._connection.stream.write(pending.data)
 
+    def ping_sent(self):
+        """Record that a ping was sent over the connection."""
+        self._cancellations.ping_sent()
+
     def handle_result(self, result, now):
         """Handle the result of an attempt.
 
@@ -314,6 +327,7 @@
             Time of receipt, in seconds of the node's clock.
         """
         if isinstance(frame, _frames.Pong):
+            self._cancellations.pong_received()
             if frame.load is not None:
                 self._update_load(frame.load, now)
             self.node.request_newer_configuration(
@@ -322,7 +336,26 @@
         else:
             self.node.receive_notification(frame, self)
 
+    @property
+    def _needs_peer(self):
+        """Whether results or confirmations of the peer are awaited."""
+        return bool(self._pending_by_number or self._cancellations)
+
+    def _repeat_cancellations(self):
+        if not self._cancellations:
+            return
+        numbers = list(self._cancellations)
+        _LOG.info(
+            'repeating %d cancellations at peer %s',
+            len(numbers),
+            self.address,
+            extra={'event': 'cancellations_repeated', 'count': len(numbers)},
+        )
+        for number in numbers:
+            self.notify(_frames.Cancel(number))
+
     def _connect(self):
+        self._cancellations.connection_opened()
         self._generation += 1
         self._connection = _peer_connection.PeerConnection(
             self, self._generation
--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -162,8 +162,13 @@
     def restart(self, address):
         """Replace the process of a target's node by a new one.
 
-        It has the configuration of the old one, as if it had read the store.
+        The end of the old one closes its connections, those to the target
+        too. The new one has the configuration of the old one, as if it had
+        read the store.
         """
+        for run in self.runs:
+            if run.target_address == address and run.aborted_at is None:
+                run.aborted_at = self.reactor.now()
         for endpoint in self._take_links(address):
             endpoint.remote.close(reset=True)
         previous = self.targets_by_address.get(address)
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from rosemarycrank.dataplane import _cancellations
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _peer_connection
 from tests.dataplane import fakes
@@ -208,3 +209,37 @@
         if sent.cancelled_at is not None and not _has_ended(simulation, sent)
     ]
     assert running == []
+
+
+def test_pong_confirms_only_cancellations_sent_before_its_ping():
+    unconfirmed = _cancellations.UnconfirmedCancellations()
+    unconfirmed.add(1)
+    unconfirmed.ping_sent()
+    unconfirmed.add(2)
+    unconfirmed.ping_sent()
+    unconfirmed.add(3)
+    unconfirmed.pong_received()
+    assert list(unconfirmed) == [2, 3]
+    unconfirmed.pong_received()
+    assert list(unconfirmed) == [3]
+    unconfirmed.pong_received()
+    assert list(unconfirmed) == [3]
+
+
+def test_pong_confirms_nothing_of_an_earlier_connection():
+    unconfirmed = _cancellations.UnconfirmedCancellations()
+    unconfirmed.add(1)
+    unconfirmed.ping_sent()
+    unconfirmed.connection_opened()
+    unconfirmed.pong_received()
+    assert list(unconfirmed) == [1]
+
+
+def test_confirmed_cancellations_are_not_kept(make_simulation, reactor):
+    simulation = make_simulation()
+    sent_attempts = [_send(simulation.entry, FIRST) for _ in range(20)]
+    reactor.run(0.5, 0.01)
+    for sent in sent_attempts:
+        sent.cancel(reactor.now())
+    reactor.run(3.0, 0.01)
+    assert not simulation.entry.peer(FIRST)._cancellations
