Start no attempt after a pause before its cancellation has been read

Cause: when the process of a target's node has not run for a while, its sockets hold attempts and, behind them or on a connection that has replaced the first, their cancellations. The node started each attempt as it read it, up to its limit. Class of fault: old input is acted upon before all of it is read.

Change: after more than 0.25 s without a timer, attempts are queued for 0.05 s, in which sockets are read and callers reconnect; then the queue starts as usual.

Evidence: test_attempt_cancelled_during_a_pause_does_not_start failed before.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -17,6 +17,7 @@
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
+from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _pressure
 from rosemarycrank.dataplane import _run_limits
 
@@ -197,6 +198,7 @@
         self._sequence = itertools.count()
         self._run_limits = _run_limits.RunLimits(drain_s)
         self._last_run_at = reactor.now()
+        self._pauses = _pauses.PauseDetector(reactor.now())
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
         reactor.timers.every(RATE_UPDATE_INTERVAL_S, self._update_rates)
         reactor.timers.every(
@@ -332,7 +334,7 @@
         reason = self._refusal_reason(attempt, job, now)
         if reason is not None:
             self._finish(job, _NOT_RUN, reason)
-        elif len(self._running) < self.limit.value:
+        elif self._may_start(now):
             self._start(job, now)
         else:
             priority_at = self._priority_at(attempt, now)
@@ -341,6 +343,12 @@
             )
             self._waiting_count += 1
 
+    def _may_start(self, now):
+        """Return whether one more attempt may start now."""
+        return len(
+            self._running
+        ) < self.limit.value and self._pauses.is_settled(now)
+
     def cancel(self, caller, number):
         """Cancel an attempt at the request of its sender."""
         job = caller.jobs_by_number.get(number)
@@ -531,7 +539,7 @@
     def _start_waiting(self):
         waiting = self._waiting
         now = self.reactor.now()
-        while waiting and len(self._running) < self.limit.value:
+        while waiting and self._may_start(now):
             _, _, job = heapq.heappop(waiting)
             if job.result is not None:
                 continue
@@ -599,6 +607,7 @@
                 ahead += 1
 
     def _sweep(self, now):
+        self._pauses.tick(now)
         self._give_back_waiting()
         if self._waiting_count:
             for _, _, job in list(self._waiting):
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -9,6 +9,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _target
 from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
@@ -166,6 +167,25 @@
     assert pool.calls[1].request_id == b'r2'
 
 
+# Guards against attempts that are sent on long after their cancellation: a
+# node that had been paused read both and started the first at once.
+def test_attempt_cancelled_during_a_pause_does_not_start(
+    side, caller, pool, reactor
+):
+    reactor.timers.now += 0.8
+    side.accept(caller, fakes.attempt(1))
+    side.accept(caller, fakes.attempt(2))
+    side.cancel(caller, 1)
+    reactor.run(2 * _pauses.SETTLE_S)
+    assert [call.request_id for call in pool.calls] == [b'r2']
+
+
+def test_attempts_start_at_once_without_a_pause(side, caller, pool, reactor):
+    reactor.run(1.0)
+    side.accept(caller, fakes.attempt(1))
+    assert len(pool.calls) == 1
+
+
 def test_attempts_of_a_node_that_does_not_reconnect_are_cancelled(
     side, caller, pool, reactor
 ):
