Do not send a request to the target when it is aborted in the same pass

Cause: bytes are queued on a connection and sent at the end of a pass of the event loop. The abort of a request closes its connection, and the close sent what was still queued, so that a request whose attempt and cancellation were read together went to the target all the same.

Change: an abort discards unsent bytes first.

Evidence: test_request_aborted_before_it_is_sent_does_not_reach_the_target, over real sockets, failed before: the target read the second request.

--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -200,6 +200,11 @@
         if self.is_open and not self.is_connecting:
             self._read_watcher.start(self._handle_readable)
 
+    def discard_unsent(self):
+        """Discard the queued bytes that have not been sent."""
+        self._chunks.clear()
+        self.unsent_bytes = 0
+
     def close(self, reset=False):
         """Close the connection without calling ``closed`` of the owner.
 
@@ -282,8 +287,7 @@
         if error is not None:
             # The connection is not closed here, so that data received before
             # the failure is still delivered.
-            self._chunks.clear()
-            self.unsent_bytes = 0
+            self.discard_unsent()
             return
         if self._chunks:
             self._start_write_watcher()
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -120,8 +120,12 @@
         self.stream.write(data)
 
     def abort(self):
-        """Abort the request by closing the connection."""
+        """Abort the request by closing the connection.
+
+        What has not been sent of it is not sent any more.
+        """
         self._on_answer = None
+        self.stream.discard_unsent()
         self._discard()
 
     def received(self, data):
--- /dev/null
+++ b/tests/dataplane/test_upstream.py
@@ -0,0 +1,61 @@
+"""Connections to the local target, over real sockets."""
+
+import socket
+
+import gevent
+import pytest
+
+from rosemarycrank.dataplane import _names
+from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _upstream
+
+RESPONSE = (
+    b'HTTP/1.1 200 OK\r\nrosemarycrank-request-id: r1\r\n'
+    b'rosemarycrank-signature: s\r\nContent-Length: 2\r\n\r\nok'
+)
+REQUEST = b'GET /%d HTTP/1.1\r\n\r\n'
+
+#: Time in which the loop passes on what is written, in seconds.
+PASS_S = 0.05
+
+
+@pytest.fixture
+def listener():
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        yield listener
+
+
+@pytest.fixture
+def pool(listener):
+    pool = _upstream.UpstreamPool(
+        _reactor.Reactor(), listener.getsockname(), _names.HeaderNames()
+    )
+    yield pool
+    pool.close()
+
+
+def _serve_first_request(pool, listener):
+    """Return the target's end of a connection that has served a request."""
+    answers = []
+    pool.acquire(True).start(b'r1', REQUEST % 1, False, answers.append)
+    gevent.sleep(PASS_S)
+    target, _ = listener.accept()
+    target.recv(4096)
+    target.sendall(RESPONSE)
+    gevent.sleep(PASS_S)
+    assert [answer.status for answer in answers] == [200]
+    return target
+
+
+# Guards against requests that reach the target after their cancellation: the
+# end of a connection sent what was queued on it.
+def test_request_aborted_before_it_is_sent_does_not_reach_the_target(
+    pool, listener
+):
+    with _serve_first_request(pool, listener) as target:
+        connection = pool.acquire(True)
+        connection.start(b'r2', REQUEST % 2, False, lambda _answer: None)
+        connection.abort()
+        gevent.sleep(PASS_S)
+        assert target.recv(4096) == b''
+    assert pool.opened == 1
