Send no request after a pause before the end of its connection has been read

Cause: an entry node that has not run for a while finds in a socket a request and the end of the connection. It sent the attempt when it read the first, and read the second in the next pass of the event loop.

Change: a request that is read within 0.05 s of a pause of more than 0.25 s is admitted as before, and sent 0.05 s later if its client is still there.

Evidence: test_request_of_a_client_that_left_during_a_pause_is_not_sent failed before.

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -7,6 +7,7 @@
 from rosemarycrank.dataplane import _attempts
 from rosemarycrank.dataplane import _exchange
 from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _refusals
 
 #: Seconds between checks for requests whose deadline has passed.
@@ -84,6 +85,7 @@
         )
         self._deadline_heap = []
         self._tie_breakers = itertools.count()
+        self._pauses = _pauses.PauseDetector(node.reactor.now())
         node.reactor.timers.every(SWEEP_INTERVAL_S, self._expire)
 
     def open(self, message, connection):
@@ -168,7 +170,17 @@
             self._deadline_heap,
             (exchange.deadline_at, next(self._tie_breakers), exchange),
         )
-        self._attempts.send(exchange)
+        if self._pauses.is_settled(exchange.arrived_at):
+            self._attempts.send(exchange)
+        else:
+            self.node.reactor.timers.after(
+                _pauses.SETTLE_S, lambda _now: self._send_if_wanted(exchange)
+            )
+
+    def _send_if_wanted(self, exchange):
+        """Send the first attempt unless the client has left meanwhile."""
+        if exchange.response is None:
+            self._attempts.send(exchange)
 
     def _refusal_reason(self, exchange, requested_deadline_at):
         """Return why a request is refused unsent; None if it is admitted."""
@@ -292,6 +304,7 @@
             self.node.costs.record_answer(now)
 
     def _expire(self, now):
+        self._pauses.tick(now)
         heap = self._deadline_heap
         while heap and heap[0][0] <= now:
             exchange = heapq.heappop(heap)[2]
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -15,6 +15,7 @@
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _origins
+from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _routes
 from tests.dataplane import fakes
 
@@ -317,6 +318,26 @@
     assert entry.in_flight == 0
 
 
+# Guards against requests that are sent on long after their client has left: a
+# node that had been paused read the request before the end of its connection.
+def test_request_of_a_client_that_left_during_a_pause_is_not_sent(
+    node, entry, send, reactor
+):
+    reactor.timers.now += 0.8
+    exchange = send()
+    entry.abandon(exchange)
+    reactor.run(2 * _pauses.SETTLE_S)
+    assert _sent_attempts(node) == []
+
+
+def test_request_read_after_a_pause_is_sent_soon(node, send, reactor):
+    reactor.timers.now += 0.8
+    send()
+    assert _sent_attempts(node) == []
+    reactor.run(2 * _pauses.SETTLE_S)
+    assert len(_sent_attempts(node)) == 1
+
+
 def test_line_of_a_client_that_left_says_where_its_attempt_is(
     node, entry, send, caplog
 ):
