Close connections of calling nodes that have gone silent

Cause: a target's node learned of the loss of a calling node only from the end of its connection. Behind a cut, or after a power loss, there is none, so its attempts stayed in the queue and its runs went on to their deadlines.

Change: a connection on which nothing has arrived in 30 checks, 3 s, is closed; the other node pings at least every 2 s. It reconnects if it still runs. If not, its attempts are cancelled 1.5 s later, as after any lost connection.

Evidence: test_run_ends_when_its_calling_node_stays_silent failed before. Two fakes of connections get the new method.

--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -5,6 +5,12 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _reactor
 
+#: Number of checks, at `_node.PEER_CHECK_INTERVAL_S`, without received data
+#: after which a connection is closed. The other node pings at least every
+#: `_peer_connection.IDLE_PING_INTERVAL_S`. Checks are counted instead of
+#: seconds, so that a pause of this process is not taken for silence.
+MAX_SILENT_CHECKS = 30
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -32,6 +38,7 @@
         self.address = ''
         self.caller = None
         self._generation = -1
+        self._silent_checks = 0
         self._reader = _frames.FrameReader()
         self._stream = _reactor.Stream(node.reactor, sock, self)
 
@@ -42,6 +49,7 @@
 
     def received(self, data):
         """Decode received bytes and handle the frames."""
+        self._silent_checks = 0
         try:
             frames = self._reader.feed(data)
         except _frames.FrameError as error:
@@ -58,6 +66,22 @@
                 return
             self._handle_frame(frame)
 
+    def check_silence(self):
+        """Close the connection if the other node has been silent for long.
+
+        Called periodically. The other node reconnects if it still runs;
+        otherwise its attempts are cancelled.
+        """
+        self._silent_checks += 1
+        if self._silent_checks <= MAX_SILENT_CHECKS:
+            return
+        _LOG.warning(
+            'calling node %s is silent; closing its connection',
+            self.address,
+            extra={'event': 'caller_silent', 'checks': self._silent_checks},
+        )
+        self.close()
+
     def closed(self, _error):
         """Record the loss of the connection."""
         self.node.inbound_connections.discard(self)
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -450,6 +450,8 @@
     def _check_peers(self, now):
         for peer in list(self.peers_by_node.values()):
             peer.maintain(now)
+        for connection in list(self.inbound_connections):
+            connection.check_silence()
         usable = filter(self._takes_attempts, self._unusable_nodes)
         self._unusable_nodes.difference_update(list(usable))
 
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -1,13 +1,16 @@
 """Cancelled attempts end at the target's node, whatever was lost meanwhile."""
 
+import logging
 import random
 
 import attrs
 import pytest
 
 from rosemarycrank.dataplane import _cancellations
+from rosemarycrank.dataplane import _inbound
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _peer_connection
+from rosemarycrank.dataplane import _target
 from tests.dataplane import fakes
 from tests.dataplane import simulation as simulations
 
@@ -29,6 +32,12 @@
     + 2 * _node.PEER_CHECK_INTERVAL_S
 )
 
+#: Time after which a target's node cancels the attempts of a calling node
+#: that has gone silent, in seconds.
+CALLER_LOSS_S = (
+    _inbound.MAX_SILENT_CHECKS + 2
+) * _node.PEER_CHECK_INTERVAL_S + _target.CALLER_RECONNECT_TIMEOUT_S
+
 
 @pytest.fixture
 def make_simulation(patch_connections, reactor):
@@ -124,6 +133,28 @@
     assert _has_ended(simulation, sent)
 
 
+# Guards against runs for a calling node that is gone without a notice, as
+# after a power loss or behind a cut: its target's node took it for connected.
+def test_run_ends_when_its_calling_node_stays_silent(make_simulation, reactor):
+    simulation = make_simulation()
+    sent = _send(simulation.entry, FIRST)
+    reactor.run(0.5, 0.01)
+    simulation.cut_off('silent', FIRST)
+    reactor.run(CALLER_LOSS_S + END_BOUND_S, 0.01)
+    assert simulation.count_runs(sent.request_id) == 1
+    assert _has_ended(simulation, sent)
+
+
+def test_idle_calling_node_is_not_taken_for_silent(
+    make_simulation, reactor, caplog
+):
+    simulation = make_simulation()
+    _send(simulation.entry, FIRST)
+    with caplog.at_level(logging.WARNING):
+        reactor.run(30.0, 0.01)
+    assert [r.event for r in caplog.records] == []
+
+
 # Guards against a loss further down: the run is aborted, and the cancellation
 # of the call that it has made is lost.
 @pytest.mark.parametrize('address', [FIRST, SECOND])
--- a/tests/dataplane/test_cost_reports.py
+++ b/tests/dataplane/test_cost_reports.py
@@ -20,6 +20,9 @@
 class _Receiver:
     """Connection to another node, which averages the reported costs."""
 
+    def check_silence(self):
+        pass
+
     def __init__(self):
         self.costs = _costs.CallCosts('elsewhere')
         self.reports = 0
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -176,6 +176,9 @@
     unsent_bytes = 10
     caller = None
 
+    def check_silence(self):
+        pass
+
     def notify(self, frame):
         pass
 
