Notice clients that leave while their connection is not read

Cause: a connection with 32 requests in flight or 256 KiB of unsent responses is not read, so neither its end nor a reset was noticed until a response became ready. Its requests were retried and made their calls meanwhile.

Change: every 0.25 s the state of such connections is asked from the operating system (TCP_INFO); one that its client has closed or reset is closed, and its requests are cancelled, as when the end is read.

Evidence: test_client_that_leaves_while_reading_is_paused_is_noticed failed before. A test over real sockets shows the state after a FIN and a reset with unread data.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -13,7 +13,8 @@
 #: so that a client that does not read cannot fill the memory.
 MAX_UNSENT_BYTES = 256 * 1024
 
-#: Interval between checks for idle and slow connections.
+#: Interval between checks for idle and slow clients, and for those that leave
+#: while reading is paused.
 SWEEP_INTERVAL_S = 0.25
 
 #: Time between the moment at which all of the last response is sent and the
@@ -147,13 +148,18 @@
             self._resume()
 
     def check_timeouts(self, now):
-        """Close the connection if a time-out of the client has expired.
+        """Close the connection if its client has left or is too slow.
+
+        While reading is paused, the end of the connection is not read.
 
         Parameters
         ----------
         now : float
             Seconds of the node's clock.
         """
+        if self._paused and self.stream.peer_has_closed():
+            self.close()
+            return
         limits = self.server.limits
         unsent_bytes = self.stream.unsent_bytes
         if unsent_bytes < self._unsent_at_last_check:
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -39,6 +39,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
+#: States of a connection in the Linux kernel whose peer has sent a FIN or a
+#: reset: TCP_CLOSE and TCP_CLOSE_WAIT.
+_CLOSED_BY_PEER_STATES = (7, 8)
+
 _READ = 1
 _WRITE = 2
 _WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
@@ -205,6 +209,21 @@
         self._chunks.clear()
         self.unsent_bytes = 0
 
+    def peer_has_closed(self):
+        """Return whether the peer has closed or reset the connection.
+
+        This is known to the operating system even while reading is paused
+        and unread data comes first.
+        """
+        try:
+            info = self._sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 1
+            )
+        except OSError as error:
+            _LOG.debug('state of a connection is unknown: %s', error)
+            return False
+        return info[0] in _CLOSED_BY_PEER_STATES
+
     def close(self, reset=False):
         """Close the connection without calling ``closed`` of the owner.
 
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -20,6 +20,7 @@
         self.write_closed = False
         self.is_open = True
         self.on_drained = None
+        self.has_left = False
 
     def write(self, data):
         self.sent.append(data)
@@ -30,6 +31,9 @@
     def resume(self):
         self.paused = False
 
+    def peer_has_closed(self):
+        return self.has_left
+
     def shutdown_write(self):
         self.write_closed = True
         if not self.unsent_bytes:
@@ -144,6 +148,19 @@
     assert not connection.stream.paused
 
 
+# Guards against requests that go on after their client has left: the end of a
+# connection was not seen while reading was paused.
+def test_client_that_leaves_while_reading_is_paused_is_noticed(
+    connection, entry, reactor
+):
+    for number in range(_clients.MAX_PIPELINED_REQUESTS):
+        connection.received(REQUEST % number)
+    connection.stream.has_left = True
+    reactor.run(2 * _clients.SWEEP_INTERVAL_S)
+    assert not connection.stream.is_open
+    assert len(entry.abandoned) == _clients.MAX_PIPELINED_REQUESTS
+
+
 def test_client_that_never_reads_its_responses_is_disconnected(
     connection, entry, reactor
 ):
--- a/tests/dataplane/test_reactor.py
+++ b/tests/dataplane/test_reactor.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import struct
 import time
 
 import gevent
@@ -74,3 +75,21 @@
     lines = [r for r in caplog.records if r.event == 'held_up']
     assert lines
     assert all(line.held_up_s >= _reactor.HELD_UP_S for line in lines)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_close_by_the_peer_is_known_while_reading_is_paused(is_reset):
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    stream = _reactor.Stream(_reactor.Reactor(), ours, _Owner())
+    stream.pause()
+    theirs.sendall(b'unread')
+    assert not stream.peer_has_closed()
+    if is_reset:
+        theirs.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    theirs.close()
+    assert stream.peer_has_closed()
+    stream.close()
