--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -177,6 +177,14 @@
             node.configuration = previous.configuration
         node.target_side.update_record(fakes.record(address, slots=50))
 
+    def restart_entry(self):
+        """Replace the process of the entry node by a new one."""
+        self.break_connections('reset')
+        self.entry.close()
+        # The timers of the old process stay, and find no peers.
+        self.entry.peers_by_node.clear()
+        self.entry = self._new_node(ENTRY)
+
     def connect(self, _reactor, address, owner, keep_alive=False):
         """Stand in for `rosemarycrank.dataplane._reactor.connect`."""
         address = '%s:%d' % address
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -133,6 +133,32 @@
     assert _has_ended(simulation, sent)
 
 
+def test_attempt_cancelled_before_the_first_handshake_does_not_run(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    sent = _send(simulation.entry, FIRST)
+    sent.cancel(reactor.now())
+    reactor.run(1.0, 0.001)
+    assert simulation.count_runs(sent.request_id) == 0
+
+
+def test_attempts_of_a_restarted_calling_node_end(make_simulation, reactor):
+    simulation = make_simulation()
+    target_side = simulation.targets_by_address[FIRST].target_side
+    target_side.limit.value = 1
+    first, second = (_send(simulation.entry, FIRST) for _ in range(2))
+    reactor.run(0.5, 0.001)
+    simulation.restart_entry()
+    # Request identifiers are derived from the numbers.
+    simulation.entry.last_attempt_number = 100
+    _send(simulation.entry, FIRST)
+    reactor.run(_target.CALLER_RECONNECT_TIMEOUT_S + END_BOUND_S, 0.01)
+    assert _has_ended(simulation, first)
+    assert simulation.count_runs(second.request_id) == 0
+    assert len(simulation.runs) == 2
+
+
 # Guards against runs for a calling node that is gone without a notice, as
 # after a power loss or behind a cut: its target's node took it for connected.
 def test_run_ends_when_its_calling_node_stays_silent(make_simulation, reactor):
