Register metrics in the registry of their page only

Cause: a metric that is made without a registry is registered in the library's default one, which outlives the page.

Change: metrics are made with the registry of their page.

Evidence: test_metrics_page_can_be_read_repeatedly failed before with that error.

--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -12,17 +12,17 @@
 
 
 def _register_counter(registry, name, help_text, values):
-    metric = aioprometheus.Counter(_PREFIX + name, help_text)
+    metric = aioprometheus.Counter(
+        _PREFIX + name, help_text, registry=registry
+    )
     for labels, value in values:
         metric.set(labels, value)
-    registry.register(metric)
 
 
 def _register_gauge(registry, name, help_text, values):
-    metric = aioprometheus.Gauge(_PREFIX + name, help_text)
+    metric = aioprometheus.Gauge(_PREFIX + name, help_text, registry=registry)
     for labels, value in values:
         metric.set(labels, value)
-    registry.register(metric)
 
 
 def _register_histogram(registry, name, help_text, histogram):
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -1,4 +1,4 @@
-"""Readiness of a node process whose components have no open sockets."""
+"""Readiness and metrics of a node process without open sockets."""
 
 import pytest
 
@@ -6,6 +6,8 @@
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _metrics
+from tests.dataplane import fakes
 
 OWN_ADDRESS = '10.0.0.1:7620'
 OTHER_ADDRESS = '10.0.0.2:7620'
@@ -103,3 +105,14 @@
 def test_node_without_a_configuration_is_not_ready(process):
     process.node.merge(record_of(OTHER_ADDRESS))
     assert not process.ready()
+
+
+# Guards against a metrics page that fails after its first reading: the
+# metrics were kept in the library's default registry.
+def test_metrics_page_can_be_read_repeatedly(process):
+    request = fakes.request(target=b'/metrics')
+    replies = [_metrics.handle_request(process, request) for _ in range(2)]
+    assert [reply.status for reply in replies] == [200, 200]
+    process.counters.cancelled = 7
+    page = _metrics.handle_request(process, request).body
+    assert b'rosemarycrank_cancelled_total 7' in page
