Read and log the rate limit that a target names in its answers

The logs could not tell whether a node had seen the header, with which value, or how many requests it sent since. The node beside the target, through which every attempt reaches it, now decodes it from each answer that matches its request, logs when it starts, ends or changes by over a tenth, and has it on its metrics page. It ends with an answer without it and with the next start of the target. A value that is not a decimal number is logged and changes nothing; an answer that is lost, invalid or of another target does not tell. Nothing is limited yet.

The platform's name of the field is in platform/_names.py.

--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -1,5 +1,7 @@
 """Metrics page and state dump of a node."""
 
+import math
+
 import aioprometheus
 from aioprometheus import renderer
 import msgspec
@@ -62,6 +64,7 @@
     registry = aioprometheus.Registry()
     counters = process.counters
     load = process.target_side.load()
+    rate_per_s = process.target_side.rate_limit.per_s
     _register_counter(
         registry,
         'requests_total',
@@ -125,6 +128,12 @@
         'Attempts that may run at the local target at once.',
         [({}, load.limit)],
     )
+    _register_gauge(
+        registry,
+        'target_rate_limit',
+        'Requests per second that the local target takes; -1 for no limit.',
+        [({}, -1.0 if math.isinf(rate_per_s) else rate_per_s)],
+    )
     _register_gauge(
         registry,
         'requests_under_way',
--- a/rosemarycrank/dataplane/_names.py
+++ b/rosemarycrank/dataplane/_names.py
@@ -27,6 +27,8 @@
         Present in the response to a request that was not executed.
     signature : bytes
         Signature of the response, present if the target itself created it.
+    rate_limit : bytes
+        Requests per second that the target takes from all nodes together.
     """
 
     request_id: bytes = b'rosemarycrank-request-id'
@@ -36,6 +38,7 @@
     caller_service: bytes = b'rosemarycrank-caller-service'
     not_executed: bytes = b'rosemarycrank-not-executed'
     signature: bytes = b'rosemarycrank-signature'
+    rate_limit: bytes = b'rosemarycrank-rate-limit'
 
     def set_by_nodes(self):
         """Return the headers that nodes set themselves.
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -19,6 +19,7 @@
 from rosemarycrank.dataplane import _limit
 from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _pressure
+from rosemarycrank.dataplane import _rate_limit
 from rosemarycrank.dataplane import _run_limits
 
 #: Interval between checks for attempts past their deadlines, in seconds.
@@ -171,6 +172,8 @@
         Whether the node is about to stop and accepts no more attempts.
     limit : ConcurrencyLimit
         Limit on the attempts that run at once.
+    rate_limit : RateLimit
+        Limit on the attempts that start per second.
     callers_by_incarnation : dict of int to Caller
         Calling nodes.
     """
@@ -191,6 +194,7 @@
         self.record = None
         self.stopping = False
         self.limit = _limit.ConcurrencyLimit()
+        self.rate_limit = _rate_limit.RateLimit()
         self.callers_by_incarnation = {}
         self._running = set()
         self._waiting = []
@@ -208,8 +212,8 @@
     def update_record(self, record):
         """Update the record of the local target.
 
-        A new instance, or one with a new birth time, resets the concurrency
-        limit and the drain period.
+        A new instance, or one with a new birth time, resets the limits and
+        the drain period.
 
         Parameters
         ----------
@@ -219,6 +223,7 @@
         known = self.record
         if known is None or _run_limits.is_new_start(record, known):
             self.limit.reset(record.slots)
+            self.rate_limit.reset()
         self.record = record
         self._run_limits.update_target(record, known, self.reactor.now())
         if record.state != _directory.READY:
@@ -439,8 +444,27 @@
             lambda answer: self._on_answer(job, answer),
         )
 
+    def _update_rate_limit(self, job, per_s):
+        known = self.rate_limit.per_s
+        if self.rate_limit.set(per_s):
+            _LOG.warning(
+                'rate limit of the target is now %s requests/s',
+                per_s,
+                extra={
+                    'event': 'rate_limit',
+                    'instance': job.attempt.instance,
+                    'per_s': None if per_s == math.inf else per_s,
+                    'previous_per_s': None if known == math.inf else known,
+                    'request_id': job.attempt.request_id,
+                    'running': len(self._running),
+                    'waiting': self._waiting_count,
+                },
+            )
+
     def _on_answer(self, job, answer):
         now = self.reactor.now()
+        if answer.rate_limit_per_s is not None:
+            self._update_rate_limit(job, answer.rate_limit_per_s)
         failed = answer.outcome != _COMPLETE or answer.status >= 500
         self._remove_running(job, now, failed)
         duration_s = now - job.started_at
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -1,11 +1,13 @@
 """HTTP connections to the target on the node's own VM."""
 
 import logging
+import math
 
 import attrs
 
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _rate_limit
 from rosemarycrank.dataplane import _reactor
 
 #: Longest time to open a connection to a process on the same VM, in seconds.
@@ -39,6 +41,9 @@
         HTTP status; 0 without a response.
     head, body : bytes
         Headers to be passed on, and the body.
+    rate_limit_per_s : float or None
+        Rate limit that the target names, in requests per second; infinite if
+        it names none, None if the answer does not tell.
     """
 
     outcome: int
@@ -46,6 +51,7 @@
     status: int = 0
     head: bytes = b''
     body: bytes = b''
+    rate_limit_per_s: float | None = None
 
 
 def _keep_alive_timeout_s(value):
@@ -234,6 +240,10 @@
                 _frames.Outcome.NOT_RUN,
                 _frames.Reason.REFUSED_BY_TARGET,
                 status,
+                # 421 is the answer of another target.
+                rate_limit_per_s=(
+                    None if status == 421 else self._rate_limit_per_s(values)
+                ),
             )
         authentic = echoed_id is not None and names.signature in values
         if status < 300 and not authentic or b'content-encoding' in values:
@@ -246,8 +256,26 @@
             status,
             _http1.forwarded_headers(message, frozenset()),
             message.body,
+            self._rate_limit_per_s(values),
         )
 
+    def _rate_limit_per_s(self, values):
+        value = values.get(self.pool.names.rate_limit)
+        if value is None:
+            return math.inf
+        try:
+            return _rate_limit.parse(value)
+        except ValueError as error:
+            _LOG.info(
+                'ignored an invalid header field of the target: %s',
+                error,
+                extra={
+                    'event': 'rate_limit_invalid',
+                    'request_id': self._request_id,
+                },
+            )
+            return None
+
 
 class UpstreamPool:
     """Pool of connections to the local target, reused last in, first out.
--- a/rosemarycrank/platform/_names.py
+++ b/rosemarycrank/platform/_names.py
@@ -10,6 +10,7 @@
     caller_service=b'x-rosemarycrank-caller-service',
     not_executed=b'x-rosemarycrank-not-executed',
     signature=b'x-rosemarycrank-response-signature',
+    rate_limit=b'server-limit',
 )
 
 READY_PATH = b'/rosemarycrank/ready'
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -1,5 +1,6 @@
 """Connections to the local target, over real sockets."""
 
+import math
 import socket
 
 import gevent
@@ -47,6 +48,32 @@
     return target
 
 
+@pytest.mark.parametrize(
+    'status_line, field, per_s',
+    [
+        (b'200 OK', b'', math.inf),
+        (b'200 OK', b'rosemarycrank-rate-limit: 51.8\r\n', 51.8),
+        (b'200 OK', b'rosemarycrank-rate-limit: -1\r\n', None),
+        (b'503 Full', b'rosemarycrank-rate-limit: 20\r\n', 20.0),
+        (b'421 Other', b'rosemarycrank-rate-limit: 20\r\n', None),
+    ],
+)
+def test_rate_limit_of_the_target_is_read_from_its_answers(
+    pool, listener, status_line, field, per_s
+):
+    answers = []
+    pool.acquire(True).start(b'r1', REQUEST % 1, False, answers.append)
+    gevent.sleep(PASS_S)
+    target, _ = listener.accept()
+    with target:
+        target.recv(4096)
+        target.sendall(
+            RESPONSE.replace(b'200 OK\r\n', status_line + b'\r\n' + field)
+        )
+        gevent.sleep(PASS_S)
+    assert [answer.rate_limit_per_s for answer in answers] == [per_s]
+
+
 # Guards against requests that reach the target after their cancellation: the
 # end of a connection sent what was queued on it.
 def test_request_aborted_before_it_is_sent_does_not_reach_the_target(
