Show that a target gets more requests than the limit that it has named

In virtual time three nodes send 500 requests a second to a target that names a limit of 0 to 300 a second after 2 s; the requests have 0.2, 1 or 5 s left. Counted from 3 s after that, as the users' rule says: one and a half times the limit and 5 requests in any 4 s.

--- a/tests/dataplane/test_rate_limit.py
+++ b/tests/dataplane/test_rate_limit.py
@@ -123,3 +123,109 @@
         if r.event == 'rate_limit'
     ]
     assert lines == [(50.0, None), (70.0, 52.0), (None, 70.0)]
+
+
+class _LimitedTarget:
+    """Target that names a limit for some time, and its callers.
+
+    Attributes
+    ----------
+    per_s : float
+        Limit that the answers name; infinite for none.
+    started_at : list of float
+        Times at which requests reached the target, in seconds.
+    results : list of Result
+        Results of the attempts.
+    """
+
+    SERVICE_S = 0.03
+
+    def __init__(self, reactor, side, pool):
+        self.reactor = reactor
+        self.side = side
+        self.pool = pool
+        self.per_s = math.inf
+        self.started_at = []
+        self.results = []
+        self._callers = [side.caller(number) for number in (1, 2, 3)]
+        for caller in self._callers:
+            caller.send = self.results.append
+        self._sent = 0
+
+    def offer(self, rate_per_s, seconds, remaining_ms=1000):
+        """Send attempts at a constant rate, and answer those that run."""
+        interval_s = 1.0 / rate_per_s
+        end = self.reactor.now() + seconds
+        due_at = self.reactor.now()
+        while self.reactor.now() < end:
+            while due_at <= self.reactor.now():
+                self._send(remaining_ms)
+                due_at += interval_s
+            self.reactor.run(0.005, 0.005)
+
+    def _send(self, remaining_ms):
+        self._sent += 1
+        caller = self._callers[self._sent % len(self._callers)]
+        self.side.accept(
+            caller, fakes.attempt(self._sent, remaining_ms=remaining_ms)
+        )
+        self._schedule_answers()
+
+    def _schedule_answers(self):
+        calls, self.pool.calls[:] = list(self.pool.calls), []
+        for call in calls:
+            self.started_at.append(self.reactor.now())
+            self.reactor.timers.after(
+                self.SERVICE_S, lambda _now, call=call: self._answer(call)
+            )
+
+    def _answer(self, call):
+        call.on_answer(
+            _upstream.Answer(
+                _frames.Outcome.COMPLETE,
+                0,
+                200,
+                b'',
+                b'',
+                rate_limit_per_s=self.per_s,
+            )
+        )
+        self._schedule_answers()
+
+    def most_in_window(self, start_at):
+        """Return the most starts in any window, from a time on."""
+        times = [at for at in self.started_at if at >= start_at]
+        return max(
+            sum(1 for at in times if start <= at < start + WINDOW_S)
+            for start in times
+        )
+
+
+#: Windows in which requests are counted, time after which the limit has to be
+#: kept, and what is allowed beyond it, in seconds, a factor and requests.
+WINDOW_S = 4.0
+CONTACT_S = 3.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+
+
+@pytest.fixture
+def target(reactor, side, pool):
+    target = _LimitedTarget(reactor, side, pool)
+    # Starts that the queue allows are seen at the next step.
+    reactor.timers.every(0.005, lambda _now: target._schedule_answers())
+    return target
+
+
+# Guards against a target in need that gets more requests than it has named.
+@pytest.mark.parametrize('per_s', [0.0, 0.5, 2.0, 51.8, 300.0])
+@pytest.mark.parametrize('remaining_ms', [200, 1000, 5000])
+def test_target_gets_no_more_requests_than_it_named(
+    target, reactor, per_s, remaining_ms
+):
+    target.offer(500.0, 2.0, remaining_ms)
+    target.per_s = per_s
+    named_at = reactor.now()
+    target.offer(500.0, 12.0, remaining_ms)
+    allowed = LIMIT_FACTOR * per_s * WINDOW_S + LIMIT_SLACK
+    assert target.most_in_window(named_at + CONTACT_S) <= allowed
