Keep the rate limit that a target names, at the node beside it

Class of fault: a state that a target names in its answers is forwarded and not used.

Change: all attempts of all nodes reach a target through the node beside it, so that node holds the limit, as a token bucket over the attempts that start. What exceeds it waits in the queue, by rank, and is refused as not run if it cannot end in time. Starts are counted, not answers. The load that is reported has the capacity of the limit, so other nodes choose other targets and admit fewer requests; the frames are unchanged. Below 0.5 a second, 0 included, 0.5 a second are sent, as only an answer can tell the end of a limit.

Further tests: the limit is used and what exceeds it has not run, its end, the reported capacity, the order of the queue.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -291,16 +291,30 @@
 
     def load(self):
         """Return the `Load` of the target, as reported to other nodes."""
+        limit, service_s = self._reported_capacity()
         return _frames.Load(
             len(self._running),
             self._waiting_count,
-            self.limit.value,
-            self.limit.service_s,
+            limit,
+            service_s,
             self.arrivals.per_s,
             *self._demand_per_s,
             self.pressures,
         )
 
+    def _reported_capacity(self):
+        """Return the concurrency limit and service time that are reported.
+
+        Their ratio is the capacity, by which other nodes admit requests and
+        choose targets, so a lower rate limit is reported as fewer slots.
+        """
+        limit, service_s = self.limit.value, self.limit.service_s
+        rate_per_s = self.rate_limit.applied_per_s
+        if rate_per_s * service_s >= limit or rate_per_s == math.inf:
+            return limit, service_s
+        limit = max(1, int(rate_per_s * service_s))
+        return limit, limit / rate_per_s
+
     def idle_s(self, now):
         """Return the seconds since the last run ended; 0 during a run."""
         return 0.0 if self._running else now - self._last_run_at
@@ -350,9 +364,26 @@
 
     def _may_start(self, now):
         """Return whether one more attempt may start now."""
-        return len(
-            self._running
-        ) < self.limit.value and self._pauses.is_settled(now)
+        return (
+            len(self._running) < self.limit.value
+            and self.rate_limit.allows_start(now)
+            and self._pauses.is_settled(now)
+        )
+
+    def _expected_wait_s(self, ahead, now):
+        """Return the expected delay in the queue, in seconds.
+
+        Parameters
+        ----------
+        ahead : int
+            Number of waiting attempts that start earlier.
+        now : float
+            Seconds of the node's clock.
+        """
+        return max(
+            self.limit.expected_wait_s(ahead),
+            self.rate_limit.expected_wait_s(ahead, now),
+        )
 
     def cancel(self, caller, number):
         """Cancel an attempt at the request of its sender."""
@@ -394,14 +425,14 @@
         if record.state != _directory.READY:
             return _frames.Reason.LEAVING
         start_at = now
-        if len(self._running) >= self.limit.value:
+        if not self._may_start(now):
             priority_at = self._priority_at(attempt, now)
             ahead = sum(
                 1
                 for waiting_at, _, waiting in self._waiting
                 if waiting_at <= priority_at and waiting.result is None
             )
-            start_at += self.limit.expected_wait_s(ahead)
+            start_at += self._expected_wait_s(ahead, now)
             least_s = self.limit.min_remaining_s(attempt.route)
             if start_at + least_s > job.deadline_at:
                 return _frames.Reason.QUEUE_FULL
@@ -424,6 +455,7 @@
         job.run = _call_links.Run(attempt.route, attempt.rank, job.deadline_at)
         self.costs.record_run_start(job.run)
         self._running.add(job)
+        self.rate_limit.record_start(now)
         connection = self.pool.acquire(attempt.idempotent)
         job.connection = connection
         remaining_ms = max(1, int((job.deadline_at - now) * 1000.0))
@@ -446,7 +478,7 @@
 
     def _update_rate_limit(self, job, per_s):
         known = self.rate_limit.per_s
-        if self.rate_limit.set(per_s):
+        if self.rate_limit.set(per_s, self.reactor.now()):
             _LOG.warning(
                 'rate limit of the target is now %s requests/s',
                 per_s,
@@ -623,7 +655,7 @@
         for _, _, job in sorted(self._waiting):
             if job.result is not None:
                 continue
-            start_at = now + self.limit.expected_wait_s(ahead)
+            start_at = now + self._expected_wait_s(ahead, now)
             if self._ends_too_late(job, start_at):
                 self._waiting_count -= 1
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
--- a/tests/dataplane/test_rate_limit.py
+++ b/tests/dataplane/test_rate_limit.py
@@ -136,6 +136,8 @@
         Times at which requests reached the target, in seconds.
     results : list of Result
         Results of the attempts.
+    sent_count : int
+        Number of attempts.
     """
 
     SERVICE_S = 0.03
@@ -150,7 +152,7 @@
         self._callers = [side.caller(number) for number in (1, 2, 3)]
         for caller in self._callers:
             caller.send = self.results.append
-        self._sent = 0
+        self.sent_count = 0
 
     def offer(self, rate_per_s, seconds, remaining_ms=1000):
         """Send attempts at a constant rate, and answer those that run."""
@@ -164,10 +166,10 @@
             self.reactor.run(0.005, 0.005)
 
     def _send(self, remaining_ms):
-        self._sent += 1
-        caller = self._callers[self._sent % len(self._callers)]
+        self.sent_count += 1
+        caller = self._callers[self.sent_count % len(self._callers)]
         self.side.accept(
-            caller, fakes.attempt(self._sent, remaining_ms=remaining_ms)
+            caller, fakes.attempt(self.sent_count, remaining_ms=remaining_ms)
         )
         self._schedule_answers()
 
@@ -229,3 +231,62 @@
     target.offer(500.0, 12.0, remaining_ms)
     allowed = LIMIT_FACTOR * per_s * WINDOW_S + LIMIT_SLACK
     assert target.most_in_window(named_at + CONTACT_S) <= allowed
+
+
+def test_limit_is_used_and_what_exceeds_it_has_not_run(target, reactor):
+    target.offer(500.0, 2.0)
+    target.per_s = 50.0
+    target.offer(500.0, 10.0)
+    started = len(target.started_at)
+    target.offer(500.0, 4.0)
+    assert len(target.started_at) - started >= 0.9 * 4.0 * 50.0
+    reactor.run(3.0, 0.005)
+    assert len(target.results) == target.sent_count
+    outcomes = [result.outcome for result in target.results]
+    completed = outcomes.count(_frames.Outcome.COMPLETE)
+    assert completed == len(target.started_at)
+    assert outcomes.count(_frames.Outcome.NOT_RUN) == (
+        len(outcomes) - completed
+    )
+
+
+@pytest.mark.parametrize('per_s', [0.0, 50.0])
+def test_all_requests_start_again_after_the_limit_has_ended(
+    target, reactor, per_s
+):
+    target.offer(100.0, 2.0)
+    target.per_s = per_s
+    target.offer(100.0, 4.0)
+    target.per_s = math.inf
+    # An answer tells, at the lowest rate after 2 s.
+    target.offer(100.0, 2.0 + 1.0 / _rate_limit.MIN_PER_S)
+    started = len(target.started_at)
+    target.offer(100.0, 2.0)
+    assert len(target.started_at) - started >= 190
+
+
+# Other nodes choose targets and shed load by the ratio of these.
+@pytest.mark.parametrize('per_s', [0.5, 51.8, 300.0])
+def test_reported_capacity_is_that_of_the_limit(target, side, per_s):
+    target.offer(500.0, 1.0)
+    before = side.load()
+    target.per_s = per_s
+    target.offer(500.0, 1.0)
+    load = side.load()
+    assert load.limit / load.service_s == pytest.approx(per_s)
+    target.per_s = math.inf
+    target.offer(500.0, 4.0)
+    assert side.load().limit == before.limit
+
+
+def test_urgent_attempts_start_first_at_a_limited_target(
+    side, serve, caller, pool, reactor
+):
+    serve(2.0)
+    for number in range(10, 14):
+        side.accept(caller, fakes.attempt(number, rank=3.0))
+    urgent = fakes.attempt(20, rank=0.0, request_id=b'urgent')
+    side.accept(caller, urgent)
+    pool.calls.clear()
+    reactor.run(0.6, 0.01)
+    assert pool.calls[0].request_id == b'urgent'
