--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -87,7 +87,7 @@
         self.node.inbound_connections.discard(self)
         caller = self.caller
         if caller is not None and caller.generation == self._generation:
-            self.node.target_side.lose_caller(caller, self.address)
+            self.node.target_side.callers.lose(caller, self.address)
 
     def close(self, reset=True):
         """Close the connection.
@@ -133,7 +133,7 @@
             self.close()
             return
         self.address = hello.node
-        caller = self.node.target_side.caller(hello.incarnation)
+        caller = self.node.target_side.callers.get(hello.incarnation)
         if hello.generation <= caller.generation:
             # The caller has replaced this connection by a newer one.
             self.close()
@@ -143,6 +143,8 @@
                 connection.close()
         self.caller = caller
         self._generation = caller.generation = hello.generation
-        self.node.target_side.restore_caller(caller, self.address, self.notify)
+        self.node.target_side.callers.restore(
+            caller, self.address, self.notify
+        )
         self.notify(self.node.hello(0))
         self.node.receive_hello(hello, self)
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -143,7 +143,7 @@
         """Set the target side and make it callable like a peer."""
         self.target_side = target_side
         self.peers_by_node[self.address] = _local_peer.LocalPeer(
-            target_side, target_side.caller(self.incarnation)
+            target_side, target_side.callers.get(self.incarnation)
         )
 
     def peer(self, address):
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -10,9 +10,8 @@
 import logging
 import math
 
-import attrs
-
 from rosemarycrank.dataplane import _call_links
+from rosemarycrank.dataplane import _callers
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
@@ -28,15 +27,6 @@
 #: Interval between updates of the rates of arrival and demand, in seconds.
 RATE_UPDATE_INTERVAL_S = 0.1
 
-#: Time that a calling node has to reconnect after its connection was lost,
-#: before its attempts are cancelled, in seconds.
-CALLER_RECONNECT_TIMEOUT_S = 1.5
-
-#: Time for which the attempts of such a node are remembered, in seconds. It
-#: is far longer than any request lasts, so that no attempt is sent again
-#: after it.
-CALLER_RETENTION_S = 120.0
-
 #: Delay in the queue that one rank is worth, in seconds: an attempt precedes
 #: those of the next lower rank that arrived up to this much earlier. It
 #: exceeds the usual time in the queue, so that the most important attempts
@@ -49,93 +39,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-@attrs.define(eq=False, slots=True)
-class Job:
-    """An attempt that was accepted or refused for the local target.
-
-    Attributes
-    ----------
-    caller : Caller
-        Node that sent it.
-    attempt : rosemarycrank.dataplane.Attempt
-        The attempt as received.
-    arrived_at, deadline_at : float
-        Seconds of the node's clock.
-    connection : UpstreamConnection or None
-        Connection on which it runs; None while it does not run.
-    started_at : float
-        When it was sent to the target; 0 while it is queued.
-    run : rosemarycrank.dataplane._call_links.Run or None
-        The run as counted by `CallCosts`; None while it is queued.
-    result : rosemarycrank.dataplane.Result or None
-        Its result; None until it has ended.
-    """
-
-    caller: object
-    attempt: object
-    arrived_at: float
-    deadline_at: float
-    connection: object = None
-    started_at: float = 0.0
-    run: object = None
-    result: object = None
-
-
-class Caller:
-    """State of a calling node, kept across its reconnections.
-
-    Parameters
-    ----------
-    incarnation : int
-        Random number that identifies the process of that node.
-
-    Attributes
-    ----------
-    generation : int
-        Number of its newest connection; -1 before the first.
-    send : callable or None
-        Sends a result to the node; None while it is disconnected.
-    lost_at : float
-        When its connection was lost.
-    jobs_by_number : dict of int to Job
-        Its attempts, by their numbers.
-    discarded_below : int
-        Results of attempts with lower numbers have been discarded.
-    """
-
-    def __init__(self, incarnation):
-        self.incarnation = incarnation
-        self.generation = -1
-        self.send = None
-        self.lost_at = 0.0
-        self.jobs_by_number = {}
-        self.discarded_below = 0
-
-    @property
-    def unfinished_count(self):
-        """Number of its attempts without a result."""
-        return sum(job.result is None for job in self.jobs_by_number.values())
-
-    def discard_results_before(self, oldest):
-        """Discard the results of attempts that the sender has received.
-
-        Parameters
-        ----------
-        oldest : int
-            Lowest number of an attempt that the sender still waits for.
-        """
-        if oldest <= self.discarded_below:
-            return
-        self.discarded_below = oldest
-        ended = [
-            number
-            for number, job in self.jobs_by_number.items()
-            if number < oldest and job.result is not None
-        ]
-        for number in ended:
-            del self.jobs_by_number[number]
-
-
 class TargetSide:
     """Admission, queue and runs of attempts at the local target.
 
@@ -174,8 +77,8 @@
         Limit on the attempts that run at once.
     rate_limit : RateLimit
         Limit on the attempts that start per second.
-    callers_by_incarnation : dict of int to Caller
-        Calling nodes.
+    callers : Callers
+        Calling nodes and their attempts.
     """
 
     def __init__(
@@ -195,7 +98,7 @@
         self.stopping = False
         self.limit = _limit.ConcurrencyLimit()
         self.rate_limit = _rate_limit.RateLimit()
-        self.callers_by_incarnation = {}
+        self.callers = _callers.Callers(reactor)
         self._running = set()
         self._waiting = []
         self._waiting_count = 0
@@ -241,54 +144,6 @@
         """
         self._run_limits.stop_node(runs_end_at)
 
-    def caller(self, incarnation):
-        """Return the state of a calling node; create it if needed."""
-        caller = self.callers_by_incarnation.get(incarnation)
-        if caller is None:
-            caller = Caller(incarnation)
-            self.callers_by_incarnation[incarnation] = caller
-        return caller
-
-    def lose_caller(self, caller, address):
-        """Record that the connection of a calling node was lost.
-
-        Parameters
-        ----------
-        caller : Caller
-            State of that node.
-        address : str
-            Address of that node, for the log.
-        """
-        caller.send = None
-        caller.lost_at = self.reactor.now()
-        self._log_caller('caller_lost', 'lost', caller, address)
-
-    def restore_caller(self, caller, address, send):
-        """Record that a calling node has connected.
-
-        Parameters
-        ----------
-        caller : Caller
-            State of that node.
-        address : str
-            Address of that node, for the log.
-        send : callable
-            Sends a result to the node.
-        """
-        caller.send = send
-        self._log_caller('caller_connected', 'opened', caller, address)
-
-    @staticmethod
-    def _log_caller(event, verb, caller, address):
-        unfinished = caller.unfinished_count
-        if unfinished:
-            _LOG.info(
-                'connection of calling node %s %s with unfinished attempts',
-                address,
-                verb,
-                extra={'event': event, 'unfinished': unfinished},
-            )
-
     def load(self):
         """Return the `Load` of the target, as reported to other nodes."""
         limit, service_s = self._reported_capacity()
@@ -343,7 +198,9 @@
                 caller.send(known.result)
             return
         now = self.reactor.now()
-        job = Job(caller, attempt, now, now + attempt.remaining_ms / 1000.0)
+        job = _callers.Job(
+            caller, attempt, now, now + attempt.remaining_ms / 1000.0
+        )
         if number < caller.discarded_below:
             self._finish(job, _UNKNOWN, _frames.Reason.FORGOTTEN)
             return
@@ -678,7 +535,8 @@
         for job in list(self._running):
             if now > job.deadline_at + SWEEP_INTERVAL_S:
                 self._abort(job, _frames.Reason.DEADLINE, now)
-        self._expire_lost_callers(now)
+        for job in self.callers.expire(now):
+            self._abandon(job, _frames.Reason.CANCELLED)
         self._start_waiting()
 
     def _update_rates(self, now):
@@ -687,18 +545,3 @@
         # Sent until the next update, so the ages are those at its time.
         # Otherwise nodes that relay a report to each other keep it recent.
         self.pressures = self.front.pressures(now + RATE_UPDATE_INTERVAL_S)
-
-    def _expire_lost_callers(self, now):
-        for caller in list(self.callers_by_incarnation.values()):
-            if (
-                caller.send is not None
-                or now < caller.lost_at + CALLER_RECONNECT_TIMEOUT_S
-            ):
-                continue
-            for job in caller.jobs_by_number.values():
-                if job.result is None:
-                    self._abandon(job, _frames.Reason.CANCELLED)
-            # The attempts must be remembered after the cancellation, or
-            # they would run again when the node reconnects and resends them.
-            if now > caller.lost_at + CALLER_RETENTION_S:
-                del self.callers_by_incarnation[caller.incarnation]
--- a/tests/dataplane/conftest.py
+++ b/tests/dataplane/conftest.py
@@ -2,7 +2,12 @@
 
 import pytest
 
+from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _target
 from tests.dataplane import fakes
 from tests.dataplane import simulation as simulations
 
@@ -22,3 +27,29 @@
         return simulation
 
     return patch
+
+
+@pytest.fixture
+def pool():
+    """Connections to the local target, whose calls the test answers."""
+    return fakes.FakePool()
+
+
+@pytest.fixture
+def make_side(reactor, pool):
+    """Return target sides whose target has announced itself."""
+
+    def make(slots, drain_s=0.0):
+        side = _target.TargetSide(
+            reactor,
+            pool,
+            _names.HeaderNames(),
+            _counters.Counters(),
+            _costs.CallCosts('archive'),
+            _front.AdmitAll(),
+            drain_s,
+        )
+        side.update_record(fakes.record(slots=slots))
+        return side
+
+    return make
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -6,11 +6,11 @@
 import attrs
 import pytest
 
+from rosemarycrank.dataplane import _callers
 from rosemarycrank.dataplane import _cancellations
 from rosemarycrank.dataplane import _inbound
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _peer_connection
-from rosemarycrank.dataplane import _target
 from tests.dataplane import fakes
 from tests.dataplane import simulation as simulations
 
@@ -36,7 +36,7 @@
 #: that has gone silent, in seconds.
 CALLER_LOSS_S = (
     _inbound.MAX_SILENT_CHECKS + 2
-) * _node.PEER_CHECK_INTERVAL_S + _target.CALLER_RECONNECT_TIMEOUT_S
+) * _node.PEER_CHECK_INTERVAL_S + _callers.CALLER_RECONNECT_TIMEOUT_S
 
 
 @pytest.fixture
@@ -153,7 +153,7 @@
     # Request identifiers are derived from the numbers.
     simulation.entry.last_attempt_number = 100
     _send(simulation.entry, FIRST)
-    reactor.run(_target.CALLER_RECONNECT_TIMEOUT_S + END_BOUND_S, 0.01)
+    reactor.run(_callers.CALLER_RECONNECT_TIMEOUT_S + END_BOUND_S, 0.01)
     assert _has_ended(simulation, first)
     assert simulation.count_runs(second.request_id) == 0
     assert len(simulation.runs) == 2
--- a/tests/dataplane/test_leaf_overload.py
+++ b/tests/dataplane/test_leaf_overload.py
@@ -116,7 +116,7 @@
             _front.AdmitAll(),
         )
         self.side.update_record(fakes.record(slots=SLOTS))
-        self.caller = self.side.caller(77)
+        self.caller = self.side.callers.get(77)
         self.caller.send = self._receive
         self.served_by_route = {'read': 0, 'pay': 0}
         self.failed_by_route = {'read': 0, 'pay': 0}
--- a/tests/dataplane/test_leaving_target.py
+++ b/tests/dataplane/test_leaving_target.py
@@ -48,7 +48,7 @@
             _front.AdmitAll(),
             drain_s,
         )
-        self.caller = self.side.caller(77)
+        self.caller = self.side.callers.get(77)
         self.caller.send = self._receive
         self.report('ready', 1)
         self.side.limit.value = slots
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -110,7 +110,7 @@
         node.merge(fakes.record('n2', service='archive'))
         self.other = _OtherNode(reactor, work_s)
         node.peers_by_node['n2'] = self.other
-        self.caller = self.process.target_side.caller(7)
+        self.caller = self.process.target_side.callers.get(7)
         self.results = []
         self.caller.send = self.results.append
 
--- a/tests/dataplane/test_rate_limit.py
+++ b/tests/dataplane/test_rate_limit.py
@@ -5,39 +5,20 @@
 
 import pytest
 
-from rosemarycrank.dataplane import _costs
-from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _frames
-from rosemarycrank.dataplane import _front
-from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _rate_limit
-from rosemarycrank.dataplane import _target
 from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
 
 
 @pytest.fixture
-def pool():
-    return fakes.FakePool()
-
-
-@pytest.fixture
-def side(reactor, pool):
-    side = _target.TargetSide(
-        reactor,
-        pool,
-        _names.HeaderNames(),
-        _counters.Counters(),
-        _costs.CallCosts('archive'),
-        _front.AdmitAll(),
-    )
-    side.update_record(fakes.record(slots=100))
-    return side
+def side(make_side):
+    return make_side(slots=100)
 
 
 @pytest.fixture
 def caller(side):
-    caller = side.caller(77)
+    caller = side.callers.get(77)
     caller.send = lambda _result: None
     return caller
 
@@ -149,7 +130,7 @@
         self.per_s = math.inf
         self.started_at = []
         self.results = []
-        self._callers = [side.caller(number) for number in (1, 2, 3)]
+        self._callers = [side.callers.get(number) for number in (1, 2, 3)]
         for caller in self._callers:
             caller.send = self.results.append
         self.sent_count = 0
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rosemarycrank.dataplane import _callers
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _frames
@@ -20,23 +21,8 @@
 
 
 @pytest.fixture
-def pool():
-    return fakes.FakePool()
-
-
-@pytest.fixture
-def side(reactor, pool):
-    side = _target.TargetSide(
-        reactor,
-        pool,
-        _names.HeaderNames(),
-        _counters.Counters(),
-        _costs.CallCosts('archive'),
-        _front.AdmitAll(),
-        DRAIN_S,
-    )
-    side.update_record(fakes.record(slots=2))
-    return side
+def side(make_side):
+    return make_side(slots=2, drain_s=DRAIN_S)
 
 
 @pytest.fixture
@@ -46,7 +32,7 @@
 
 @pytest.fixture
 def caller(side, results):
-    caller = side.caller(77)
+    caller = side.callers.get(77)
     caller.send = results.append
     return caller
 
@@ -134,7 +120,7 @@
         _costs.CallCosts('archive'),
         _front.AdmitAll(),
     )
-    caller = side.caller(1)
+    caller = side.callers.get(1)
     caller.send = results.append
     side.accept(caller, fakes.attempt())
     assert _reasons(results) == ['NOT_ANNOUNCED']
@@ -192,7 +178,7 @@
     side.accept(caller, fakes.attempt(remaining_ms=9000))
     caller.send = None
     caller.lost_at = reactor.now()
-    reactor.run(_target.CALLER_RECONNECT_TIMEOUT_S - 0.2)
+    reactor.run(_callers.CALLER_RECONNECT_TIMEOUT_S - 0.2)
     assert not pool.calls[0].aborted
     reactor.run(0.5)
     assert pool.calls[0].aborted
@@ -204,8 +190,8 @@
     for number in (1, 2, 3):
         side.accept(caller, fakes.attempt(number))
     with caplog.at_level(logging.INFO):
-        side.lose_caller(caller, 'n2')
-        side.restore_caller(caller, 'n2', lambda _result: None)
+        side.callers.lose(caller, 'n2')
+        side.callers.restore(caller, 'n2', lambda _result: None)
     lines = [(r.event, r.unfinished) for r in caplog.records]
     assert lines == [('caller_lost', 3), ('caller_connected', 3)]
 
@@ -267,8 +253,8 @@
     side.accept(caller, fakes.attempt(remaining_ms=9000, idempotent=False))
     caller.send = None
     caller.lost_at = reactor.now()
-    reactor.run(_target.CALLER_RECONNECT_TIMEOUT_S + 1.0)
-    reconnected = side.caller(caller.incarnation)
+    reactor.run(_callers.CALLER_RECONNECT_TIMEOUT_S + 1.0)
+    reconnected = side.callers.get(caller.incarnation)
     reconnected.send = results.append
     side.accept(
         reconnected, fakes.attempt(remaining_ms=6000, idempotent=False)
