--- a/tests/dataplane/test_reactor.py
+++ b/tests/dataplane/test_reactor.py
@@ -23,6 +23,14 @@
         pass
 
 
+class _EndRecorder(_Owner):
+    def __init__(self):
+        self.errors = []
+
+    def closed(self, error):
+        self.errors.append(error)
+
+
 @pytest.fixture
 def stream_and_reader():
     """A stream with small socket buffers, and the other end."""
@@ -93,3 +101,15 @@
     theirs.close()
     assert stream.peer_has_closed()
     stream.close()
+
+
+# A client or a local target that closes only its writing side counts as left.
+def test_half_close_by_the_peer_is_reported_as_the_end():
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    owner = _EndRecorder()
+    _reactor.Stream(_reactor.Reactor(), ours, owner)
+    with theirs:
+        theirs.shutdown(socket.SHUT_WR)
+        gevent.sleep(0.05)
+    assert owner.errors == [None]
