--- a/rosemarycrank/dataplane/_rate_limit.py
+++ b/rosemarycrank/dataplane/_rate_limit.py
@@ -7,8 +7,8 @@
 #: interval between two checks of a queue, `_target.SWEEP_INTERVAL_S`.
 BURST_S = 0.25
 
-#: Lowest rate, in requests per second. A target that takes none tells the end
-#: of its limit only in an answer.
+#: Lowest rate, in requests per second. The end of a limit is learned from
+#: answers only, so some requests are sent whatever the limit.
 MIN_PER_S = 0.5
 
 #: Change of the limit, as a share of it, above which it is logged.
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -116,7 +116,7 @@
 
 # Guards against the same loss when the link itself is cut: the attempt is
 # given up as unreachable, or cancelled meanwhile, and goes on after it heals.
-@pytest.mark.parametrize('cut_s', [0.6, 1.2, 3.0])
+@pytest.mark.parametrize('cut_s', [0.6, 1.2, 2.0, 3.0])
 @pytest.mark.parametrize('idempotent', [True, False])
 def test_run_ends_once_the_link_to_its_node_is_restored(
     make_simulation, reactor, cut_s, idempotent
@@ -129,7 +129,7 @@
     sent.cancel(reactor.now())
     reactor.run(cut_s, 0.01)
     simulation.cut_addresses.clear()
-    reactor.run(4.0, 0.01)
+    reactor.run(END_BOUND_S, 0.01)
     assert _has_ended(simulation, sent)
 
 
--- a/tests/dataplane/test_rate_limit.py
+++ b/tests/dataplane/test_rate_limit.py
@@ -79,7 +79,7 @@
 def test_limit_lasts_until_an_answer_without_it(side, serve):
     serve(50.0)
     assert side.rate_limit.per_s == 50.0
-    # An answer that is lost or invalid does not tell.
+    # An answer that is lost or invalid changes nothing.
     serve(None, _frames.Outcome.UNKNOWN)
     assert side.rate_limit.per_s == 50.0
     serve(math.inf)
@@ -239,7 +239,8 @@
     target.per_s = per_s
     target.offer(100.0, 4.0)
     target.per_s = math.inf
-    # An answer tells, at the lowest rate after 2 s.
+    # The end of the limit is learned from an answer, at the lowest rate
+    # after 2 s.
     target.offer(100.0, 2.0 + 1.0 / _rate_limit.MIN_PER_S)
     started = len(target.started_at)
     target.offer(100.0, 2.0)
