Reconnect soon to a peer that has attempts, and with jitter to others

Cause: after a cut of 1.2 s or more the calling node waited out its backoff of up to 2 s before it connected again, so a cancelled run ended 0.7 to 1.1 s after the link was back; the aim is 0.5 s. The backoffs of all nodes were the same, too.

Change: a peer with pending attempts, or with cancellations that it has not confirmed within 5 s, is tried again 0.05 s after a failure. Others keep the backoff, now with jitter.

--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -12,6 +12,7 @@
 
 import errno
 import logging
+import random
 
 from rosemarycrank.dataplane import _cancellations
 from rosemarycrank.dataplane import _frames
@@ -25,11 +26,21 @@
 #: which the peer is avoided for new attempts.
 LATE_ANSWER_S = 0.2
 
-#: Backoff before connecting again to an unreachable peer; doubles with each
-#: failure.
+#: Backoff before connecting again to an unreachable peer, before jitter, in
+#: seconds; doubles with each failure.
 MIN_RECONNECT_DELAY_S = 0.1
 MAX_RECONNECT_DELAY_S = 2.0
 
+#: Delay before connecting again to an unreachable peer that has attempts of
+#: this node, in seconds. With the time after which a connection is given up,
+#: the peer is reached within 0.5 s of the end of a cut.
+URGENT_RECONNECT_DELAY_S = 0.05
+
+#: Time without contact after which the cancellations alone don't make a
+#: reconnection urgent any more, in seconds. By then the peer has cancelled the
+#: attempts of a calling node that it takes for lost.
+CANCELLATION_URGENCY_S = 5.0
+
 #: Time after which the message of a node that it is leaving expires; about
 #: the maximum duration of a planned stop. The node may have restarted by then
 #: without a connection from this node that would show it. If it has not, it
@@ -85,8 +96,11 @@
         self._pending_by_number = {}
         self._cancellations = _cancellations.UnconfirmedCancellations()
         self._last_attempt_at = 0.0
+        self._failed_at = 0.0
+        self._unreachable_since = 0.0
         self._reconnect_at = 0.0
         self._reconnect_delay_s = MIN_RECONNECT_DELAY_S
+        self._random = random.Random(f'{node.incarnation} {address}')
 
     @property
     def outstanding(self):
@@ -182,9 +196,7 @@
         needs_peer = self._needs_peer
         idle_s = now - self._last_attempt_at
         if connection is None:
-            if now >= self._reconnect_at and (
-                needs_peer or not self.reachable
-            ):
+            if self._is_reconnection_due(now):
                 self._connect()
         elif connection.awaits_answer:
             connection.check_answer(now)
@@ -218,13 +230,11 @@
                 reason,
                 extra={'event': 'peer_lost', 'outstanding': self.outstanding},
             )
+            self._unreachable_since = self.node.reactor.now()
         self.reachable = False
         self.load = None
         self.node.mark_unusable(self.address)
-        self._reconnect_at = self.node.reactor.now() + self._reconnect_delay_s
-        self._reconnect_delay_s = min(
-            MAX_RECONNECT_DELAY_S, self._reconnect_delay_s * 2.0
-        )
+        self._back_off()
         for pending in list(self._pending_by_number.values()):
             result = pending.result_without_peer(process_ended)
             if result is not None:
@@ -341,6 +351,34 @@
         """Whether results or confirmations of the peer are awaited."""
         return bool(self._pending_by_number or self._cancellations)
 
+    def _is_reconnection_due(self, now):
+        if self._is_reconnection_urgent(now):
+            return now >= self._failed_at + URGENT_RECONNECT_DELAY_S
+        is_wanted = self._needs_peer or not self.reachable
+        return is_wanted and now >= self._reconnect_at
+
+    def _is_reconnection_urgent(self, now):
+        if self._pending_by_number:
+            return True
+        without_contact_s = now - self._unreachable_since
+        return (
+            bool(self._cancellations)
+            and without_contact_s < CANCELLATION_URGENCY_S
+        )
+
+    def _back_off(self):
+        """Delay the next connection, with jitter.
+
+        The connections of many nodes to one that they all have lost would
+        otherwise be opened together.
+        """
+        self._failed_at = self.node.reactor.now()
+        jitter = 0.5 + self._random.random()
+        self._reconnect_at = self._failed_at + jitter * self._reconnect_delay_s
+        self._reconnect_delay_s = min(
+            MAX_RECONNECT_DELAY_S, self._reconnect_delay_s * 2.0
+        )
+
     def _repeat_cancellations(self):
         if not self._cancellations:
             return
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -1,5 +1,6 @@
 """Cancelled attempts end at the target's node, whatever was lost meanwhile."""
 
+import collections
 import logging
 import random
 
@@ -11,6 +12,7 @@
 from rosemarycrank.dataplane import _inbound
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _peer_connection
+from rosemarycrank.dataplane import _reactor
 from tests.dataplane import fakes
 from tests.dataplane import simulation as simulations
 
@@ -300,3 +302,46 @@
         sent.cancel(reactor.now())
     reactor.run(3.0, 0.01)
     assert not simulation.entry.peer(FIRST)._cancellations
+
+
+# Guards against a bound that holds for some phases of the reconnections only.
+@pytest.mark.parametrize('phase', range(10))
+def test_run_ends_in_time_at_each_phase_of_the_reconnections(
+    make_simulation, reactor, phase
+):
+    simulation = make_simulation(seed=phase)
+    sent = _send(simulation.entry, FIRST, idempotent=phase % 2 == 0)
+    reactor.run(0.5, 0.001)
+    simulation.cut_off('silent', FIRST)
+    sent.cancel(reactor.now())
+    reactor.run(2.0 + 0.05 * phase, 0.01)
+    simulation.cut_addresses.clear()
+    reactor.run(END_BOUND_S, 0.01)
+    assert _has_ended(simulation, sent)
+
+
+# Guards against a surge of connections at the end of a cut in a large fleet,
+# when each node reconnects to all others.
+def test_reconnections_of_a_large_fleet_are_spread(
+    make_simulation, reactor, monkeypatch
+):
+    simulation = make_simulation()
+    addresses = [f'10.1.{i // 250}.{i % 250}:7000' for i in range(194)]
+    simulation.cut_addresses.update(addresses)
+    for address in addresses:
+        peer = simulation.entry.peer(address)
+        peer.mark_unreachable('cut off', process_ended=False)
+    reactor.run(8.0, 0.01)
+    opened_by_tick = collections.Counter()
+
+    def connect(*args, **kwargs):
+        opened_by_tick[int(reactor.now() * 10.0)] += 1
+        return simulation.connect(*args, **kwargs)
+
+    monkeypatch.setattr(_reactor, 'connect', connect)
+    reactor.run(10.0, 0.01)
+    # Each peer is tried every 2 s or so; the busiest tenth of a second may
+    # have thrice the mean.
+    mean_per_tick = sum(opened_by_tick.values()) / 100.0
+    assert 4.0 < mean_per_tick < 14.0
+    assert max(opened_by_tick.values()) < 3.0 * mean_per_tick
