Refuse requests under which two targets have crashed

Cause: a request that ends the process of each target that runs it was repeated by nodes and clients without a bound, each time with another id, and held a whole service down.

Change: the target's node tells a crash from a lost connection by a further connection, which the operating system refuses once the process has ended. It reports the digests of the requests that ran (route, method, target, body) to all nodes. After two crashes under a digest, all nodes refuse it for 60 s, doubling up to 900 s; then it runs again, one at a time. A good run lowers the suspicion, so that requests beside it are not blamed for long. The frame and the reason are used only towards builds that know them.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -4,6 +4,7 @@
 import math
 
 from rosemarycrank.dataplane import _candidates
+from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _retry_limits
@@ -146,6 +147,7 @@
         self._record_outcome(exchange, result)
         if result.outcome == _COMPLETE:
             exchange.deliveries += 1
+            self.node.record_good_run(exchange)
             self.on_complete(exchange, result)
             return
         reason = _frames.Reason(result.reason)
@@ -155,11 +157,7 @@
             exchange.may_have_run = True
         elif reason is _frames.Reason.LEAVING:
             self._avoid_stopping_node(exchange)
-        if self._retry_limits.allow_retry(
-            exchange,
-            self.node.reactor.now(),
-            self._run_deadline_at(exchange),
-        ):
+        if self._may_repeat(exchange, reason):
             self.counters.retries_by_reason[reason.name.lower()] += 1
             _LOG.info(
                 'retrying on another node after %s',
@@ -176,6 +174,19 @@
         else:
             self.on_failure(exchange, reason.name.lower())
 
+    def _may_repeat(self, exchange, reason):
+        """Return whether a request is sent again; spend the retry budget."""
+        now = self.node.reactor.now()
+        if reason is _frames.Reason.CRASH_SUSPECT:
+            return False
+        if reason is _frames.Reason.ANSWER_LOST:
+            request_digest = _crash_suspects.digest_exchange(exchange)
+            if not self.node.crash_suspects.may_repeat(request_digest, now):
+                return False
+        return self._retry_limits.allow_retry(
+            exchange, now, self._run_deadline_at(exchange)
+        )
+
     def _avoid_stopping_node(self, exchange):
         """Avoid a node that refuses attempts of a target that stays.
 
--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -36,6 +36,9 @@
         The run as counted by `CallCosts`; None while it is queued.
     result : rosemarycrank.dataplane.Result or None
         Its result; None until it has ended.
+    suspect_digest : int
+        Digest of the request if it is suspected of crashing targets;
+        otherwise 0.
     """
 
     caller: object
@@ -46,6 +49,7 @@
     started_at: float = 0.0
     run: object = None
     result: object = None
+    suspect_digest: int = 0
 
 
 class Caller:
@@ -68,6 +72,8 @@
         Its attempts, by their numbers.
     discarded_below : int
         Results of attempts with lower numbers have been discarded.
+    features : int
+        `Feature` flags of the node.
     """
 
     def __init__(self, incarnation):
@@ -77,6 +83,7 @@
         self.lost_at = 0.0
         self.jobs_by_number = {}
         self.discarded_below = 0
+        self.features = 0
 
     def unfinished_jobs(self):
         """Return its attempts without a result."""
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -5,6 +5,7 @@
 import logging
 
 from rosemarycrank.dataplane import _attempts
+from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _exchange
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _pauses
@@ -199,6 +200,8 @@
             return 'node stopping'
         if exchange.arrived_at >= self._attempts.latest_run_end_at:
             return 'node stopping'
+        if self._is_crash_suspect(exchange):
+            return 'suspected of crashing targets'
         if from_client:
             admitted = node.front.admit(route, exchange.service)
             return None if admitted else 'shed at the front'
@@ -212,6 +215,15 @@
             exchange.rank = rank
         return None
 
+    def _is_crash_suspect(self, exchange):
+        suspects = self.node.crash_suspects
+        if not suspects:
+            return False
+        request_digest = _crash_suspects.digest_exchange(exchange)
+        now = self.node.reactor.now()
+        exchange.refused_for_s = suspects.refused_for_s(request_digest, now)
+        return exchange.refused_for_s > 0.0
+
     def limit_run_end(self, latest_run_end_at):
         """Limit the deadlines given to attempts, during a planned stop.
 
--- a/rosemarycrank/dataplane/_exchange.py
+++ b/rosemarycrank/dataplane/_exchange.py
@@ -46,6 +46,9 @@
         Urgency; 0 is the most urgent. The priority of the route or, for a
         call of the local target, the rank of the request for which it is
         made.
+    refused_for_s : float
+        Time for which the request is refused because targets have crashed
+        under it, in seconds; otherwise 0.
     """
 
     request_id: bytes
@@ -66,3 +69,4 @@
     may_have_run: bool = False
     from_target: bool = False
     rank: float = 0.0
+    refused_for_s: float = 0.0
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -72,6 +72,8 @@
         The target's node could not be reached.
     NODE_RESTARTED
         The process of the target's node ended.
+    CRASH_SUSPECT
+        The request is refused, as targets have crashed under it.
     """
 
     NONE = 0
@@ -89,6 +91,26 @@
     FORGOTTEN = 12
     NODE_UNREACHABLE = 13
     NODE_RESTARTED = 14
+    CRASH_SUSPECT = 15
+
+
+class Feature(enum.IntFlag):
+    """Parts of the protocol that not all builds of a version have.
+
+    A node uses them towards another one only if both have them.
+
+    Attributes
+    ----------
+    CRASH_REPORTS
+        `CrashReport` and `Reason.CRASH_SUSPECT`.
+    """
+
+    NONE = 0
+    CRASH_REPORTS = 1
+
+
+#: Features of this build.
+FEATURES = Feature.CRASH_REPORTS
 
 
 class TargetRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -186,6 +208,8 @@
         All target records that the sender knows.
     client_routes : list of str
         Routes that are known to be called by clients.
+    features : int
+        `Feature` flags of the sender.
     """
 
     protocol: int
@@ -195,6 +219,7 @@
     configuration_version: int
     records: list[TargetRecord]
     client_routes: list[str]
+    features: int = 0
 
 
 class Attempt(msgspec.Struct, array_like=True, tag=1):
@@ -343,6 +368,21 @@
     admitted_per_s: float
 
 
+class CrashReport(msgspec.Struct, array_like=True, tag=12):
+    """Requests that ran at the sender's target when it crashed, or since.
+
+    Attributes
+    ----------
+    crashed : list of int
+        Digests of the requests that ran when the target crashed.
+    served : list of int
+        Digests of suspected requests that have run without a crash.
+    """
+
+    crashed: list[int]
+    served: list[int]
+
+
 Frame = (
     Hello
     | Attempt
@@ -356,6 +396,7 @@
     | Leaving
     | RouteCosts
     | Demand
+    | CrashReport
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -42,6 +42,16 @@
         self._reader = _frames.FrameReader()
         self._stream = _reactor.Stream(node.reactor, sock, self)
 
+    @property
+    def features(self):
+        """`Feature` flags of the other node; 0 before the handshake."""
+        return 0 if self.caller is None else self.caller.features
+
+    @property
+    def connected(self):
+        """Whether the other node has sent its handshake."""
+        return self.caller is not None
+
     @property
     def unsent_bytes(self):
         """Number of written bytes that have not been sent."""
@@ -142,6 +152,7 @@
             if connection is not self and connection.caller is caller:
                 connection.close()
         self.caller = caller
+        caller.features = hello.features
         self._generation = caller.generation = hello.generation
         self.node.target_side.callers.restore(
             caller, self.address, self.notify
--- a/rosemarycrank/dataplane/_local_peer.py
+++ b/rosemarycrank/dataplane/_local_peer.py
@@ -1,5 +1,7 @@
 """In-process peer for attempts at the target on the node's own VM."""
 
+from rosemarycrank.dataplane import _frames
+
 
 class LocalPeer:
     """Peer with the interface of `Peer`, without a connection.
@@ -16,8 +18,11 @@
         self.target_side = target_side
         self.caller = caller
         self.reachable = self.responsive = self.connected = True
+        # Reports about this node's own target are not sent to itself.
+        self.features = 0
         self.sent_since_load = 0
         self._on_result_by_number = {}
+        caller.features = int(_frames.FEATURES)
         caller.send = self._deliver_result
 
     @property
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -140,6 +140,12 @@
         'Requests that wait for an answer.',
         [({}, process.entry.in_flight)],
     )
+    _register_gauge(
+        registry,
+        'crash_suspects',
+        'Requests that are suspected of crashing targets.',
+        [({}, len(process.node.crash_suspects))],
+    )
     _register_gauge(
         registry,
         'configuration_version',
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -1,12 +1,14 @@
 """State of a node that the entry side and the target side share."""
 
 import logging
+import random
 
 import attrs
 import msgspec
 
 from rosemarycrank.dataplane import _cost_reports
 from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
@@ -15,6 +17,7 @@
 from rosemarycrank.dataplane import _origins
 from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _suspect_runs
 
 #: Seconds between reports of the demand for a service to the nodes of its
 #: targets: while the service is overloaded or the demand has changed, and
@@ -86,6 +89,8 @@
         Called with the name of each client route that this node detects.
     origins : RouteOrigins
         Detects which routes clients use.
+    crash_suspects : CrashSuspects
+        Requests that are suspected of crashing targets.
     """
 
     def __init__(
@@ -115,6 +120,9 @@
         self.origins = _origins.RouteOrigins(
             reactor.now(), self._client_route_detected
         )
+        self.crash_suspects = _crash_suspects.CrashSuspects(
+            random.Random(incarnation)
+        )
         self._listener = None
         self._reported_demands = {}
         self._cost_reports = _cost_reports.CostReports(costs)
@@ -142,6 +150,9 @@
     def set_target_side(self, target_side):
         """Set the target side and make it callable like a peer."""
         self.target_side = target_side
+        target_side.suspect_runs = _suspect_runs.SuspectRuns(
+            self.crash_suspects, self._send_crash_report
+        )
         self.peers_by_node[self.address] = _local_peer.LocalPeer(
             target_side, target_side.callers.get(self.incarnation)
         )
@@ -170,6 +181,7 @@
             self.configuration_version(),
             self.directory.records(),
             sorted(self.origins.client_routes),
+            int(_frames.FEATURES),
         )
 
     def configuration_version(self):
@@ -318,9 +330,44 @@
             self.costs.update_from_report(frame.service, frame.costs_by_route)
             if frame.service == self.costs.service:
                 self._cost_reports.receive(frame.costs_by_route)
+        elif isinstance(frame, _frames.CrashReport):
+            self._receive_crash_report(frame)
         elif isinstance(frame, _frames.Leaving):
             self.mark_leaving(connection.address)
 
+    def record_good_run(self, exchange):
+        """Lower the suspicion of a request that a target has answered.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        """
+        if self.crash_suspects:
+            self.target_side.suspect_runs.record_good_run(
+                _crash_suspects.digest_exchange(exchange), self.reactor.now()
+            )
+
+    def _send_crash_report(self, report):
+        """Send a report to every connected node, once, as crashes add up."""
+        connections = list(self.peers_by_node.values())
+        connections += self.inbound_connections
+        sent_to = set()
+        for connection in connections:
+            if (
+                connection.features & _frames.Feature.CRASH_REPORTS
+                and connection.connected
+                and connection.address not in sent_to
+            ):
+                connection.notify(report)
+                sent_to.add(connection.address)
+
+    def _receive_crash_report(self, report):
+        now = self.reactor.now()
+        self.crash_suspects.record_crash(report.crashed, now)
+        for request_digest in report.served:
+            self.crash_suspects.record_good_run(request_digest, now)
+
     def mark_leaving(self, address):
         """Record that a node is shutting down and takes no more attempts."""
         if address != self.address:
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -79,6 +79,8 @@
         Whether the peer has announced that it is shutting down.
     incarnation : int
         Random number that identifies the peer's process; 0 if unknown.
+    features : int
+        `Feature` flags of the peer; 0 if unknown.
     """
 
     def __init__(self, address, node):
@@ -91,6 +93,7 @@
         self.leaving = False
         self._leaving_since = 0.0
         self.incarnation = 0
+        self.features = 0
         self._connection = None
         self._generation = 0
         self._pending_by_number = {}
@@ -297,6 +300,7 @@
             self.leaving = False
             self.incarnation = hello.incarnation
             self._cancellations.clear()
+        self.features = hello.features
         self._repeat_cancellations()
         self.node.receive_hello(hello, self)
         for pending in list(self._pending_by_number.values()):
--- a/rosemarycrank/dataplane/_refusals.py
+++ b/rosemarycrank/dataplane/_refusals.py
@@ -70,6 +70,8 @@
         # A random value, so that clients do not all retry at the same time.
         # The larger the share that is shed, the longer it takes until there
         # is capacity again, and the less likely an early retry succeeds.
+        if exchange.refused_for_s:
+            return exchange.refused_for_s
         max_s = MAX_RETRY_AFTER_S
         if exchange.route is not None:
             max_s = min(max_s, exchange.route.timeout_s / 6.0)
--- /dev/null
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -0,0 +1,125 @@
+"""Runs of suspected requests at the local target, and reports about them."""
+
+import logging
+import random
+
+from rosemarycrank.dataplane import _crash_suspects
+from rosemarycrank.dataplane import _frames
+
+#: Maximum number of requests that a report names.
+MAX_REPORTED = 1000
+
+_LOG = logging.getLogger(__name__)
+
+
+class SuspectRuns:
+    """Limits how many suspected requests run at once, and reports outcomes.
+
+    If one of few suspects crashes the target, few others are taken for the
+    cause.
+
+    Parameters
+    ----------
+    suspects : CrashSuspects
+        Requests under suspicion.
+    on_report : callable
+        Called with each `CrashReport` for the other nodes.
+    """
+
+    def __init__(self, suspects=None, on_report=None):
+        if suspects is None:
+            suspects = _crash_suspects.CrashSuspects(random.Random(0))
+        self.suspects = suspects
+        self._on_report = on_report or (lambda report: None)
+        self._running = set()
+        self._served = []
+
+    def refusal_reason(self, job, now):
+        """Mark a job whose request is suspected, and return a refusal.
+
+        Parameters
+        ----------
+        job : Job
+            The attempt.
+        now : float
+            Seconds of the node's clock.
+
+        Returns
+        -------
+        Reason or None
+            Why the request is refused; None if it may run.
+        """
+        if not self.suspects:
+            return None
+        request_digest = _crash_suspects.digest_attempt(job.attempt)
+        if request_digest not in self.suspects:
+            return None
+        job.suspect_digest = request_digest
+        if self.suspects.refused_for_s(request_digest, now) == 0.0:
+            return None
+        if job.caller.features & _frames.Feature.CRASH_REPORTS:
+            return _frames.Reason.CRASH_SUSPECT
+        return _frames.Reason.QUEUE_FULL
+
+    def may_start(self, job, now):
+        """Return whether a job may start, as far as suspicion matters."""
+        if not job.suspect_digest:
+            return True
+        return len(self._running) < self.suspects.max_runs(now)
+
+    def record_start(self, job):
+        """Record that a job has started."""
+        if job.suspect_digest:
+            self._running.add(job)
+
+    def record_end(self, job):
+        """Record that the run of a job has ended, in whatever way."""
+        self._running.discard(job)
+
+    def record_good_run(self, request_digest, now):
+        """Lower the suspicion of a request after a run without a crash.
+
+        Parameters
+        ----------
+        request_digest : int
+            Its digest.
+        now : float
+            Seconds of the node's clock.
+        """
+        if self.suspects.record_good_run(request_digest, now):
+            self._served.append(request_digest)
+
+    def record_crash(self, jobs, now):
+        """Record and report a crash.
+
+        Parameters
+        ----------
+        jobs : list of Job
+            Attempts that ran at the target.
+        now : float
+            Seconds of the node's clock.
+        """
+        attempts = [job.attempt for job in jobs[:MAX_REPORTED]]
+        digests = [
+            _crash_suspects.digest_attempt(attempt) for attempt in attempts
+        ]
+        _LOG.warning(
+            'the target has crashed while %d requests ran',
+            len(jobs),
+            extra={
+                'event': 'crash_suspected',
+                'digests': ['%x' % digest for digest in digests],
+                'request_ids': [
+                    attempt.request_id.decode('latin-1')
+                    for attempt in attempts
+                ],
+            },
+        )
+        self.suspects.record_crash(digests, now)
+        self._on_report(_frames.CrashReport(digests, []))
+
+    def report_served(self):
+        """Report the requests that have run well since the last call."""
+        if self._served:
+            served, self._served = self._served[:MAX_REPORTED], []
+            self._on_report(_frames.CrashReport([], served))
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -13,6 +13,7 @@
 from rosemarycrank.dataplane import _call_links
 from rosemarycrank.dataplane import _callers
 from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _crash_detection
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
@@ -20,6 +21,7 @@
 from rosemarycrank.dataplane import _pressure
 from rosemarycrank.dataplane import _rate_limit
 from rosemarycrank.dataplane import _run_limits
+from rosemarycrank.dataplane import _suspect_runs
 
 #: Interval between checks for attempts past their deadlines, in seconds.
 SWEEP_INTERVAL_S = 0.05
@@ -79,6 +81,8 @@
         Limit on the attempts that start per second.
     callers : Callers
         Calling nodes and their attempts.
+    suspect_runs : SuspectRuns
+        Runs of requests that are suspected of crashing targets.
     """
 
     def __init__(
@@ -99,6 +103,10 @@
         self.limit = _limit.ConcurrencyLimit()
         self.rate_limit = _rate_limit.RateLimit()
         self.callers = _callers.Callers(reactor)
+        self.suspect_runs = _suspect_runs.SuspectRuns()
+        self._crash_detection = _crash_detection.CrashDetection(
+            reactor, pool, self._end_lost_runs
+        )
         self._running = set()
         self._waiting = []
         self._waiting_count = 0
@@ -210,7 +218,7 @@
         reason = self._refusal_reason(attempt, job, now)
         if reason is not None:
             self._finish(job, _NOT_RUN, reason)
-        elif self._may_start(now):
+        elif self._may_start(now) and self.suspect_runs.may_start(job, now):
             self._start(job, now)
         else:
             priority_at = self._priority_at(attempt, now)
@@ -281,6 +289,9 @@
             return _frames.Reason.OTHER_TARGET
         if record.state != _directory.READY:
             return _frames.Reason.LEAVING
+        suspect_reason = self.suspect_runs.refusal_reason(job, now)
+        if suspect_reason is not None:
+            return suspect_reason
         start_at = now
         if not self._may_start(now):
             priority_at = self._priority_at(attempt, now)
@@ -312,6 +323,7 @@
         job.run = _call_links.Run(attempt.route, attempt.rank, job.deadline_at)
         self.costs.record_run_start(job.run)
         self._running.add(job)
+        self.suspect_runs.record_start(job)
         self.rate_limit.record_start(now)
         connection = self.pool.acquire(attempt.idempotent)
         job.connection = connection
@@ -351,6 +363,33 @@
             )
 
     def _on_answer(self, job, answer):
+        if answer.reason == _frames.Reason.ANSWER_LOST:
+            self._crash_detection.add(job, answer)
+            return
+        if job.suspect_digest:
+            self.suspect_runs.record_good_run(
+                job.suspect_digest, self.reactor.now()
+            )
+        self._end_run(job, answer)
+
+    def _end_lost_runs(self, lost, has_crashed):
+        """End runs whose connections were lost.
+
+        Parameters
+        ----------
+        lost : list of tuple of (Job, Answer)
+            The runs that were lost, and their outcomes.
+        has_crashed : bool
+            Whether the process of the target has ended.
+        """
+        if has_crashed and self.record.state == _directory.READY:
+            jobs = [job for job, _ in lost if job.result is None]
+            self.suspect_runs.record_crash(jobs, self.reactor.now())
+        for job, answer in lost:
+            if job.result is None:
+                self._end_run(job, answer)
+
+    def _end_run(self, job, answer):
         now = self.reactor.now()
         if answer.rate_limit_per_s is not None:
             self._update_rate_limit(job, answer.rate_limit_per_s)
@@ -375,6 +414,7 @@
         if job not in self._running:
             return
         self._running.remove(job)
+        self.suspect_runs.record_end(job)
         self.costs.record_run_end(job.run, now, failed)
         job.connection = None
         self._last_run_at = now
@@ -451,11 +491,16 @@
 
     def _start_waiting(self):
         waiting = self._waiting
+        held_back = []
         now = self.reactor.now()
         while waiting and self._may_start(now):
-            _, _, job = heapq.heappop(waiting)
+            entry = heapq.heappop(waiting)
+            job = entry[2]
             if job.result is not None:
                 continue
+            if not self.suspect_runs.may_start(job, now):
+                held_back.append(entry)
+                continue
             self._waiting_count -= 1
             least_s = self.limit.min_remaining_s(job.attempt.route)
             if now + least_s > job.deadline_at:
@@ -464,6 +509,8 @@
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
                 self._start(job, now)
+        for entry in held_back:
+            heapq.heappush(waiting, entry)
 
     def _ends_too_late(self, job, start_at):
         """Return whether a run may outlast the target or its node.
@@ -521,6 +568,7 @@
 
     def _sweep(self, now):
         self._pauses.tick(now)
+        self.suspect_runs.report_served()
         self._give_back_waiting()
         if self._waiting_count:
             for _, _, job in list(self._waiting):
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from rosemarycrank.dataplane import _crash_detection
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _rate_limit
@@ -326,6 +327,16 @@
         self.opened += 1
         return UpstreamConnection(self)
 
+    def probe(self, on_outcome):
+        """Find out whether the process of the target has ended.
+
+        Parameters
+        ----------
+        on_outcome : callable
+            Called once with the outcome.
+        """
+        _crash_detection.ProcessProbe(self.reactor, self.address, on_outcome)
+
     def release(self, connection):
         """Return a connection to the pool after its request has ended."""
         connection.idle_since = self.reactor.now()
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -54,6 +54,9 @@
     def acquire(self, idempotent):
         return _FakeConnection(self)
 
+    def probe(self, on_outcome):
+        on_outcome(False)
+
 
 class _FakeConnection:
     def __init__(self, pool):
--- a/tests/dataplane/test_leaving_target.py
+++ b/tests/dataplane/test_leaving_target.py
@@ -96,6 +96,9 @@
     def acquire(self, _idempotent):
         return _Connection(self)
 
+    def probe(self, on_outcome):
+        on_outcome(False)
+
 
 class _Connection:
     def __init__(self, target):
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -64,6 +64,7 @@
             ),
         ],
         client_routes=['s22', 's23'],
+        features=1024,
     ),
     _frames.Attempt(
         number=1001,
@@ -140,6 +141,13 @@
     _frames.Leaving(),
     _frames.RouteCosts(service='s1', costs_by_route={'s2': {'s3': 4.25}}),
     _frames.Demand(offered_per_s=1.25, admitted_per_s=2.25),
+    _frames.CrashReport(crashed=[1002, 1003], served=[1004]),
+]
+
+#: Frames as builds encode them that do not have the last fields yet; these
+#: have their defaults then.
+EARLIER_FRAMES = [
+    ('Hello before features', msgspec.structs.replace(FRAMES[0], features=0))
 ]
 
 #: Types of the values in JSON, by name of the recorded item.
@@ -176,6 +184,17 @@
     assert _frames.encode(frame) == recorded
 
 
+@pytest.mark.parametrize(('name', 'frame'), EARLIER_FRAMES)
+def test_frames_of_earlier_builds(name, frame):
+    recorded = bytes.fromhex(RECORDED['earlier_frames'][name])
+    assert _frames.FrameReader().feed(recorded) == [frame]
+    # The earlier build reads the fields that it has, and no more.
+    encoded = _frames.encode(frame)
+    values = msgspec.msgpack.decode(encoded[_frames._LENGTH.size :])
+    earlier = msgspec.msgpack.decode(recorded[_frames._LENGTH.size :])
+    assert values[: len(earlier)] == earlier
+
+
 def test_all_frames_of_the_data_path_are_recorded():
     names = {cls.__name__ for cls in typing.get_args(_frames.Frame)}
     assert names == RECORDED['frames'].keys()
