Send the attempts of a node to a subset of the targets of a service

Cause: any target might be chosen, so that each node came to be connected to all others: with 195 nodes 38,000 connections with their pings, and a choice that reads all records.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -8,9 +8,14 @@
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _retry_limits
+from rosemarycrank.dataplane import _subsets
 
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
+#: Number of tries after which a request may be sent to any target, also to
+#: those outside the node's subset: the subset is short of room.
+MAX_TRIES_IN_SUBSET = 1
+
 _LOG = logging.getLogger(__name__)
 
 #: Reasons of results without a response that are the target's fault.
@@ -76,16 +81,14 @@
         self.on_complete = on_complete
         self.on_failure = on_failure
         self.latest_run_end_at = math.inf
+        self._subsets = _subsets.Subsets(node.address, chooser.failure_domain)
         self._retry_limits = _retry_limits.RetryLimits(
             node.directory, budget_settings
         )
 
     def send(self, exchange):
         """Send a request to a target that has not been tried."""
-        records = self.node.directory.ready_targets(exchange.service)
-        candidates = _candidates.select(
-            records, exchange.tried_nodes, self.node.peers_by_node
-        )
+        candidates = self._candidates(exchange)
         if not candidates:
             self.on_failure(exchange, 'no target')
             return
@@ -119,6 +122,15 @@
             attempt, lambda result: self._handle_result(exchange, result)
         )
 
+    def _candidates(self, exchange):
+        records = self.node.directory.ready_targets(exchange.service)
+        subset = records
+        if len(exchange.tried_nodes) <= MAX_TRIES_IN_SUBSET:
+            subset = self._subsets.select(exchange.service, records)
+        return _candidates.select_in_subset(
+            subset, records, exchange.tried_nodes, self.node.peers_by_node
+        )
+
     def cancel(self, exchange):
         """Cancel the attempt in flight, if there is one.
 
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -29,6 +29,7 @@
 class _Node:
     def __init__(self, reactor):
         self.reactor = reactor
+        self.address = 'n0'
         self.configuration = fakes.configuration(
             fakes.route(),
             fakes.route('pay', path_prefix=b'/pay/', idempotent=False),
