Count only complete answers as good runs of a suspected request

Cause: an attempt that found its target down ended with "connect failed", and counted as a run without a crash. So the suspicion of a deadly request fell as fast as it rose wherever many targets were down.

Change: only complete answers count.

--- a/rosemarycrank/dataplane/_crash_suspects.py
+++ b/rosemarycrank/dataplane/_crash_suspects.py
@@ -180,18 +180,19 @@
         if suspect is None or now - suspect.good_run_at < GOOD_RUN_INTERVAL_S:
             return False
         suspect.good_run_at = now
-        suspect.crashes -= 1
         suspect.refused_until = 0.0
-        if suspect.crashes <= 0:
-            del self._by_digest[request_digest]
+        if suspect.crashes >= CRASHES_TO_REFUSE:
             _LOG.info(
-                'request %x is not suspected of crashes any more',
+                'request %x is not refused any more, as it has run well',
                 request_digest,
                 extra={
-                    'event': 'crash_suspect_cleared',
+                    'event': 'crash_suspect_released',
                     'digest': '%x' % request_digest,
                 },
             )
+        suspect.crashes -= 1
+        if suspect.crashes <= 0:
+            del self._by_digest[request_digest]
         return True
 
     def refused_for_s(self, request_digest, now):
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -366,7 +366,8 @@
         if answer.reason == _frames.Reason.ANSWER_LOST:
             self._crash_detection.add(job, answer)
             return
-        if job.suspect_digest:
+        has_run = answer.outcome == _frames.Outcome.COMPLETE
+        if has_run and job.suspect_digest:
             self.suspect_runs.record_good_run(
                 job.suspect_digest, self.reactor.now()
             )
--- a/tests/dataplane/test_crash_suspects.py
+++ b/tests/dataplane/test_crash_suspects.py
@@ -154,6 +154,19 @@
     assert service.count_innocent(200) >= 490
 
 
+# Guards against a suspicion that falls as the request reaches targets that
+# are down, and so has not run there.
+def test_failed_connections_do_not_clear_a_request(make_service):
+    service = make_service()
+    simulation = service.simulation
+    for address in ADDRESSES[2:]:
+        simulation.crash(address)
+    for _ in range(100):
+        service.send(DEADLY)
+        service.run(0.1)
+    assert service.crashes_by_path[DEADLY] <= CRASH_BOUND
+
+
 # Guards against a class that is refused because of a share of its requests.
 def test_few_innocent_requests_are_refused_beside_many_deadly_ones(
     make_service,
@@ -187,7 +200,8 @@
     assert service.count_innocent(503) <= INNOCENT_REFUSALS * 1500
 
 
-def test_request_that_is_harmless_by_now_runs_again(make_service):
+def test_request_that_is_harmless_by_now_runs_again(make_service, caplog):
+    caplog.set_level(logging.INFO)
     service = make_service()
     service.send(DEADLY)
     service.run(5.0)
@@ -204,6 +218,7 @@
     service.send(DEADLY)
     service.run(1.0)
     assert service.statuses_by_path[DEADLY][-1] == 200
+    assert _events(caplog, 'crash_suspect_released')
 
 
 def test_lines_name_the_request_from_suspicion_to_release(
