Ignore stored records whose node has no valid address

Cause: contacts connect to nodes of records without a call; a row with an address that is none would raise in their timer each second, and so leave a node without contacts.

Change: such a row is ignored with a line, as other invalid rows are. A test that moved time past the first check of the contacts uses valid addresses and shorter steps; a test of polls no longer leaves an object among the connections, which failed another test of its run.

--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -6,8 +6,8 @@
 import attrs
 import msgspec
 
-from rosemarycrank.dataplane import _cost_reports
 from rosemarycrank.dataplane import _contacts
+from rosemarycrank.dataplane import _cost_reports
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _demand_reports
@@ -538,6 +538,8 @@
         If the data is not a valid record.
     """
     try:
-        return msgspec.json.decode(data, type=_frames.TargetRecord)
+        record = msgspec.json.decode(data, type=_frames.TargetRecord)
     except msgspec.MsgspecError as error:
         raise ValueError(str(error)) from error
+    _reactor.parse_address(record.node)
+    return record
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -78,14 +78,15 @@
 
 
 def test_targets_count_again_once_their_node_takes_attempts(node, reactor):
-    for address in ('n2', 'n3'):
+    left = '10.0.0.3:7000'
+    for address in ('10.0.0.2:7000', left):
         node.merge(fakes.record(address))
-    node.mark_leaving('n3')
-    reactor.run(1.0)
+    node.mark_leaving(left)
+    reactor.run(0.5)
     assert node.count_targets('archive') == 1
-    node.peer('n3').leaving = False
+    node.peer(left).leaving = False
     assert node.count_targets('archive') == 2
-    reactor.run(1.0)
+    reactor.run(0.4)
     assert node.count_targets('archive') == 2
 
 
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -108,11 +108,22 @@
     assert not process.ready()
 
 
+# Guards against a node that cannot connect to its contacts any more, as a row
+# names an address that is none.
+def test_record_with_a_malformed_address_is_ignored(process, caplog):
+    value = _node.encode_record(record_of('nowhere'))
+    process._receive_target_row(_discovery.StoredRow('nowhere', 1, value))
+    assert not process.node.directory.records()
+    assert [r.event for r in caplog.records] == ['row_invalid']
+
+
 # Guards against a store that has to answer many polls of each node during a
 # series of changes, however many nodes there are.
 @pytest.mark.parametrize(('count', 'delay_s'), [(12, 2.0), (200, 8.0)])
-def test_polls_become_rare_in_a_large_fleet(process, count, delay_s):
-    process.node.inbound_connections.add(object())
+def test_polls_become_rare_in_a_large_fleet(
+    process, monkeypatch, count, delay_s
+):
+    monkeypatch.setattr(process.node, 'is_in_contact', lambda: True)
     for number in range(count):
         record = record_of(f'10.1.0.{number}:7620')
         process._receive_target_row(
