Use a target's connection again only after an answer that names its request

Cause: an error answer without the identifier of its request is accepted for the request in flight. If the target sent a second copy of it later, on a connection in use again, the next caller got it as its own (one of six cases of the new test). Copies with an identifier were dropped before, too.

Change: the connection is closed after an answer without an identifier.

Result: all six cases pass: answers with and without identifier, while the connection is in use and while it is idle.

--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -213,8 +213,11 @@
                 self._discard()
             return
         answer = self._classify(message, echoed_id)
+        # A second copy of an answer without an identifier could not be told
+        # from the answer to the next request.
         reusable = (
             message.keep_alive
+            and echoed_id is not None
             and not self._out_of_sync
             and self.stream.unsent_bytes == 0
             and not self._reader.expects_no_body
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -86,3 +86,53 @@
         gevent.sleep(PASS_S)
         assert target.recv(4096) == b''
     assert pool.opened == 1
+
+
+# Guards against an answer that reaches another caller: the target sends a
+# second copy of it on a connection that is in use again.
+@pytest.mark.parametrize(
+    'status_line, has_id',
+    [(b'200 OK', True), (b'500 Error', True), (b'500 Error', False)],
+)
+@pytest.mark.parametrize('is_in_use', [True, False])
+def test_second_copy_of_an_answer_reaches_no_other_caller(
+    pool, listener, status_line, has_id, is_in_use
+):
+    first = RESPONSE.replace(b'200 OK', status_line)
+    if not has_id:
+        first = first.replace(b'rosemarycrank-request-id: r1\r\n', b'')
+    pool.acquire(True).start(b'r1', REQUEST % 1, False, lambda _answer: None)
+    gevent.sleep(PASS_S)
+    target, _ = listener.accept()
+    with target:
+        target.recv(4096)
+        target.sendall(first)
+        gevent.sleep(PASS_S)
+        if not is_in_use:
+            _send(target, first)
+        answers = []
+        pool.acquire(True).start(b'r2', REQUEST % 2, False, answers.append)
+        if is_in_use:
+            _send(target, first)
+        gevent.sleep(PASS_S)
+        target = _end_of_request(listener, target)
+        _send(target, RESPONSE.replace(b'r1', b'r2'))
+    assert [answer.status for answer in answers] == [200]
+
+
+def _send(target, data):
+    """Send data, if the other end is still there, and wait for its effect."""
+    try:
+        target.sendall(data)
+    except OSError:
+        pass
+    gevent.sleep(PASS_S)
+
+
+def _end_of_request(listener, target):
+    """Return the target's end of the connection that the request is on."""
+    listener.settimeout(0.0)
+    try:
+        return listener.accept()[0]
+    except BlockingIOError:
+        return target
