Fire all due timers although a callback fails

Cause: Timers.advance took all due timers out of its queue before it fired them, and an error in one callback left the loop. The periodic timers after it were lost for good: a node that met one unexpected error no longer pinged its peers, swept its deadlines or polled the store, and its process looked alive.

Change: the errors are collected and raised, as a group if they are several, after all due timers have fired; the drivers log them as before.

--- a/rosemarycrank/kernel/_timers.py
+++ b/rosemarycrank/kernel/_timers.py
@@ -103,6 +103,12 @@
         now : float
             Current time in seconds. If it is less than that of an earlier
             call, the clock stays where it is.
+
+        Raises
+        ------
+        Exception
+            The error of a callback, after all due timers have fired; an
+            `ExceptionGroup` of several errors.
         """
         self.now = max(self.now, now)
         # The due timers are removed before any of them fires. Otherwise a
@@ -111,6 +117,7 @@
         due_timers = []
         while self._heap and self._heap[0][0] <= self.now:
             due_timers.append(heapq.heappop(self._heap)[2])
+        errors = []
         for timer in due_timers:
             if timer.cancelled:
                 continue
@@ -119,7 +126,14 @@
                 # burst of firings would act on stale state.
                 timer.due_at = self.now + timer.period_s
                 self._schedule(timer)
-            timer.callback(self.now)
+            try:
+                timer.callback(self.now)
+            except Exception as error:
+                errors.append(error)
+        if len(errors) == 1:
+            raise errors[0]
+        if errors:
+            raise ExceptionGroup('timer callbacks failed', errors)
 
     def _schedule(self, timer):
         heapq.heappush(
