Record the codes of crash suspects and of the features of builds

tests/test_recorded_files.py compares codes between processes with those recorded, and failed since the reason CRASH_SUSPECT was added.

--- a/tests/test_recorded_files.py
+++ b/tests/test_recorded_files.py
@@ -214,6 +214,7 @@
     for name, members in (
         ('outcomes', _frames.Outcome),
         ('reasons', _frames.Reason),
+        ('features', _frames.Feature.__members__.values()),
         ('statuses', _messages.Status),
     ):
         assert {member.name: member.value for member in members} == codes[name]
