Tell an answer to which another one is joined

Cause: geventhttpclient joins the bodies of two answers that it reads at once, so a second copy that came with an answer gave a body of twice the length, with status 200.

Change: a body of another length than the announced one is an error, AnswerSurplus; its outcome is unknown, as for a truncated answer. A copy that arrives on an idle connection was dropped already.

Result: the test of joined answers fails without the change, plain and TLS; of the two tests of a late copy the idle one passes.

--- a/rosemarycrank/http_client/__init__.py
+++ b/rosemarycrank/http_client/__init__.py
@@ -6,6 +6,7 @@
 
 AnswerLost = _client.AnswerLost
 AnswerTooLarge = _client.AnswerTooLarge
+AnswerSurplus = _client.AnswerSurplus
 AnswerTruncated = _client.AnswerTruncated
 Client = _client.Client
 ConnectFailed = _client.ConnectFailed
@@ -21,6 +22,7 @@
     'AUTHORIZATION_HEADER',
     'AnswerLost',
     'AnswerTooLarge',
+    'AnswerSurplus',
     'AnswerTruncated',
     'Client',
     'ConnectFailed',
--- a/rosemarycrank/http_client/_client.py
+++ b/rosemarycrank/http_client/_client.py
@@ -32,6 +32,10 @@
     """The answer is longer than allowed."""
 
 
+class AnswerSurplus(AnswerTruncated):
+    """Bytes of another answer came with the answer."""
+
+
 @attrs.frozen
 class Response:
     """A complete answer; header names are in lower case."""
@@ -240,11 +244,11 @@
             method, target, body=body, headers=headers or {}
         )
         try:
-            return self._read_response(answer)
+            return self._read_response(answer, method)
         finally:
             answer.release()
 
-    def _read_response(self, answer):
+    def _read_response(self, answer, method):
         length = answer.content_length
         self._check_length(length or 0)
         blocks = []
@@ -259,6 +263,12 @@
         body = b''.join(blocks)
         if not answer.message_complete:
             raise AnswerTruncated(f'answer truncated after {len(body)} bytes')
+        # The library joins the bodies of answers that it reads at once.
+        announced = answer.content_length
+        if method != 'HEAD' and announced not in (None, len(body)):
+            raise AnswerSurplus(
+                f'answer: got {len(body)} bytes, announced {announced}'
+            )
         headers = {str(k).lower(): str(v) for k, v in answer.items()}
         return Response(answer.status_code, headers, body)
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -235,3 +235,46 @@
         (tmp_path / 'ca.crt').write_bytes(content)
     with pytest.raises(ValueError, match='ca.crt'):
         http_client.client_tls_context(tmp_path / 'ca.crt')
+
+
+def _answer_twice(is_in_use):
+    """Return a server that sends its first answer a second time."""
+    served = []
+
+    def serve(connection, address):
+        served.append(address)
+        if len(served) == 1:
+            connection.recv(65536)
+            connection.sendall(HEAD % 5 + b'first')
+            if is_in_use:
+                connection.recv(65536)
+            else:
+                gevent.sleep(0.02)
+            connection.sendall(HEAD % 5 + b'first')
+        if connection.recv(65536):
+            connection.sendall(HEAD % 6 + b'second')
+        connection.close()
+
+    origin = server.StreamServer(('127.0.0.1', 0), serve)
+    origin.start()
+    return origin
+
+
+# Guards against an answer that reaches another caller: the server sends a
+# second copy of it on a connection that is idle, or in use again.
+@pytest.mark.parametrize('is_in_use', [False, True])
+def test_second_copy_of_an_answer_reaches_no_other_caller(is_in_use):
+    origin = _answer_twice(is_in_use)
+    client = http_client.Client('127.0.0.1', origin.server_port)
+    assert client.request('GET', '/1', timeout_s=5).body == b'first'
+    gevent.sleep(0.05)
+    assert client.request('GET', '/2', timeout_s=5).body == b'second'
+    client.close()
+    origin.stop()
+
+
+# Guards against an answer to which the library has joined the next one.
+def test_second_copy_that_comes_with_the_answer_is_an_error(origin, client):
+    origin.answer = (HEAD % 5 + b'whole') * 2
+    with pytest.raises(http_client.AnswerSurplus):
+        client.request('GET', '/', timeout_s=5)
