--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -162,6 +162,22 @@
         assert simulation.count_runs(sent.request_id) == 1
 
 
+# Guards against work that is started again or given up as its machine was only
+# silent for a while.
+@pytest.mark.parametrize('pause_s', [1.2, 3.0, 6.0])
+def test_work_at_a_silent_peer_is_neither_repeated_nor_given_up(
+    make_simulation, reactor, pause_s
+):
+    simulation = make_simulation()
+    sent_attempts = [_send(simulation, idempotent=False) for _ in range(5)]
+    reactor.run(0.02, 0.001)
+    simulation.pause(TARGET, pause_s)
+    reactor.run(pause_s + 3.0, 0.01)
+    for sent in sent_attempts:
+        assert _outcomes(sent) == ['COMPLETE']
+        assert simulation.count_runs(sent.request_id) == 1
+
+
 def test_silent_peer_is_not_responsive_before_its_attempts_are_ended(
     make_simulation, reactor
 ):
