Pass reports of crashes on, and notify each node once

Cause: with subsets a node is connected to few others, so those not connected to the node of a crashed target were not told, and might send the request on. Notifications also went over both connections of two nodes.

Change: a report has a number; each node passes it on once, to four others. A notification takes one connection to each node. The reports leave Node for a module of their own.

Result, in virtual time: a report reaches all of 60 nodes within 1 s, in at most five frames a node.

--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -428,12 +428,15 @@
 
     Attributes
     ----------
+    number : int
+        Random number of the report, the same as it is passed on.
     crashed : list of int
         Digests of the requests that ran when the target crashed.
     served : list of int
         Digests of suspected requests that have run without a crash.
     """
 
+    number: int
     crashed: list[int]
     served: list[int]
 
--- a/rosemarycrank/dataplane/_local_peer.py
+++ b/rosemarycrank/dataplane/_local_peer.py
@@ -18,8 +18,6 @@
         self.target_side = target_side
         self.caller = caller
         self.reachable = self.responsive = self.connected = True
-        # Reports about this node's own target are not sent to itself.
-        self.features = 0
         self.sent_since_load = 0
         self._on_result_by_number = {}
         caller.features = int(_frames.FEATURES)
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -9,6 +9,7 @@
 from rosemarycrank.dataplane import _contacts
 from rosemarycrank.dataplane import _cost_reports
 from rosemarycrank.dataplane import _costs
+from rosemarycrank.dataplane import _crash_reports
 from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _demand_reports
 from rosemarycrank.dataplane import _directory
@@ -118,6 +119,9 @@
         self.crash_suspects = _crash_suspects.CrashSuspects(
             random.Random(incarnation)
         )
+        self._crash_reports = _crash_reports.CrashReports(
+            self, random.Random(incarnation)
+        )
         self.directory_sync = _directory_sync.DirectorySync(
             self.directory, self.merge, random.Random(incarnation)
         )
@@ -154,7 +158,7 @@
         """Set the target side and make it callable like a peer."""
         self.target_side = target_side
         target_side.suspect_runs = _suspect_runs.SuspectRuns(
-            self.crash_suspects, self._send_crash_report
+            self.crash_suspects, self._crash_reports.send
         )
         self.peers_by_node[self.address] = _local_peer.LocalPeer(
             target_side, target_side.callers.get(self.incarnation)
@@ -242,12 +246,28 @@
             callback(configuration)
 
     def broadcast(self, frame):
-        """Send a notification over every open connection."""
-        for peer in self.peers_by_node.values():
-            peer.notify(frame)
-        for connection in self.inbound_connections:
+        """Send a notification to every connected node."""
+        for connection in self.connections():
             connection.notify(frame)
 
+    def connections(self):
+        """Return one open connection to each other node.
+
+        Returns
+        -------
+        list of Peer or InboundConnection
+            Those that this node has opened come first.
+        """
+        by_address = {
+            address: peer
+            for address, peer in self.peers_by_node.items()
+            if peer.connected and address != self.address
+        }
+        for connection in self.inbound_connections:
+            if connection.connected:
+                by_address.setdefault(connection.address, connection)
+        return list(by_address.values())
+
     def request_newer_configuration(self, version, connection):
         """Request the configuration of another node if it is newer.
 
@@ -353,7 +373,7 @@
             if frame.service == self.costs.service:
                 self._cost_reports.receive(frame.costs_by_route)
         elif isinstance(frame, _frames.CrashReport):
-            self._receive_crash_report(frame)
+            self._crash_reports.receive(frame, connection)
         elif isinstance(frame, _frames.Leaving):
             self.mark_leaving(connection.address)
 
@@ -377,26 +397,6 @@
                 _crash_suspects.digest_exchange(exchange), self.reactor.now()
             )
 
-    def _send_crash_report(self, report):
-        """Send a report to every connected node, once, as crashes add up."""
-        connections = list(self.peers_by_node.values())
-        connections += self.inbound_connections
-        sent_to = set()
-        for connection in connections:
-            if (
-                connection.features & _frames.Feature.CRASH_REPORTS
-                and connection.connected
-                and connection.address not in sent_to
-            ):
-                connection.notify(report)
-                sent_to.add(connection.address)
-
-    def _receive_crash_report(self, report):
-        now = self.reactor.now()
-        self.crash_suspects.record_crash(report.crashed, now)
-        for request_digest in report.served:
-            self.crash_suspects.record_good_run(request_digest, now)
-
     def mark_leaving(self, address):
         """Record that a node is shutting down and takes no more attempts."""
         if address != self.address:
--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -23,14 +23,15 @@
     suspects : CrashSuspects
         Requests under suspicion.
     on_report : callable
-        Called with each `CrashReport` for the other nodes.
+        Called with the digests of requests under which the target has
+        crashed, and of those that have run well.
     """
 
     def __init__(self, suspects=None, on_report=None):
         if suspects is None:
             suspects = _crash_suspects.CrashSuspects(random.Random(0))
         self.suspects = suspects
-        self._on_report = on_report or (lambda report: None)
+        self._on_report = on_report or (lambda crashed, served: None)
         self._running = set()
         self._served = []
 
@@ -116,10 +117,10 @@
             },
         )
         self.suspects.record_crash(digests, now)
-        self._on_report(_frames.CrashReport(digests, []))
+        self._on_report(digests, [])
 
     def report_served(self):
         """Report the requests that have run well since the last call."""
         if self._served:
             served, self._served = self._served[:MAX_REPORTED], []
-            self._on_report(_frames.CrashReport([], served))
+            self._on_report([], served)
--- a/tests/dataplane/test_cost_reports.py
+++ b/tests/dataplane/test_cost_reports.py
@@ -20,6 +20,9 @@
 class _Receiver:
     """Connection to another node, which averages the reported costs."""
 
+    connected = True
+    address = '10.0.0.9:7000'
+
     def check_silence(self):
         pass
 
--- a/tests/dataplane/test_crash_suspects.py
+++ b/tests/dataplane/test_crash_suspects.py
@@ -10,6 +10,7 @@
 import random
 import socket
 
+import attrs
 import gevent
 import hypothesis
 from hypothesis import stateful
@@ -19,6 +20,7 @@
 from rosemarycrank.dataplane import _balance
 from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _crash_detection
+from rosemarycrank.dataplane import _crash_reports
 from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _entry
 from rosemarycrank.dataplane import _frames
@@ -27,6 +29,7 @@
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _routes
 from tests.dataplane import fakes
+from tests.dataplane import fleet as fleets
 from tests.dataplane import simulation as simulations
 
 ADDRESSES = [f'10.0.0.{number}:7000' for number in range(2, 10)]
@@ -237,6 +240,11 @@
     assert refusal.digest in suspicion.digests
 
 
+@attrs.define
+class _Job:
+    attempt: object
+
+
 def _events(caplog, event):
     return [
         record
@@ -298,6 +306,24 @@
     assert outcomes == [not listens]
 
 
+# Guards against nodes that are not told, as they are not connected to the one
+# whose target has crashed.
+def test_report_reaches_all_nodes_of_a_fleet(patch_connections, reactor):
+    fleet = patch_connections(fleets.Fleet(reactor, 60, 4))
+    fleet.read_store()
+    reactor.run(3.0, 0.05)
+    fleet.clear_counts()
+    fleet.nodes[7].target_side.suspect_runs.record_crash(
+        [_Job(fakes.attempt())], reactor.now()
+    )
+    reactor.run(1.0, 0.05)
+    digest = _crash_suspects.digest_attempt(fakes.attempt())
+    told = [digest in node.crash_suspects for node in fleet.nodes]
+    assert all(told)
+    tag = _frames.CrashReport.__struct_config__.tag
+    assert fleet.frames_by_tag[tag] <= (_crash_reports.FANOUT + 1) * 60
+
+
 class _Machine(stateful.RuleBasedStateMachine):
     """Crashes, repeats and restarts of nodes, in any order.
 
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -178,6 +178,8 @@
 
     unsent_bytes = 10
     caller = None
+    connected = True
+    address = '10.0.0.9:7000'
 
     def check_silence(self):
         pass
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -143,7 +143,7 @@
     _frames.Leaving(),
     _frames.RouteCosts(service='s1', costs_by_route={'s2': {'s3': 4.25}}),
     _frames.Demand(offered_per_s=1.25, admitted_per_s=2.25),
-    _frames.CrashReport(crashed=[1002, 1003], served=[1004]),
+    _frames.CrashReport(number=1001, crashed=[1002, 1003], served=[1004]),
     _frames.DirectoryDigests(digests=[1002, 1003]),
     _frames.DirectoryPart(
         ranges=[1002, 1003],
