--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 WORKERS ?= 4
 KNOWN_RED := $(if $(STRICT),,-p tests.known_red)
 
-.PHONY: venv format lint test fuzz demo bench scale plots soak
+.PHONY: venv format lint test fuzz demo bench plots soak
 
 venv: $(STAMP)
 
@@ -45,9 +45,6 @@
 bench: venv
 	$(PYTHON) -m benchmarks.overload
 
-scale: venv
-	$(PYTHON) -m benchmarks.scale
-
 plots: venv
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
 		-c constraints.txt -e '.[plots]'
--- a/tests/membership/conftest.py
+++ b/tests/membership/conftest.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from benchmarks import _scale_network
+from tests.membership import network as networks
 
 SEEDS = ('a0:1', 'b0:1', 'c0:1')
 
 
 @pytest.fixture
 def network():
-    return _scale_network.Network()
+    return networks.Network()
 
 
 @pytest.fixture
--- a/tests/membership/test_domains.py
+++ b/tests/membership/test_domains.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from benchmarks import _scale_network
 from rosemarycrank.membership import _bridge_nodes
+from tests.membership import network as networks
 
 SEEDS = ('a0:1', 'b0:1', 'c0:1')
 
@@ -79,7 +79,7 @@
 @pytest.fixture
 def large_site():
     """A site above ``small_site_nodes``: only called services are kept."""
-    network = _scale_network.Network()
+    network = networks.Network()
     for domain in 'abc':
         for number in range(8):
             address = f'{domain}{number}:1'
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from benchmarks import _scale_network
 from rosemarycrank import kernel
 from rosemarycrank import membership
 from rosemarycrank.membership import _messages
+from tests.membership import network as networks
 
 MAX_DETECTION_S = 12
 
@@ -136,7 +136,7 @@
 
 @pytest.mark.parametrize('seed', range(5))
 def test_leave_is_known_within_3_s_despite_loss(seed, start_site):
-    network = _scale_network.Network(seed=seed, loss=0.05)
+    network = networks.Network(seed=seed, loss=0.05)
     start_site(network, 8)
     leaving = network.by_address['b3:1']
     leaving.directory.leave()
--- a/tests/membership/test_machine.py
+++ b/tests/membership/test_machine.py
@@ -5,8 +5,8 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from benchmarks import _scale_network
 from rosemarycrank.membership import _table
+from tests.membership import network as networks
 
 DOMAINS = 'abc'
 SIZE = 4
@@ -24,7 +24,7 @@
 class Truth:
     """Actual state of a node that runs, with which views are compared."""
 
-    member: _scale_network.Member
+    member: networks.Member
     service: str = ''
     left_at: float | None = None
     paused: bool = False
@@ -35,7 +35,7 @@
 
     def __init__(self):
         super().__init__()
-        self.network = _scale_network.Network(seed=7, loss=0.05)
+        self.network = networks.Network(seed=7, loss=0.05)
         self.truth_by_address = {}
         self.seen = {}
         self.disturbed_at = 0.0
