Bound what is held of answers that do not end

Cause: the reader of answers had no limit. A target that sends a head, chunks or a body without end fills the node's memory until the request's deadline, at the speed of the loopback; the system then ends the process.

Change: 64 KB for a head with the interim answers before it, 16 MB without an announced length, 64 MB with one, and 64 MB for the unfinished answers of all connections to the target together. Beyond that the connection is closed and the outcome is unknown.

Result: seven kinds of answers without end are rejected within 64 KB of their limit; without the limits the tests read twice as much and go on. Not done: times and memory with 100 such connections.

--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -3,6 +3,18 @@
 import attrs
 import httptools
 
+#: Maximum size of a response with an announced length, and of one without,
+#: whose end may never come, in bytes.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_OPEN_RESPONSE_BYTES = 16 * 1024 * 1024
+
+#: Maximum size of the header section of a response, with the interim
+#: responses before it, in bytes.
+MAX_RESPONSE_HEADER_BYTES = 64 * 1024
+
+#: Maximum number of bytes of unfinished responses that share a budget.
+MAX_UNFINISHED_BYTES = 64 * 1024 * 1024
+
 # Hop-by-hop headers (RFC 9110, 7.6.1), and headers that are consumed by
 # parsing the message: its length, and Expect.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -281,6 +293,29 @@
         raise self._error
 
 
+class ByteBudget:
+    """Limit on the bytes that several readers hold together.
+
+    Parameters
+    ----------
+    limit : int
+        Number of bytes.
+    """
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.used = 0
+
+    def take(self, count):
+        """Take bytes, also beyond the limit; return whether it is kept."""
+        self.used += count
+        return self.used <= self.limit
+
+    def give_back(self, count):
+        """Give back bytes that are not held any more."""
+        self.used -= count
+
+
 class ResponseReader(_Reader):
     """Incremental parser for the responses of one connection.
 
@@ -289,6 +324,9 @@
     on_response : callable
         Called with each complete `Message`; interim responses (1xx) are
         skipped.
+    budget : ByteBudget, optional
+        Budget for responses that are not complete; one of its own if not
+        given.
 
     Attributes
     ----------
@@ -297,11 +335,13 @@
         after a HEAD request.
     """
 
-    def __init__(self, on_response):
+    def __init__(self, on_response, budget=None):
         super().__init__()
         self.expects_no_body = False
         self._on_response = on_response
         self._headers_complete = False
+        self._budget = budget or ByteBudget(MAX_UNFINISHED_BYTES)
+        self._held_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -315,8 +355,34 @@
         Raises
         ------
         MessageError
-            If the bytes are not a valid response.
+            If the bytes are not a valid response, or exceed a limit.
         """
+        self._held_bytes += len(data)
+        if not self._budget.take(len(data)):
+            raise MessageError(502, 'too many bytes of unfinished responses')
+        self._parse(data)
+        self._check_limits()
+
+    def release(self):
+        """Give back what is held of a response that is given up."""
+        self._budget.give_back(self._held_bytes)
+        self._held_bytes = 0
+
+    def _check_limits(self):
+        if not self._headers_complete:
+            if self._held_bytes > MAX_RESPONSE_HEADER_BYTES:
+                raise MessageError(502, 'header section too large')
+            return
+        limit = MAX_OPEN_RESPONSE_BYTES
+        length = self.message.values_by_name.get(b'content-length')
+        if length is not None:
+            limit = MAX_RESPONSE_BYTES
+            if int(length) > limit:
+                raise MessageError(502, 'announced body too large')
+        if self._held_bytes > limit:
+            raise MessageError(502, 'response too large')
+
+    def _parse(self, data):
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -361,6 +427,8 @@
         message.keep_alive = keep_alive
         self.message = Message()
         if message.status >= 200:
+            # Interim responses stay counted: they may come without end.
+            self.release()
             self._on_response(message)
 
 
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -97,7 +97,7 @@
         self.pool = pool
         self.idle_since = 0.0
         self.max_idle_s = DEFAULT_MAX_IDLE_S
-        self._reader = _http1.ResponseReader(self._on_response)
+        self._reader = _http1.ResponseReader(self._on_response, pool.budget)
         self._request_id = b''
         self._on_answer = None
         self._out_of_sync = False
@@ -188,6 +188,7 @@
 
     def _discard(self):
         self._connect_timer.cancel()
+        self._reader.release()
         self.stream.close()
         self.pool.discard(self)
 
@@ -297,6 +298,8 @@
     ----------
     opened : int
         Number of connections opened so far.
+    budget : ByteBudget
+        Budget for the unfinished responses of all connections.
     """
 
     def __init__(self, reactor, address, names):
@@ -304,6 +307,7 @@
         self.address = address
         self.names = names
         self.opened = 0
+        self.budget = _http1.ByteBudget(_http1.MAX_UNFINISHED_BYTES)
         self._idle = []
         self._retire_timer = reactor.timers.every(0.25, self._close_expired)
 
--- a/tests/dataplane/test_http1.py
+++ b/tests/dataplane/test_http1.py
@@ -158,3 +158,70 @@
 def test_invalid_response_is_rejected(response_reader):
     with pytest.raises(_http1.MessageError):
         response_reader.feed(b'\x00\x01garbage\r\n\r\n')
+
+
+# Guards against a node that runs out of memory, as an answer has no end.
+@pytest.mark.parametrize(
+    'start, endless, limit',
+    [
+        (b'HTTP/1.1 200 O', b'k', _http1.MAX_RESPONSE_HEADER_BYTES),
+        (
+            b'HTTP/1.1 200 OK\r\n',
+            b'a: b\r\n',
+            _http1.MAX_RESPONSE_HEADER_BYTES,
+        ),
+        (b'', b'HTTP/1.1 103 E\r\n\r\n', _http1.MAX_RESPONSE_HEADER_BYTES),
+        (b'HTTP/1.1 200 OK\r\n\r\n', b'b', _http1.MAX_OPEN_RESPONSE_BYTES),
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
+            b'1\r\nb\r\n',
+            _http1.MAX_OPEN_RESPONSE_BYTES,
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;',
+            b'e',
+            _http1.MAX_OPEN_RESPONSE_BYTES,
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n',
+            b't: v\r\n',
+            _http1.MAX_OPEN_RESPONSE_BYTES,
+        ),
+    ],
+)
+def test_response_without_end_is_rejected(
+    response_reader, responses, start, endless, limit
+):
+    block = endless * (65536 // len(endless))
+    response_reader.feed(start)
+    fed = len(start)
+    with pytest.raises(_http1.MessageError):
+        while fed <= 2 * limit:
+            response_reader.feed(block)
+            fed += len(block)
+    assert fed <= limit + len(block)
+    assert responses == []
+
+
+def test_announced_body_that_is_too_large_is_rejected_at_once(response_reader):
+    length = _http1.MAX_RESPONSE_BYTES + 1
+    with pytest.raises(_http1.MessageError):
+        response_reader.feed(
+            b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % length
+        )
+
+
+def test_unfinished_responses_share_a_budget():
+    budget = _http1.ByteBudget(1000)
+    readers = [
+        _http1.ResponseReader(lambda _response: None, budget) for _ in range(3)
+    ]
+    for reader in readers:
+        reader.feed(b'HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n')
+    readers[0].feed(b'b' * 800)
+    with pytest.raises(_http1.MessageError):
+        readers[1].feed(b'b' * 800)
+    readers[1].release()
+    readers[0].feed(b'b' * 100)
+    readers[2].feed(b'b' * 900)
+    assert budget.used == 0
