Start long polls at five seconds

Change: the first long poll is 5 s at most; after a failure it is 1 s, as before, so that a connection that is still broken is noticed.

--- a/rosemarycrank/dataplane/_discovery.py
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -7,10 +7,12 @@
 import attrs
 
 #: Bounds on the duration of a long poll, in seconds. The bound starts at the
-#: initial value, doubles with each reply up to the maximum, and is reset by a
-#: failure. Each long poll lasts a random share of the bound, at least the
-#: minimum share, so that the long polls of many nodes end at different times
-#: and one of them soon detects a connection that has stopped responding.
+#: first value, doubles with each reply up to the maximum, and falls to the
+#: initial value after a failure. Each long poll lasts a random share of the
+#: bound, at least the minimum share, so that the long polls of many nodes end
+#: at different times and one of them soon detects a connection that has
+#: stopped responding.
+FIRST_LONG_POLL_S = 5.0
 INITIAL_LONG_POLL_S = 1.0
 MAX_LONG_POLL_S = 20.0
 MIN_LONG_POLL_SHARE = 0.4
@@ -167,7 +169,7 @@
         self._changed_at = reactor.now()
         self.has_read = False
         self._received_version = None
-        self._long_poll_s = INITIAL_LONG_POLL_S
+        self._long_poll_s = FIRST_LONG_POLL_S
         self._random = random
         self._backoff = Backoff(random)
         self._store_is_available = True
