Bound the pings of a node to peers that owe it nothing

Cause: a node pinged each peer that it had called within 5 s after 0.4 s of silence, however many there were: counted in virtual time, 63 pings a second at 195 nodes, sent and answered, the most part of the frames beside calls.

Change: 40 such pings a second over all peers, and none later than after 1 s, within which reported loads are valid. A peer that owes a result is pinged after 0.4 s as before. With up to 16 peers nothing changes.

Result: the frames of control a node at 150 nodes are at most 1.2 times those at 50 (test).

--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -19,6 +19,7 @@
 from rosemarycrank.dataplane import _inbound
 from rosemarycrank.dataplane import _local_peer
 from rosemarycrank.dataplane import _origins
+from rosemarycrank.dataplane import _peer_connection
 from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _suspect_runs
@@ -85,6 +86,9 @@
         Detects which routes clients use.
     crash_suspects : CrashSuspects
         Requests that are suspected of crashing targets.
+    active_ping_interval_s : float
+        Silence after which a peer that gets attempts, and owes no result, is
+        pinged.
     directory_sync : DirectorySync
         Comparisons of the directory with those of other nodes.
     """
@@ -109,6 +113,7 @@
         self.peers_by_node = {}
         self.inbound_connections = set()
         self.last_attempt_number = 0
+        self.active_ping_interval_s = _peer_connection.ACTIVE_PING_INTERVAL_S
         self._unusable_nodes = set()
         self.target_side = None
         self.on_configuration = []
@@ -515,7 +520,11 @@
             self.broadcast(_frames.RouteCosts(self.costs.service, costs))
 
     def _check_peers(self, now):
-        for peer in list(self.peers_by_node.values()):
+        peers = list(self.peers_by_node.values())
+        self.active_ping_interval_s = _peer_connection.active_interval_s(
+            sum(peer.connected for peer in peers)
+        )
+        for peer in peers:
             peer.maintain(now)
         for connection in list(self.inbound_connections):
             connection.check_silence()
--- a/rosemarycrank/dataplane/_peer_connection.py
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -17,6 +17,12 @@
 ACTIVE_PING_INTERVAL_S = 0.4
 IDLE_PING_INTERVAL_S = 2.0
 
+#: Maximum pings a second of a node to active peers that owe it no result. With
+#: many peers each of them is pinged less often, down to an interval in which
+#: the reports of loads stay current.
+MAX_PINGS_PER_S = 40.0
+MAX_ACTIVE_PING_INTERVAL_S = 1.0
+
 #: Time without received data after a ping, after which the connection is
 #: replaced.
 PING_TIMEOUT_S = 1.0
@@ -36,6 +42,25 @@
 _LOG = logging.getLogger(__name__)
 
 
+def active_interval_s(peer_count):
+    """Return the interval of pings to active peers that owe no result.
+
+    Parameters
+    ----------
+    peer_count : int
+        Number of connected peers of the node.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    interval_s = peer_count / MAX_PINGS_PER_S
+    return min(
+        MAX_ACTIVE_PING_INTERVAL_S, max(ACTIVE_PING_INTERVAL_S, interval_s)
+    )
+
+
 class PeerConnection:
     """Connection to a peer, from its opening until it is closed or lost.
 
@@ -107,23 +132,23 @@
                 'handshake timed out', process_ended=False
             )
 
-    def ping_if_due(self, now, is_active):
+    def ping_if_due(self, now, active_interval_s):
         """Ping the peer if it has been silent or was not pinged for long.
 
         Parameters
         ----------
         now : float
             Seconds of the node's clock.
-        is_active : bool
-            Whether the peer gets attempts, so that its load has to be
-            current.
+        active_interval_s : float or None
+            Silence after which the peer is pinged if it gets attempts, so
+            that its load has to be current; None if it gets none.
         """
         silent_s = now - self.last_received_at
-        if is_active:
+        if active_interval_s is not None:
             # A ping also allows the peer to discard results that have
             # arrived here.
             is_due = (
-                silent_s > ACTIVE_PING_INTERVAL_S
+                silent_s > active_interval_s
                 or now - self.last_ping_at > IDLE_PING_INTERVAL_S
             )
         else:
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -213,9 +213,7 @@
         elif not needs_peer and self._is_idle(now):
             self.close()
         else:
-            connection.ping_if_due(
-                now, is_active=needs_peer or idle_s < ACTIVE_PERIOD_S
-            )
+            connection.ping_if_due(now, self._active_interval_s(idle_s))
 
     def mark_leaving(self):
         """Record that the peer is shutting down."""
@@ -368,6 +366,13 @@
         """Whether results or confirmations of the peer are awaited."""
         return bool(self._pending_by_number or self._cancellations)
 
+    def _active_interval_s(self, idle_s):
+        if self._needs_peer:
+            return _peer_connection.ACTIVE_PING_INTERVAL_S
+        if idle_s < ACTIVE_PERIOD_S:
+            return self.node.active_ping_interval_s
+        return None
+
     def _is_idle(self, now):
         last_used_at = max(self._last_attempt_at, self._kept_at)
         return now - last_used_at > IDLE_TIMEOUT_S
--- a/tests/dataplane/fleet.py
+++ b/tests/dataplane/fleet.py
@@ -5,6 +5,7 @@
 import struct
 
 from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _subsets
 from tests.dataplane import fakes
 from tests.dataplane import simulation as simulations
 
@@ -92,6 +93,18 @@
                 if address != node.address:
                     self.send(node, address)
 
+    def call_subsets(self):
+        """Let each node call the targets in its subset of each service."""
+        for node in self.nodes:
+            subsets = _subsets.Subsets(
+                node.address, node.target_side.record.failure_domain
+            )
+            for service in self.services:
+                records = node.directory.ready_targets(service)
+                for record in subsets.select(service, records):
+                    if record.node != node.address:
+                        self.send(node, record.node)
+
     def send(self, node, address):
         """Send an attempt from a node to a target that does not take it."""
         node.last_attempt_number += 1
--- a/tests/dataplane/test_fleet.py
+++ b/tests/dataplane/test_fleet.py
@@ -24,6 +24,9 @@
 #: Time in which all nodes know a changed record, in seconds.
 SPREAD_S = 5.0
 
+#: Growth of the frames of control of a node from 50 to 150 nodes.
+MAX_CONTROL_GROWTH = 1.2
+
 #: Reports of demand that a node sends in a second: to three nodes of each of
 #: the four services.
 MAX_REPORTS_PER_S = 12.0
@@ -180,6 +183,23 @@
             assert offered_per_s >= 220.0
 
 
+# Guards against frames of control that grow with the fleet, beside those of a
+# node's own calls.
+def test_frames_of_control_are_bounded(make_fleet):
+    frames_per_s = {}
+    for size in (50, 150):
+        fleet = make_fleet(size)
+        fleet.read_store()
+        fleet.call_subsets()
+        for node in fleet.nodes:
+            node.front.demand = _frames.Demand(10.0, 10.0)
+        fleet.reactor.run(3.0, 0.05)
+        fleet.clear_counts()
+        fleet.reactor.run(2.0, 0.05)
+        frames_per_s[size] = fleet.frames_by_tag.total() / size / 2.0
+    assert frames_per_s[150] <= MAX_CONTROL_GROWTH * frames_per_s[50]
+
+
 def test_node_of_an_earlier_build_gets_all_records(make_fleet):
     fleet = make_fleet(3)
     first, second, third = fleet.nodes
