Give two methods names that say what they do

Attempts had a method with the name of the module that it uses, and Directory one called after counting that takes records into digests and out of them. Renamed only; no logic changed. tests/dataplane/test_directory.py and test_entry.py pass.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -88,7 +88,7 @@
 
     def send(self, exchange):
         """Send a request to a target that has not been tried."""
-        candidates = self._candidates(exchange)
+        candidates = self._find_candidates(exchange)
         if not candidates:
             self.on_failure(exchange, 'no target')
             return
@@ -122,7 +122,7 @@
             attempt, lambda result: self._handle_result(exchange, result)
         )
 
-    def _candidates(self, exchange):
+    def _find_candidates(self, exchange):
         records = self.node.directory.ready_targets(exchange.service)
         subset = records
         if len(exchange.tried_nodes) <= MAX_TRIES_IN_SUBSET:
--- a/rosemarycrank/dataplane/_directory.py
+++ b/rosemarycrank/dataplane/_directory.py
@@ -90,8 +90,8 @@
         if known is not None and not is_newer(record, known):
             return False
         if known is not None:
-            self._count(known)
-        self._count(record)
+            self._toggle(known)
+        self._toggle(record)
         self.records_by_node[record.node] = record
         _LOG.info(
             'target %s of service %s at node %s is %s',
@@ -114,7 +114,7 @@
         """Remove the record of a node, for example if its row was removed."""
         record = self.records_by_node.pop(node, None)
         if record is not None:
-            self._count(record)
+            self._toggle(record)
 
     def ready_targets(self, service):
         """Return the targets of a service that accept new work.
@@ -151,7 +151,7 @@
             if range_of(node) == index
         ]
 
-    def _count(self, record):
+    def _toggle(self, record):
         """Add a record to the digests, or take it out of them."""
         digest = _hash(msgspec.msgpack.encode(record))
         self.digests[range_of(record.node)] ^= digest
