Keep slots free for calls of a service to itself

Cause: runs that wait for a call to their own service could hold all slots of its targets; the calls queued behind them until all failed at their deadlines.

Change: runs of routes that are known to call their own service leave a fifth of a target's limit free, one slot at least. Other runs may use all of it.

Not covered: a route whose calls have not been learned, and targets with a single slot.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -21,6 +21,7 @@
 from rosemarycrank.dataplane import _pressure
 from rosemarycrank.dataplane import _rate_limit
 from rosemarycrank.dataplane import _run_limits
+from rosemarycrank.dataplane import _self_calls
 from rosemarycrank.dataplane import _suspect_runs
 
 #: Interval between checks for attempts past their deadlines, in seconds.
@@ -107,6 +108,7 @@
         self._crash_detection = _crash_detection.CrashDetection(
             reactor, pool, self._end_lost_runs
         )
+        self._self_calls = _self_calls.SelfCalls(costs)
         self._running = set()
         self._waiting = []
         self._waiting_count = 0
@@ -218,7 +220,7 @@
         reason = self._refusal_reason(attempt, job, now)
         if reason is not None:
             self._finish(job, _NOT_RUN, reason)
-        elif self._may_start(now) and self.suspect_runs.may_start(job, now):
+        elif self._may_start(now) and self._may_start_job(job, now):
             self._start(job, now)
         else:
             priority_at = self._priority_at(attempt, now)
@@ -235,6 +237,12 @@
             and self._pauses.is_settled(now)
         )
 
+    def _may_start_job(self, job, now):
+        """Return whether a job may take one of the free slots."""
+        return self.suspect_runs.may_start(
+            job, now
+        ) and self._self_calls.may_start(job, self.limit.value)
+
     def _expected_wait_s(self, ahead, now):
         """Return the expected delay in the queue, in seconds.
 
@@ -324,6 +332,7 @@
         self.costs.record_run_start(job.run)
         self._running.add(job)
         self.suspect_runs.record_start(job)
+        self._self_calls.record_start(job)
         self.rate_limit.record_start(now)
         connection = self.pool.acquire(attempt.idempotent)
         job.connection = connection
@@ -416,6 +425,7 @@
             return
         self._running.remove(job)
         self.suspect_runs.record_end(job)
+        self._self_calls.record_end(job)
         self.costs.record_run_end(job.run, now, failed)
         job.connection = None
         self._last_run_at = now
@@ -499,7 +509,7 @@
             job = entry[2]
             if job.result is not None:
                 continue
-            if not self.suspect_runs.may_start(job, now):
+            if not self._may_start_job(job, now):
                 held_back.append(entry)
                 continue
             self._waiting_count -= 1
