--- a/rosemarycrank/dataplane/_crash_reports.py
+++ b/rosemarycrank/dataplane/_crash_reports.py
@@ -8,8 +8,8 @@
 
 from rosemarycrank.dataplane import _frames
 
-#: Number of nodes to which a received report is passed on. With so many, hardly
-#: ever does any node of a fleet get none.
+#: Number of nodes to which a received report is passed on. With fewer, some
+#: nodes of a fleet would get none.
 FANOUT = 12
 
 #: Number of reports that a node remembers, to pass each of them on once.
