Send all records to a node that knows no other one

Cause: since directories are compared by digest, a node that restarts while the store is away knew only the record of the node that connected to it, for up to 0.3 s and longer.

Change: a node whose handshake has no digest but that of its own record is sent all records at once; they precede the answer to its question for the configuration on the same connection.

--- a/rosemarycrank/dataplane/_directory.py
+++ b/rosemarycrank/dataplane/_directory.py
@@ -48,6 +48,14 @@
     return _hash(node.encode()) % _frames.DIGEST_RANGES
 
 
+def digest_of(records):
+    """Return the digest of a directory that has just these records."""
+    digest = 0
+    for record in records:
+        digest ^= _hash(msgspec.msgpack.encode(record))
+    return digest
+
+
 def _hash(data):
     digest = hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest()
     return int.from_bytes(digest, 'big')
@@ -153,7 +161,7 @@
 
     def _toggle(self, record):
         """Add a record to the digests, or take it out of them."""
-        digest = _hash(msgspec.msgpack.encode(record))
+        digest = digest_of([record])
         self.digests[range_of(record.node)] ^= digest
         self.digest ^= digest
         self._ready_by_service.pop(record.service, None)
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -335,7 +335,7 @@
             peer.reset_backoff()
 
     def _compare_directories(self, hello, peer):
-        if hello.features & _frames.Feature.DIRECTORY_DIGESTS:
+        if _knows_others(hello):
             self.directory_sync.receive_digest(
                 hello.directory_digest, peer, self.reactor.now()
             )
@@ -533,6 +533,18 @@
         self._unusable_nodes.difference_update(list(usable))
 
 
+def _knows_others(hello):
+    """Return whether a node may know other records than its own.
+
+    One that does not has just started, and needs all records before it gets a
+    configuration and is ready. The same goes for an earlier build, which names
+    no digest.
+    """
+    if not hello.features & _frames.Feature.DIRECTORY_DIGESTS:
+        return False
+    return hello.directory_digest != _directory.digest_of(hello.records)
+
+
 def encode_record(record):
     """Encode a target record for the store."""
     return msgspec.json.encode(record)
--- a/tests/dataplane/test_fleet.py
+++ b/tests/dataplane/test_fleet.py
@@ -121,6 +121,30 @@
     assert fleet.have_same_records()
 
 
+# Guards against a node that restarts while the store is away, and is ready
+# before it knows the targets to which it has to send.
+def test_restarted_node_learns_all_records_before_a_configuration(
+    make_fleet, monkeypatch
+):
+    fleet = make_fleet(12)
+    fleet.read_store()
+    restarted, caller = fleet.addresses[7], fleet.nodes[3]
+    configuration = fakes.configuration(fakes.route())
+    caller.configuration = configuration
+    fleet.restart(restarted)
+    node = fleet.targets_by_address[restarted]
+    node.configuration = None
+    counts = []
+    monkeypatch.setattr(
+        node,
+        'install',
+        lambda _body, _source: counts.append(len(node.directory.records())),
+    )
+    fleet.send(caller, restarted)
+    fleet.reactor.run(0.2, 0.01)
+    assert counts and counts[0] == 12
+
+
 def test_comparisons_that_change_nothing_become_rare(make_fleet):
     fleet = make_fleet(2)
     fleet.read_store()
