Log what is known of a request that may crash its target

Now the line of the crash says what the digests stand for, each node names the reports that it gets, a suspected run is named when it starts with the crashes that this node counts, and a refusal has its digest. No logic is changed.

--- a/rosemarycrank/dataplane/_crash_reports.py
+++ b/rosemarycrank/dataplane/_crash_reports.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import logging
 
 from rosemarycrank.dataplane import _frames
 
@@ -15,9 +16,14 @@
 #: Number of reports that a node remembers, to pass each of them on once.
 MAX_REMEMBERED = 1000
 
+#: Maximum number of digests in a line of the log.
+MAX_LOGGED = 50
+
 #: Bits of the random number of a report.
 _NUMBER_BITS = 53
 
+_LOG = logging.getLogger(__name__)
+
 
 class CrashReports:
     """Reports that one node sends, receives and passes on.
@@ -62,6 +68,17 @@
         if report.number in self._numbers:
             return
         self._remember(report.number)
+        if report.crashed:
+            _LOG.info(
+                'node %s reports a crash during %d requests',
+                sender.address,
+                len(report.crashed),
+                extra={
+                    'event': 'crash_reported',
+                    'sender': sender.address,
+                    'digests': ['%x' % d for d in report.crashed[:MAX_LOGGED]],
+                },
+            )
         node = self._node
         now = node.reactor.now()
         node.crash_suspects.record_crash(report.crashed, now)
--- a/rosemarycrank/dataplane/_crash_suspects.py
+++ b/rosemarycrank/dataplane/_crash_suspects.py
@@ -195,6 +195,11 @@
             del self._by_digest[request_digest]
         return True
 
+    def count_crashes(self, request_digest):
+        """Return how many crashes count against a request."""
+        suspect = self._by_digest.get(request_digest)
+        return 0 if suspect is None else suspect.crashes
+
     def refused_for_s(self, request_digest, now):
         """Return for how long a request is refused, in seconds.
 
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -222,7 +222,10 @@
         request_digest = _crash_suspects.digest_exchange(exchange)
         now = self.node.reactor.now()
         exchange.refused_for_s = suspects.refused_for_s(request_digest, now)
-        return exchange.refused_for_s > 0.0
+        if exchange.refused_for_s == 0.0:
+            return False
+        exchange.suspect_digest = request_digest
+        return True
 
     def limit_run_end(self, latest_run_end_at):
         """Limit the deadlines given to attempts, during a planned stop.
--- a/rosemarycrank/dataplane/_exchange.py
+++ b/rosemarycrank/dataplane/_exchange.py
@@ -49,6 +49,8 @@
     refused_for_s : float
         Time for which the request is refused because targets have crashed
         under it, in seconds; otherwise 0.
+    suspect_digest : int
+        Digest of the request if it is refused for that; otherwise 0.
     """
 
     request_id: bytes
@@ -70,3 +72,4 @@
     from_target: bool = False
     rank: float = 0.0
     refused_for_s: float = 0.0
+    suspect_digest: int = 0
--- a/rosemarycrank/dataplane/_refusals.py
+++ b/rosemarycrank/dataplane/_refusals.py
@@ -112,5 +112,16 @@
                 ),
                 # Share of the load to shed and age in seconds, by service.
                 'pressures': self.node.front.pressures(now),
+                **self._crash_fields(exchange),
             },
         )
+
+    def _crash_fields(self, exchange):
+        """Return the fields of the log for a request that is suspected."""
+        if not exchange.suspect_digest:
+            return {}
+        suspects = self.node.crash_suspects
+        return {
+            'digest': '%x' % exchange.suspect_digest,
+            'crashes': suspects.count_crashes(exchange.suspect_digest),
+        }
--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -6,8 +6,9 @@
 from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _frames
 
-#: Maximum number of requests that a report names.
+#: Maximum number of requests that a report names, and a line of the log.
 MAX_REPORTED = 1000
+MAX_LOGGED = 50
 
 _LOG = logging.getLogger(__name__)
 
@@ -70,8 +71,19 @@
 
     def record_start(self, job):
         """Record that a job has started."""
-        if job.suspect_digest:
-            self._running.add(job)
+        if not job.suspect_digest:
+            return
+        self._running.add(job)
+        _LOG.info(
+            'suspected request starts to run',
+            extra={
+                'event': 'crash_suspect_started',
+                'request_id': job.attempt.request_id,
+                'digest': '%x' % job.suspect_digest,
+                'crashes': self.suspects.count_crashes(job.suspect_digest),
+                'instance': job.attempt.instance,
+            },
+        )
 
     def record_end(self, job):
         """Record that the run of a job has ended, in whatever way."""
@@ -104,16 +116,18 @@
         digests = [
             _crash_suspects.digest_attempt(attempt) for attempt in attempts
         ]
+        logged = attempts[:MAX_LOGGED]
         _LOG.warning(
             'the target has crashed while %d requests ran',
             len(jobs),
             extra={
                 'event': 'crash_suspected',
-                'digests': ['%x' % digest for digest in digests],
+                'instance': attempts[0].instance if attempts else '',
+                'digests': ['%x' % digest for digest in digests[:MAX_LOGGED]],
                 'request_ids': [
-                    attempt.request_id.decode('latin-1')
-                    for attempt in attempts
+                    attempt.request_id.decode('latin-1') for attempt in logged
                 ],
+                'requests': [_summarize(attempt) for attempt in logged],
             },
         )
         self.suspects.record_crash(digests, now)
@@ -124,3 +138,16 @@
         if self._served:
             served, self._served = self._served[:MAX_REPORTED], []
             self._on_report([], served)
+
+
+def _summarize(attempt):
+    """Return what makes two requests the same, for the log."""
+    lines = attempt.head.decode('latin-1').split('\r\n')
+    request_line = lines[0].removesuffix(' HTTP/1.1')
+    fields = [line for line in lines[1:] if _is_identifying(line)]
+    return '; '.join([request_line, attempt.route, *fields])
+
+
+def _is_identifying(line):
+    name, _, _ = line.lower().partition(':')
+    return name == 'host' or name.endswith('caller-service')
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -20,6 +20,7 @@
 from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _pressure
 from rosemarycrank.dataplane import _rate_limit
+from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank.dataplane import _run_limits
 from rosemarycrank.dataplane import _self_calls
 from rosemarycrank.dataplane import _suspect_runs
@@ -36,6 +37,10 @@
 #: hardly wait, and is short enough to prevent starvation.
 RANK_DELAY_S = 0.5
 
+#: Shortest time between two lines about attempts that could not connect, in
+#: seconds. The entry nodes name each of them, with the same reason.
+CONNECT_FAILED_LINE_INTERVAL_S = 0.25
+
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _UNKNOWN = int(_frames.Outcome.UNKNOWN)
@@ -116,6 +121,9 @@
         self._run_limits = _run_limits.RunLimits(drain_s)
         self._last_run_at = reactor.now()
         self._pauses = _pauses.PauseDetector(reactor.now())
+        self._connect_failed_lines = _repeated_lines.RepeatedLines(
+            CONNECT_FAILED_LINE_INTERVAL_S
+        )
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
         reactor.timers.every(RATE_UPDATE_INTERVAL_S, self._update_rates)
         reactor.timers.every(
@@ -443,33 +451,42 @@
         )
         if outcome != _COMPLETE:
             self.counters.target_failures_by_reason[int(reason)] += 1
-            _LOG.info(
-                'attempt ended without a complete answer: %s',
-                _frames.Reason(reason).name.lower(),
-                extra={
-                    'event': 'attempt_ended',
-                    'request_id': attempt.request_id,
-                    'outcome': _frames.Outcome(outcome).name.lower(),
-                    'status': status,
-                    'instance': attempt.instance,
-                    'remaining_ms': attempt.remaining_ms,
-                    'rank': round(attempt.rank, 2),
-                    'running': len(self._running),
-                    'waiting': self._waiting_count,
-                    'limit': self.limit.value,
-                    'service_s': round(self.limit.service_s, 4),
-                    'waited_s': round(
-                        (job.started_at or self.reactor.now())
-                        - job.arrived_at,
-                        4,
-                    ),
-                },
-            )
+            self._log_ended_attempt(job, outcome, reason, status)
         # The request is not needed any more; the result may be sent again.
         attempt.head = attempt.body = b''
         if job.caller.send is not None:
             job.caller.send(job.result)
 
+    def _log_ended_attempt(self, job, outcome, reason, status):
+        suppressed = 0
+        if reason == _frames.Reason.CONNECT_FAILED:
+            if self._connect_failed_lines.suppress(self.reactor.now()):
+                return
+            suppressed = self._connect_failed_lines.take_suppressed()
+        attempt = job.attempt
+        _LOG.info(
+            'attempt ended without a complete answer: %s',
+            _frames.Reason(reason).name.lower(),
+            extra={
+                'event': 'attempt_ended',
+                'request_id': attempt.request_id,
+                'outcome': _frames.Outcome(outcome).name.lower(),
+                'status': status,
+                'suppressed': suppressed,
+                'instance': attempt.instance,
+                'remaining_ms': attempt.remaining_ms,
+                'rank': round(attempt.rank, 2),
+                'running': len(self._running),
+                'waiting': self._waiting_count,
+                'limit': self.limit.value,
+                'service_s': round(self.limit.service_s, 4),
+                'waited_s': round(
+                    (job.started_at or self.reactor.now()) - job.arrived_at,
+                    4,
+                ),
+            },
+        )
+
     def _abandon(self, job, reason):
         """End an attempt whose sender does not wait for a result any more."""
         attempt = job.attempt
--- a/tests/dataplane/test_crash_suspects.py
+++ b/tests/dataplane/test_crash_suspects.py
@@ -238,6 +238,27 @@
     service.run(0.5)
     refusal = _events(caplog, 'crash_suspect_refused')[0]
     assert refusal.digest in suspicion.digests
+    started = _events(caplog, 'crash_suspect_started')[0]
+    assert (started.digest, started.crashes) == (refusal.digest, 1)
+    service.send(DEADLY)
+    refused = _events(caplog, 'refused')[-1]
+    assert (refused.digest, refused.crashes) == (refusal.digest, 2)
+
+
+# Guards against a log that has lost the crash itself, as each attempt at a
+# target that is down fills it.
+def test_few_lines_tell_that_a_target_is_down(make_service, caplog):
+    caplog.set_level(logging.INFO)
+    service = make_service()
+    for address in ADDRESSES:
+        service.simulation.crash(address)
+    for number in range(200):
+        service.send(b'/a/%d' % number)
+        service.run(0.01)
+    lines = _events(caplog, 'attempt_ended')
+    failed = sum(line.suppressed for line in lines) + len(lines)
+    assert failed > 400
+    assert len(lines) < 0.2 * failed
 
 
 @attrs.define
