Show with failing tests how a request goes on ending targets

A fleet in virtual time, with an entry side at each node, repeats a request that ends its target after 90 ms. At 195 nodes a single request is repeated at a third target, as its entry node is not connected to those that know.

--- a/tests/dataplane/fleet.py
+++ b/tests/dataplane/fleet.py
@@ -69,15 +69,15 @@
         fields = {
             'service': self.services[number % len(self.services)],
             'failure_domain': f'fd-{number % self.domain_count}',
-            'slots': 50,
         }
-        return fakes.record(address, **(fields | changes))
+        return super().record(address, **(fields | changes))
 
     def restart(self, address):
         super().restart(address)
         node = self.targets_by_address[address]
         node.front = Demands(self.services)
-        node.announce(self.record(address))
+        if address not in self.crashed_addresses:
+            node.announce(self.record(address))
 
     def read_store(self):
         """Let all nodes know all records, as if they had read the store."""
--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -149,6 +149,10 @@
         Called with each `Run` that starts or is aborted.
     is_deadly : callable
         Returns whether a request, in bytes, ends the target that runs it.
+    deadly_run_s : float or None
+        Time until it does, in seconds; None for some milliseconds.
+    status_of : callable
+        Returns the status with which a target answers a request, in bytes.
     crashed_addresses : set of str
         Nodes whose targets have ended and not started again.
     crashes : list of str
@@ -168,6 +172,9 @@
         self.on_run_start = None
         self.on_run_abort = None
         self.is_deadly = lambda _data: False
+        self.deadly_run_s = None
+        self.status_of = lambda _data: 200
+        self._born_ms_by_address = {}
         self.crashed_addresses = set()
         self.crashes = []
         self.entry = self._new_node(ENTRY)
@@ -204,7 +211,14 @@
         node = self.targets_by_address[address] = self._new_node(address)
         if previous is not None:
             node.configuration = previous.configuration
-        node.target_side.update_record(fakes.record(address, slots=50))
+        if address not in self.crashed_addresses:
+            node.target_side.update_record(self.record(address))
+
+    def record(self, address, **changes):
+        """Return the record of the target at a node."""
+        born_ms = self._born_ms_by_address.get(address, 1000)
+        fields = {'slots': 50, 'born_ms': born_ms}
+        return fakes.record(address, **(fields | changes))
 
     def crash(self, address):
         """End the target of a node, which starts again after a time."""
@@ -218,9 +232,28 @@
                 if run.aborted_at is None:
                     run.on_answer(ANSWER_LOST)
         self.reactor.timers.after(
-            CRASHED_S, lambda _now: self.crashed_addresses.discard(address)
+            CRASHED_S, lambda _now: self._start_target(address)
         )
 
+    def end_target(self, run):
+        """End the target of a deadly run, after a time."""
+
+        def crash():
+            if not run.ended:
+                self.crash(run.target_address)
+
+        if self.deadly_run_s is None:
+            self.schedule(crash)
+        else:
+            self.reactor.timers.after(self.deadly_run_s, lambda _now: crash())
+
+    def _start_target(self, address):
+        """Start the target of a node again, under its identifier."""
+        self.crashed_addresses.discard(address)
+        self._born_ms_by_address[address] = self.record(address).born_ms + 1
+        node = self.targets_by_address[address]
+        node.announce(self.record(address))
+
     def restart_entry(self):
         """Replace the process of the entry node by a new one."""
         self.break_connections('reset')
@@ -348,7 +381,7 @@
             return
         simulation.runs.append(run)
         if simulation.is_deadly(data):
-            simulation.schedule(lambda: simulation.crash(self._address))
+            simulation.end_target(run)
             return
         service_s = simulation.service_s
         if service_s is None:
@@ -363,7 +396,7 @@
                     _upstream.Answer(
                         _frames.Outcome.COMPLETE,
                         _frames.Reason.NONE,
-                        200,
+                        simulation.status_of(data),
                         b'',
                         request_id,
                     )
--- /dev/null
+++ b/tests/dataplane/test_crash_knowledge.py
@@ -0,0 +1,206 @@
+"""Knowledge of deadly requests through restarts, cuts and overlaps.
+
+The load is a kind of request that ends each target that runs it, some 90 ms
+after its start, and that comes again at all VMs of one service.
+"""
+
+import pytest
+
+from tests.dataplane import crash_fleet
+
+#: Targets that may end under one request at nodes that reach each other.
+END_BOUND = 2
+
+#: Time within which a node that was cut off has to know what the others know,
+#: in seconds.
+CONTACT_S = 3.0
+
+
+@pytest.fixture
+def make_fleet(patch_connections, reactor):
+    def make(size=12):
+        fleet = patch_connections(crash_fleet.CrashFleet(reactor, size))
+        reactor.run(2.5, 0.05)
+        return fleet
+
+    return make
+
+
+def _refuse(fleet):
+    """Let the targets that it takes end under the request."""
+    fleet.send_deadly(6, 0.3)
+    fleet.reactor.run(4.0, 0.05)
+    assert 0 < len(fleet.ends) <= END_BOUND
+
+
+# Guards against nodes that forget in a restart which requests crash targets.
+@pytest.mark.parametrize('size', [12, 195])
+def test_nodes_that_restart_one_by_one_know_the_request(make_fleet, size):
+    fleet = make_fleet(size)
+    _refuse(fleet)
+    for address in fleet.random_addresses(12):
+        fleet.restart_and_read(address)
+        fleet.reactor.run(0.5, 0.05)
+        fleet.send_deadly(3, 0.15)
+    assert len(fleet.ends) <= END_BOUND
+
+
+# Guards against knowledge that is lost as all nodes but one restart together.
+@pytest.mark.parametrize('size', [12, 195])
+def test_one_node_that_goes_on_tells_all_others(make_fleet, size):
+    fleet = make_fleet(size)
+    _refuse(fleet)
+    for address in fleet.addresses[:-1]:
+        fleet.restart(address)
+    for address in fleet.addresses[:-1]:
+        fleet.read_directory(address)
+    fleet.reactor.run(1.0, 0.05)
+    fleet.send_deadly(10, 0.15)
+    assert len(fleet.ends) <= END_BOUND
+
+
+# Guards against a failure domain that was cut off when targets crashed.
+@pytest.mark.parametrize('size', [12, 195])
+def test_nodes_that_were_cut_off_know_the_request_soon(make_fleet, size):
+    fleet = make_fleet(size)
+    domain = fleet.domain(0)
+    fleet.cut_off_nodes(domain)
+    fleet.reactor.run(1.0, 0.05)
+    callers = [
+        address
+        for address in fleet.nodes_of(crash_fleet.DEADLY_CALLER)
+        if address not in domain
+    ]
+    for _ in range(6):
+        fleet.send_request(callers[0], crash_fleet.DEADLY)
+        fleet.reactor.run(0.3)
+    assert 0 < len(fleet.ends) <= END_BOUND
+    fleet.cut_off_nodes([])
+    fleet.reactor.run(CONTACT_S, 0.05)
+    fleet.send_deadly(12, 0.15)
+    assert len(fleet.ends) <= END_BOUND
+
+
+# Guards against both at once: the node that was told restarts, and the ones
+# that could tell it were cut off.
+def test_restart_beside_a_cut_keeps_what_is_known(make_fleet):
+    fleet = make_fleet()
+    fleet.cut_off_nodes(fleet.domain(0))
+    callers = fleet.nodes_of(crash_fleet.DEADLY_CALLER)
+    for caller in callers:
+        fleet.send_request(caller, crash_fleet.DEADLY)
+        fleet.reactor.run(0.5)
+    known_ends = len(fleet.ends)
+    for address in fleet.domain(1):
+        fleet.restart_and_read(address)
+    fleet.cut_off_nodes([])
+    fleet.reactor.run(CONTACT_S, 0.05)
+    for address in fleet.domain(2):
+        fleet.restart_and_read(address)
+    fleet.reactor.run(CONTACT_S, 0.05)
+    fleet.send_deadly(12, 0.15)
+    assert len(fleet.ends) <= known_ends + END_BOUND - 1
+
+
+# Guards against copies of a request that run at several targets at once,
+# although it is known to have crashed one.
+def test_request_that_has_crashed_a_target_runs_at_one_at_a_time(make_fleet):
+    fleet = make_fleet()
+    callers = fleet.nodes_of(crash_fleet.DEADLY_CALLER)
+    fleet.send_request(callers[0], crash_fleet.DEADLY)
+    fleet.reactor.run(crash_fleet.DEADLY_RUN_S + 0.04)
+    assert len(fleet.ends) == 1
+    fleet.send_deadly(60, 0.02)
+    assert len(fleet.ends) <= END_BOUND
+
+
+# Guards against queued copies that run although the request is known by then.
+def test_queued_copies_do_not_run_after_a_crash(make_fleet):
+    fleet = make_fleet()
+    fleet.service_s = 1.5
+    callers = fleet.nodes_of(crash_fleet.DEADLY_CALLER)
+    targets = fleet.nodes_of(crash_fleet.TARGET_SERVICE)
+    fleet.preferred_by_address.update(zip(callers, targets, strict=True))
+    for caller, target in list(zip(callers, targets, strict=True))[1:]:
+        fleet.targets_by_address[target].target_side.limit.reset(1)
+        fleet.send_request(caller, b'/a/1')
+        fleet.reactor.run(0.05)
+        fleet.send_request(caller, crash_fleet.DEADLY)
+    fleet.send_request(callers[0], crash_fleet.DEADLY)
+    fleet.reactor.run(4.0)
+    assert 0 < len(fleet.ends) <= END_BOUND
+    assert len(fleet.deadly_statuses) == len(callers)
+
+
+# Guards against a request that is taken for another one with the same path:
+# the other one is refused, or its good runs end the refusal of the first.
+def test_same_path_of_another_caller_is_another_request(make_fleet):
+    fleet = make_fleet()
+    innocent = fleet.nodes_of('s2') + fleet.nodes_of('s3')
+    deadly = fleet.nodes_of(crash_fleet.DEADLY_CALLER)
+    for number in range(60):
+        fleet.send_request(deadly[number % 3], crash_fleet.DEADLY)
+        for address in innocent:
+            fleet.send_request(address, crash_fleet.DEADLY)
+        fleet.reactor.run(0.1)
+    fleet.reactor.run(3.0)
+    assert len(fleet.ends) <= END_BOUND
+    statuses = fleet.statuses_by_path[crash_fleet.DEADLY]
+    assert statuses.count(200) >= 0.99 * len(statuses)
+
+
+# Guards against a request that is known under the name of its route only,
+# which the operator changes.
+def test_request_is_known_after_its_route_was_renamed(make_fleet):
+    fleet = make_fleet()
+    _refuse(fleet)
+    fleet.install(crash_fleet.renamed_route())
+    fleet.send_deadly(12, 0.15)
+    assert len(fleet.ends) <= END_BOUND
+
+
+# Guards against an error that a target gives at once, and that counts as a
+# run without a crash.
+def test_errors_do_not_clear_a_request(make_fleet):
+    fleet = make_fleet()
+    is_deadly = fleet.is_deadly
+    fleet.send_deadly(1, 0.15)
+    fleet.is_deadly = lambda _data: False
+    fleet.status_of = lambda _data: 500
+    fleet.send_deadly(4, 0.6)
+    fleet.is_deadly = is_deadly
+    fleet.send_deadly(12, 0.3)
+    assert len(fleet.ends) <= END_BOUND
+
+
+# Guards against a report of a good run that lifts the refusal although the
+# request has crashed targets since.
+def test_good_run_does_not_excuse_later_crashes(make_fleet):
+    fleet = make_fleet()
+    is_deadly = fleet.is_deadly
+    fleet.is_deadly = lambda _data: False
+    fleet.send_deadly(3, 0.1)
+    fleet.is_deadly = is_deadly
+    _refuse(fleet)
+    fleet.is_deadly = lambda _data: False
+    fleet.status_of = lambda _data: 200
+    fleet.send_deadly(3, 0.1)
+    fleet.is_deadly = is_deadly
+    fleet.send_deadly(12, 0.3)
+    assert len(fleet.ends) <= END_BOUND
+
+
+# Guards against a crash that counts as a planned end, as the target had
+# announced that it is leaving.
+def test_crash_of_a_leaving_target_counts(make_fleet):
+    fleet = make_fleet()
+    targets = fleet.nodes_of(crash_fleet.TARGET_SERVICE)
+    caller = fleet.nodes_of(crash_fleet.DEADLY_CALLER)[0]
+    fleet.send_request(caller, crash_fleet.DEADLY)
+    fleet.reactor.run(0.05)
+    first = next(run.target_address for run in fleet.runs)
+    assert first in targets
+    crash_fleet.drain(fleet, first)
+    fleet.reactor.run(0.2)
+    fleet.send_deadly(12, 0.15)
+    assert len(fleet.ends) <= END_BOUND
