Know a repeated request by its caller, host, method, target and body

Callers saw a service go down again after the operator had changed a route, or as soon as another caller's request with the same path had run well: the digest that names a request had the name of its route, and neither host nor caller. So a renamed route gave the same request a new digest, and other requests shared one with it; their good runs ended the refusal, and they were refused with it.

The digest is now that of what makes two requests the same, and it travels with the attempt, so that the target's node need not parse the head. Attempts of an earlier build have none, and are not suspected.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -4,7 +4,6 @@
 import math
 
 from rosemarycrank.dataplane import _candidates
-from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _retry_limits
@@ -114,6 +113,7 @@
             exchange.request_id,
             exchange.head,
             exchange.message.body,
+            exchange.digest,
         )
         exchange.attempt_number = number
         exchange.tried_nodes.append(record.node)
@@ -192,8 +192,7 @@
         if reason is _frames.Reason.CRASH_SUSPECT:
             return False
         if reason is _frames.Reason.ANSWER_LOST:
-            request_digest = _crash_suspects.digest_exchange(exchange)
-            if not self.node.crash_suspects.may_repeat(request_digest, now):
+            if not self.node.crash_suspects.may_repeat(exchange.digest, now):
                 return False
         return self._retry_limits.allow_retry(
             exchange, now, self._run_deadline_at(exchange)
--- a/rosemarycrank/dataplane/_crash_suspects.py
+++ b/rosemarycrank/dataplane/_crash_suspects.py
@@ -1,9 +1,7 @@
 """Requests that may crash the target that runs them.
 
 Guards against a request that ends the process of each target it reaches, and
-takes the service down through its repeats. A repeat has a request identifier
-of its own, so requests are compared by a digest of their route, method,
-target and body.
+takes the service down through its repeats. Requests are compared by digest.
 
 A crash puts all requests under suspicion that ran at the target. Only one of
 them may be the cause; a good run clears a request. A request is refused once
@@ -11,7 +9,6 @@
 """
 
 import collections
-import hashlib
 import logging
 import math
 
@@ -46,63 +43,9 @@
 #: Maximum number of suspects that are remembered; the oldest are dropped.
 MAX_SUSPECTS = 10000
 
-#: Length of a digest, in bytes.
-DIGEST_BYTES = 7
-
 _LOG = logging.getLogger(__name__)
 
 
-def digest(route, method, target, body):
-    """Return a number that is the same for each repeat of a request.
-
-    Parameters
-    ----------
-    route : str
-        Name of the route.
-    method, target : bytes
-        Method, and request target of HTTP: path and query.
-    body : bytes
-        Body of the request.
-
-    Returns
-    -------
-    int
-        The digest; not 0.
-    """
-    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (route.encode(), method, target):
-        state.update(b'%d:' % len(part))
-        state.update(part)
-    state.update(body)
-    return int.from_bytes(state.digest(), 'big') or 1
-
-
-def digest_attempt(attempt):
-    """Return the digest of the request of an attempt.
-
-    Parameters
-    ----------
-    attempt : rosemarycrank.dataplane.Attempt
-        Attempt with its head and body.
-    """
-    method, target, _ = attempt.head.split(b' ', 2)
-    return digest(attempt.route, method, target, attempt.body)
-
-
-def digest_exchange(exchange):
-    """Return the digest of a request at its entry node.
-
-    Parameters
-    ----------
-    exchange : Exchange
-        The request, with its message and route.
-    """
-    message = exchange.message
-    return digest(
-        exchange.route.name, message.method, message.target, message.body
-    )
-
-
 @attrs.define(slots=True)
 class _Suspect:
     """Crashes under one request.
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -5,11 +5,11 @@
 import logging
 
 from rosemarycrank.dataplane import _attempts
-from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _exchange
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _refusals
+from rosemarycrank.dataplane import _request_digest
 
 #: Seconds between checks for requests whose deadline has passed.
 SWEEP_INTERVAL_S = 0.02
@@ -80,9 +80,10 @@
         )
         self._refusals = _refusals.Refusals(node, names, counters, random)
         self._dropped_headers = names.set_by_nodes()
+        self._caller_service = caller_service.encode()
         self._caller_header = b'%b: %b\r\n' % (
             names.caller_service,
-            caller_service.encode(),
+            self._caller_service,
         )
         self._deadline_heap = []
         self._tie_breakers = itertools.count()
@@ -157,6 +158,13 @@
         exchange.deadline_at = exchange.arrived_at + timeout_s
         exchange.service = self.picker.pick(route)
         exchange.rank = float(route.priority)
+        exchange.digest = _request_digest.digest(
+            self._caller_service,
+            headers[b'host'],
+            message.method,
+            message.target,
+            message.body,
+        )
         refusal = self._refusal_reason(exchange, requested_deadline_at)
         if refusal is not None:
             self._refuse(exchange, 503, refusal)
@@ -219,13 +227,9 @@
         suspects = self.node.crash_suspects
         if not suspects:
             return False
-        request_digest = _crash_suspects.digest_exchange(exchange)
         now = self.node.reactor.now()
-        exchange.refused_for_s = suspects.refused_for_s(request_digest, now)
-        if exchange.refused_for_s == 0.0:
-            return False
-        exchange.suspect_digest = request_digest
-        return True
+        exchange.refused_for_s = suspects.refused_for_s(exchange.digest, now)
+        return exchange.refused_for_s > 0.0
 
     def limit_run_end(self, latest_run_end_at):
         """Limit the deadlines given to attempts, during a planned stop.
--- a/rosemarycrank/dataplane/_exchange.py
+++ b/rosemarycrank/dataplane/_exchange.py
@@ -49,8 +49,9 @@
     refused_for_s : float
         Time for which the request is refused because targets have crashed
         under it, in seconds; otherwise 0.
-    suspect_digest : int
-        Digest of the request if it is refused for that; otherwise 0.
+    digest : int
+        Digest by which repeats of the request are recognised; 0 until it is
+        routed.
     """
 
     request_id: bytes
@@ -72,4 +73,4 @@
     from_target: bool = False
     rank: float = 0.0
     refused_for_s: float = 0.0
-    suspect_digest: int = 0
+    digest: int = 0
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -265,6 +265,9 @@
         Identifier of the client's request.
     head, body : bytes
         Request line and headers without the terminating empty line; body.
+    digest : int
+        Digest by which repeats of the request are recognised; 0 if the
+        sender is of an earlier build.
     """
 
     number: int
@@ -278,6 +281,7 @@
     request_id: bytes
     head: bytes
     body: bytes
+    digest: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=2):
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -399,7 +399,7 @@
         """
         if self.crash_suspects:
             self.target_side.suspect_runs.record_good_run(
-                _crash_suspects.digest_exchange(exchange), self.reactor.now()
+                exchange.digest, self.reactor.now()
             )
 
     def mark_leaving(self, address):
--- a/rosemarycrank/dataplane/_refusals.py
+++ b/rosemarycrank/dataplane/_refusals.py
@@ -118,10 +118,10 @@
 
     def _crash_fields(self, exchange):
         """Return the fields of the log for a request that is suspected."""
-        if not exchange.suspect_digest:
+        if not exchange.refused_for_s:
             return {}
         suspects = self.node.crash_suspects
         return {
-            'digest': '%x' % exchange.suspect_digest,
-            'crashes': suspects.count_crashes(exchange.suspect_digest),
+            'digest': '%x' % exchange.digest,
+            'crashes': suspects.count_crashes(exchange.digest),
         }
--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -53,7 +53,7 @@
         """
         if not self.suspects:
             return None
-        request_digest = _crash_suspects.digest_attempt(job.attempt)
+        request_digest = job.attempt.digest
         if request_digest not in self.suspects:
             return None
         job.suspect_digest = request_digest
@@ -113,9 +113,7 @@
             Seconds of the node's clock.
         """
         attempts = [job.attempt for job in jobs[:MAX_REPORTED]]
-        digests = [
-            _crash_suspects.digest_attempt(attempt) for attempt in attempts
-        ]
+        digests = [attempt.digest for attempt in attempts if attempt.digest]
         logged = attempts[:MAX_LOGGED]
         _LOG.warning(
             'the target has crashed while %d requests ran',
@@ -123,7 +121,7 @@
             extra={
                 'event': 'crash_suspected',
                 'instance': attempts[0].instance if attempts else '',
-                'digests': ['%x' % digest for digest in digests[:MAX_LOGGED]],
+                'digests': ['%x' % attempt.digest for attempt in logged],
                 'request_ids': [
                     attempt.request_id.decode('latin-1') for attempt in logged
                 ],
--- a/tests/dataplane/test_crash_suspects.py
+++ b/tests/dataplane/test_crash_suspects.py
@@ -27,6 +27,7 @@
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _request_digest
 from rosemarycrank.dataplane import _routes
 from tests.dataplane import fakes
 from tests.dataplane import fleet as fleets
@@ -274,12 +275,21 @@
     ]
 
 
-def test_attempt_has_the_digest_of_its_request():
-    attempt = fakes.attempt(head=b'GET /a/1 HTTP/1.1\r\nhost: h\r\n')
-    digest = _crash_suspects.digest_attempt(attempt)
-    assert digest == _crash_suspects.digest('read', b'GET', b'/a/1', b'')
-    assert digest != _crash_suspects.digest('read', b'PUT', b'/a/1', b'')
-    assert digest != _crash_suspects.digest('read', b'GET', b'/a/', b'1')
+def test_digest_tells_requests_apart_and_knows_repeats():
+    parts = (b'orders', b'h.example', b'GET', b'/a/1', b'body')
+    digests = {_request_digest.digest(*parts)}
+    for index in range(len(parts)):
+        changed = [*parts]
+        changed[index] += b'x'
+        digests.add(_request_digest.digest(*changed))
+    # The same bytes, divided in another way.
+    digests.add(
+        _request_digest.digest(
+            b'orders', b'h.example', b'GET/', b'a/1', b'body'
+        )
+    )
+    assert len(digests) == len(parts) + 2
+    assert _request_digest.digest(*parts) in digests
 
 
 def test_memory_of_suspects_is_bounded():
@@ -298,13 +308,12 @@
     caller = side.callers.get(77)
     results = []
     caller.send = results.append
-    attempt = fakes.attempt(instance=f'i-{address}')
-    digest = _crash_suspects.digest_attempt(attempt)
-    side.suspect_runs.suspects.record_crash([digest], 1.0)
-    side.suspect_runs.suspects.record_crash([digest], 1.0)
+    attempt = fakes.attempt(instance=f'i-{address}', digest=5)
+    side.suspect_runs.suspects.record_crash([5], 1.0)
+    side.suspect_runs.suspects.record_crash([5], 1.0)
     side.accept(caller, attempt)
     caller.features = int(_frames.Feature.CRASH_REPORTS)
-    side.accept(caller, fakes.attempt(2, instance=f'i-{address}'))
+    side.accept(caller, fakes.attempt(2, instance=f'i-{address}', digest=5))
     reasons = [_frames.Reason(result.reason).name for result in results]
     assert reasons == ['QUEUE_FULL', 'CRASH_SUSPECT']
     assert {result.outcome for result in results} == {_frames.Outcome.NOT_RUN}
@@ -335,11 +344,10 @@
     reactor.run(3.0, 0.05)
     fleet.clear_counts()
     fleet.nodes[7].target_side.suspect_runs.record_crash(
-        [_Job(fakes.attempt())], reactor.now()
+        [_Job(fakes.attempt(digest=5))], reactor.now()
     )
     reactor.run(1.0, 0.05)
-    digest = _crash_suspects.digest_attempt(fakes.attempt())
-    told = [digest in node.crash_suspects for node in fleet.nodes]
+    told = [5 in node.crash_suspects for node in fleet.nodes]
     assert all(told)
     tag = _frames.CrashReport.__struct_config__.tag
     assert fleet.frames_by_tag[tag] <= (_crash_reports.FANOUT + 1) * 60
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -79,6 +79,7 @@
         request_id=b'b9',
         head=b'b10',
         body=b'b11',
+        digest=1012,
     ),
     _frames.Cancel(number=1001),
     _frames.Result(
@@ -185,6 +186,10 @@
         'Hello before digests',
         msgspec.structs.replace(FRAMES[0], directory_digest=0),
     ),
+    (
+        'Attempt before digests',
+        msgspec.structs.replace(FRAMES[1], digest=0),
+    ),
     (
         'Pong before digests',
         msgspec.structs.replace(FRAMES[5], directory_digest=0),
