Let all nodes keep the same facts about crashes, and compare them

What a node knew of crashes was sent once to those connected then, forgotten with the process, and compared never. This is soft state without anti-entropy; leavings and configurations were exchanged in handshakes already.

A crash is now a fact with an identity, the start of the target that ended. It names the requests that ran, and those cleared since. Handshakes carry all suspicions before the first attempt is passed on, and digests in handshakes and pings show what else differs. A node is ready, and passes requests on, once it has met another node, or 1 s after its start; its contacts are connected within 0.2 s. The node beside the crash tells on all connections, so that an entry node knows before the lost run's result.

One good run clears a request of one crash that it followed; it cleared a refusal at any count before. The frame of earlier builds is gone, with its feature: mixed fleets are protected within each build.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -159,7 +159,6 @@
         self._record_outcome(exchange, result)
         if result.outcome == _COMPLETE:
             exchange.deliveries += 1
-            self.node.record_good_run(exchange)
             self.on_complete(exchange, result)
             return
         reason = _frames.Reason(result.reason)
@@ -191,9 +190,8 @@
         now = self.node.reactor.now()
         if reason is _frames.Reason.CRASH_SUSPECT:
             return False
-        if reason is _frames.Reason.ANSWER_LOST:
-            if not self.node.crash_suspects.may_repeat(exchange.digest, now):
-                return False
+        if self.node.crash_history.refused_for_s(exchange.digest):
+            return False
         return self._retry_limits.allow_retry(
             exchange, now, self._run_deadline_at(exchange)
         )
--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -36,9 +36,9 @@
         The run as counted by `CallCosts`; None while it is queued.
     result : rosemarycrank.dataplane.Result or None
         Its result; None until it has ended.
-    suspect_digest : int
-        Digest of the request if it is suspected of crashing targets;
-        otherwise 0.
+    crashed_starts : tuple of tuple of (str, int)
+        Starts of targets that had crashed under the request when its run
+        began.
     """
 
     caller: object
@@ -49,7 +49,7 @@
     started_at: float = 0.0
     run: object = None
     result: object = None
-    suspect_digest: int = 0
+    crashed_starts: tuple = ()
 
 
 class Caller:
--- a/rosemarycrank/dataplane/_contacts.py
+++ b/rosemarycrank/dataplane/_contacts.py
@@ -10,7 +10,7 @@
 
 #: Number of contacts, and seconds between checks of their connections.
 CONTACT_COUNT = 3
-CHECK_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 0.2
 
 
 class Contacts:
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -14,6 +14,10 @@
 #: Seconds between checks for requests whose deadline has passed.
 SWEEP_INTERVAL_S = 0.02
 
+#: Longest time for which a request waits at a node that has just started, in
+#: seconds.
+MAX_INFORMATION_WAIT_S = 0.25
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -179,16 +183,26 @@
             self._deadline_heap,
             (exchange.deadline_at, next(self._tie_breakers), exchange),
         )
-        if self._pauses.is_settled(exchange.arrived_at):
-            self._attempts.send(exchange)
+        if not self._pauses.is_settled(exchange.arrived_at):
+            self._send_later(exchange)
+        elif not self.node.is_informed():
+            self._send_later(exchange)
         else:
-            self.node.reactor.timers.after(
-                _pauses.SETTLE_S, lambda _now: self._send_if_wanted(exchange)
-            )
+            self._attempts.send(exchange)
+
+    def _send_later(self, exchange):
+        """Send the first attempt after a time, if it is still wanted."""
+        self.node.reactor.timers.after(
+            _pauses.SETTLE_S, lambda now: self._send_if_due(exchange, now)
+        )
 
-    def _send_if_wanted(self, exchange):
-        """Send the first attempt unless the client has left meanwhile."""
-        if exchange.response is None:
+    def _send_if_due(self, exchange, now):
+        if exchange.response is not None:
+            return
+        waited_s = now - exchange.arrived_at
+        if waited_s < MAX_INFORMATION_WAIT_S and not self.node.is_informed():
+            self._send_later(exchange)
+        else:
             self._attempts.send(exchange)
 
     def _refusal_reason(self, exchange, requested_deadline_at):
@@ -224,11 +238,10 @@
         return None
 
     def _is_crash_suspect(self, exchange):
-        suspects = self.node.crash_suspects
-        if not suspects:
+        history = self.node.crash_history
+        if not history:
             return False
-        now = self.node.reactor.now()
-        exchange.refused_for_s = suspects.refused_for_s(exchange.digest, now)
+        exchange.refused_for_s = history.refused_for_s(exchange.digest)
         return exchange.refused_for_s > 0.0
 
     def limit_run_end(self, latest_run_end_at):
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -102,23 +102,27 @@
     Attributes
     ----------
     CRASH_REPORTS
-        `CrashReport` and `Reason.CRASH_SUSPECT`.
+        Reports of crashes in earlier builds, by digests of other contents.
+        This build neither sends nor reads them.
     DIRECTORY_DIGESTS
         Handshakes with a digest of the records instead of the records;
         `DirectoryDigests` and `DirectoryPart`.
     LOAD_REPORTS
         `LoadReport` as the answer to `Demand`.
+    CRASH_FACTS
+        `Crashes`, and `Reason.CRASH_SUSPECT`.
     """
 
     NONE = 0
     CRASH_REPORTS = 1
     DIRECTORY_DIGESTS = 2
     LOAD_REPORTS = 4
+    CRASH_FACTS = 8
 
 
 #: Features of this build.
 FEATURES = (
-    Feature.CRASH_REPORTS | Feature.DIRECTORY_DIGESTS | Feature.LOAD_REPORTS
+    Feature.DIRECTORY_DIGESTS | Feature.LOAD_REPORTS | Feature.CRASH_FACTS
 )
 
 #: Number of hash ranges into which the records of a directory fall. Fixed, as
@@ -201,6 +205,31 @@
     pressures: dict[str, Pressure] = {}
 
 
+class Crash(msgspec.Struct, array_like=True, frozen=True):
+    """Facts about a crash of a target.
+
+    Attributes
+    ----------
+    instance : str
+        Identifier of the target.
+    born_ms : int
+        Its start time in Unix milliseconds. A later crash of the same target
+        is that of another start.
+    at_ms : int
+        Unix time of the crash in milliseconds, by the node beside the target.
+    suspects : list of int
+        Digests of requests that ran when it crashed.
+    cleared : list of int
+        Digests of those that have run well since.
+    """
+
+    instance: str
+    born_ms: int
+    at_ms: int
+    suspects: list[int]
+    cleared: list[int]
+
+
 class Hello(msgspec.Struct, array_like=True, tag=0):
     """Handshake, the first frame that each side sends.
 
@@ -226,6 +255,10 @@
         `Feature` flags of the sender.
     directory_digest : int
         Digest of all records that the sender knows; 0 for none.
+    crashes : list of Crash
+        All facts by which requests are under suspicion.
+    crash_digest : int
+        Digest of all facts about crashes that the sender knows; 0 for none.
     """
 
     protocol: int
@@ -237,6 +270,8 @@
     client_routes: list[str]
     features: int = 0
     directory_digest: int = 0
+    crashes: list[Crash] = []
+    crash_digest: int = 0
 
 
 class Attempt(msgspec.Struct, array_like=True, tag=1):
@@ -343,11 +378,14 @@
         Load of the sender's target; None without a target.
     directory_digest : int
         Digest of all records that the sender knows; 0 for none.
+    crash_digest : int
+        Digest of all facts about crashes that the sender knows; 0 for none.
     """
 
     configuration_version: int
     load: Load | None
     directory_digest: int = 0
+    crash_digest: int = 0
 
 
 class Announcement(msgspec.Struct, array_like=True, tag=6):
@@ -427,24 +465,6 @@
     records: list[TargetRecord]
 
 
-class CrashReport(msgspec.Struct, array_like=True, tag=12):
-    """Requests that ran at the sender's target when it crashed, or since.
-
-    Attributes
-    ----------
-    number : int
-        Random number of the report, the same as it is passed on.
-    crashed : list of int
-        Digests of the requests that ran when the target crashed.
-    served : list of int
-        Digests of suspected requests that have run without a crash.
-    """
-
-    number: int
-    crashed: list[int]
-    served: list[int]
-
-
 class LoadReport(msgspec.Struct, array_like=True, tag=15):
     """Answer to `Demand`.
 
@@ -459,6 +479,22 @@
     load: Load | None
 
 
+class Crashes(msgspec.Struct, array_like=True, tag=16):
+    """Facts about crashes of targets.
+
+    Attributes
+    ----------
+    crashes : list of Crash
+        The facts.
+    is_complete : bool
+        Whether these are all facts that the sender knows. The receiver
+        answers with what is missing.
+    """
+
+    crashes: list[Crash]
+    is_complete: bool = False
+
+
 Frame = (
     Hello
     | Attempt
@@ -472,10 +508,10 @@
     | Leaving
     | RouteCosts
     | Demand
-    | CrashReport
     | DirectoryDigests
     | DirectoryPart
     | LoadReport
+    | Crashes
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -131,6 +131,7 @@
                     self.node.configuration_version(),
                     self.node.target_side.load(),
                     self.node.directory.digest,
+                    self.node.crash_history.digest,
                 )
             )
             self.node.request_newer_configuration(
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -144,7 +144,7 @@
         registry,
         'crash_suspects',
         'Requests that are suspected of crashing targets.',
-        [({}, len(process.node.crash_suspects))],
+        [({}, len(process.node.crash_history.suspects))],
     )
     _register_gauge(
         registry,
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -9,8 +9,8 @@
 from rosemarycrank.dataplane import _contacts
 from rosemarycrank.dataplane import _cost_reports
 from rosemarycrank.dataplane import _costs
-from rosemarycrank.dataplane import _crash_reports
-from rosemarycrank.dataplane import _crash_suspects
+from rosemarycrank.dataplane import _crash_exchange
+from rosemarycrank.dataplane import _crash_history
 from rosemarycrank.dataplane import _demand_reports
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _directory_sync
@@ -27,6 +27,10 @@
 #: Seconds between checks of the connections to other nodes.
 PEER_CHECK_INTERVAL_S = 0.1
 
+#: Time after its start for which a node waits for what the others know, in
+#: seconds. It may be cut off from all of them.
+INFORMATION_TIMEOUT_S = 1.0
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -84,13 +88,17 @@
         Called with the name of each client route that this node detects.
     origins : RouteOrigins
         Detects which routes clients use.
-    crash_suspects : CrashSuspects
-        Requests that are suspected of crashing targets.
+    crash_history : CrashHistory
+        Crashes of targets, and the requests that may have caused them.
+    crash_exchange : CrashExchange
+        Exchange of these facts with other nodes.
     active_ping_interval_s : float
         Silence after which a peer that gets attempts, and owes no result, is
         pinged.
     directory_sync : DirectorySync
         Comparisons of the directory with those of other nodes.
+    has_read_directory : callable
+        Returns whether all records of the store have been read.
     """
 
     def __init__(
@@ -121,15 +129,16 @@
         self.origins = _origins.RouteOrigins(
             reactor.now(), self._client_route_detected
         )
-        self.crash_suspects = _crash_suspects.CrashSuspects(
-            random.Random(incarnation)
-        )
-        self._crash_reports = _crash_reports.CrashReports(
+        self.crash_history = _crash_history.CrashHistory(reactor)
+        self.crash_exchange = _crash_exchange.CrashExchange(
             self, random.Random(incarnation)
         )
         self.directory_sync = _directory_sync.DirectorySync(
             self.directory, self.merge, random.Random(incarnation)
         )
+        self.has_read_directory = lambda: True
+        self._started_at = reactor.now()
+        self._has_met_node = False
         self._listener = None
         self._cost_reports = _cost_reports.CostReports(costs)
         reactor.timers.every(PEER_CHECK_INTERVAL_S, self._check_peers)
@@ -163,7 +172,7 @@
         """Set the target side and make it callable like a peer."""
         self.target_side = target_side
         target_side.suspect_runs = _suspect_runs.SuspectRuns(
-            self.crash_suspects, self._crash_reports.send
+            self.crash_history, self.crash_exchange.tell_all
         )
         self.peers_by_node[self.address] = _local_peer.LocalPeer(
             target_side, target_side.callers.get(self.incarnation)
@@ -201,6 +210,8 @@
             sorted(self.origins.client_routes),
             int(_frames.FEATURES),
             self.directory.digest,
+            self.crash_history.suspicions(),
+            self.crash_history.digest,
         )
 
     def configuration_version(self):
@@ -273,6 +284,21 @@
                 by_address.setdefault(connection.address, connection)
         return list(by_address.values())
 
+    def all_connections(self):
+        """Return the open connections to and from the other nodes.
+
+        Returns
+        -------
+        list of Peer or InboundConnection
+            Up to two for a node.
+        """
+        peers = [
+            peer
+            for address, peer in self.peers_by_node.items()
+            if peer.connected and address != self.address
+        ]
+        return peers + [c for c in self.inbound_connections if c.connected]
+
     def request_newer_configuration(self, version, connection):
         """Request the configuration of another node if it is newer.
 
@@ -321,6 +347,8 @@
         connection : Peer or InboundConnection
             Connection on which it arrived.
         """
+        self._has_met_node = True
+        self.crash_exchange.receive_hello(hello, connection)
         for record in hello.records:
             self.merge(record)
         for route in hello.client_routes:
@@ -331,6 +359,7 @@
         peer = self.peers_by_node.get(hello.node)
         if peer is connection:
             self._compare_directories(hello, peer)
+            self.crash_exchange.receive_digest(hello.crash_digest, peer)
         if peer is not None and peer is not connection and not peer.reachable:
             peer.reset_backoff()
 
@@ -377,8 +406,8 @@
             self.costs.update_from_report(frame.service, frame.costs_by_route)
             if frame.service == self.costs.service:
                 self._cost_reports.receive(frame.costs_by_route)
-        elif isinstance(frame, _frames.CrashReport):
-            self._crash_reports.receive(frame, connection)
+        elif isinstance(frame, _frames.Crashes):
+            self.crash_exchange.receive(frame, connection)
         elif isinstance(frame, _frames.Leaving):
             self.mark_leaving(connection.address)
 
@@ -389,19 +418,6 @@
         if connection.features & _frames.Feature.LOAD_REPORTS:
             connection.notify(_frames.LoadReport(self.target_side.load()))
 
-    def record_good_run(self, exchange):
-        """Lower the suspicion of a request that a target has answered.
-
-        Parameters
-        ----------
-        exchange : Exchange
-            The request.
-        """
-        if self.crash_suspects:
-            self.target_side.suspect_runs.record_good_run(
-                exchange.digest, self.reactor.now()
-            )
-
     def mark_leaving(self, address):
         """Record that a node is shutting down and takes no more attempts."""
         if address != self.address:
@@ -474,6 +490,18 @@
             for address in self.directory.records_by_node
         )
 
+    def is_informed(self):
+        """Return whether this node knows what nodes tell in handshakes.
+
+        Before that it may not know of requests that crash targets.
+        """
+        if self._has_met_node:
+            return True
+        if self.has_read_directory() and not self.knows_other_nodes():
+            return True
+        waited_s = self.reactor.now() - self._started_at
+        return waited_s > INFORMATION_TIMEOUT_S
+
     def is_in_contact(self):
         """Return whether this node is connected to other nodes."""
         return bool(self.inbound_connections) or any(
@@ -529,6 +557,7 @@
         for connection in list(self.inbound_connections):
             connection.check_silence()
         self.directory_sync.check(now)
+        self.crash_exchange.check(now)
         usable = filter(self._takes_attempts, self._unusable_nodes)
         self._unusable_nodes.difference_update(list(usable))
 
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -355,6 +355,7 @@
             self.node.directory_sync.receive_digest(
                 frame.directory_digest, self, now
             )
+            self.node.crash_exchange.receive_digest(frame.crash_digest, self)
         elif isinstance(frame, _frames.LoadReport):
             if frame.load is not None:
                 self._update_load(frame.load, now)
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -255,6 +255,7 @@
             rng,
             MAX_TARGETS_POLL_DELAY_S,
         )
+        node.has_read_directory = lambda: self.target_follower.has_read
         self.cost_rows = _cost_rows.CostRows(
             self.reactor,
             self.store,
@@ -318,9 +319,9 @@
     def ready(self):
         """Return whether clients may send requests.
 
-        The node needs a configuration, and targets from the store or from
-        other nodes. Its own target alone does not show which targets the
-        services have.
+        The node needs a configuration, targets from the store or from other
+        nodes, and what nodes tell each other. Its own target alone does not
+        show which targets the services have.
         """
         return (
             not self.planned_stop.has_begun
@@ -328,6 +329,7 @@
             and (
                 self.target_follower.has_read or self.node.knows_other_nodes()
             )
+            and self.node.is_informed()
         )
 
     def _publish_record(self, record):
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -73,6 +73,10 @@
         """Return the monotonic time in seconds."""
         return time.monotonic()
 
+    def unix_ms(self):
+        """Return the time of day in Unix milliseconds; it may jump."""
+        return int(time.time() * 1000.0)
+
     def call_soon(self, callback):
         """Call a function after all input that is ready has been handled."""
         self.loop.run_callback(callback)
--- a/rosemarycrank/dataplane/_refusals.py
+++ b/rosemarycrank/dataplane/_refusals.py
@@ -120,8 +120,7 @@
         """Return the fields of the log for a request that is suspected."""
         if not exchange.refused_for_s:
             return {}
-        suspects = self.node.crash_suspects
         return {
             'digest': '%x' % exchange.digest,
-            'crashes': suspects.count_crashes(exchange.digest),
+            'crashes': self.node.crash_history.count_crashes(exchange.digest),
         }
--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -1,126 +1,113 @@
 """Runs of suspected requests at the local target, and reports about them."""
 
 import logging
-import random
 
-from rosemarycrank.dataplane import _crash_suspects
 from rosemarycrank.dataplane import _frames
 
-#: Maximum number of requests that a report names, and a line of the log.
-MAX_REPORTED = 1000
+#: Maximum number of requests in a line of the log.
 MAX_LOGGED = 50
 
 _LOG = logging.getLogger(__name__)
 
 
 class SuspectRuns:
-    """Limits how many suspected requests run at once, and reports outcomes.
+    """Limits the runs of suspected requests, and reports their outcomes.
 
-    If one of few suspects crashes the target, few others are taken for the
-    cause.
+    Only one of them runs at a time, so that the target's crash shows which
+    one is the cause.
 
     Parameters
     ----------
-    suspects : CrashSuspects
-        Requests under suspicion.
-    on_report : callable
-        Called with the digests of requests under which the target has
-        crashed, and of those that have run well.
+    history : CrashHistory
+        Facts about crashes.
+    tell_all : callable
+        Sends new facts to all other nodes.
     """
 
-    def __init__(self, suspects=None, on_report=None):
-        if suspects is None:
-            suspects = _crash_suspects.CrashSuspects(random.Random(0))
-        self.suspects = suspects
-        self._on_report = on_report or (lambda crashed, served: None)
-        self._running = set()
-        self._served = []
+    def __init__(self, history, tell_all):
+        self.history = history
+        self._tell_all = tell_all
+        self._unreported = []
 
-    def refusal_reason(self, job, now):
-        """Mark a job whose request is suspected, and return a refusal.
+    def refusal_reason(self, job):
+        """Return why a request is refused; None if it may run.
 
         Parameters
         ----------
         job : Job
             The attempt.
-        now : float
-            Seconds of the node's clock.
 
         Returns
         -------
         Reason or None
-            Why the request is refused; None if it may run.
         """
-        if not self.suspects:
-            return None
-        request_digest = job.attempt.digest
-        if request_digest not in self.suspects:
-            return None
-        job.suspect_digest = request_digest
-        if self.suspects.refused_for_s(request_digest, now) == 0.0:
-            return None
-        if job.caller.features & _frames.Feature.CRASH_REPORTS:
+        if self.history and self.history.refused_for_s(job.attempt.digest):
             return _frames.Reason.CRASH_SUSPECT
-        return _frames.Reason.QUEUE_FULL
+        return None
 
-    def may_start(self, job, now):
-        """Return whether a job may start, as far as suspicion matters."""
-        if not job.suspect_digest:
+    def may_start(self, job, running):
+        """Return whether a job may start, as far as suspicion matters.
+
+        Parameters
+        ----------
+        job : Job
+            The attempt.
+        running : iterable of Job
+            Those that run at the target.
+        """
+        if not self.history or not self._is_suspect(job):
             return True
-        return len(self._running) < self.suspects.max_runs(now)
+        return not any(self._is_suspect(other) for other in running)
 
     def record_start(self, job):
         """Record that a job has started."""
-        if not job.suspect_digest:
+        if not self.history or not self._is_suspect(job):
             return
-        self._running.add(job)
+        job.crashed_starts = self.history.starts_of(job.attempt.digest)
         _LOG.info(
             'suspected request starts to run',
             extra={
                 'event': 'crash_suspect_started',
                 'request_id': job.attempt.request_id,
-                'digest': '%x' % job.suspect_digest,
-                'crashes': self.suspects.count_crashes(job.suspect_digest),
+                'digest': '%x' % job.attempt.digest,
+                'crashes': len(job.crashed_starts),
                 'instance': job.attempt.instance,
             },
         )
 
-    def record_end(self, job):
-        """Record that the run of a job has ended, in whatever way."""
-        self._running.discard(job)
-
-    def record_good_run(self, request_digest, now):
-        """Lower the suspicion of a request after a run without a crash.
+    def record_answer(self, job):
+        """Clear a request of one crash, as it has run well since.
 
         Parameters
         ----------
-        request_digest : int
-            Its digest.
-        now : float
-            Seconds of the node's clock.
+        job : Job
+            The attempt, with a complete answer.
         """
-        if self.suspects.record_good_run(request_digest, now):
-            self._served.append(request_digest)
+        if not job.crashed_starts:
+            return
+        self._unreported += self.history.clear(
+            job.attempt.digest, job.crashed_starts
+        )
 
-    def record_crash(self, jobs, now):
-        """Record and report a crash.
+    def record_crash(self, record, jobs):
+        """Record and report a crash of the target.
 
         Parameters
         ----------
+        record : TargetRecord
+            The target that has crashed.
         jobs : list of Job
-            Attempts that ran at the target.
-        now : float
-            Seconds of the node's clock.
+            Attempts that ran there.
         """
-        attempts = [job.attempt for job in jobs[:MAX_REPORTED]]
-        digests = [attempt.digest for attempt in attempts if attempt.digest]
+        attempts = [job.attempt for job in jobs]
         logged = attempts[:MAX_LOGGED]
         _LOG.warning(
             'the target has crashed while %d requests ran',
             len(jobs),
             extra={
                 'event': 'crash_suspected',
-                'instance': attempts[0].instance if attempts else '',
+                'instance': record.instance,
+                'born_ms': record.born_ms,
                 'digests': ['%x' % attempt.digest for attempt in logged],
                 'request_ids': [
                     attempt.request_id.decode('latin-1') for attempt in logged
@@ -128,14 +115,19 @@
                 'requests': [_summarize(attempt) for attempt in logged],
             },
         )
-        self.suspects.record_crash(digests, now)
-        self._on_report(digests, [])
-
-    def report_served(self):
-        """Report the requests that have run well since the last call."""
-        if self._served:
-            served, self._served = self._served[:MAX_REPORTED], []
-            self._on_report([], served)
+        digests = [attempt.digest for attempt in attempts if attempt.digest]
+        self._tell_all(
+            self.history.record_crash(record.instance, record.born_ms, digests)
+        )
+
+    def report_cleared(self):
+        """Report the requests that were cleared since the last call."""
+        if self._unreported:
+            facts, self._unreported = self._unreported, []
+            self._tell_all(facts)
+
+    def _is_suspect(self, job):
+        return self.history.count_crashes(job.attempt.digest) > 0
 
 
 def _summarize(attempt):
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -14,6 +14,7 @@
 from rosemarycrank.dataplane import _callers
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _crash_detection
+from rosemarycrank.dataplane import _crash_history
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
@@ -88,7 +89,8 @@
     callers : Callers
         Calling nodes and their attempts.
     suspect_runs : SuspectRuns
-        Runs of requests that are suspected of crashing targets.
+        Runs of requests that are suspected of crashing targets; shared with
+        the node.
     """
 
     def __init__(
@@ -109,7 +111,9 @@
         self.limit = _limit.ConcurrencyLimit()
         self.rate_limit = _rate_limit.RateLimit()
         self.callers = _callers.Callers(reactor)
-        self.suspect_runs = _suspect_runs.SuspectRuns()
+        self.suspect_runs = _suspect_runs.SuspectRuns(
+            _crash_history.CrashHistory(reactor), lambda _crashes: None
+        )
         self._crash_detection = _crash_detection.CrashDetection(
             reactor, pool, self._end_lost_runs
         )
@@ -228,7 +232,7 @@
         reason = self._refusal_reason(attempt, job, now)
         if reason is not None:
             self._finish(job, _NOT_RUN, reason)
-        elif self._may_start(now) and self._may_start_job(job, now):
+        elif self._may_start(now) and self._may_start_job(job):
             self._start(job, now)
         else:
             priority_at = self._priority_at(attempt, now)
@@ -245,10 +249,10 @@
             and self._pauses.is_settled(now)
         )
 
-    def _may_start_job(self, job, now):
+    def _may_start_job(self, job):
         """Return whether a job may take one of the free slots."""
         return self.suspect_runs.may_start(
-            job, now
+            job, self._running
         ) and self._self_calls.may_start(job, self.limit.value)
 
     def _expected_wait_s(self, ahead, now):
@@ -305,7 +309,7 @@
             return _frames.Reason.OTHER_TARGET
         if record.state != _directory.READY:
             return _frames.Reason.LEAVING
-        suspect_reason = self.suspect_runs.refusal_reason(job, now)
+        suspect_reason = self.suspect_runs.refusal_reason(job)
         if suspect_reason is not None:
             return suspect_reason
         start_at = now
@@ -338,8 +342,8 @@
         job.started_at = now
         job.run = _call_links.Run(attempt.route, attempt.rank, job.deadline_at)
         self.costs.record_run_start(job.run)
-        self._running.add(job)
         self.suspect_runs.record_start(job)
+        self._running.add(job)
         self._self_calls.record_start(job)
         self.rate_limit.record_start(now)
         connection = self.pool.acquire(attempt.idempotent)
@@ -383,11 +387,8 @@
         if answer.reason == _frames.Reason.ANSWER_LOST:
             self._crash_detection.add(job, answer)
             return
-        has_run = answer.outcome == _frames.Outcome.COMPLETE
-        if has_run and job.suspect_digest:
-            self.suspect_runs.record_good_run(
-                job.suspect_digest, self.reactor.now()
-            )
+        if answer.outcome == _frames.Outcome.COMPLETE:
+            self.suspect_runs.record_answer(job)
         self._end_run(job, answer)
 
     def _end_lost_runs(self, lost, has_crashed):
@@ -402,7 +403,7 @@
         """
         if has_crashed and self.record.state == _directory.READY:
             jobs = [job for job, _ in lost if job.result is None]
-            self.suspect_runs.record_crash(jobs, self.reactor.now())
+            self.suspect_runs.record_crash(self.record, jobs)
         for job, answer in lost:
             if job.result is None:
                 self._end_run(job, answer)
@@ -432,7 +433,6 @@
         if job not in self._running:
             return
         self._running.remove(job)
-        self.suspect_runs.record_end(job)
         self._self_calls.record_end(job)
         self.costs.record_run_end(job.run, now, failed)
         job.connection = None
@@ -526,7 +526,7 @@
             job = entry[2]
             if job.result is not None:
                 continue
-            if not self._may_start_job(job, now):
+            if not self._may_start_job(job):
                 held_back.append(entry)
                 continue
             self._waiting_count -= 1
@@ -596,7 +596,7 @@
 
     def _sweep(self, now):
         self._pauses.tick(now)
-        self.suspect_runs.report_served()
+        self.suspect_runs.report_cleared()
         self._give_back_waiting()
         if self._waiting_count:
             for _, _, job in list(self._waiting):
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -19,6 +19,9 @@
     def now(self):
         return self.timers.now
 
+    def unix_ms(self):
+        return 1_700_000_000_000 + int(self.timers.now * 1000.0)
+
     def call_soon(self, callback):
         self._callbacks.append(callback)
 
@@ -77,6 +80,9 @@
     def __init__(self):
         self.sent = []
         self.cancelled = []
+        self.notices = []
+        self.address = ''
+        self.features = 0
         self.reachable = True
         self.connected = True
         self.answers_late = False
@@ -95,6 +101,9 @@
     def cancel(self, number):
         self.cancelled.append(number)
 
+    def notify(self, frame):
+        self.notices.append(frame)
+
     def mark_leaving(self):
         self.leaving = True
 
@@ -124,6 +133,21 @@
     return _frames.TargetRecord(**(fields | changes))
 
 
+def hello(node='n2', **changes):
+    """Return the handshake of a node that knows nothing."""
+    fields = {
+        'protocol': _frames.PROTOCOL_VERSION,
+        'node': node,
+        'incarnation': 2,
+        'generation': 1,
+        'configuration_version': -1,
+        'records': [],
+        'client_routes': [],
+        'features': int(_frames.FEATURES),
+    }
+    return _frames.Hello(**(fields | changes))
+
+
 def attempt(number=1, **changes):
     """Return an attempt for the target of node ``n1``."""
     fields = {
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -81,6 +81,7 @@
     left = '10.0.0.3:7000'
     for address in ('10.0.0.2:7000', left):
         node.merge(fakes.record(address))
+        node.peer(address).keep_connected = lambda: None
     node.mark_leaving(left)
     reactor.run(0.5)
     assert node.count_targets('archive') == 1
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -47,7 +47,6 @@
         self.reactor = reactor
         self.work_s = work_s
         self.is_connected = True
-        self.notices = []
 
     def keep_connected(self):
         pass
@@ -61,9 +60,6 @@
             lambda _now: self._end(attempt, status),
         )
 
-    def notify(self, frame):
-        self.notices.append(frame)
-
     def maintain(self, now):
         pass
 
@@ -113,6 +109,7 @@
         node.merge(fakes.record('n2', service='archive'))
         self.other = _OtherNode(reactor, work_s)
         node.peers_by_node['n2'] = self.other
+        node.receive_hello(fakes.hello(), self.other)
         self.caller = self.process.target_side.callers.get(7)
         self.results = []
         self.caller.send = self.results.append
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -93,6 +93,27 @@
     process.node.announce(record_of(OWN_ADDRESS))
     assert not process.ready()
     process.node.merge(record_of(OTHER_ADDRESS))
+    process.node.receive_hello(fakes.hello(), fakes.RecordingPeer())
+    assert process.ready()
+
+
+# Guards against a node that serves before others have told it which requests
+# crash targets.
+def test_node_is_ready_once_it_has_met_another_one(process):
+    process.node.install(b'{}', 'test')
+    process.node.merge(record_of(OTHER_ADDRESS))
+    process.target_follower.has_read = True
+    assert not process.ready()
+    process.node.receive_hello(fakes.hello(), fakes.RecordingPeer())
+    assert process.ready()
+
+
+# Guards against a node that is cut off from all others and never serves.
+def test_node_that_meets_no_other_one_is_ready_after_a_time(process):
+    process.node.install(b'{}', 'test')
+    process.node.merge(record_of(OTHER_ADDRESS))
+    process.target_follower.has_read = True
+    process.node._started_at -= _node.INFORMATION_TIMEOUT_S
     assert process.ready()
 
 
