Run a suspected request at one target of its service, one at a time

A node that knew of one crash sent the request, and further copies of it, to any target; suspicion was looked up when an attempt was accepted, not when it left the queue, and at the entry node on arrival only.

All nodes now choose the same target for a suspected request by rendezvous hashing of its digest; its node runs no two suspects at a time. A node that gets one without knowing refuses it as not run, and the sender is told; a sender that knows says so, and passes on what it knows before the attempt, so that the bound does not depend on how fast news spreads. The next run waits 0.25 s after the crash, or half of its time, for the end of runs that began before it. What waits is looked up again before it starts, and before each retry. A suspected request does not go to a further target because the first one is full.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -8,6 +8,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _retry_limits
 from rosemarycrank.dataplane import _subsets
+from rosemarycrank.dataplane import _suspect_place
 
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
@@ -15,8 +16,23 @@
 #: those outside the node's subset: the subset is short of room.
 MAX_TRIES_IN_SUBSET = 1
 
+#: Reason of a refusal, in the log and the counters.
+CRASH_SUSPECT_TEXT = 'suspected of crashing targets'
+
 _LOG = logging.getLogger(__name__)
 
+#: Reasons of results that show that the target takes no attempts at present.
+_GONE_REASONS = frozenset(
+    (
+        _frames.Reason.OTHER_TARGET,
+        _frames.Reason.LEAVING,
+        _frames.Reason.NOT_ANNOUNCED,
+        _frames.Reason.CONNECT_FAILED,
+        _frames.Reason.NODE_UNREACHABLE,
+        _frames.Reason.NODE_RESTARTED,
+    )
+)
+
 #: Reasons of results without a response that are the target's fault.
 _TARGET_FAILURE_REASONS = frozenset(
     int(reason)
@@ -87,15 +103,18 @@
 
     def send(self, exchange):
         """Send a request to a target that has not been tried."""
-        candidates = self._find_candidates(exchange)
-        if not candidates:
-            self.on_failure(exchange, 'no target')
+        is_suspect = self._is_suspect(exchange)
+        if is_suspect and self._refuse_suspect(exchange):
             return
         now = self.node.reactor.now()
+        if is_suspect:
+            record = self._find_place(exchange)
+        else:
+            record = self._choose(exchange, now)
+        if record is None:
+            self.on_failure(exchange, 'no target')
+            return
         route = exchange.route
-        record = self.chooser.choose(
-            candidates, self.node.peers_by_node, route.latency_goal_s, now
-        )
         exchange.instance = record.instance
         if not exchange.tried_nodes:
             self._retry_limits.budget(exchange.service).deposit()
@@ -114,14 +133,55 @@
             exchange.head,
             exchange.message.body,
             exchange.digest,
+            is_suspect,
         )
         exchange.attempt_number = number
         exchange.tried_nodes.append(record.node)
         exchange.peer = self.node.peer(record.node)
+        if is_suspect:
+            self.node.crash_exchange.tell_of_request(
+                exchange.digest, exchange.peer
+            )
         exchange.peer.send(
             attempt, lambda result: self._handle_result(exchange, result)
         )
 
+    def _is_suspect(self, exchange):
+        history = self.node.crash_history
+        return bool(history) and history.count_crashes(exchange.digest) > 0
+
+    def _refuse_suspect(self, exchange):
+        """Refuse a request under which several targets have crashed."""
+        history = self.node.crash_history
+        exchange.refused_for_s = history.refused_for_s(exchange.digest)
+        if not exchange.refused_for_s:
+            return False
+        self.on_failure(exchange, CRASH_SUSPECT_TEXT)
+        return True
+
+    def _find_place(self, exchange):
+        """Return the target at which a suspected request may run.
+
+        None also if it has been there: others must not run it meanwhile.
+        """
+        record = _suspect_place.find(
+            self.node, exchange.service, exchange.digest, exchange.gone_nodes
+        )
+        if record is not None and record.node in exchange.tried_nodes:
+            return None
+        return record
+
+    def _choose(self, exchange, now):
+        candidates = self._find_candidates(exchange)
+        if not candidates:
+            return None
+        return self.chooser.choose(
+            candidates,
+            self.node.peers_by_node,
+            exchange.route.latency_goal_s,
+            now,
+        )
+
     def _find_candidates(self, exchange):
         records = self.node.directory.ready_targets(exchange.service)
         subset = records
@@ -168,6 +228,8 @@
             exchange.may_have_run = True
         elif reason is _frames.Reason.LEAVING:
             self._avoid_stopping_node(exchange)
+        if reason in _GONE_REASONS:
+            exchange.gone_nodes.add(exchange.tried_nodes[-1])
         if self._may_repeat(exchange, reason):
             self.counters.retries_by_reason[reason.name.lower()] += 1
             _LOG.info(
@@ -190,12 +252,18 @@
         now = self.node.reactor.now()
         if reason is _frames.Reason.CRASH_SUSPECT:
             return False
-        if self.node.crash_history.refused_for_s(exchange.digest):
+        if self._is_suspect(exchange) and not self._may_run_again(exchange):
             return False
         return self._retry_limits.allow_retry(
             exchange, now, self._run_deadline_at(exchange)
         )
 
+    def _may_run_again(self, exchange):
+        """Return whether a suspected request may be sent to its target."""
+        if self.node.crash_history.refused_for_s(exchange.digest):
+            return False
+        return self._find_place(exchange) is not None
+
     def _avoid_stopping_node(self, exchange):
         """Avoid a node that refuses attempts of a target that stays.
 
--- a/rosemarycrank/dataplane/_crash_exchange.py
+++ b/rosemarycrank/dataplane/_crash_exchange.py
@@ -57,6 +57,20 @@
             for connection in self._node.all_connections():
                 _notify(connection, frame)
 
+    def tell_of_request(self, digest, connection):
+        """Send the suspicions of a request to the node that is to run it.
+
+        Parameters
+        ----------
+        digest : int
+            Digest of the request.
+        connection : Peer or LocalPeer
+            Connection to that node. One that is not open yet begins with a
+            handshake, which has them.
+        """
+        suspicions = self._node.crash_history.suspicions(digest)
+        _notify(connection, _frames.Crashes(suspicions))
+
     def receive(self, frame, sender):
         """Add the facts of another node, and pass on those that are new.
 
--- a/rosemarycrank/dataplane/_crash_history.py
+++ b/rosemarycrank/dataplane/_crash_history.py
@@ -174,6 +174,16 @@
         fact = _frames.Crash(*crash.start, crash.at_ms, [], [digest])
         return self.merge([fact])
 
+    def has_crashed(self, record):
+        """Return whether the start of a target that a record names crashed.
+
+        Parameters
+        ----------
+        record : TargetRecord
+            Record of the target.
+        """
+        return (record.instance, record.born_ms) in self._crashes_by_start
+
     def starts_of(self, digest):
         """Return which starts of targets have crashed under a request.
 
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -223,7 +223,7 @@
         if exchange.arrived_at >= self._attempts.latest_run_end_at:
             return 'node stopping'
         if self._is_crash_suspect(exchange):
-            return 'suspected of crashing targets'
+            return _attempts.CRASH_SUSPECT_TEXT
         if from_client:
             admitted = node.front.admit(route, exchange.service)
             return None if admitted else 'shed at the front'
--- a/rosemarycrank/dataplane/_exchange.py
+++ b/rosemarycrank/dataplane/_exchange.py
@@ -35,6 +35,8 @@
         Target to which the newest attempt was sent.
     tried_nodes : list of str
         Nodes to which the request was sent, in order.
+    gone_nodes : set of str
+        Nodes among them whose targets have turned out to be unavailable.
     deliveries : int
         Number of attempts that may have reached a target.
     may_have_run : bool
@@ -68,6 +70,7 @@
     peer: object = None
     instance: str = ''
     tried_nodes: list = attrs.field(factory=list)
+    gone_nodes: set = attrs.field(factory=set)
     deliveries: int = 0
     may_have_run: bool = False
     from_target: bool = False
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -74,6 +74,9 @@
         The process of the target's node ended.
     CRASH_SUSPECT
         The request is refused, as targets have crashed under it.
+    SUSPECT_ELSEWHERE
+        A target has crashed under the request, which may run at another
+        target only.
     """
 
     NONE = 0
@@ -92,6 +95,7 @@
     NODE_UNREACHABLE = 13
     NODE_RESTARTED = 14
     CRASH_SUSPECT = 15
+    SUSPECT_ELSEWHERE = 16
 
 
 class Feature(enum.IntFlag):
@@ -303,6 +307,8 @@
     digest : int
         Digest by which repeats of the request are recognised; 0 if the
         sender is of an earlier build.
+    is_suspect : bool
+        Whether the sender knows that a target has crashed under the request.
     """
 
     number: int
@@ -317,6 +323,7 @@
     head: bytes
     body: bytes
     digest: int = 0
+    is_suspect: bool = False
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=2):
--- a/rosemarycrank/dataplane/_local_peer.py
+++ b/rosemarycrank/dataplane/_local_peer.py
@@ -18,6 +18,7 @@
         self.target_side = target_side
         self.caller = caller
         self.reachable = self.responsive = self.connected = True
+        self.features = 0
         self.sent_since_load = 0
         self._on_result_by_number = {}
         caller.features = int(_frames.FEATURES)
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -22,6 +22,7 @@
 from rosemarycrank.dataplane import _peer_connection
 from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _suspect_place
 from rosemarycrank.dataplane import _suspect_runs
 
 #: Seconds between checks of the connections to other nodes.
@@ -172,12 +173,18 @@
         """Set the target side and make it callable like a peer."""
         self.target_side = target_side
         target_side.suspect_runs = _suspect_runs.SuspectRuns(
-            self.crash_history, self.crash_exchange.tell_all
+            self.crash_history, self.crash_exchange.tell_all, self._is_place
         )
         self.peers_by_node[self.address] = _local_peer.LocalPeer(
             target_side, target_side.callers.get(self.incarnation)
         )
 
+    def _is_place(self, digest):
+        """Return whether a suspected request may run at the local target."""
+        service = self.target_side.record.service
+        place = _suspect_place.find(self, service, digest)
+        return place is None or place.node == self.address
+
     def peer(self, address):
         """Return the peer at an address; create it if it is new."""
         peer = self.peers_by_node.get(address)
--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -7,14 +7,21 @@
 #: Maximum number of requests in a line of the log.
 MAX_LOGGED = 50
 
+#: Longest time after a crash for which the next run of a suspected request
+#: waits, in seconds, and longest share of the time that it has left. Runs of
+#: the same request that began at other targets before the crash was known end
+#: meanwhile, and show more.
+MAX_DELAY_S = 0.25
+MAX_DELAY_SHARE = 0.5
+
 _LOG = logging.getLogger(__name__)
 
 
 class SuspectRuns:
     """Limits the runs of suspected requests, and reports their outcomes.
 
-    Only one of them runs at a time, so that the target's crash shows which
-    one is the cause.
+    A suspected request runs at one target of its service only, and no two of
+    them run there at a time, so that a crash shows which one is the cause.
 
     Parameters
     ----------
@@ -22,11 +29,14 @@
         Facts about crashes.
     tell_all : callable
         Sends new facts to all other nodes.
+    is_place : callable
+        Returns whether the request of a digest may run at this target.
     """
 
-    def __init__(self, history, tell_all):
+    def __init__(self, history, tell_all, is_place):
         self.history = history
         self._tell_all = tell_all
+        self._is_place = is_place
         self._unreported = []
 
     def refusal_reason(self, job):
@@ -41,11 +51,17 @@
         -------
         Reason or None
         """
-        if self.history and self.history.refused_for_s(job.attempt.digest):
+        if not self.history or not self._is_suspect(job):
+            return None
+        attempt = job.attempt
+        if self.history.refused_for_s(attempt.digest):
             return _frames.Reason.CRASH_SUSPECT
+        # A sender that knows of the suspicion may reach fewer targets.
+        if not attempt.is_suspect and not self._is_place(attempt.digest):
+            return _frames.Reason.SUSPECT_ELSEWHERE
         return None
 
-    def may_start(self, job, running):
+    def may_start(self, job, running, now):
         """Return whether a job may start, as far as suspicion matters.
 
         Parameters
@@ -54,9 +70,15 @@
             The attempt.
         running : iterable of Job
             Those that run at the target.
+        now : float
+            Seconds of the node's clock.
         """
         if not self.history or not self._is_suspect(job):
             return True
+        crashed_at = self.history.last_crash_at(job.attempt.digest)
+        left_s = job.deadline_at - crashed_at
+        if now < crashed_at + min(MAX_DELAY_S, MAX_DELAY_SHARE * left_s):
+            return False
         return not any(self._is_suspect(other) for other in running)
 
     def record_start(self, job):
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -112,7 +112,9 @@
         self.rate_limit = _rate_limit.RateLimit()
         self.callers = _callers.Callers(reactor)
         self.suspect_runs = _suspect_runs.SuspectRuns(
-            _crash_history.CrashHistory(reactor), lambda _crashes: None
+            _crash_history.CrashHistory(reactor),
+            lambda _crashes: None,
+            lambda _digest: True,
         )
         self._crash_detection = _crash_detection.CrashDetection(
             reactor, pool, self._end_lost_runs
@@ -232,7 +234,7 @@
         reason = self._refusal_reason(attempt, job, now)
         if reason is not None:
             self._finish(job, _NOT_RUN, reason)
-        elif self._may_start(now) and self._may_start_job(job):
+        elif self._may_start(now) and self._may_start_job(job, now):
             self._start(job, now)
         else:
             priority_at = self._priority_at(attempt, now)
@@ -249,10 +251,10 @@
             and self._pauses.is_settled(now)
         )
 
-    def _may_start_job(self, job):
+    def _may_start_job(self, job, now):
         """Return whether a job may take one of the free slots."""
         return self.suspect_runs.may_start(
-            job, self._running
+            job, self._running, now
         ) and self._self_calls.may_start(job, self.limit.value)
 
     def _expected_wait_s(self, ahead, now):
@@ -526,7 +528,12 @@
             job = entry[2]
             if job.result is not None:
                 continue
-            if not self._may_start_job(job):
+            reason = self.suspect_runs.refusal_reason(job)
+            if reason is not None:
+                self._waiting_count -= 1
+                self._finish(job, _NOT_RUN, reason)
+                continue
+            if not self._may_start_job(job, now):
                 held_back.append(entry)
                 continue
             self._waiting_count -= 1
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -90,6 +90,7 @@
         head=b'b10',
         body=b'b11',
         digest=1012,
+        is_suspect=True,
     ),
     _frames.Cancel(number=1001),
     _frames.Result(
@@ -222,7 +223,7 @@
     ),
     (
         'Attempt before digests',
-        msgspec.structs.replace(FRAMES[1], digest=0),
+        msgspec.structs.replace(FRAMES[1], digest=0, is_suspect=False),
     ),
     (
         'Pong before digests',
