Do not clear a suspected request by an error of the target

Any complete answer counted as a run without a crash, also an error that the target gives at once, for example as a service below is away. Callers saw further targets end when that service was back. Answers of 429 and from 500 on show nothing now.

--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -14,6 +14,11 @@
 MAX_DELAY_S = 0.25
 MAX_DELAY_SHARE = 0.5
 
+#: Statuses of answers that do not show that a request is harmless: the target
+#: may have failed or refused it before it came to the cause.
+FIRST_FAILURE_STATUS = 500
+TOO_MANY_REQUESTS = 429
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -97,16 +102,20 @@
             },
         )
 
-    def record_answer(self, job):
-        """Clear a request of one crash, as it has run well since.
+    def record_answer(self, job, status):
+        """Clear a request of one crash if it has run well since.
 
         Parameters
         ----------
         job : Job
             The attempt, with a complete answer.
+        status : int
+            HTTP status of the answer.
         """
         if not job.crashed_starts:
             return
+        if status >= FIRST_FAILURE_STATUS or status == TOO_MANY_REQUESTS:
+            return
         self._unreported += self.history.clear(
             job.attempt.digest, job.crashed_starts
         )
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -390,7 +390,7 @@
             self._crash_detection.add(job, answer)
             return
         if answer.outcome == _frames.Outcome.COMPLETE:
-            self.suspect_runs.record_answer(job)
+            self.suspect_runs.record_answer(job, answer.status)
         self._end_run(job, answer)
 
     def _end_lost_runs(self, lost, has_crashed):
