Count the crash of a target that is leaving

A target that has announced its leaving goes on serving for the drain period. A crash in that time was taken for its planned end, so that its requests were not suspected, and further targets ended. An end counts as planned only after that period, or once a drained target has withdrawn.

--- a/rosemarycrank/dataplane/_run_limits.py
+++ b/rosemarycrank/dataplane/_run_limits.py
@@ -72,6 +72,16 @@
                 self._target_starts_end_at = self._target_runs_end_at = now
         self._combine()
 
+    def target_serves(self, now):
+        """Return whether the target has not said that it exits by now.
+
+        Parameters
+        ----------
+        now : float
+            Current time.
+        """
+        return now < self._target_runs_end_at
+
     def stop_node(self, runs_end_at):
         """Limit all runs by a planned stop of the node.
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -403,7 +403,9 @@
         has_crashed : bool
             Whether the process of the target has ended.
         """
-        if has_crashed and self.record.state == _directory.READY:
+        # A target that is leaving exits at the end of its drain period.
+        now = self.reactor.now()
+        if has_crashed and self._run_limits.target_serves(now):
             jobs = [job for job, _ in lost if job.result is None]
             self.suspect_runs.record_crash(self.record, jobs)
         for job, answer in lost:
--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -25,6 +25,10 @@
 #: Time without the target after its crash, in seconds.
 CRASHED_S = 3.3
 
+#: Time for which a target serves after it has announced its leaving, in
+#: seconds.
+DRAIN_S = 2.0
+
 CONNECT_FAILED = _upstream.Answer(
     _frames.Outcome.NOT_RUN, _frames.Reason.CONNECT_FAILED
 )
@@ -346,6 +350,7 @@
                 _counters.Counters(),
                 costs,
                 front,
+                DRAIN_S,
             )
         )
         return node
--- a/tests/dataplane/test_crash_knowledge.py
+++ b/tests/dataplane/test_crash_knowledge.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.dataplane import crash_fleet
+from tests.dataplane import simulation as simulations
 
 #: Targets that may end under one request at nodes that reach each other.
 END_BOUND = 2
@@ -204,3 +205,21 @@
     fleet.reactor.run(0.2)
     fleet.send_deadly(12, 0.15)
     assert len(fleet.ends) <= END_BOUND
+
+
+# Guards against requests that are blamed for the planned end of a target.
+def test_end_of_a_drained_target_is_no_crash(make_fleet):
+    fleet = make_fleet()
+    target = fleet.nodes_of(crash_fleet.TARGET_SERVICE)[0]
+    caller = fleet.nodes_of('s2')[0]
+    node = fleet.targets_by_address[target]
+    fleet.preferred_by_address[caller] = target
+    fleet.service_s = 3.0
+    fleet.send_request(caller, b'/a/1')
+    fleet.reactor.run(0.05)
+    crash_fleet.drain(fleet, target)
+    fleet.reactor.run(simulations.DRAIN_S)
+    fleet.crash(target)
+    fleet.reactor.run(0.5)
+    assert [run.target_address for run in fleet.runs][0] == target
+    assert len(node.crash_history) == 0
