Count the crash of a target that listens again at once, or falls silent

After a lost run its node opens a further connection: refused, the process has ended; accepted, or silent for 50 ms, it lives. A target whose process listened again by then, or whose VM dropped packets, passed for alive, and nobody counted the crash. Now the loss of all connections that were open, two at least, shows the end of the process too, and so does the first heartbeat of the next start: runs that were lost in the 5 s before it, or never ended, were at the one before. A single lost connection still shows nothing, as answers are lost for other reasons.

The test of a target that listens again at once fails before (no node knows of the crash), the tests of connections cannot run there.

--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -120,6 +120,10 @@
             job.attempt.digest, job.crashed_starts
         )
 
+    def has_crashed(self, record):
+        """Return whether a crash of a target has been recorded."""
+        return self.history.has_crashed(record)
+
     def record_crash(self, record, jobs):
         """Record and report a crash of the target.
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -151,6 +151,8 @@
         if known is None or _run_limits.is_new_start(record, known):
             self.limit.reset(record.slots)
             self.rate_limit.reset()
+        if known is not None and _run_limits.is_new_start(record, known):
+            self._record_unseen_crash(known)
         self.record = record
         self._run_limits.update_target(record, known, self.reactor.now())
         if record.state != _directory.READY:
@@ -412,6 +414,21 @@
             if job.result is None:
                 self._end_run(job, answer)
 
+    def _record_unseen_crash(self, known):
+        """Record the end of a target that is known by its next start only.
+
+        Parameters
+        ----------
+        known : TargetRecord
+            Record of the target that has ended.
+        """
+        jobs = self._crash_detection.take_unexplained()
+        jobs += self._running
+        serves = self._run_limits.target_serves(self.reactor.now())
+        has_run = any(job.attempt.instance == known.instance for job in jobs)
+        if has_run and serves and not self.suspect_runs.has_crashed(known):
+            self.suspect_runs.record_crash(known, jobs)
+
     def _end_run(self, job, answer):
         now = self.reactor.now()
         if answer.rate_limit_per_s is not None:
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -1,5 +1,6 @@
 """HTTP connections to the target on the node's own VM."""
 
+import collections
 import logging
 import math
 
@@ -27,6 +28,14 @@
 #: only an idempotent request may be sent again.
 MAX_NON_IDEMPOTENT_IDLE_S = 1.0
 
+#: Number of connections that the target has to close, while none stays open,
+#: to show that its process has ended. Single ones are reset for other reasons.
+MIN_LOST_CONNECTIONS = 2
+
+#: Time between the first and the last loss of a connection to a process that
+#: has ended, in seconds.
+LOSS_SPREAD_S = 0.1
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -159,6 +168,8 @@
             Error that ended it; None if the target closed it.
         """
         connecting = self.stream.is_connecting
+        if not connecting:
+            self.pool.record_loss()
         if self._on_answer is not None and error is None:
             if self._reader.end_of_stream() and self._on_answer is None:
                 self._discard()
@@ -307,6 +318,8 @@
         self.address = address
         self.names = names
         self.opened = 0
+        self._opened_at_by_connection = {}
+        self._lost_at = collections.deque(maxlen=MIN_LOST_CONNECTIONS)
         self.budget = _http1.ByteBudget(_http1.MAX_UNFINISHED_BYTES)
         self._idle = []
         self._retire_timer = reactor.timers.every(0.25, self._close_expired)
@@ -332,7 +345,9 @@
                 self._idle.append(connection)
                 break
         self.opened += 1
-        return UpstreamConnection(self)
+        connection = UpstreamConnection(self)
+        self._opened_at_by_connection[connection] = now
+        return connection
 
     def probe(self, on_outcome):
         """Find out whether the process of the target has ended.
@@ -344,6 +359,27 @@
         """
         _crash_detection.ProcessProbe(self.reactor, self.address, on_outcome)
 
+    def has_lost_all(self, since):
+        """Return whether the target has closed all connections at once.
+
+        Parameters
+        ----------
+        since : float
+            Time of the first loss, in seconds of the node's clock.
+            Connections that were opened later don't count.
+        """
+        opened = self._opened_at_by_connection.values()
+        if any(opened_at < since for opened_at in opened):
+            return False
+        lost = sum(
+            lost_at >= since - LOSS_SPREAD_S for lost_at in self._lost_at
+        )
+        return lost >= MIN_LOST_CONNECTIONS
+
+    def record_loss(self):
+        """Record that the target has closed a connection."""
+        self._lost_at.append(self.reactor.now())
+
     def release(self, connection):
         """Return a connection to the pool after its request has ended."""
         connection.idle_since = self.reactor.now()
@@ -351,6 +387,7 @@
 
     def discard(self, connection):
         """Remove a closed connection from the pool."""
+        self._opened_at_by_connection.pop(connection, None)
         if connection in self._idle:
             self._idle.remove(connection)
 
--- a/tests/dataplane/crash_fleet.py
+++ b/tests/dataplane/crash_fleet.py
@@ -199,9 +199,9 @@
     return fakes.route(name, **(fields | changes))
 
 
-def renamed_route():
-    """Return a configuration in which the route has another name."""
-    return fakes.configuration(route('read-2'), version=2)
+def configuration(name='read', **changes):
+    """Return a configuration with another route."""
+    return fakes.configuration(route(name, **changes), version=2)
 
 
 def drain(fleet, address):
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -60,6 +60,9 @@
     def probe(self, on_outcome):
         on_outcome(False)
 
+    def has_lost_all(self, since):
+        return False
+
 
 class _FakeConnection:
     def __init__(self, pool):
--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -155,6 +155,9 @@
         Returns whether a request, in bytes, ends the target that runs it.
     deadly_run_s : float or None
         Time until it does, in seconds; None for some milliseconds.
+    is_back_at_once : bool
+        Whether a target that has ended listens again before it is probed, and
+        only its next heartbeat tells.
     status_of : callable
         Returns the status with which a target answers a request, in bytes.
     crashed_addresses : set of str
@@ -177,6 +180,7 @@
         self.on_run_abort = None
         self.is_deadly = lambda _data: False
         self.deadly_run_s = None
+        self.is_back_at_once = False
         self.status_of = lambda _data: 200
         self._born_ms_by_address = {}
         self.crashed_addresses = set()
@@ -366,8 +370,14 @@
     def acquire(self, _idempotent):
         return _Call(self._simulation, self._address)
 
+    def has_lost_all(self, _since):
+        return False
+
     def probe(self, on_outcome):
-        is_down = self._address in self._simulation.crashed_addresses
+        is_down = (
+            self._address in self._simulation.crashed_addresses
+            and not self._simulation.is_back_at_once
+        )
         self._simulation.schedule(lambda: on_outcome(is_down))
 
 
--- a/tests/dataplane/test_crash_knowledge.py
+++ b/tests/dataplane/test_crash_knowledge.py
@@ -155,7 +155,7 @@
 def test_request_is_known_after_its_route_was_renamed(make_fleet):
     fleet = make_fleet()
     _refuse(fleet)
-    fleet.install(crash_fleet.renamed_route())
+    fleet.install(crash_fleet.configuration('read-2'))
     fleet.send_deadly(12, 0.15)
     assert len(fleet.ends) <= END_BOUND
 
@@ -223,3 +223,15 @@
     fleet.reactor.run(0.5)
     assert [run.target_address for run in fleet.runs][0] == target
     assert len(node.crash_history) == 0
+
+
+# Guards against a crash that nobody counts, as the target listens again before
+# its node can tell.
+def test_target_that_listens_again_at_once_has_crashed(make_fleet):
+    fleet = make_fleet()
+    fleet.install(crash_fleet.configuration(max_attempts=1))
+    fleet.is_back_at_once = True
+    fleet.send_deadly(1, simulations.CRASHED_S + 1.0)
+    assert len(fleet.ends) == 1
+    for node in fleet.nodes:
+        assert len(node.crash_history.suspects) == 1
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -136,3 +136,31 @@
         return listener.accept()[0]
     except BlockingIOError:
         return target
+
+
+# Guards against a target that ends and listens again at once, and so passes
+# for alive.
+@pytest.mark.parametrize('closed', [0, 1, 2, 3])
+def test_loss_of_all_connections_shows_the_end_of_the_target(
+    pool, listener, closed
+):
+    ends = []
+    for number in range(3):
+        pool.acquire(True).start(b'r1', REQUEST % number, False, lambda _a: 0)
+        ends.append(listener.accept()[0])
+    gevent.sleep(PASS_S)
+    for end in ends[:closed]:
+        end.close()
+    gevent.sleep(PASS_S)
+    lost_at = pool.reactor.now()
+    pool.acquire(True).start(b'r2', REQUEST % 9, False, lambda _answer: 0)
+    assert pool.has_lost_all(lost_at) == (closed == 3)
+
+
+# Guards against a single answer that is lost with its connection, and that
+# passes for the end of the target.
+def test_loss_of_one_connection_does_not_show_it(pool, listener):
+    pool.acquire(True).start(b'r1', REQUEST % 1, False, lambda _answer: 0)
+    listener.accept()[0].close()
+    gevent.sleep(PASS_S)
+    assert not pool.has_lost_all(pool.reactor.now())
