--- a/tests/dataplane/test_leaving_target.py
+++ b/tests/dataplane/test_leaving_target.py
@@ -99,6 +99,9 @@
     def probe(self, on_outcome):
         on_outcome(False)
 
+    def has_lost_all(self, _since):
+        return False
+
 
 class _Connection:
     def __init__(self, target):
