Check target records that come from another node

A record whose address is none was kept if a node sent it, and raised in the timer of the contacts each time: a node that had many could not connect to its contacts any more. Records were checked when they came from the store only. Both are checked by the same function now, which asks for an IP address with a port, so that no name is looked up either; others are logged and left out. test_malformed_records_of_a_peer_are_ignored failed before and leaves the list.

--- a/rosemarycrank/dataplane/_directory.py
+++ b/rosemarycrank/dataplane/_directory.py
@@ -1,11 +1,13 @@
 """Directory of the targets of all services."""
 
 import hashlib
+import ipaddress
 import logging
 
 import msgspec
 
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _reactor
 
 READY = 'ready'
 DRAINING = 'draining'
@@ -43,6 +45,21 @@
     return record.sequence > known.sequence
 
 
+def check_record(record):
+    """Check a record that another process has sent or stored.
+
+    Raises
+    ------
+    ValueError
+        If the address of its node is not an IP address with a port.
+    """
+    host, _ = _reactor.parse_address(record.node)
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise ValueError(f'address of a node: {error}') from error
+
+
 def range_of(node):
     """Return the hash range of the record of a node."""
     return _hash(node.encode()) % _frames.DIGEST_RANGES
--- a/rosemarycrank/dataplane/_directory_sync.py
+++ b/rosemarycrank/dataplane/_directory_sync.py
@@ -28,7 +28,7 @@
     directory : Directory
         Records of this node.
     merge : callable
-        Adds a received record to the directory.
+        Adds the records that were received on a connection.
     random : random.Random
         Random source.
     """
@@ -116,8 +116,7 @@
         connection : Peer
             Connection to it.
         """
-        for record in frame.records:
-            self._merge(record)
+        self._merge(frame.records, connection)
         received = set(frame.records)
         missing = [
             record
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -135,7 +135,7 @@
             self, random.Random(incarnation)
         )
         self.directory_sync = _directory_sync.DirectorySync(
-            self.directory, self.merge, random.Random(incarnation)
+            self.directory, self.merge_received, random.Random(incarnation)
         )
         self.has_read_directory = lambda: True
         self._started_at = reactor.now()
@@ -356,8 +356,7 @@
         """
         self._has_met_node = True
         self.crash_exchange.receive_hello(hello, connection)
-        for record in hello.records:
-            self.merge(record)
+        self.merge_received(hello.records, connection)
         for route in hello.client_routes:
             self.add_client_route(route)
         self.request_newer_configuration(
@@ -395,8 +394,7 @@
             Connection on which it arrived.
         """
         if isinstance(frame, _frames.Announcement):
-            for record in frame.records:
-                self.merge(record)
+            self.merge_received(frame.records, connection)
         elif isinstance(frame, _frames.ConfigurationRequest):
             if self.configuration is not None:
                 body = self.configuration.body
@@ -448,6 +446,29 @@
         if record.node != self.address:
             self._merge(record)
 
+    def merge_received(self, records, connection):
+        """Add the records that another node has sent, if they are valid.
+
+        Parameters
+        ----------
+        records : iterable of TargetRecord
+            The records.
+        connection : Peer or InboundConnection
+            Connection to that node.
+        """
+        for record in records:
+            try:
+                _directory.check_record(record)
+            except ValueError as error:
+                _LOG.warning(
+                    'invalid target record from node %s ignored: %s',
+                    connection.address,
+                    error,
+                    extra={'event': 'record_invalid', 'node_of': record.node},
+                )
+                continue
+            self.merge(record)
+
     def _merge(self, record):
         if self.directory.merge(record) and (record.state != _directory.READY):
             self._discard_load(record)
@@ -598,5 +619,5 @@
         record = msgspec.json.decode(data, type=_frames.TargetRecord)
     except msgspec.MsgspecError as error:
         raise ValueError(str(error)) from error
-    _reactor.parse_address(record.node)
+    _directory.check_record(record)
     return record
