Remember removed target records, so that peers do not bring them back

A record that was removed with its row was merged again, by the comparison of directories, from a node that had not removed it yet; the target was in use again. A removed record now counts as known: only a newer one of its node is added. At most 10,000 are remembered.

--- a/rosemarycrank/dataplane/_directory.py
+++ b/rosemarycrank/dataplane/_directory.py
@@ -15,6 +15,9 @@
 
 _PRECEDENCE_BY_STATE = {READY: 0, DRAINING: 1, GONE: 2}
 
+#: Maximum number of removed records that are remembered.
+MAX_REMOVED = 10000
+
 #: Length of the digest of a record, in bytes.
 _DIGEST_BYTES = 7
 
@@ -101,6 +104,7 @@
         self.digests = [0] * _frames.DIGEST_RANGES
         self.digest = 0
         self.on_change = on_change
+        self._removed_by_node = {}
         self._ready_by_service = {}
 
     def merge(self, record):
@@ -112,8 +116,11 @@
             Whether the record was added.
         """
         known = self.records_by_node.get(record.node)
-        if known is not None and not is_newer(record, known):
-            return False
+        removed = self._removed_by_node.get(record.node)
+        for earlier in (known, removed):
+            if earlier is not None and not is_newer(record, earlier):
+                return False
+        self._removed_by_node.pop(record.node, None)
         if known is not None:
             self._toggle(known)
         self._toggle(record)
@@ -136,10 +143,17 @@
         return True
 
     def remove(self, node):
-        """Remove the record of a node, for example if its row was removed."""
+        """Remove the record of a node, for example if its row was removed.
+
+        It is remembered, as nodes that have not removed it yet send it again.
+        """
         record = self.records_by_node.pop(node, None)
-        if record is not None:
-            self._toggle(record)
+        if record is None:
+            return
+        self._toggle(record)
+        self._removed_by_node[node] = record
+        if len(self._removed_by_node) > MAX_REMOVED:
+            del self._removed_by_node[next(iter(self._removed_by_node))]
 
     def ready_targets(self, service):
         """Return the targets of a service that accept new work.
--- a/tests/dataplane/test_directory.py
+++ b/tests/dataplane/test_directory.py
@@ -61,3 +61,22 @@
             directory.merge(record)
         results.add(directory.records_by_node['n1'])
     assert len(results) == 1
+
+
+def test_node_whose_record_was_removed_may_have_a_newer_one():
+    directory = _directory.Directory()
+    directory.merge(fakes.record(sequence=2))
+    directory.remove('n1')
+    assert not directory.merge(fakes.record(sequence=2))
+    assert not directory.merge(fakes.record(sequence=1, state='ready'))
+    assert directory.digest == 0
+    assert directory.merge(fakes.record(sequence=3))
+    assert directory.merge(fakes.record(sequence=4))
+
+
+def test_memory_of_removed_records_is_bounded():
+    directory = _directory.Directory()
+    for number in range(_directory.MAX_REMOVED + 10):
+        directory.merge(fakes.record(f'n{number}'))
+        directory.remove(f'n{number}')
+    assert len(directory._removed_by_node) == _directory.MAX_REMOVED
