Use an upstream's connection again only after an answer that names its call

A second copy of an answer that came late, on a connection in use again, was taken for the answer to the next request. The interface to upstreams had no identifier that an answer returns. An upstream may return the token of the call now; its node uses the connection again only after such an answer, and an answer that names another call is an error. All other connections of the product's HTTP client are closed after an answer; the stand-in returns the token.

The test of an upstream's limit on connections relied on a client that keeps its connection; a socket holds it now, and what is asserted is unchanged.

--- a/rosemarycrank/http_client/_client.py
+++ b/rosemarycrank/http_client/_client.py
@@ -73,12 +73,16 @@
     ----------
     sending_greenlets : set of gevent.Greenlet
         Greenlets that got a socket and may have sent data over it.
+    read_sockets_by_greenlet : dict of gevent.Greenlet to socket
+        Sockets on which an answer has been read, until it is known whether
+        they may be used again.
     """
 
     def __init__(self, *arguments, max_answer_bytes, **parameters):
         super().__init__(*arguments, **parameters)
         self.max_answer_bytes = max_answer_bytes
         self.sending_greenlets = set()
+        self.read_sockets_by_greenlet = {}
 
     def get_socket(self):
         sock = super().get_socket()
@@ -86,6 +90,26 @@
         self.sending_greenlets.add(gevent.getcurrent())
         return sock
 
+    def return_socket(self, sock):
+        """Keep a socket apart on which an answer has been read."""
+        self.read_sockets_by_greenlet[gevent.getcurrent()] = sock
+
+    def settle_socket(self, is_reusable):
+        """Return the socket of this greenlet to the pool, or close it.
+
+        Parameters
+        ----------
+        is_reusable : bool
+            Whether the connection may carry another request.
+        """
+        sock = self.read_sockets_by_greenlet.pop(gevent.getcurrent(), None)
+        if sock is None:
+            return
+        if is_reusable:
+            super().return_socket(sock)
+        else:
+            self.release_socket(sock)
+
     def _create_tcp_socket(self, family, socktype, protocol):
         return _BoundedSocket(family, socktype, protocol)
 
@@ -124,6 +148,11 @@
         without TLS.
     max_answer_bytes : int, default=8 MiB
         Maximum length of an answer; includes the headers if TLS is not used.
+    token_header : str, optional
+        Header whose value is another one in each request, and which the
+        server may return in its answer. A connection is used again only
+        after such an answer: a late second copy of any other one could not
+        be told from the answer to the next request.
     """
 
     def __init__(
@@ -135,6 +164,7 @@
         read_timeout_s=30.0,
         tls_context=None,
         max_answer_bytes=MAX_ANSWER_BYTES,
+        token_header=None,
     ):
         self.host = host
         self.port = port
@@ -143,6 +173,7 @@
         self.read_timeout_s = read_timeout_s
         self.tls_context = tls_context
         self.max_answer_bytes = max_answer_bytes
+        self.token_header = token_header
         self._client = geventhttpclient.HTTPClient(host, port=port)
         self._pool = self._create_pool()
         # If a connection closes, the library repeats the request up to
@@ -240,13 +271,37 @@
         )
 
     def _exchange(self, method, target, body, headers):
-        answer = self._client.request(
-            method, target, body=body, headers=headers or {}
-        )
+        headers = headers or {}
+        is_reusable = False
         try:
-            return self._read_response(answer, method)
+            answer = self._client.request(
+                method, target, body=body, headers=headers
+            )
+            try:
+                response = self._read_response(answer, method)
+                is_reusable = self._names_request(response, headers)
+            finally:
+                answer.release()
         finally:
-            answer.release()
+            self._pool.settle_socket(is_reusable)
+        return response
+
+    def _names_request(self, response, headers):
+        """Return whether an answer names its request; check that it does.
+
+        Raises
+        ------
+        AnswerSurplus
+            If it names another request.
+        """
+        if self.token_header is None:
+            return False
+        returned = response.headers.get(self.token_header.lower())
+        if returned is None:
+            return False
+        if returned != headers.get(self.token_header):
+            raise AnswerSurplus('answer: names another request')
+        return True
 
     def _read_response(self, answer, method):
         length = answer.content_length
--- a/rosemarycrank/node/_upstream.py
+++ b/rosemarycrank/node/_upstream.py
@@ -17,6 +17,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+#: Header with the token of a call, which the upstream may return.
+TOKEN_HEADER = 'Rosemarycrank-Token'
+
 #: Timeout of requests for load, health and cancellation, in seconds.
 CONTROL_TIMEOUT_S = 1.0
 
@@ -61,6 +64,7 @@
             max_connections=announcement.max_connections
             or DEFAULT_MAX_CONNECTIONS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            token_header=TOKEN_HEADER,
         )
         if self._report_greenlet is None:
             self._report_greenlet = gevent.spawn(self._report_load_and_health)
--- a/rosemarycrank/standins/_upstream_app.py
+++ b/rosemarycrank/standins/_upstream_app.py
@@ -61,6 +61,9 @@
             self._run_log.record_refusal(parsed, 'connection dropped')
             _server.drop_connection(request)
             return
+        if parsed.token:
+            # Lets the node use the connection again.
+            response.set_header('Rosemarycrank-Token', parsed.token)
         try:
             ending = self._runner.run(parsed)
         except _runner.Refusal as refusal:
--- a/tests/standins/test_upstream.py
+++ b/tests/standins/test_upstream.py
@@ -1,6 +1,7 @@
 """Tests of the upstream stand-in over HTTP."""
 
 import gevent
+import gevent.socket
 import pytest
 
 from rosemarycrank import http_client
@@ -124,11 +125,14 @@
 
 
 def test_connections_over_the_limit_are_closed(start_upstream):
-    upstream, client = start_upstream(max_connections=1)
-    client.call('GET', '/a')
-    other = http_client.Client('127.0.0.1', upstream.server.server_port)
-    with pytest.raises(http_client.AnswerLost):
-        other.request('GET', '/b')
+    upstream, _ = start_upstream(max_connections=1)
+    port = upstream.server.server_port
+    other = http_client.Client('127.0.0.1', port)
+    with gevent.socket.create_connection(('127.0.0.1', port)) as held:
+        held.sendall(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+        assert held.recv(4096).startswith(b'HTTP/1.1 ')
+        with pytest.raises(http_client.AnswerLost):
+            other.request('GET', '/b')
     assert upstream.server.connections_refused == 1
 
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -4,6 +4,7 @@
 sent, although it was, would let the caller repeat it.
 """
 
+import contextlib
 import datetime
 import ipaddress
 
@@ -273,6 +274,43 @@
     origin.stop()
 
 
+@pytest.mark.parametrize(
+    'returned, connection_count', [(None, 2), ('t', 1), ('T2', 2)]
+)
+def test_connection_is_used_again_after_an_answer_that_names_its_request(
+    returned, connection_count
+):
+    peers = []
+
+    def serve(connection, address):
+        peers.append(address)
+        while connection.recv(65536):
+            field = f'Token: {returned}\r\n' if returned else ''
+            head = f'HTTP/1.1 200 OK\r\n{field}Content-Length: 2\r\n\r\n'
+            connection.sendall(head.encode() + b'ok')
+
+    origin = server.StreamServer(('127.0.0.1', 0), serve)
+    origin.start()
+    client = http_client.Client(
+        '127.0.0.1', origin.server_port, token_header='Token'
+    )
+    for _ in range(2):
+        with contextlib.suppress(http_client.AnswerSurplus):
+            client.request('GET', '/', headers={'Token': 't'}, timeout_s=5)
+    client.close()
+    origin.stop()
+    assert len(peers) == connection_count
+
+
+def test_answer_that_names_another_request_is_an_error(origin, client):
+    client.token_header = 'Token'
+    origin.answer = (
+        b'HTTP/1.1 200 OK\r\nToken: other\r\nContent-Length: 2\r\n\r\nok'
+    )
+    with pytest.raises(http_client.AnswerSurplus):
+        client.request('GET', '/', headers={'Token': 't'}, timeout_s=5)
+
+
 # Guards against an answer to which the library has joined the next one.
 def test_second_copy_that_comes_with_the_answer_is_an_error(origin, client):
     origin.answer = (HEAD % 5 + b'whole') * 2
