Check all peers although one check fails

An error in the check of one peer skipped the checks of those after it, and the comparisons of directories and crashes, until the next check, each time. All are called now, and the errors are raised together afterwards. The test fails before (n4 is not checked).

--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -1,5 +1,6 @@
 """State of a node that the entry side and the target side share."""
 
+import functools
 import logging
 import random
 
@@ -580,16 +581,38 @@
         self.active_ping_interval_s = _peer_connection.active_interval_s(
             sum(peer.connected for peer in peers)
         )
-        for peer in peers:
-            peer.maintain(now)
-        for connection in list(self.inbound_connections):
-            connection.check_silence()
-        self.directory_sync.check(now)
-        self.crash_exchange.check(now)
+        checks = [functools.partial(peer.maintain, now) for peer in peers]
+        checks += [c.check_silence for c in self.inbound_connections]
+        checks += [
+            functools.partial(self.directory_sync.check, now),
+            functools.partial(self.crash_exchange.check, now),
+            self._update_unusable_nodes,
+        ]
+        _call_all(checks)
+
+    def _update_unusable_nodes(self):
         usable = filter(self._takes_attempts, self._unusable_nodes)
         self._unusable_nodes.difference_update(list(usable))
 
 
+def _call_all(callbacks):
+    """Call functions, the later ones also if an earlier one fails.
+
+    Raises
+    ------
+    ExceptionGroup
+        With the errors, once all have been called.
+    """
+    errors = []
+    for callback in callbacks:
+        try:
+            callback()
+        except Exception as error:
+            errors.append(error)
+    if errors:
+        raise ExceptionGroup('checks of peers failed', errors)
+
+
 def _knows_others(hello):
     """Return whether a node may know other records than its own.
 
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -7,6 +7,7 @@
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _target
 from tests.dataplane import fakes
 
@@ -101,3 +102,21 @@
     left = fakes.record(address, state='draining', sequence=2)
     node.announce(left) if address == NODE else node.merge(left)
     assert node.front.reporters == []
+
+
+# Guards against connections that nobody checks any more, as the check of
+# another one fails each time.
+def test_error_at_one_peer_does_not_skip_the_others(node, monkeypatch):
+    checked = []
+
+    def maintain(peer, _now):
+        checked.append(peer.address)
+        if peer.address == 'n3':
+            raise ValueError('test')
+
+    monkeypatch.setattr(_peers.Peer, 'maintain', maintain)
+    for address in ('n2', 'n3', 'n4'):
+        node.peer(address)
+    with pytest.raises(ExceptionGroup):
+        node._check_peers(1.0)
+    assert checked == ['n2', 'n3', 'n4']
