--- a/tests/dataplane/test_crash_knowledge.py
+++ b/tests/dataplane/test_crash_knowledge.py
@@ -4,9 +4,13 @@
 after its start, and that comes again at all VMs of one service.
 """
 
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
 import pytest
 
 from tests.dataplane import crash_fleet
+from tests.dataplane import fakes
 from tests.dataplane import simulation as simulations
 
 #: Targets that may end under one request at nodes that reach each other.
@@ -235,3 +239,68 @@
     assert len(fleet.ends) == 1
     for node in fleet.nodes:
         assert len(node.crash_history.suspects) == 1
+
+
+class _Machine(stateful.RuleBasedStateMachine):
+    """Deadly requests beside restarts, cuts and other crashes, in any order.
+
+    A failure domain that is cut off has targets and knowledge of its own, so
+    that as many targets may end there again.
+    """
+
+    make_fleet = None
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = type(self).make_fleet()
+        self.fleet.reactor.run(2.5, 0.05)
+        self.cut_count = 0
+
+    @stateful.rule(number=st.integers(0, 2), pause_s=st.floats(0.3, 1.0))
+    def send_deadly(self, number, pause_s):
+        callers = self.fleet.nodes_of(crash_fleet.DEADLY_CALLER)
+        self.fleet.send_request(callers[number], crash_fleet.DEADLY)
+        self.fleet.reactor.run(pause_s)
+
+    @stateful.rule(index=st.integers(0, 11))
+    def restart_node(self, index):
+        self.fleet.restart_and_read(self.fleet.addresses[index])
+        self.fleet.reactor.run(0.5)
+
+    @stateful.rule(index=st.integers(0, 11))
+    def crash_target(self, index):
+        self.fleet.crash(self.fleet.addresses[index])
+        self.fleet.reactor.run(0.1)
+
+    @stateful.rule(domain=st.integers(0, 2), seconds=st.floats(0.1, 5.0))
+    def cut_off_domain(self, domain, seconds):
+        self.cut_count += 1
+        self.fleet.cut_off_nodes(self.fleet.domain(domain))
+        self.fleet.reactor.run(seconds, 0.05)
+
+    @stateful.rule()
+    def heal(self):
+        self.fleet.cut_off_nodes([])
+        self.fleet.reactor.run(CONTACT_S, 0.05)
+
+    @stateful.invariant()
+    def few_targets_end(self):
+        assert len(self.fleet.ends) <= END_BOUND * (1 + self.cut_count)
+
+
+# Guards against an order of events in which what is known gets lost.
+def test_bound_holds_in_any_order_of_restarts_and_cuts(
+    patch_connections, monkeypatch
+):
+    def make():
+        return patch_connections(
+            crash_fleet.CrashFleet(fakes.VirtualReactor())
+        )
+
+    monkeypatch.setattr(_Machine, 'make_fleet', make)
+    stateful.run_state_machine_as_test(
+        _Machine,
+        settings=hypothesis.settings(
+            max_examples=25, stateful_step_count=20, deadline=None
+        ),
+    )
