Let requests that ran at a crash run soon, and not count as load

Requests that wait because they are suspected are no load now. A crash under which a request ran that another target has crashed under as well is explained by that request, so it holds back no other; it still counts, so the bound on ends stays. Where more suspects wait than run in 2 s, up to eight run at once; a further crash then blames as many.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -103,9 +103,9 @@
 
     def send(self, exchange):
         """Send a request to a target that has not been tried."""
-        is_suspect = self._is_suspect(exchange)
-        if is_suspect and self._refuse_suspect(exchange):
+        if self._refuse_suspect(exchange):
             return
+        is_suspect = self._is_suspect(exchange)
         now = self.node.reactor.now()
         if is_suspect:
             record = self._find_place(exchange)
@@ -148,7 +148,7 @@
 
     def _is_suspect(self, exchange):
         history = self.node.crash_history
-        return bool(history) and history.count_crashes(exchange.digest) > 0
+        return bool(history) and history.is_watched(exchange.digest)
 
     def _refuse_suspect(self, exchange):
         """Refuse a request under which several targets have crashed."""
@@ -252,16 +252,18 @@
         now = self.node.reactor.now()
         if reason is _frames.Reason.CRASH_SUSPECT:
             return False
-        if self._is_suspect(exchange) and not self._may_run_again(exchange):
+        if not self._may_run_again(exchange):
             return False
         return self._retry_limits.allow_retry(
             exchange, now, self._run_deadline_at(exchange)
         )
 
     def _may_run_again(self, exchange):
-        """Return whether a suspected request may be sent to its target."""
+        """Return whether a request may run again, as to its crashes."""
         if self.node.crash_history.refused_for_s(exchange.digest):
             return False
+        if not self._is_suspect(exchange):
+            return True
         return self._find_place(exchange) is not None
 
     def _avoid_stopping_node(self, exchange):
--- a/rosemarycrank/dataplane/_crash_history.py
+++ b/rosemarycrank/dataplane/_crash_history.py
@@ -100,6 +100,7 @@
         self._on_crash = on_crash
         self._crashes_by_start = {}
         self._crashes_by_suspect = {}
+        self._repeat_suspects = set()
 
     def __len__(self):
         return len(self._crashes_by_start)
@@ -215,6 +216,31 @@
             return 0
         return len(crashes)
 
+    def is_watched(self, digest):
+        """Return whether the runs of a request have to be watched.
+
+        Not if each of its crashes has a better explanation, a request under
+        which another target has crashed too.
+
+        Parameters
+        ----------
+        digest : int
+            Digest of the request.
+        """
+        if not self.count_crashes(digest):
+            return False
+        return not all(
+            self._is_explained(crash, digest)
+            for crash in self._crashes_by_suspect[digest]
+        )
+
+    def _is_explained(self, crash, digest):
+        return any(
+            other in crash.suspects and other not in crash.cleared
+            for other in self._repeat_suspects
+            if other != digest
+        )
+
     def refused_for_s(self, digest):
         """Return for how long a request is refused, in seconds.
 
@@ -362,6 +388,7 @@
         crashes.append(crash)
         crashes.sort(key=lambda known: known.crashed_at)
         if len(crashes) >= CRASHES_TO_REFUSE:
+            self._repeat_suspects.add(digest)
             _log_refusal(digest, len(crashes), self.refused_for_s(digest))
 
     def _add_cleared(self, crash, digest):
@@ -377,6 +404,8 @@
     def _remove_suspicion(self, crash, digest):
         crashes = self._crashes_by_suspect[digest]
         crashes.remove(crash)
+        if len(crashes) < CRASHES_TO_REFUSE:
+            self._repeat_suspects.discard(digest)
         if not crashes:
             del self._crashes_by_suspect[digest]
 
--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -14,6 +14,11 @@
 MAX_DELAY_S = 0.25
 MAX_DELAY_SHARE = 0.5
 
+#: Time in which the suspected requests that wait at a target should have run,
+#: in seconds, and maximum number of them that run at once for that.
+CLEARING_S = 2.0
+MAX_RUNS = 8
+
 #: Statuses of answers that do not show that a request is harmless: the target
 #: may have failed or refused it before it came to the cause.
 FIRST_FAILURE_STATUS = 500
@@ -25,8 +30,8 @@
 class SuspectRuns:
     """Limits the runs of suspected requests, and reports their outcomes.
 
-    A suspected request runs at one target of its service only, and no two of
-    them run there at a time, so that a crash shows which one is the cause.
+    A suspected request runs at one target of its service only, and few of them
+    run there at a time, so that a crash shows which one is the cause.
 
     Parameters
     ----------
@@ -56,17 +61,19 @@
         -------
         Reason or None
         """
-        if not self.history or not self._is_suspect(job):
+        if not self.history:
             return None
         attempt = job.attempt
         if self.history.refused_for_s(attempt.digest):
             return _frames.Reason.CRASH_SUSPECT
+        if not self._is_suspect(job):
+            return None
         # A sender that knows of the suspicion may reach fewer targets.
         if not attempt.is_suspect and not self._is_place(attempt.digest):
             return _frames.Reason.SUSPECT_ELSEWHERE
         return None
 
-    def may_start(self, job, running, now):
+    def may_start(self, job, running, held_s, now):
         """Return whether a job may start, as far as suspicion matters.
 
         Parameters
@@ -75,6 +82,8 @@
             The attempt.
         running : iterable of Job
             Those that run at the target.
+        held_s : float
+            Service time of all suspected requests that wait, in seconds.
         now : float
             Seconds of the node's clock.
         """
@@ -84,13 +93,16 @@
         left_s = job.deadline_at - crashed_at
         if now < crashed_at + min(MAX_DELAY_S, MAX_DELAY_SHARE * left_s):
             return False
-        return not any(self._is_suspect(other) for other in running)
+        max_runs = min(MAX_RUNS, 1 + int(held_s / CLEARING_S))
+        return sum(map(self._is_suspect, running)) < max_runs
 
     def record_start(self, job):
         """Record that a job has started."""
-        if not self.history or not self._is_suspect(job):
+        if not self.history:
             return
         job.crashed_starts = self.history.starts_of(job.attempt.digest)
+        if not job.crashed_starts:
+            return
         _LOG.info(
             'suspected request starts to run',
             extra={
@@ -162,7 +174,7 @@
             self._tell_all(facts)
 
     def _is_suspect(self, job):
-        return self.history.count_crashes(job.attempt.digest) > 0
+        return self.history.is_watched(job.attempt.digest)
 
 
 def _summarize(attempt):
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -124,6 +124,8 @@
         self._running = set()
         self._waiting = []
         self._waiting_count = 0
+        # Those that wait as they are suspected; they say nothing of the load.
+        self._held_suspects = 0
         self._sequence = itertools.count()
         self._run_limits = _run_limits.RunLimits(drain_s)
         self._last_run_at = reactor.now()
@@ -177,7 +179,7 @@
         limit, service_s = self._reported_capacity()
         return _frames.Load(
             len(self._running),
-            self._waiting_count,
+            max(0, self._waiting_count - self._held_suspects),
             limit,
             service_s,
             self.arrivals.per_s,
@@ -257,10 +259,14 @@
 
     def _may_start_job(self, job, now):
         """Return whether a job may take one of the free slots."""
-        return self.suspect_runs.may_start(
-            job, self._running, now
+        return self._may_start_suspect(
+            job, now
         ) and self._self_calls.may_start(job, self.limit.value)
 
+    def _may_start_suspect(self, job, now):
+        held_s = self._held_suspects * self.limit.service_s
+        return self.suspect_runs.may_start(job, self._running, held_s, now)
+
     def _expected_wait_s(self, ahead, now):
         """Return the expected delay in the queue, in seconds.
 
@@ -557,6 +563,7 @@
     def _start_waiting(self):
         waiting = self._waiting
         held_back = []
+        held_suspects = 0
         now = self.reactor.now()
         while waiting and self._may_start(now):
             entry = heapq.heappop(waiting)
@@ -570,6 +577,7 @@
                 continue
             if not self._may_start_job(job, now):
                 held_back.append(entry)
+                held_suspects += not self._may_start_suspect(job, now)
                 continue
             self._waiting_count -= 1
             least_s = self.limit.min_remaining_s(job.attempt.route)
@@ -579,6 +587,7 @@
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
                 self._start(job, now)
+        self._held_suspects = held_suspects
         for entry in held_back:
             heapq.heappush(waiting, entry)
 
--- a/tests/dataplane/test_crash_history.py
+++ b/tests/dataplane/test_crash_history.py
@@ -143,3 +143,21 @@
     for born_ms in (1, 2):
         history.merge([_frames.Crash('i-1', born_ms, ahead_ms, [5], [])])
     assert history.refused_for_s(5) <= _crash_history.MIN_REFUSAL_S
+
+
+def test_crash_is_explained_by_a_request_that_crashed_another_target(history):
+    history.record_crash('i-1', 1, [5, 6, 7])
+    assert [history.is_watched(digest) for digest in (5, 6, 7)] == [True] * 3
+    history.record_crash('i-2', 1, [5, 8])
+    assert history.is_watched(5)
+    assert not any(history.is_watched(digest) for digest in (6, 7, 8))
+    # It counts all the same if the next target crashes under it.
+    history.record_crash('i-3', 1, [6])
+    assert history.refused_for_s(6) > 0.0
+
+
+def test_crash_is_not_explained_by_a_request_that_is_cleared(history):
+    history.record_crash('i-1', 1, [5, 6])
+    history.record_crash('i-2', 1, [5])
+    history.clear(5, [('i-1', 1)])
+    assert history.is_watched(6)
--- a/tests/dataplane/test_ended_targets.py
+++ b/tests/dataplane/test_ended_targets.py
@@ -117,3 +117,32 @@
     restart_times.record_start('n1', _restart_times.MAX_RESTART_S + 1.0)
     restart_times.record_crash(fakes.record('n1', service='a'), 100.0)
     assert restart_times.expected_s('a', 100.0) is None
+
+
+# Guards against load that is shed, and innocent requests that miss their
+# deadlines, as those that ran at the crash wait for each other.
+def test_requests_that_ran_at_a_crash_run_soon_and_are_no_load(fleet):
+    fleet.service_s = 0.2
+    targets = fleet.nodes_of(crash_fleet.TARGET_SERVICE)
+    for number in range(48):
+        sender = fleet.addresses[number % len(fleet.addresses)]
+        fleet.preferred_by_address[sender] = targets[0]
+        fleet.send_request(sender, b'/a/%d' % number)
+    fleet.reactor.run(0.1)
+    fleet.preferred_by_address.clear()
+    fleet.crash(targets[0])
+    waiting = 0
+    for _ in range(25):
+        fleet.reactor.run(0.1)
+        sides = [fleet.targets_by_address[a].target_side for a in targets]
+        waiting = max(waiting, *(side.load().waiting for side in sides))
+    assert waiting <= 2
+    statuses = [
+        status
+        for answers in fleet.statuses_by_path.values()
+        for status in answers
+    ]
+    # The budget for retries does not reach for all of them.
+    assert len(statuses) == 48
+    assert set(statuses) == {200, 502}
+    assert statuses.count(200) > 12
