Take usable targets and due comparisons out of larger modules

The node held which targets may be used beside all else; directories and facts about crashes each kept the same schedule of comparisons. No logic is changed; the tests of the data path pass.

--- a/rosemarycrank/dataplane/_crash_exchange.py
+++ b/rosemarycrank/dataplane/_crash_exchange.py
@@ -8,6 +8,7 @@
 
 import logging
 
+from rosemarycrank.dataplane import _due_comparisons
 from rosemarycrank.dataplane import _frames
 
 #: Number of nodes to which new facts are passed on. With fewer, some nodes of
@@ -38,7 +39,9 @@
     def __init__(self, node, random):
         self._node = node
         self._random = random
-        self._due_at_by_connection = {}
+        self._due = _due_comparisons.DueComparisons(
+            MAX_COMPARISON_DELAY_S, random
+        )
         self._next_at = 0.0
 
     def tell_all(self, crashes):
@@ -112,12 +115,8 @@
         connection : Peer
             Connection to that node.
         """
-        if digest == self._node.crash_history.digest:
-            self._due_at_by_connection.pop(connection, None)
-        elif connection not in self._due_at_by_connection:
-            delay_s = MAX_COMPARISON_DELAY_S * self._random.random()
-            due_at = self._node.reactor.now() + delay_s
-            self._due_at_by_connection[connection] = due_at
+        differs = digest != self._node.crash_history.digest
+        self._due.report(connection, differs, self._node.reactor.now())
 
     def check(self, now):
         """Send all facts to the next node whose facts differ, if it is time.
@@ -129,14 +128,11 @@
         now : float
             Seconds of the node's clock.
         """
-        if now < self._next_at or not self._due_at_by_connection:
+        if now < self._next_at:
             return
-        connection, due_at = min(
-            self._due_at_by_connection.items(), key=lambda item: item[1]
-        )
-        if now < due_at:
+        connection = self._due.take(now)
+        if connection is None:
             return
-        del self._due_at_by_connection[connection]
         self._next_at = now + COMPARISON_INTERVAL_S
         facts = self._node.crash_history.facts()
         _notify(connection, _frames.Crashes(facts, True))
--- a/rosemarycrank/dataplane/_demand_reports.py
+++ b/rosemarycrank/dataplane/_demand_reports.py
@@ -78,7 +78,7 @@
             ):
                 continue
             self._reported_by_service[service] = (demand.offered_per_s, now)
-            usable = node.usable_targets(service)
+            usable = node.usable_targets.of_service(service)
             for record in collectors(service, usable):
                 self._send_to(record.node, demand, now)
 
--- a/rosemarycrank/dataplane/_directory_sync.py
+++ b/rosemarycrank/dataplane/_directory_sync.py
@@ -5,6 +5,7 @@
 is sent grows with the number of changes and not with that of the nodes.
 """
 
+from rosemarycrank.dataplane import _due_comparisons
 from rosemarycrank.dataplane import _frames
 
 #: Seconds between two comparisons of a node. The interval doubles up to the
@@ -36,8 +37,7 @@
     def __init__(self, directory, merge, random):
         self._directory = directory
         self._merge = merge
-        self._random = random
-        self._due_at_by_connection = {}
+        self._due = _due_comparisons.DueComparisons(MAX_SYNC_DELAY_S, random)
         self._next_at = 0.0
         self._interval_s = MIN_SYNC_INTERVAL_S
         self._last_digest = 0
@@ -54,11 +54,8 @@
         now : float
             Seconds of the node's clock.
         """
-        if digest in (0, self._directory.digest):
-            self._due_at_by_connection.pop(connection, None)
-        elif connection not in self._due_at_by_connection:
-            delay_s = MAX_SYNC_DELAY_S * self._random.random()
-            self._due_at_by_connection[connection] = now + delay_s
+        differs = digest not in (0, self._directory.digest)
+        self._due.report(connection, differs, now)
 
     def check(self, now):
         """Ask the next node whose records differ, if it is time.
@@ -70,15 +67,10 @@
         now : float
             Seconds of the node's clock.
         """
-        if now < self._next_at or not self._due_at_by_connection:
+        if now < self._next_at:
             return
-        connection, due_at = min(
-            self._due_at_by_connection.items(), key=lambda item: item[1]
-        )
-        if now < due_at:
-            return
-        del self._due_at_by_connection[connection]
-        if connection.connected:
+        connection = self._due.take(now)
+        if connection is not None and connection.connected:
             self._delay_next(now)
             connection.notify(
                 _frames.DirectoryDigests(list(self._directory.digests))
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -26,6 +26,7 @@
 from rosemarycrank.dataplane import _restart_times
 from rosemarycrank.dataplane import _suspect_place
 from rosemarycrank.dataplane import _suspect_runs
+from rosemarycrank.dataplane import _usable_targets
 
 #: Seconds between checks of the connections to other nodes.
 PEER_CHECK_INTERVAL_S = 0.1
@@ -81,6 +82,8 @@
         Current configuration; None before the first one is installed.
     directory : Directory
         Known targets of all services.
+    usable_targets : UsableTargets
+        Targets whose nodes take attempts.
     restart_times : RestartTimes
         Times that crashed targets take to start again.
     peers_by_node : dict of str to Peer
@@ -132,7 +135,9 @@
         self.inbound_connections = set()
         self.last_attempt_number = 0
         self.active_ping_interval_s = _peer_connection.ACTIVE_PING_INTERVAL_S
-        self._unusable_nodes = set()
+        self.usable_targets = _usable_targets.UsableTargets(
+            self.directory, self.peers_by_node
+        )
         self.target_side = None
         self.on_configuration = []
         self.on_client_route = []
@@ -345,7 +350,7 @@
         record = self.directory.records_by_node.get(address)
         # A target that is leaving or has ended, or whose node stops, gets no
         # new work, so its load says nothing about the service.
-        if self.directory.is_ready(address) and self._takes_attempts(address):
+        if self.usable_targets.contains(address):
             self.front.receive_load(record.service, address, load, now)
         for service, pressure in load.pressures.items():
             self.front.receive_pressure(service, pressure, now)
@@ -441,7 +446,7 @@
 
         The load that it has reported says nothing about its service any more.
         """
-        self._unusable_nodes.add(address)
+        self.usable_targets.mark_unusable(address)
         self._discard_load(self.directory.records_by_node.get(address))
 
     def _discard_load(self, record):
@@ -503,34 +508,6 @@
         self._merge(record)
         self.broadcast(_frames.Announcement([record]))
 
-    def usable_targets(self, service):
-        """Return the ready targets whose nodes take attempts.
-
-        Nodes that are stopping, or that this node cannot reach, take none.
-        """
-        records = self.directory.ready_targets(service)
-        if not self._unusable_nodes:
-            return records
-        return [r for r in records if self._takes_attempts(r.node)]
-
-    def count_targets(self, service):
-        """Return the number of ready targets whose nodes take attempts."""
-        unusable = sum(
-            1
-            for address in self._unusable_nodes
-            if not self._takes_attempts(address)
-            and self._has_ready_target(address, service)
-        )
-        return len(self.directory.ready_targets(service)) - unusable
-
-    def _has_ready_target(self, address, service):
-        record = self.directory.records_by_node.get(address)
-        return self.directory.is_ready(address) and record.service == service
-
-    def _takes_attempts(self, address):
-        peer = self.peers_by_node.get(address)
-        return peer is None or peer.reachable and not peer.leaving
-
     def knows_other_nodes(self):
         """Return whether the target of another node is known."""
         return any(
@@ -605,14 +582,10 @@
         checks += [
             functools.partial(self.directory_sync.check, now),
             functools.partial(self.crash_exchange.check, now),
-            self._update_unusable_nodes,
+            self.usable_targets.update,
         ]
         _call_all(checks)
 
-    def _update_unusable_nodes(self):
-        usable = filter(self._takes_attempts, self._unusable_nodes)
-        self._unusable_nodes.difference_update(list(usable))
-
 
 def _call_all(callbacks):
     """Call functions, the later ones also if an earlier one fails.
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -184,7 +184,7 @@
         self.counters = _counters.Counters()
         self.costs = _costs.CallCosts(settings.service)
         self.front = _front.AdmitByCost(
-            self.costs, lambda service: self.node.count_targets(service)
+            self.costs, lambda service: self.node.usable_targets.count(service)
         )
         self._stopped = gevent.event.Event()
         self.node = _node.Node(
--- a/tests/dataplane/test_ended_targets.py
+++ b/tests/dataplane/test_ended_targets.py
@@ -94,9 +94,9 @@
     )
     node.crash_history.merge([crash])
     assert not node.directory.is_ready(record.node)
-    assert node.count_targets(crash_fleet.TARGET_SERVICE) == 2
+    assert node.usable_targets.count(crash_fleet.TARGET_SERVICE) == 2
     fleet.reactor.run(_node.ENDED_TARGET_S + 0.1, 0.05)
-    assert node.count_targets(crash_fleet.TARGET_SERVICE) == 3
+    assert node.usable_targets.count(crash_fleet.TARGET_SERVICE) == 3
 
 
 def test_restart_times_are_learned_by_service(restart_times):
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -67,12 +67,12 @@
     for address in ('n2', 'n3', 'n4'):
         node.merge(fakes.record(address))
     node.receive_load(node.target_side.load(), 'n3', reactor.now())
-    assert node.count_targets('archive') == 3
+    assert node.usable_targets.count('archive') == 3
     if cause == 'leaving':
         node.mark_leaving('n3')
     else:
         node.peer('n3').mark_unreachable('test', process_ended=False)
-    assert node.count_targets('archive') == 2
+    assert node.usable_targets.count('archive') == 2
     assert node.front.reporters == []
     node.receive_load(node.target_side.load(), 'n3', reactor.now())
     assert node.front.reporters == []
@@ -85,11 +85,11 @@
         node.peer(address).keep_connected = lambda: None
     node.mark_leaving(left)
     reactor.run(0.5)
-    assert node.count_targets('archive') == 1
+    assert node.usable_targets.count('archive') == 1
     node.peer(left).leaving = False
-    assert node.count_targets('archive') == 2
+    assert node.usable_targets.count('archive') == 2
     reactor.run(0.4)
-    assert node.count_targets('archive') == 2
+    assert node.usable_targets.count('archive') == 2
 
 
 # Guards against load shedding that counts the idle slots of a target that has
