--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -7,7 +7,6 @@
 
 import heapq
 import itertools
-import logging
 import math
 
 from rosemarycrank.dataplane import _call_links
@@ -21,10 +20,10 @@
 from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _pressure
 from rosemarycrank.dataplane import _rate_limit
-from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank.dataplane import _run_limits
 from rosemarycrank.dataplane import _self_calls
 from rosemarycrank.dataplane import _suspect_runs
+from rosemarycrank.dataplane import _target_log
 
 #: Interval between checks for attempts past their deadlines, in seconds.
 SWEEP_INTERVAL_S = 0.05
@@ -38,14 +37,9 @@
 #: hardly wait, and is short enough to prevent starvation.
 RANK_DELAY_S = 0.5
 
-#: Shortest time between two lines about attempts that could not connect, in
-#: seconds. The entry nodes name each of them, with the same reason.
-CONNECT_FAILED_LINE_INTERVAL_S = 0.25
-
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _UNKNOWN = int(_frames.Outcome.UNKNOWN)
-_LOG = logging.getLogger(__name__)
 
 
 class TargetSide:
@@ -130,9 +124,7 @@
         self._run_limits = _run_limits.RunLimits(drain_s)
         self._last_run_at = reactor.now()
         self._pauses = _pauses.PauseDetector(reactor.now())
-        self._connect_failed_lines = _repeated_lines.RepeatedLines(
-            CONNECT_FAILED_LINE_INTERVAL_S
-        )
+        self._ended_attempts = _target_log.EndedAttempts(self)
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
         reactor.timers.every(RATE_UPDATE_INTERVAL_S, self._update_rates)
         reactor.timers.every(
@@ -200,6 +192,16 @@
         limit = max(1, int(rate_per_s * service_s))
         return limit, limit / rate_per_s
 
+    @property
+    def running_count(self):
+        """Number of attempts that run at the target."""
+        return len(self._running)
+
+    @property
+    def waiting_count(self):
+        """Number of attempts in the queue."""
+        return self._waiting_count
+
     def idle_s(self, now):
         """Return the seconds since the last run ended; 0 during a run."""
         return 0.0 if self._running else now - self._last_run_at
@@ -381,19 +383,7 @@
     def _update_rate_limit(self, job, per_s):
         known = self.rate_limit.per_s
         if self.rate_limit.set(per_s, self.reactor.now()):
-            _LOG.warning(
-                'rate limit of the target is now %s requests/s',
-                per_s,
-                extra={
-                    'event': 'rate_limit',
-                    'instance': job.attempt.instance,
-                    'per_s': None if per_s == math.inf else per_s,
-                    'previous_per_s': None if known == math.inf else known,
-                    'request_id': job.attempt.request_id,
-                    'running': len(self._running),
-                    'waiting': self._waiting_count,
-                },
-            )
+            _target_log.log_rate_limit(self, job, per_s, known)
 
     def _on_answer(self, job, answer):
         if answer.reason == _frames.Reason.ANSWER_LOST:
@@ -494,42 +484,12 @@
         )
         if outcome != _COMPLETE:
             self.counters.target_failures_by_reason[int(reason)] += 1
-            self._log_ended_attempt(job, outcome, reason, status)
+            self._ended_attempts.log(job, outcome, reason, status)
         # The request is not needed any more; the result may be sent again.
         attempt.head = attempt.body = b''
         if job.caller.send is not None:
             job.caller.send(job.result)
 
-    def _log_ended_attempt(self, job, outcome, reason, status):
-        suppressed = 0
-        if reason == _frames.Reason.CONNECT_FAILED:
-            if self._connect_failed_lines.suppress(self.reactor.now()):
-                return
-            suppressed = self._connect_failed_lines.take_suppressed()
-        attempt = job.attempt
-        _LOG.info(
-            'attempt ended without a complete answer: %s',
-            _frames.Reason(reason).name.lower(),
-            extra={
-                'event': 'attempt_ended',
-                'request_id': attempt.request_id,
-                'outcome': _frames.Outcome(outcome).name.lower(),
-                'status': status,
-                'suppressed': suppressed,
-                'instance': attempt.instance,
-                'remaining_ms': attempt.remaining_ms,
-                'rank': round(attempt.rank, 2),
-                'running': len(self._running),
-                'waiting': self._waiting_count,
-                'limit': self.limit.value,
-                'service_s': round(self.limit.service_s, 4),
-                'waited_s': round(
-                    (job.started_at or self.reactor.now()) - job.arrived_at,
-                    4,
-                ),
-            },
-        )
-
     def _abandon(self, job, reason):
         """End an attempt whose sender does not wait for a result any more."""
         attempt = job.attempt
@@ -540,21 +500,7 @@
         else:
             self._waiting_count -= 1
             outcome = _NOT_RUN
-        _LOG.info(
-            'abandoned attempt: %s',
-            reason.name.lower(),
-            extra={
-                'event': 'attempt_given_up',
-                'request_id': attempt.request_id,
-                'outcome': _frames.Outcome(outcome).name.lower(),
-                'instance': attempt.instance,
-                'since_arrival_s': round(
-                    self.reactor.now() - job.arrived_at, 4
-                ),
-                'since_start_s': job.started_at
-                and round(self.reactor.now() - job.started_at, 4),
-            },
-        )
+        _target_log.log_abandoned(job, outcome, reason, self.reactor.now())
         job.result = _frames.Result(
             attempt.number, outcome, int(reason), 0, b'', b'', None
         )
