Look at peers, calling nodes and silences less often when nothing is due

At 195 nodes a node without calls spends most of its processor time on timers: every peer was checked ten times a second, every connection from others too, and every calling node twenty times. A peer that owes nothing is skipped until its next ping is due, 0.5 s at most; silence is checked every 0.25 s, to the same total; only calling nodes whose connection is lost are looked at.

Two tests lost a calling node by its fields; they call the method that does it now.

--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -128,6 +128,7 @@
     def __init__(self, reactor):
         self.reactor = reactor
         self.by_incarnation = {}
+        self._lost_by_incarnation = {}
 
     def get(self, incarnation):
         """Return the state of a calling node; create it if needed."""
@@ -149,6 +150,7 @@
         """
         caller.send = None
         caller.lost_at = self.reactor.now()
+        self._lost_by_incarnation[caller.incarnation] = caller
         _log_connection('caller_lost', 'lost', caller, address)
 
     def restore(self, caller, address, send):
@@ -164,6 +166,7 @@
             Sends a result to the node.
         """
         caller.send = send
+        self._lost_by_incarnation.pop(caller.incarnation, None)
         _log_connection('caller_connected', 'opened', caller, address)
 
     def expire(self, now):
@@ -180,17 +183,15 @@
             Unfinished attempts of nodes that have not reconnected in time.
         """
         jobs = []
-        for caller in list(self.by_incarnation.values()):
-            if (
-                caller.send is not None
-                or now < caller.lost_at + CALLER_RECONNECT_TIMEOUT_S
-            ):
+        for caller in list(self._lost_by_incarnation.values()):
+            if now < caller.lost_at + CALLER_RECONNECT_TIMEOUT_S:
                 continue
             jobs += caller.unfinished_jobs()
             # The attempts must be remembered after the cancellation, or
             # they would run again when the node reconnects and resends them.
             if now > caller.lost_at + CALLER_RETENTION_S:
                 del self.by_incarnation[caller.incarnation]
+                del self._lost_by_incarnation[caller.incarnation]
         return jobs
 
 
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -5,11 +5,12 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _reactor
 
-#: Number of checks, at `_node.PEER_CHECK_INTERVAL_S`, without received data
+#: Seconds between checks for received data, and number of checks without any
 #: after which a connection is closed. The other node pings at least every
 #: `_peer_connection.IDLE_PING_INTERVAL_S`. Checks are counted instead of
 #: seconds, so that a pause of this process is not taken for silence.
-MAX_SILENT_CHECKS = 30
+SILENCE_CHECK_INTERVAL_S = 0.25
+MAX_SILENT_CHECKS = 11
 
 _LOG = logging.getLogger(__name__)
 
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -1,6 +1,5 @@
 """State of a node that the entry side and the target side share."""
 
-import functools
 import logging
 import random
 
@@ -159,6 +158,9 @@
         self._listener = None
         self._cost_reports = _cost_reports.CostReports(costs)
         reactor.timers.every(PEER_CHECK_INTERVAL_S, self._check_peers)
+        reactor.timers.every(
+            _inbound.SILENCE_CHECK_INTERVAL_S, self._check_silence
+        )
         reactor.timers.every(_costs.WINDOW_S, self._report_costs)
         reactor.timers.every(_front.UPDATE_INTERVAL_S, self._update_front)
         reactor.timers.every(
@@ -573,36 +575,27 @@
             self.broadcast(_frames.RouteCosts(self.costs.service, costs))
 
     def _check_peers(self, now):
-        peers = list(self.peers_by_node.values())
+        """Check all peers, the later ones also if an earlier check fails."""
+        errors = []
+        connected_count = 0
+        for peer in list(self.peers_by_node.values()):
+            connected_count += peer.connected
+            try:
+                peer.maintain(now)
+            except Exception as error:
+                errors.append(error)
         self.active_ping_interval_s = _peer_connection.active_interval_s(
-            sum(peer.connected for peer in peers)
+            connected_count
         )
-        checks = [functools.partial(peer.maintain, now) for peer in peers]
-        checks += [c.check_silence for c in self.inbound_connections]
-        checks += [
-            functools.partial(self.directory_sync.check, now),
-            functools.partial(self.crash_exchange.check, now),
-            self.usable_targets.update,
-        ]
-        _call_all(checks)
-
-
-def _call_all(callbacks):
-    """Call functions, the later ones also if an earlier one fails.
+        self.directory_sync.check(now)
+        self.crash_exchange.check(now)
+        self.usable_targets.update()
+        if errors:
+            raise ExceptionGroup('checks of peers failed', errors)
 
-    Raises
-    ------
-    ExceptionGroup
-        With the errors, once all have been called.
-    """
-    errors = []
-    for callback in callbacks:
-        try:
-            callback()
-        except Exception as error:
-            errors.append(error)
-    if errors:
-        raise ExceptionGroup('checks of peers failed', errors)
+    def _check_silence(self, _now):
+        for connection in list(self.inbound_connections):
+            connection.check_silence()
 
 
 def _knows_others(hello):
--- a/rosemarycrank/dataplane/_peer_connection.py
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -142,19 +142,25 @@
         active_interval_s : float or None
             Silence after which the peer is pinged if it gets attempts, so
             that its load has to be current; None if it gets none.
+
+        Returns
+        -------
+        float
+            Time until which no ping becomes due; `now` after a ping.
         """
-        silent_s = now - self.last_received_at
         if active_interval_s is not None:
             # A ping also allows the peer to discard results that have
             # arrived here.
-            is_due = (
-                silent_s > active_interval_s
-                or now - self.last_ping_at > IDLE_PING_INTERVAL_S
+            due_at = min(
+                self.last_received_at + active_interval_s,
+                self.last_ping_at + IDLE_PING_INTERVAL_S,
             )
         else:
-            is_due = silent_s > IDLE_PING_INTERVAL_S
-        if is_due:
+            due_at = self.last_received_at + IDLE_PING_INTERVAL_S
+        if now > due_at:
             self._send_ping(now)
+            return now
+        return due_at
 
     def received(self, data):
         """Decode received bytes and pass the frames to the peer."""
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -50,6 +50,9 @@
 #: Time without attempts after which a connection is closed.
 IDLE_TIMEOUT_S = 60.0
 
+#: Longest time for which a peer that owes nothing is not checked, in seconds.
+MAX_QUIET_S = 0.5
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -104,6 +107,7 @@
         self._unreachable_since = 0.0
         self._reconnect_at = 0.0
         self._reconnect_delay_s = MIN_RECONNECT_DELAY_S
+        self._quiet_until = 0.0
         self._random = random.Random(f'{node.incarnation} {address}')
 
     @property
@@ -150,6 +154,7 @@
         )
         self._pending_by_number[attempt.number] = pending
         self.sent_since_load += 1
+        self._quiet_until = 0.0
         self._last_attempt_at = self.node.reactor.now()
         connection = self._connection
         if connection is None:
@@ -169,6 +174,7 @@
         pending = self._pending_by_number.pop(number, None)
         if pending is not None and pending.sent_to_incarnation:
             self._cancellations.add(number)
+            self._quiet_until = 0.0
             self.notify(_frames.Cancel(number))
 
     def notify(self, frame):
@@ -178,6 +184,7 @@
 
     def close(self):
         """Close the connection."""
+        self._quiet_until = 0.0
         if self._connection is not None:
             self._connection.close()
             self._connection = None
@@ -200,6 +207,8 @@
         now : float
             Seconds of the node's clock.
         """
+        if now < self._quiet_until:
+            return
         if self.leaving and now > self._leaving_since + LEAVING_EXPIRY_S:
             self.leaving = False
         connection = self._connection
@@ -213,10 +222,15 @@
         elif not needs_peer and self._is_idle(now):
             self.close()
         else:
-            connection.ping_if_due(now, self._active_interval_s(idle_s))
+            due_at = connection.ping_if_due(
+                now, self._active_interval_s(idle_s)
+            )
+            if not needs_peer and not self.leaving:
+                self._quiet_until = min(due_at, now + MAX_QUIET_S)
 
     def mark_leaving(self):
         """Record that the peer is shutting down."""
+        self._quiet_until = 0.0
         self.leaving = True
         self._leaving_since = self.node.reactor.now()
 
@@ -420,6 +434,7 @@
             self.notify(_frames.Cancel(number))
 
     def _connect(self):
+        self._quiet_until = 0.0
         self._cancellations.connection_opened()
         self._generation += 1
         self._connection = _peer_connection.PeerConnection(
--- a/rosemarycrank/dataplane/_request_digest.py
+++ b/rosemarycrank/dataplane/_request_digest.py
@@ -29,11 +29,9 @@
     int
         The digest; not 0.
     """
-    parts = (caller_service, host, method, target)
-    state = hashlib.blake2b(
-        b'%d:%b%d:%b%d:%b%d:%b'
-        % tuple(value for part in parts for value in (len(part), part)),
-        digest_size=DIGEST_BYTES,
-    )
-    state.update(body)
+    # None of these parts has a zero byte, as the parser has checked.
+    head = b'\0'.join((caller_service, host, method, target, b''))
+    state = hashlib.blake2b(head, digest_size=DIGEST_BYTES)
+    if body:
+        state.update(body)
     return int.from_bytes(state.digest(), 'big') or 1
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -37,8 +37,10 @@
 #: Time after which a target's node cancels the attempts of a calling node
 #: that has gone silent, in seconds.
 CALLER_LOSS_S = (
-    _inbound.MAX_SILENT_CHECKS + 2
-) * _node.PEER_CHECK_INTERVAL_S + _callers.CALLER_RECONNECT_TIMEOUT_S
+    (_inbound.MAX_SILENT_CHECKS + 1) * _inbound.SILENCE_CHECK_INTERVAL_S
+    + 2 * _node.PEER_CHECK_INTERVAL_S
+    + _callers.CALLER_RECONNECT_TIMEOUT_S
+)
 
 
 @pytest.fixture
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -176,8 +176,7 @@
     side, caller, pool, reactor
 ):
     side.accept(caller, fakes.attempt(remaining_ms=9000))
-    caller.send = None
-    caller.lost_at = reactor.now()
+    side.callers.lose(caller, 'n2')
     reactor.run(_callers.CALLER_RECONNECT_TIMEOUT_S - 0.2)
     assert not pool.calls[0].aborted
     reactor.run(0.5)
@@ -251,11 +250,10 @@
     side, caller, pool, results, reactor
 ):
     side.accept(caller, fakes.attempt(remaining_ms=9000, idempotent=False))
-    caller.send = None
-    caller.lost_at = reactor.now()
+    side.callers.lose(caller, 'n2')
     reactor.run(_callers.CALLER_RECONNECT_TIMEOUT_S + 1.0)
     reconnected = side.callers.get(caller.incarnation)
-    reconnected.send = results.append
+    side.callers.restore(reconnected, 'n2', results.append)
     side.accept(
         reconnected, fakes.attempt(remaining_ms=6000, idempotent=False)
     )
