Take timers and the registry of plug-ins out of the kernel's package

The data path uses both, and so imported the kernel of the product's own path with its thirty classes at every start of a node. They are packages of their own now, which the kernel offers as before. Moves and imports only.

--- a/rosemarycrank/dataplane/_balance.py
+++ b/rosemarycrank/dataplane/_balance.py
@@ -2,7 +2,7 @@
 
 import abc
 
-from rosemarycrank import kernel
+from rosemarycrank import plugins
 
 #: Service time assumed for a target that has not reported its load, in
 #: seconds.
@@ -148,7 +148,7 @@
         """
 
 
-@kernel.register('target_chooser', 'random')
+@plugins.register('target_chooser', 'random')
 class RandomTarget(TargetChooser):
     """Baseline that ignores load, failures and failure domains."""
 
@@ -157,7 +157,7 @@
         return self.random.choice(records)
 
 
-@kernel.register('target_chooser', 'expected_finish')
+@plugins.register('target_chooser', 'expected_finish')
 class ExpectedFinish(TargetChooser):
     """Chooses the target with the least expected cost.
 
--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -11,7 +11,7 @@
 
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _pressure
-from rosemarycrank import kernel
+from rosemarycrank import plugins
 
 #: Age at which a report expires, in seconds.
 MAX_REPORT_AGE_S = _pressure.MAX_REPORT_AGE_S
@@ -118,7 +118,7 @@
         """Return the `Pressure` of overloaded services, by service."""
 
 
-@kernel.register('front_admission', 'all')
+@plugins.register('front_admission', 'all')
 class AdmitAll(FrontAdmission):
     """Baseline that admits all requests."""
 
@@ -165,7 +165,7 @@
         self.shed_credit = 0.0
 
 
-@kernel.register('front_admission', 'by_cost')
+@plugins.register('front_admission', 'by_cost')
 class AdmitByCost(FrontAdmission):
     """Sheds requests that cause calls to overloaded services.
 
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -13,7 +13,7 @@
 
 import gevent
 
-from rosemarycrank import kernel
+from rosemarycrank import timers
 
 #: Interval at which the timer service runs; the resolution of time-outs.
 TICK_INTERVAL_S = 0.01
@@ -58,13 +58,13 @@
     ----------
     loop : gevent loop
         Event loop of gevent's hub.
-    timers : rosemarycrank.kernel.Timers
+    timers : rosemarycrank.timers.Timers
         Timer service, advanced every `TICK_INTERVAL_S`.
     """
 
     def __init__(self):
         self.loop = gevent.get_hub().loop
-        self.timers = kernel.Timers()
+        self.timers = timers.Timers()
         self.timers.now = time.monotonic()
         self._ticker = self.loop.timer(TICK_INTERVAL_S, TICK_INTERVAL_S)
         self._ticker.start(self._tick)
--- a/rosemarycrank/kernel/__init__.py
+++ b/rosemarycrank/kernel/__init__.py
@@ -7,14 +7,14 @@
 
 from rosemarycrank.kernel import _effects
 from rosemarycrank.kernel import _kernel
-from rosemarycrank.kernel import _registry
-from rosemarycrank.kernel import _timers
+from rosemarycrank import plugins
+from rosemarycrank import timers
 
 Kernel = _kernel.Kernel
 Component = _kernel.Component
 Context = _kernel.Context
-Timers = _timers.Timers
-Timer = _timers.Timer
+Timers = timers.Timers
+Timer = timers.Timer
 
 Answer = _effects.Answer
 ClientRequest = _effects.ClientRequest
@@ -38,10 +38,10 @@
 DrainRequested = _effects.DrainRequested
 PartnerLeaveRequested = _effects.PartnerLeaveRequested
 
-register = _registry.register
-create = _registry.create
-plugin_names = _registry.plugin_names
-plugin_classes = _registry.plugin_classes
+register = plugins.register
+create = plugins.create
+plugin_names = plugins.plugin_names
+plugin_classes = plugins.plugin_classes
 
 __all__ = [
     'Answer',
--- a/rosemarycrank/kernel/_kernel.py
+++ b/rosemarycrank/kernel/_kernel.py
@@ -6,7 +6,7 @@
 import attrs
 
 from rosemarycrank.kernel import _effects
-from rosemarycrank.kernel import _timers
+from rosemarycrank import timers
 
 
 class Context:
@@ -38,7 +38,7 @@
     def __init__(self, address, incarnation, seed):
         self.address = address
         self.incarnation = incarnation
-        self.timers = _timers.Timers()
+        self.timers = timers.Timers()
         self.random = random.Random(seed)
         self.counters = {}
         self._effects = []
