Log how long before its client left a request was sent, and loop delays

The hypotheses differ in when a request was sent, not when it arrived: client_left now has since_sent_s, and attempt_given_up says whether its caller was connected. The delay of each tick of the event loop goes into a histogram of the metrics page; so far only delays over 0.25 s left a trace. No decision changes.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -136,6 +136,7 @@
             is_suspect,
         )
         exchange.attempt_number = number
+        exchange.sent_at = now
         exchange.tried_nodes.append(record.node)
         exchange.peer = self.node.peer(record.node)
         if is_suspect:
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -267,6 +267,7 @@
 
     def _log_client_left(self, exchange):
         is_in_flight = exchange.attempt_number != 0
+        now = self.node.reactor.now()
         _LOG.info(
             'client closed its connection before the response',
             extra={
@@ -274,8 +275,9 @@
                 'request_id': exchange.request_id,
                 'route': exchange.route.name if exchange.route else '',
                 'from_target': exchange.from_target,
-                'waited_s': round(
-                    self.node.reactor.now() - exchange.arrived_at, 4
+                'waited_s': round(now - exchange.arrived_at, 4),
+                'since_sent_s': (
+                    round(now - exchange.sent_at, 4) if is_in_flight else None
                 ),
                 'tried': exchange.tried_nodes,
                 'attempt': exchange.attempt_number,
--- a/rosemarycrank/dataplane/_exchange.py
+++ b/rosemarycrank/dataplane/_exchange.py
@@ -33,6 +33,8 @@
         Peer to which the newest attempt was sent.
     instance : str
         Target to which the newest attempt was sent.
+    sent_at : float
+        When the newest attempt was sent, in seconds of the node's clock.
     tried_nodes : list of str
         Nodes to which the request was sent, in order.
     gone_nodes : set of str
@@ -69,6 +71,7 @@
     attempt_number: int = 0
     peer: object = None
     instance: str = ''
+    sent_at: float = 0.0
     tried_nodes: list = attrs.field(factory=list)
     gone_nodes: set = attrs.field(factory=set)
     deliveries: int = 0
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -175,6 +175,12 @@
         'Seconds of runs at the local target.',
         counters.service_time,
     )
+    _register_histogram(
+        registry,
+        'loop_delay_seconds',
+        'Seconds by which timers ran late.',
+        process.reactor.delays,
+    )
     return registry
 
 
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -13,6 +13,7 @@
 
 import gevent
 
+from rosemarycrank.dataplane import _counters
 from rosemarycrank import timers
 
 #: Interval at which the timer service runs; the resolution of time-outs.
@@ -60,12 +61,15 @@
         Event loop of gevent's hub.
     timers : rosemarycrank.timers.Timers
         Timer service, advanced every `TICK_INTERVAL_S`.
+    delays : Histogram
+        Delays of the ticks, which show how far the loop is behind.
     """
 
     def __init__(self):
         self.loop = gevent.get_hub().loop
         self.timers = timers.Timers()
         self.timers.now = time.monotonic()
+        self.delays = _counters.Histogram()
         self._ticker = self.loop.timer(TICK_INTERVAL_S, TICK_INTERVAL_S)
         self._ticker.start(self._tick)
 
@@ -84,6 +88,7 @@
     def _tick(self):
         now = time.monotonic()
         late_s = now - self.timers.now - TICK_INTERVAL_S
+        self.delays.observe(max(0.0, late_s))
         if late_s > HELD_UP_S:
             _LOG.warning(
                 'event loop was held up for %.3f s',
--- a/rosemarycrank/dataplane/_target_log.py
+++ b/rosemarycrank/dataplane/_target_log.py
@@ -95,6 +95,7 @@
             'instance': attempt.instance,
             'since_arrival_s': round(now - job.arrived_at, 4),
             'since_start_s': job.started_at and round(now - job.started_at, 4),
+            'caller_connected': job.caller.send is not None,
         },
     )
 
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -361,11 +361,13 @@
     exchange = send()
     (peer,) = node.peers_by_node.values()
     peer.connected = False
+    node.reactor.run(0.2)
     with caplog.at_level(logging.INFO):
         entry.abandon(exchange)
     (line,) = [r for r in caplog.records if r.event == 'client_left']
     assert line.request_id == b'r1'
     assert line.attempt == 1
+    assert line.since_sent_s == pytest.approx(0.2)
     assert not line.peer_connected
 
 
--- a/tests/dataplane/test_reactor.py
+++ b/tests/dataplane/test_reactor.py
@@ -85,6 +85,14 @@
     assert all(line.held_up_s >= _reactor.HELD_UP_S for line in lines)
 
 
+def test_shorter_delays_of_the_loop_are_counted():
+    reactor = _reactor.Reactor()
+    gevent.sleep(0.05)
+    time.sleep(0.1)
+    gevent.sleep(0.05)
+    assert reactor.delays.total_s > 0.08
+
+
 @pytest.mark.parametrize('is_reset', [False, True])
 def test_close_by_the_peer_is_known_while_reading_is_paused(is_reset):
     with socket.create_server(('127.0.0.1', 0)) as listener:
