--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -112,10 +112,21 @@
 
 
 class RecordingConnection:
-    """Client connection that records the responses as `answers`."""
+    """Client connection that records the responses as `answers`.
+
+    Attributes
+    ----------
+    unread : list of callable
+        What has arrived and has not been read.
+    """
 
     def __init__(self):
         self.answers = []
+        self.unread = []
+
+    def catch_up(self):
+        while self.unread:
+            self.unread.pop(0)()
 
     def response_ready(self, exchange):
         self.answers.append(exchange.response)
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -347,6 +347,19 @@
     assert _sent_attempts(node) == []
 
 
+# Guards against second attempts for clients that have left: the end of the
+# connection arrived during the first, and has not been read.
+@pytest.mark.parametrize('outcome', ['NOT_RUN', 'UNKNOWN'])
+def test_request_of_a_client_that_has_left_is_not_sent_again(
+    node, entry, send, connection, outcome
+):
+    exchange = send()
+    connection.unread.append(lambda: entry.abandon(exchange))
+    _end_last_attempt(node, outcome, 'NODE_RESTARTED')
+    assert len(_sent_attempts(node)) == 1
+    assert connection.answers == []
+
+
 def test_request_read_after_a_pause_is_sent_soon(node, send, reactor):
     reactor.timers.now += 0.8
     send()
