Send a request only after its client's connection has been read to its end

Callers that had left kept targets busy: a request was sent on as soon as it was read, and the end of its connection, which may have come with it, was read after that. A node that has more to do than it can reads requests that are older and older, without a pause that would be noticed.

Before a request is sent, at first or again, and before an attempt is sent over a new connection to a peer, the client's connection is read until nothing is left; a client that has left abandons its requests. Where reading is paused or a client sends without end, the operating system is asked whether it has closed. It needs no time that input may take, so it holds for any backlog. One more read for each attempt.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -102,7 +102,13 @@
         )
 
     def send(self, exchange):
-        """Send a request to a target that has not been tried."""
+        """Send a request to a target that has not been tried.
+
+        Not if its client turns out to have left, which abandons the request.
+        """
+        exchange.connection.catch_up()
+        if exchange.response is not None:
+            return
         if self._refuse_suspect(exchange):
             return
         is_suspect = self._is_suspect(exchange)
@@ -144,7 +150,9 @@
                 exchange.digest, exchange.peer
             )
         exchange.peer.send(
-            attempt, lambda result: self._handle_result(exchange, result)
+            attempt,
+            lambda result: self._handle_result(exchange, result),
+            exchange.connection,
         )
 
     def _is_suspect(self, exchange):
--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -1,5 +1,6 @@
 """HTTP server for the requests of clients and of the local target."""
 
+import collections
 import logging
 
 from rosemarycrank.dataplane import _http1
@@ -53,6 +54,8 @@
         'closing',
         '_reader',
         '_exchanges',
+        '_not_begun',
+        '_is_beginning',
         '_paused',
         '_response_is_last',
         '_output_closed_at',
@@ -67,6 +70,8 @@
             server.limits, self._handle_request, self._send_continue
         )
         self._exchanges = []
+        self._not_begun = collections.deque()
+        self._is_beginning = False
         self._paused = False
         self._response_is_last = False
         self._output_closed_at = 0.0
@@ -94,10 +99,22 @@
             or self.stream.unsent_bytes > MAX_UNSENT_BYTES
         ):
             self._pause()
+        self._begin_requests()
+
+    def catch_up(self):
+        """Read what has arrived, to know whether the client is still there.
+
+        A client that has left gets no response, so its requests are abandoned.
+        """
+        if self._is_beginning:
+            # All has been read a moment ago.
+            return
+        self._catch_up()
 
     def closed(self, _error):
         """Abandon the requests in flight after the connection was lost."""
         self.server.discard(self)
+        self._not_begun.clear()
         exchanges, self._exchanges = self._exchanges, []
         for exchange in exchanges:
             self.server.entry.abandon(exchange)
@@ -193,7 +210,27 @@
         if not message.keep_alive:
             self.closing = True
         self._exchanges.append(exchange)
-        self.server.entry.begin(exchange)
+        self._not_begun.append(exchange)
+
+    def _begin_requests(self):
+        """Begin the requests that have been read, if their client is there."""
+        if self._is_beginning:
+            return
+        self._is_beginning = True
+        try:
+            while self._not_begun:
+                self._catch_up()
+                if not self._not_begun:
+                    return
+                exchange = self._not_begun.popleft()
+                if exchange.response is None:
+                    self.server.entry.begin(exchange)
+        finally:
+            self._is_beginning = False
+
+    def _catch_up(self):
+        if not self.stream.catch_up() and self.stream.peer_has_closed():
+            self.close()
 
     def _send_continue(self):
         if not self._exchanges:
--- a/rosemarycrank/dataplane/_local_peer.py
+++ b/rosemarycrank/dataplane/_local_peer.py
@@ -39,7 +39,7 @@
         """Number of attempts without a result."""
         return len(self._on_result_by_number)
 
-    def send(self, attempt, on_result):
+    def send(self, attempt, on_result, _client):
         """Pass an attempt to the target side; see `Peer.send`."""
         self._on_result_by_number[attempt.number] = on_result
         self.target_side.accept(self.caller, attempt)
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -138,7 +138,7 @@
             waits_since = connection.opened_at
         return self.node.reactor.now() - waits_since <= LATE_ANSWER_S
 
-    def send(self, attempt, on_result):
+    def send(self, attempt, on_result, client):
         """Send an attempt.
 
         Parameters
@@ -147,10 +147,13 @@
             Attempt to send.
         on_result : callable
             Called once with the `Result`, unless the attempt is cancelled.
+        client : ClientConnection
+            Connection on which the request arrived. It catches up before the
+            attempt is sent later or again.
         """
         data = _frames.encode(attempt)
         pending = _pending_attempts.PendingAttempt(
-            attempt.number, attempt.idempotent, data, 0, on_result
+            attempt.number, attempt.idempotent, data, 0, on_result, client
         )
         self._pending_by_number[attempt.number] = pending
         self.sent_since_load += 1
@@ -299,8 +302,9 @@
     def handle_hello(self, hello):
         """Handle the peer's answer to the handshake.
 
-        Pending attempts are sent, or sent again; those at an earlier process
-        of the peer are finished. Unconfirmed cancellations are sent again.
+        Pending attempts are sent, or sent again, unless their clients have
+        left; those at an earlier process of the peer are finished.
+        Unconfirmed cancellations are sent again.
 
         Parameters
         ----------
@@ -325,9 +329,8 @@
         for pending in list(self._pending_by_number.values()):
             if pending.sent_to_incarnation not in (0, hello.incarnation):
                 self._finish(pending, pending.result_after_restart())
-            elif self._connection is not None:
-                pending.sent_to_incarnation = hello.incarnation
-                self._connection.stream.write(pending.data)
+            else:
+                self._send_pending(pending)
 
     def ping_sent(self):
         """Record that a ping was sent over the connection."""
@@ -420,6 +423,14 @@
             MAX_RECONNECT_DELAY_S, self._reconnect_delay_s * 2.0
         )
 
+    def _send_pending(self, pending):
+        pending.client.catch_up()
+        if pending.number not in self._pending_by_number:
+            return
+        if self._connection is not None:
+            pending.sent_to_incarnation = self.incarnation
+            self._connection.stream.write(pending.data)
+
     def _repeat_cancellations(self):
         if not self._cancellations:
             return
--- a/rosemarycrank/dataplane/_pending_attempts.py
+++ b/rosemarycrank/dataplane/_pending_attempts.py
@@ -21,6 +21,8 @@
         Incarnation of the node that the attempt was sent to; 0 before that.
     on_result : callable
         Called once with the `Result`.
+    client : ClientConnection
+        Connection on which the request arrived.
     """
 
     number: int
@@ -28,6 +30,7 @@
     data: bytes
     sent_to_incarnation: int
     on_result: object
+    client: object
 
     def result_without_peer(self, process_ended):
         """Return the result when the peer cannot be reached.
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -26,6 +26,10 @@
 #: Maximum number of bytes that one read from a socket returns.
 MAX_READ_BYTES = 65536
 
+#: Maximum number of reads by which a stream catches up with its peer, so that
+#: a peer that sends without end cannot hold the loop.
+MAX_CATCH_UP_READS = 16
+
 #: Maximum number of connections in the accept queue of a listening socket.
 LISTEN_BACKLOG = 1024
 
@@ -213,6 +217,24 @@
         if self.is_open and not self.is_connecting:
             self._read_watcher.start(self._handle_readable)
 
+    def catch_up(self):
+        """Read what has arrived, and pass it to the owner.
+
+        Returns
+        -------
+        bool
+            Whether all has been read, as far as there is a connection. It has
+            not while reading is paused, or if the peer sends without end.
+        """
+        for _ in range(MAX_CATCH_UP_READS):
+            if not self.is_open or self.is_connecting:
+                return True
+            if not self._read_watcher.active:
+                return False
+            if not self._read():
+                return True
+        return False
+
     def discard_unsent(self):
         """Discard the queued bytes that have not been sent."""
         self._chunks.clear()
@@ -272,12 +294,17 @@
             self.owner.closed(error)
 
     def _handle_readable(self):
+        self._read()
+
+    def _read(self):
+        """Read once; return whether there was something to read."""
         try:
             data = self._sock.recv(MAX_READ_BYTES)
         except OSError as error:
-            if error.errno not in _WOULD_BLOCK:
-                self._close_and_report(error)
-            return
+            if error.errno in _WOULD_BLOCK:
+                return False
+            self._close_and_report(error)
+            return True
         try:
             if data:
                 self.owner.received(data)
@@ -288,6 +315,7 @@
             self._close_and_report(
                 OSError(errno.EPROTO, 'handling of received data failed')
             )
+        return True
 
     def _start_write_watcher(self):
         if self._write_watcher is None:
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -98,7 +98,7 @@
     def responsive(self):
         return self.reachable and not self.answers_late
 
-    def send(self, attempt, on_result):
+    def send(self, attempt, on_result, client):
         self.sent.append((attempt, on_result))
 
     def cancel(self, number):
--- a/tests/dataplane/fleet.py
+++ b/tests/dataplane/fleet.py
@@ -111,6 +111,7 @@
         node.peer(address).send(
             fakes.attempt(node.last_attempt_number, instance='none'),
             lambda _result: None,
+            fakes.RecordingConnection(),
         )
 
     def clear_counts(self):
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -84,7 +84,8 @@
         idempotent=idempotent,
         request_id=sent.request_id,
     )
-    sent.peer.send(attempt, lambda _result: None)
+    client = fakes.RecordingConnection()
+    sent.peer.send(attempt, lambda _result: None, client)
     return sent
 
 
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -31,6 +31,9 @@
     def resume(self):
         self.paused = False
 
+    def catch_up(self):
+        return not self.paused
+
     def peer_has_closed(self):
         return self.has_left
 
--- a/tests/dataplane/test_crash_suspects.py
+++ b/tests/dataplane/test_crash_suspects.py
@@ -111,6 +111,7 @@
             node.peer(address).send(
                 fakes.attempt(node.last_attempt_number, instance='none'),
                 lambda _result: None,
+                fakes.RecordingConnection(),
             )
         self.run(0.5)
 
--- a/tests/dataplane/test_delivery_limits.py
+++ b/tests/dataplane/test_delivery_limits.py
@@ -53,6 +53,7 @@
             node.peer(address).send(
                 fakes.attempt(node.last_attempt_number, instance='none'),
                 lambda _result: None,
+                fakes.RecordingConnection(),
             )
         simulation.reactor.run(0.1)
 
--- a/tests/dataplane/test_entry.py
+++ b/tests/dataplane/test_entry.py
@@ -360,6 +360,53 @@
     assert connection.answers == []
 
 
+# Guards against requests that are sent on after their client has left, by any
+# way to another attempt.
+@pytest.mark.parametrize('seed', range(30))
+def test_nothing_is_sent_for_a_client_once_its_end_has_arrived(
+    node, entry, reactor, seed
+):
+    source = random.Random(seed)
+    connections = [fakes.RecordingConnection() for _ in range(40)]
+    gone = set()
+
+    def leave(connection, exchange):
+        connection.unread.append(lambda: entry.abandon(exchange))
+        gone.add(exchange.request_id)
+
+    for number, connection in enumerate(connections):
+        request_id = b'q%d' % number
+        request = fakes.request(rosemarycrank_request_id=request_id)
+        exchange = entry.open(request, connection)
+        if source.random() < 0.3:
+            leave(connection, exchange)
+        elif source.random() < 0.5:
+            delay_s = 0.1 * source.random()
+            reactor.timers.after(
+                delay_s,
+                lambda _now, c=connection, e=exchange: leave(c, e),
+            )
+        known = len(_sent_attempts(node))
+        entry.begin(exchange)
+        _end_random_attempts(node, source)
+        for attempt, _ in _sent_attempts(node)[known:]:
+            assert attempt.request_id not in gone
+        reactor.run(0.02)
+    assert 0 < len(gone) < len(connections)
+
+
+def _end_random_attempts(node, source):
+    for attempt, on_result in _sent_attempts(node):
+        if source.random() < 0.2:
+            reason = source.choice(['LEAVING', 'NODE_RESTARTED', 'QUEUE_FULL'])
+            outcome = _frames.Outcome.NOT_RUN
+            on_result(
+                fakes.result(
+                    attempt.number, outcome, _frames.Reason[reason], 0
+                )
+            )
+
+
 def test_request_read_after_a_pause_is_sent_soon(node, send, reactor):
     reactor.timers.now += 0.8
     send()
--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -45,7 +45,8 @@
         idempotent=idempotent,
         request_id=sent.request_id,
     )
-    simulation.entry.peer(TARGET).send(attempt, sent.results.append)
+    client = fakes.RecordingConnection()
+    simulation.entry.peer(TARGET).send(attempt, sent.results.append, client)
     return sent
 
 
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -51,8 +51,8 @@
     def keep_connected(self):
         pass
 
-    def send(self, attempt, on_result):
-        super().send(attempt, on_result)
+    def send(self, attempt, on_result, client):
+        super().send(attempt, on_result, client)
         remaining_s = attempt.remaining_ms / 1000.0
         status = 200 if self.work_s < remaining_s else 504
         self.reactor.timers.after(
