Start an attempt only after its sender's connection has been read to its end

An attempt started although its cancellation had arrived: behind more bytes than one read returns, or unread while the end of another run made room in the queue.

Before an attempt starts, at once or from the queue, what its sender has sent is read and handled: over the connection of its calling node, or that of the client for this node's own attempts. Meanwhile further attempts only join the queue. One more read for each start.

--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -66,6 +66,9 @@
         Number of its newest connection; -1 before the first.
     send : callable or None
         Sends a result to the node; None while it is disconnected.
+    catch_up : callable
+        Called with the number of an attempt; handles what has arrived from
+        its sender.
     lost_at : float
         When its connection was lost.
     jobs_by_number : dict of int to Job
@@ -80,6 +83,7 @@
         self.incarnation = incarnation
         self.generation = -1
         self.send = None
+        self.catch_up = _do_nothing
         self.lost_at = 0.0
         self.jobs_by_number = {}
         self.discarded_below = 0
@@ -149,11 +153,12 @@
             Address of that node, for the log.
         """
         caller.send = None
+        caller.catch_up = _do_nothing
         caller.lost_at = self.reactor.now()
         self._lost_by_incarnation[caller.incarnation] = caller
         _log_connection('caller_lost', 'lost', caller, address)
 
-    def restore(self, caller, address, send):
+    def restore(self, caller, address, send, catch_up):
         """Record that a calling node has connected.
 
         Parameters
@@ -162,10 +167,11 @@
             State of that node.
         address : str
             Address of that node, for the log.
-        send : callable
-            Sends a result to the node.
+        send, catch_up : callable
+            Attributes of the caller.
         """
         caller.send = send
+        caller.catch_up = catch_up
         self._lost_by_incarnation.pop(caller.incarnation, None)
         _log_connection('caller_connected', 'opened', caller, address)
 
@@ -195,6 +201,10 @@
         return jobs
 
 
+def _do_nothing(_number):
+    """Stand in for reading from a node that is not connected."""
+
+
 def _log_connection(event, verb, caller, address):
     unfinished = len(caller.unfinished_jobs())
     if unfinished:
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -1,5 +1,6 @@
 """Connections that other nodes opened to this one, to call its target."""
 
+import collections
 import logging
 
 from rosemarycrank.dataplane import _frames
@@ -41,6 +42,7 @@
         self._generation = -1
         self._silent_checks = 0
         self._reader = _frames.FrameReader()
+        self._frames = collections.deque()
         self._stream = _reactor.Stream(node.reactor, sock, self)
 
     @property
@@ -59,7 +61,10 @@
         return self._stream.unsent_bytes
 
     def received(self, data):
-        """Decode received bytes and handle the frames."""
+        """Decode received bytes and handle the frames, in order.
+
+        Called again by `catch_up` while a frame is handled.
+        """
         self._silent_checks = 0
         try:
             frames = self._reader.feed(data)
@@ -72,10 +77,13 @@
             )
             self.close()
             return
-        for frame in frames:
-            if not self._stream.is_open:
-                return
-            self._handle_frame(frame)
+        self._frames.extend(frames)
+        while self._frames and self._stream.is_open:
+            self._handle_frame(self._frames.popleft())
+
+    def catch_up(self, _number):
+        """Handle what has arrived, such as cancellations of attempts."""
+        self._stream.catch_up()
 
     def check_silence(self):
         """Close the connection if the other node has been silent for long.
@@ -158,7 +166,7 @@
         caller.features = hello.features
         self._generation = caller.generation = hello.generation
         self.node.target_side.callers.restore(
-            caller, self.address, self.notify
+            caller, self.address, self.notify, self.catch_up
         )
         self.notify(self.node.hello(0, hello.features))
         self.node.receive_hello(hello, self)
--- a/rosemarycrank/dataplane/_local_peer.py
+++ b/rosemarycrank/dataplane/_local_peer.py
@@ -21,8 +21,10 @@
         self.features = 0
         self.sent_since_load = 0
         self._on_result_by_number = {}
+        self._clients_by_number = {}
         caller.features = int(_frames.FEATURES)
         caller.send = self._deliver_result
+        caller.catch_up = self._catch_up
 
     @property
     def load(self):
@@ -39,14 +41,16 @@
         """Number of attempts without a result."""
         return len(self._on_result_by_number)
 
-    def send(self, attempt, on_result, _client):
+    def send(self, attempt, on_result, client):
         """Pass an attempt to the target side; see `Peer.send`."""
         self._on_result_by_number[attempt.number] = on_result
+        self._clients_by_number[attempt.number] = client
         self.target_side.accept(self.caller, attempt)
 
     def cancel(self, number):
         """Cancel an attempt; its result is dropped."""
         self._on_result_by_number.pop(number, None)
+        self._clients_by_number.pop(number, None)
         self.target_side.cancel(self.caller, number)
         self.caller.jobs_by_number.pop(number, None)
 
@@ -59,8 +63,14 @@
     def close(self):
         """Do nothing: there is no connection."""
 
+    def _catch_up(self, number):
+        client = self._clients_by_number.get(number)
+        if client is not None:
+            client.catch_up()
+
     def _deliver_result(self, result):
         self.caller.jobs_by_number.pop(result.number, None)
+        self._clients_by_number.pop(result.number, None)
         on_result = self._on_result_by_number.pop(result.number, None)
         if on_result is not None:
             on_result(result)
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -123,6 +123,8 @@
         self._sequence = itertools.count()
         self._run_limits = _run_limits.RunLimits(drain_s)
         self._last_run_at = reactor.now()
+        self._is_catching_up = False
+        self._is_start_scheduled = False
         self._pauses = _pauses.PauseDetector(reactor.now())
         self._ended_attempts = _target_log.EndedAttempts(self)
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
@@ -242,14 +244,40 @@
         reason = self._refusal_reason(attempt, job, now)
         if reason is not None:
             self._finish(job, _NOT_RUN, reason)
-        elif self._may_start(now) and self._may_start_job(job, now):
-            self._start(job, now)
         else:
-            priority_at = self._priority_at(attempt, now)
-            heapq.heappush(
-                self._waiting, (priority_at, next(self._sequence), job)
-            )
             self._waiting_count += 1
+            if self._is_catching_up:
+                self._enqueue(job)
+                self._start_waiting_soon()
+            elif self._may_start(now) and self._may_start_job(job, now):
+                self._start_if_wanted(job, now)
+            else:
+                self._enqueue(job)
+
+    def _enqueue(self, job):
+        priority_at = self._priority_at(job.attempt, job.arrived_at)
+        heapq.heappush(self._waiting, (priority_at, next(self._sequence), job))
+
+    def _start_if_wanted(self, job, now):
+        """Start a job that counts as waiting, unless its sender gave it up."""
+        if self._is_wanted(job):
+            self._waiting_count -= 1
+            self._start(job, now)
+
+    def _is_wanted(self, job):
+        """Return whether a job may start, by what its sender has sent since.
+
+        A cancellation that has arrived may not have been read.
+
+        What the sender has sent may add jobs to the queue and end others, but
+        starts none.
+        """
+        self._is_catching_up = True
+        try:
+            job.caller.catch_up(job.attempt.number)
+        finally:
+            self._is_catching_up = False
+        return job.result is None
 
     def _may_start(self, now):
         """Return whether one more attempt may start now."""
@@ -506,7 +534,19 @@
         )
         attempt.head = attempt.body = b''
 
+    def _start_waiting_soon(self):
+        if not self._is_start_scheduled:
+            self._is_start_scheduled = True
+            self.reactor.call_soon(self._start_scheduled)
+
+    def _start_scheduled(self):
+        self._is_start_scheduled = False
+        self._start_waiting()
+
     def _start_waiting(self):
+        if self._is_catching_up:
+            self._start_waiting_soon()
+            return
         waiting = self._waiting
         held_back = []
         held_suspects = 0
@@ -525,14 +565,15 @@
                 held_back.append(entry)
                 held_suspects += not self._may_start_suspect(job, now)
                 continue
-            self._waiting_count -= 1
             least_s = self.limit.min_remaining_s(job.attempt.route)
             if now + least_s > job.deadline_at:
+                self._waiting_count -= 1
                 self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
             elif self._ends_too_late(job, now):
+                self._waiting_count -= 1
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
-                self._start(job, now)
+                self._start_if_wanted(job, now)
         self._held_suspects = held_suspects
         for entry in held_back:
             heapq.heappush(waiting, entry)
--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -49,7 +49,7 @@
         self.is_connecting = False
         self.unsent_bytes = 0
         self.drops_output = False
-        self._held = []
+        self._unread = []
 
     def write(self, data):
         if self.is_open and not self.drops_output:
@@ -64,21 +64,30 @@
             error = OSError(errno.ECONNRESET, 'reset') if reset else None
             self.simulation.schedule(lambda: self.remote._lost(error))
 
+    def catch_up(self):
+        """Read what has arrived, unless the node is paused."""
+        if self.simulation.pause_left_s(self.target_address) <= 0.0:
+            while self._unread and self.is_open:
+                self.owner.received(self._unread.pop(0))
+        return True
+
     def _receive(self, data):
-        paused_s = self.simulation.pause_left_s(self.target_address)
-        if paused_s > 0.0 or self._held:
-            if not self._held:
-                self.simulation.reactor.timers.after(
-                    paused_s, lambda _now: self._receive_held()
-                )
-            self._held.append(data)
-        elif self.is_open:
-            self.owner.received(data)
+        if self.simulation.on_arrival is not None:
+            self.simulation.on_arrival(data)
+        self._unread.append(data)
+        self._read_later(self.simulation.unread_s(self.target_address))
+
+    def _read_later(self, delay_s):
+        if delay_s <= 0.0:
+            self.catch_up()
+        else:
+            self.simulation.reactor.timers.after(
+                delay_s, lambda _now: self._read()
+            )
 
-    def _receive_held(self):
-        held, self._held = self._held, []
-        for data in held:
-            self._receive(data)
+    def _read(self):
+        paused_s = self.simulation.pause_left_s(self.target_address)
+        self._read_later(paused_s)
 
     def _lost(self, error):
         if self.is_open:
@@ -145,12 +154,17 @@
         Whether new connections are refused, or stay without an answer.
     cut_addresses : set of str
         Nodes to which new connections stay without an answer.
+    max_unread_s : float
+        Longest time for which data lies unread at its receiver, in seconds,
+        as it has much to do.
     runs : list of Run
         Runs of all targets, in order.
     service_s : float or None
         Duration of each run in seconds; None for random ones.
     on_run_start, on_run_abort : callable or None
         Called with each `Run` that starts or is aborted.
+    on_arrival : callable or None
+        Called with data that has arrived and may lie unread.
     is_deadly : callable
         Returns whether a request, in bytes, ends the target that runs it.
     deadly_run_s : float or None
@@ -173,11 +187,13 @@
         self.refuses_connections = False
         self.ignores_connections = False
         self.cut_addresses = set()
+        self.max_unread_s = 0.0
         self._paused_until_by_address = {}
         self.runs = []
         self.service_s = None
         self.on_run_start = None
         self.on_run_abort = None
+        self.on_arrival = None
         self.is_deadly = lambda _data: False
         self.deadly_run_s = None
         self.is_back_at_once = False
@@ -325,6 +341,13 @@
         paused_until = self._paused_until_by_address.get(address, 0.0)
         return paused_until - self.reactor.now()
 
+    def unread_s(self, address):
+        """Return the time for which data lies unread at a target's node."""
+        delay_s = self.pause_left_s(address)
+        if self.max_unread_s:
+            delay_s = max(delay_s, self.max_unread_s * self.random.random())
+        return delay_s
+
     def count_runs(self, request_id):
         """Return how often a request ran."""
         return sum(run.request_id == request_id for run in self.runs)
--- a/tests/dataplane/test_cancellation.py
+++ b/tests/dataplane/test_cancellation.py
@@ -9,6 +9,7 @@
 
 from rosemarycrank.dataplane import _callers
 from rosemarycrank.dataplane import _cancellations
+from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _inbound
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _peer_connection
@@ -273,6 +274,58 @@
     assert running == []
 
 
+class _Arrivals:
+    """Numbers of cancellations that have arrived at targets' nodes."""
+
+    def __init__(self, simulation):
+        self.cancelled = set()
+        simulation.on_arrival = self._record
+
+    def _record(self, data):
+        for frame in _frames.FrameReader().feed(data):
+            if isinstance(frame, _frames.Cancel):
+                self.cancelled.add(frame.number)
+
+
+# Guards against requests that are sent on after their client has left, by any
+# way into a run: at once, from the queue, after a reset, a cut or a pause.
+@pytest.mark.parametrize('seed', range(30))
+def test_no_attempt_starts_after_its_cancellation_has_arrived(
+    make_simulation, reactor, seed
+):
+    simulation = make_simulation(seed)
+    for node in simulation.targets_by_address.values():
+        node.target_side.update_record(
+            simulation.record(node.address, slots=3, sequence=2)
+        )
+    simulation.service_s = 0.15
+    simulation.max_unread_s = 0.6
+    arrivals = _Arrivals(simulation)
+    late_starts = []
+
+    def check_start(run):
+        number = int(run.request_id.split(b'/')[1])
+        if number in arrivals.cancelled:
+            late_starts.append(run.request_id)
+
+    simulation.on_run_start = check_start
+    source = random.Random(seed)
+    open_attempts = []
+    for _ in range(200):
+        address = source.choice([FIRST, SECOND])
+        open_attempts.append(_send(simulation.entry, address))
+        if source.random() < 0.7:
+            number = source.randrange(len(open_attempts))
+            open_attempts.pop(number).cancel(reactor.now())
+        if source.random() < 0.05:
+            simulation.break_connections('reset', address)
+        elif source.random() < 0.02:
+            simulation.pause(address, 0.5 * source.random())
+        reactor.run(0.02, 0.002)
+    assert len(simulation.runs) > 20
+    assert late_starts == []
+
+
 def test_pong_confirms_only_cancellations_sent_before_its_ping():
     unconfirmed = _cancellations.UnconfirmedCancellations()
     unconfirmed.add(1)
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -41,6 +41,10 @@
     return _upstream.Answer(_frames.Outcome.COMPLETE, 0, 200, b'', body)
 
 
+def _restore(side, caller, send):
+    side.callers.restore(caller, 'n2', send, lambda _number: None)
+
+
 def _reasons(results):
     return [_frames.Reason(r.reason).name for r in results]
 
@@ -190,7 +194,7 @@
         side.accept(caller, fakes.attempt(number))
     with caplog.at_level(logging.INFO):
         side.callers.lose(caller, 'n2')
-        side.callers.restore(caller, 'n2', lambda _result: None)
+        _restore(side, caller, lambda _result: None)
     lines = [(r.event, r.unfinished) for r in caplog.records]
     assert lines == [('caller_lost', 3), ('caller_connected', 3)]
 
@@ -253,7 +257,7 @@
     side.callers.lose(caller, 'n2')
     reactor.run(_callers.CALLER_RECONNECT_TIMEOUT_S + 1.0)
     reconnected = side.callers.get(caller.incarnation)
-    side.callers.restore(reconnected, 'n2', results.append)
+    _restore(side, reconnected, results.append)
     side.accept(
         reconnected, fakes.attempt(remaining_ms=6000, idempotent=False)
     )
