Start no attempt from the queue while its calling node is lost

For up to 1.5 s after the connection of a calling node was lost its attempts went on to start from the queue, although their clients could leave and nobody could cancel them; after its return they started before its cancellations came, which it sent only after the answer to its handshake.

The attempts wait until that node is back or given up; their slots go to others meanwhile. It sends its unconfirmed cancellations right behind the handshake, in the same connection, so that they are read before any of its attempts starts.

--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -69,8 +69,12 @@
     catch_up : callable
         Called with the number of an attempt; handles what has arrived from
         its sender.
+    is_lost : bool
+        Whether its connection was lost, and not restored yet.
     lost_at : float
         When its connection was lost.
+    parked_jobs : list of Job
+        Attempts whose turn came while it was lost.
     jobs_by_number : dict of int to Job
         Its attempts, by their numbers.
     discarded_below : int
@@ -84,7 +88,9 @@
         self.generation = -1
         self.send = None
         self.catch_up = _do_nothing
+        self.is_lost = False
         self.lost_at = 0.0
+        self.parked_jobs = []
         self.jobs_by_number = {}
         self.discarded_below = 0
         self.features = 0
@@ -154,6 +160,7 @@
         """
         caller.send = None
         caller.catch_up = _do_nothing
+        caller.is_lost = True
         caller.lost_at = self.reactor.now()
         self._lost_by_incarnation[caller.incarnation] = caller
         _log_connection('caller_lost', 'lost', caller, address)
@@ -172,6 +179,7 @@
         """
         caller.send = send
         caller.catch_up = catch_up
+        caller.is_lost = False
         self._lost_by_incarnation.pop(caller.incarnation, None)
         _log_connection('caller_connected', 'opened', caller, address)
 
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -165,7 +165,7 @@
         self.caller = caller
         caller.features = hello.features
         self._generation = caller.generation = hello.generation
-        self.node.target_side.callers.restore(
+        self.node.target_side.restore_caller(
             caller, self.address, self.notify, self.catch_up
         )
         self.notify(self.node.hello(0, hello.features))
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -178,7 +178,10 @@
         if pending is not None and pending.sent_to_incarnation:
             self._cancellations.add(number)
             self._quiet_until = 0.0
-            self.notify(_frames.Cancel(number))
+            if self._connection is not None:
+                self._connection.stream.write(
+                    _frames.encode(_frames.Cancel(number))
+                )
 
     def notify(self, frame):
         """Send a notification if the peer is connected."""
@@ -304,7 +307,6 @@
 
         Pending attempts are sent, or sent again, unless their clients have
         left; those at an earlier process of the peer are finished.
-        Unconfirmed cancellations are sent again.
 
         Parameters
         ----------
@@ -324,7 +326,6 @@
             self.incarnation = hello.incarnation
             self._cancellations.clear()
         self.features = hello.features
-        self._repeat_cancellations()
         self.node.receive_hello(hello, self)
         for pending in list(self._pending_by_number.values()):
             if pending.sent_to_incarnation not in (0, hello.incarnation):
@@ -431,7 +432,21 @@
             pending.sent_to_incarnation = self.incarnation
             self._connection.stream.write(pending.data)
 
-    def _repeat_cancellations(self):
+    def _connect(self):
+        self._quiet_until = 0.0
+        self._cancellations.connection_opened()
+        self._generation += 1
+        self._connection = _peer_connection.PeerConnection(
+            self, self._generation
+        )
+        self._repeat_cancellations(self._connection)
+
+    def _repeat_cancellations(self, connection):
+        """Send cancellations right behind the handshake.
+
+        The peer starts attempts of this node from its queue once the
+        connection is restored.
+        """
         if not self._cancellations:
             return
         numbers = list(self._cancellations)
@@ -442,15 +457,7 @@
             extra={'event': 'cancellations_repeated', 'count': len(numbers)},
         )
         for number in numbers:
-            self.notify(_frames.Cancel(number))
-
-    def _connect(self):
-        self._quiet_until = 0.0
-        self._cancellations.connection_opened()
-        self._generation += 1
-        self._connection = _peer_connection.PeerConnection(
-            self, self._generation
-        )
+            connection.stream.write(_frames.encode(_frames.Cancel(number)))
 
     def _finish(self, pending, result):
         if self._pending_by_number.pop(pending.number, None) is not None:
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -267,17 +267,34 @@
     def _is_wanted(self, job):
         """Return whether a job may start, by what its sender has sent since.
 
-        A cancellation that has arrived may not have been read.
+        A cancellation that has arrived may not have been read. While the
+        sender has no connection it cannot cancel, so its job waits until the
+        sender is back or given up.
 
         What the sender has sent may add jobs to the queue and end others, but
         starts none.
         """
+        caller = job.caller
         self._is_catching_up = True
         try:
-            job.caller.catch_up(job.attempt.number)
+            caller.catch_up(job.attempt.number)
         finally:
             self._is_catching_up = False
-        return job.result is None
+        if job.result is not None:
+            return False
+        if caller.is_lost:
+            caller.parked_jobs.append(job)
+            return False
+        return True
+
+    def restore_caller(self, caller, address, send, catch_up):
+        """Record that a calling node has connected; see `Callers.restore`."""
+        self.callers.restore(caller, address, send, catch_up)
+        parked, caller.parked_jobs = caller.parked_jobs, []
+        for job in parked:
+            self._enqueue(job)
+        if parked:
+            self._start_waiting_soon()
 
     def _may_start(self, now):
         """Return whether one more attempt may start now."""
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -42,7 +42,7 @@
 
 
 def _restore(side, caller, send):
-    side.callers.restore(caller, 'n2', send, lambda _number: None)
+    side.restore_caller(caller, 'n2', send, lambda _number: None)
 
 
 def _reasons(results):
