Ignore entries that cannot be decoded, and follow the others

A record with a deeply nested further element raised RecursionError, one with a number beyond 64 bits raised OverflowError when its digest was computed; either ended the following of the table for good, as the next poll was not sent any more. A port in other digits, an IPv6 address, an unknown state, negative and huge numbers, and the record of another node were taken for targets. One odd row made the whole reply of the store undecodable, also on the product's own table service, where a failure domain then found no seeds. A heartbeat with such a number was kept, and hid all later ones.

One function decodes what may come from anywhere, with one error for all that may be wrong (decoding), and one parses addresses (addresses); both replace copies. Rows are decoded one by one, records are checked, and a row that cannot be handled does not end the following of its table.

--- a/rosemarycrank/bundles/_content.py
+++ b/rosemarycrank/bundles/_content.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from rosemarycrank.bundles import _model
+from rosemarycrank import decoding
 
 _TYPES_BY_KIND = {
     'classes': _model.RequestClass,
@@ -267,8 +268,8 @@
         If the bytes are malformed.
     """
     try:
-        decoded = _BODY_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decoded = decoding.decode(_BODY_DECODER, body)
+    except decoding.DecodeError as error:
         raise ContentError(f'malformed bundle body: {error}') from error
     sections = {key: bytes(raw) for key, raw in decoded.sections.items()}
     return from_sections(decoded.name, decoded.version, sections)
@@ -305,8 +306,8 @@
     if kind not in _DECODERS_BY_KIND:
         raise ContentError(f'section of unknown kind {kind!r}')
     try:
-        value = _DECODERS_BY_KIND[kind].decode(section)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        value = decoding.decode(_DECODERS_BY_KIND[kind], section)
+    except decoding.DecodeError as error:
         raise ContentError(f'{kind}/{name}: {error}') from error
     _check_section_name(kind, name, value)
     return value
--- a/rosemarycrank/bundles/_signed.py
+++ b/rosemarycrank/bundles/_signed.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from rosemarycrank.bundles import _content
+from rosemarycrank import decoding
 from rosemarycrank import keys
 
 
@@ -191,6 +192,10 @@
     body: msgspec.Raw
 
 
+_FILE_DECODER = msgspec.json.Decoder(_SignedFile)
+_BODY_DECODER = msgspec.json.Decoder()
+
+
 def unsigned_head(content):
     """Return the head of a content, without signatures.
 
@@ -226,9 +231,11 @@
         If the bytes are malformed, or the head does not match the content.
     """
     try:
-        decoded = msgspec.json.decode(data, type=_SignedFile)
-        body = msgspec.json.encode(msgspec.json.decode(decoded.body))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decoded = decoding.decode(_FILE_DECODER, data)
+        body = msgspec.json.encode(
+            decoding.decode(_BODY_DECODER, decoded.body)
+        )
+    except decoding.DecodeError as error:
         raise _content.ContentError(f'signed bundle: {error}') from error
     content = _content.from_bytes(body)
     head = decoded.head
--- a/rosemarycrank/bundles/_table.py
+++ b/rosemarycrank/bundles/_table.py
@@ -5,10 +5,13 @@
 
 from rosemarycrank.bundles import _content
 from rosemarycrank.bundles import _signed
+from rosemarycrank import decoding
 
 TABLE = 'bundles'
 CURRENT_KEY = 'current'
 
+_DELTA_DECODER = msgspec.msgpack.Decoder(_content.Delta)
+
 
 @attrs.frozen
 class CurrentRow:
@@ -90,6 +93,6 @@
         If the bytes are malformed.
     """
     try:
-        return msgspec.msgpack.decode(body, type=_content.Delta)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decoding.decode(_DELTA_DECODER, body)
+    except decoding.DecodeError as error:
         raise _content.ContentError(f'malformed delta: {error}') from error
--- a/rosemarycrank/cli/_admin.py
+++ b/rosemarycrank/cli/_admin.py
@@ -7,6 +7,7 @@
 import attrs
 import typer
 
+from rosemarycrank import addresses
 from rosemarycrank.cli import _output
 from rosemarycrank import http_client
 
@@ -115,13 +116,12 @@
     AnswerLostError
         If a request that may have changed state got no answer.
     """
-    host, _, port = address.removeprefix('http://').rpartition(':')
-    if not host or not port.isdecimal():
-        raise _output.RefusedError(
-            f'address: got {address!r}, allowed host:port'
-        )
+    try:
+        host, port = addresses.parse(address.removeprefix('http://'))
+    except ValueError as error:
+        raise _output.RefusedError(str(error)) from error
     client = http_client.Client(
-        host, int(port), max_connections=1, tls_context=credentials.tls_context
+        host, port, max_connections=1, tls_context=credentials.tls_context
     )
     try:
         response = client.request(
--- a/rosemarycrank/dataplane/__init__.py
+++ b/rosemarycrank/dataplane/__init__.py
@@ -8,6 +8,7 @@
 
 from rosemarycrank.dataplane import _balance
 from rosemarycrank.dataplane import _decisions
+from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _http1
@@ -47,5 +48,5 @@
 TargetChooser = _balance.TargetChooser
 TargetRecord = _frames.TargetRecord
 WeightedService = _routes.WeightedService
+check_numbers = _directory.check_numbers
 configure_log = _decisions.configure
-parse_address = _reactor.parse_address
--- a/rosemarycrank/dataplane/_cost_rows.py
+++ b/rosemarycrank/dataplane/_cost_rows.py
@@ -12,6 +12,7 @@
 from rosemarycrank.dataplane import _cost_changes
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _stored_costs
+from rosemarycrank import decoding
 
 #: Interval between comparisons of the measured with the stored costs, in
 #: seconds.
@@ -84,8 +85,8 @@
         if row.value is None:
             return
         try:
-            stored = _DECODER.decode(row.value)
-        except msgspec.MsgspecError as error:
+            stored = decoding.decode(_DECODER, row.value)
+        except decoding.DecodeError as error:
             _LOG.warning(
                 'cannot decode the stored costs of %s: %s',
                 row.key,
--- a/rosemarycrank/dataplane/_directory.py
+++ b/rosemarycrank/dataplane/_directory.py
@@ -1,13 +1,12 @@
 """Directory of the targets of all services."""
 
 import hashlib
-import ipaddress
 import logging
 
 import msgspec
 
+from rosemarycrank import addresses
 from rosemarycrank.dataplane import _frames
-from rosemarycrank.dataplane import _reactor
 
 READY = 'ready'
 DRAINING = 'draining'
@@ -18,6 +17,11 @@
 #: Maximum number of removed records that are remembered.
 MAX_REMOVED = 10000
 
+#: Largest values of a record. All decoders and encoders take them, and a start
+#: in Unix milliseconds and a count of heartbeats stay far below.
+MAX_SLOTS = 1_000_000
+MAX_NUMBER = 2**53
+
 #: Length of the digest of a record, in bytes.
 _DIGEST_BYTES = 7
 
@@ -41,8 +45,8 @@
     if record.born_ms != known.born_ms:
         return record.born_ms > known.born_ms
     if record.instance == known.instance:
-        precedence = _PRECEDENCE_BY_STATE.get(record.state, 0)
-        known_precedence = _PRECEDENCE_BY_STATE.get(known.state, 0)
+        precedence = _PRECEDENCE_BY_STATE[record.state]
+        known_precedence = _PRECEDENCE_BY_STATE[known.state]
         if precedence != known_precedence:
             return precedence > known_precedence
     return record.sequence > known.sequence
@@ -54,13 +58,30 @@
     Raises
     ------
     ValueError
-        If the address of its node is not an IP address with a port.
+        If the address of its node is not an IP address with a port, its state
+        is unknown, or a number is out of range.
+    """
+    addresses.check_ip(record.node)
+    if record.state not in _PRECEDENCE_BY_STATE:
+        raise ValueError(f'state: got {record.state!r}')
+    check_numbers(record.slots, record.born_ms, record.sequence)
+
+
+def check_numbers(slots, born_ms, sequence):
+    """Check the numbers that a target states.
+
+    Raises
+    ------
+    ValueError
+        If one is out of range.
     """
-    host, _ = _reactor.parse_address(record.node)
-    try:
-        ipaddress.ip_address(host)
-    except ValueError as error:
-        raise ValueError(f'address of a node: {error}') from error
+    for name, value, largest in (
+        ('slots', slots, MAX_SLOTS),
+        ('start', born_ms, MAX_NUMBER),
+        ('sequence', sequence, MAX_NUMBER),
+    ):
+        if not 0 <= value <= largest:
+            raise ValueError(f'{name}: got {value}, allowed 0 to {largest}')
 
 
 def range_of(node):
--- a/rosemarycrank/dataplane/_discovery.py
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -201,7 +201,7 @@
             self._long_poll_s = min(MAX_LONG_POLL_S, 2.0 * self._long_poll_s)
             self._received_version = reply.version
             for row in reply.rows:
-                self.on_row(row)
+                self._handle_row(row)
             if self.has_read and reply.rows:
                 self._poll_after_delay()
             else:
@@ -228,6 +228,18 @@
             )
         self.reactor.timers.after(delay_s, lambda _now: self.start())
 
+    def _handle_row(self, row):
+        try:
+            self.on_row(row)
+        except Exception:
+            # One row must not end the following of all others.
+            _LOG.exception(
+                'row %s of table %s cannot be handled',
+                row.key,
+                self.table,
+                extra={'event': 'row_failed', 'version': row.version},
+            )
+
     def _poll_after_delay(self):
         """Poll again after a delay that doubles in a series of changes."""
         now = self.reactor.now()
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from rosemarycrank import decoding
+
 #: Version of the frame format; connections to nodes with another version are
 #: closed during the handshake.
 PROTOCOL_VERSION = 2
@@ -559,8 +561,8 @@
                 break
             try:
                 payload = bytes(buffer[start : start + length])
-                frames.append(_DECODER.decode(payload))
-            except msgspec.MsgspecError as error:
+                frames.append(decoding.decode(_DECODER, payload))
+            except decoding.DecodeError as error:
                 raise FrameError(str(error)) from error
             position = start + length
         if position:
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -26,6 +26,7 @@
 from rosemarycrank.dataplane import _suspect_place
 from rosemarycrank.dataplane import _suspect_runs
 from rosemarycrank.dataplane import _usable_targets
+from rosemarycrank import decoding
 
 #: Seconds between checks of the connections to other nodes.
 PEER_CHECK_INTERVAL_S = 0.1
@@ -38,6 +39,7 @@
 #: newer record, in seconds.
 ENDED_TARGET_S = 10.0
 
+_RECORD_DECODER = msgspec.json.Decoder(_frames.TargetRecord)
 _LOG = logging.getLogger(__name__)
 
 
@@ -623,9 +625,6 @@
     ValueError
         If the data is not a valid record.
     """
-    try:
-        record = msgspec.json.decode(data, type=_frames.TargetRecord)
-    except msgspec.MsgspecError as error:
-        raise ValueError(str(error)) from error
+    record = decoding.decode(_RECORD_DECODER, data)
     _directory.check_record(record)
     return record
--- a/rosemarycrank/dataplane/_peer_connection.py
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -8,6 +8,7 @@
 
 import logging
 
+from rosemarycrank import addresses
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _probe
 from rosemarycrank.dataplane import _reactor
@@ -100,7 +101,7 @@
         self._connecting_checks = 0
         self.stream = _reactor.connect(
             self.node.reactor,
-            _reactor.parse_address(peer.address),
+            addresses.parse(peer.address),
             self,
             keep_alive=True,
         )
--- a/rosemarycrank/dataplane/_probe.py
+++ b/rosemarycrank/dataplane/_probe.py
@@ -1,5 +1,6 @@
 """Test whether the VM of a silent peer is reachable."""
 
+from rosemarycrank import addresses
 from rosemarycrank.dataplane import _reactor
 
 
@@ -20,7 +21,7 @@
 
     def __init__(self, reactor, address):
         self._stream = _reactor.connect(
-            reactor, _reactor.parse_address(address), self
+            reactor, addresses.parse(address), self
         )
 
     @property
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -387,6 +387,8 @@
             return
         try:
             record = _node.decode_record(row.value)
+            if record.node != row.key:
+                raise ValueError(f'record of node {record.node!r}')
         except ValueError as error:
             _LOG.warning(
                 'invalid target record in row %s ignored: %s',
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -105,31 +105,6 @@
             _LOG.exception('timer callback failed')
 
 
-def parse_address(text):
-    """Parse an address of the form ``host:port``.
-
-    Parameters
-    ----------
-    text : str
-        Address to parse.
-
-    Returns
-    -------
-    tuple of (str, int)
-        Host and port.
-
-    Raises
-    ------
-    ValueError
-        If the host or the port is missing, or the port is not a number from
-        1 to 65535.
-    """
-    host, _, port = text.rpartition(':')
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f'address: got {text!r}, allowed host:port')
-    return host, int(port)
-
-
 class Stream:
     """Non-blocking TCP connection that passes received data to its owner.
 
--- a/rosemarycrank/ledger/_closing.py
+++ b/rosemarycrank/ledger/_closing.py
@@ -13,6 +13,7 @@
 import attrs
 import msgspec
 
+from rosemarycrank import decoding
 from rosemarycrank import kernel
 from rosemarycrank.ledger import _entries
 from rosemarycrank.ledger import _rows
@@ -231,8 +232,8 @@
             callback(ClosingStatus.UNREADABLE, None)
             return
         try:
-            by_key_hash = _DECODER.decode(reply.value)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            by_key_hash = decoding.decode(_DECODER, reply.value)
+        except decoding.DecodeError:
             self._context.count('ledger_bad_rows')
             callback(ClosingStatus.UNREADABLE, None)
             return
--- a/rosemarycrank/membership/_bootstrap.py
+++ b/rosemarycrank/membership/_bootstrap.py
@@ -1,5 +1,8 @@
 """Initial contacts from the seed settings and the platform's table."""
 
+import logging
+
+from rosemarycrank import addresses
 from rosemarycrank import kernel
 from rosemarycrank.membership import _messages
 from rosemarycrank import table_service
@@ -9,6 +12,8 @@
 MAX_RETRY_S = 20.0
 BRIDGE_LIST_PERIOD_S = 300.0
 
+LOG = logging.getLogger(__name__)
+
 
 class Bootstrap:
     """Finds nodes to join through, and publishes the bridge nodes.
@@ -88,13 +93,25 @@
         if reply.error or not isinstance(reply.value, (list, tuple)):
             return
         for row in reply.value:
-            address = row.value.get('address', '')
-            if address and address != own_record.address:
-                if not self._is_known(address):
-                    self.context.send(address, _messages.Join(own_record))
+            self._join_listed(row, own_record)
         if self._row_key:
             self._write_row(reply.value, own_record)
 
+    def _join_listed(self, row, own_record):
+        """Join through the node of a row, unless another writer wrote it."""
+        try:
+            address = row.value['address']
+            addresses.parse(address)
+        except (KeyError, TypeError, ValueError) as error:
+            self.context.count('membership_invalid_seeds')
+            LOG.warning(
+                'invalid row of the seed table ignored',
+                extra={'key': row.key, 'error': repr(error)},
+            )
+            return
+        if address != own_record.address and not self._is_known(address):
+            self.context.send(address, _messages.Join(own_record))
+
     def _join_seeds(self, now, own_record):
         jitter = self.context.random.uniform(0.5, 1.5)
         self._next_join_at = now + self._retry_s * jitter
--- a/rosemarycrank/messages/_codec.py
+++ b/rosemarycrank/messages/_codec.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from rosemarycrank import decoding
+
 MAX_FRAME_BYTES = 9 * 1024 * 1024
 
 _TYPES_BY_KIND = {}
@@ -101,14 +103,16 @@
                 f'frame: got {len(frame)} bytes, allowed {MAX_FRAME_BYTES}'
             )
         try:
-            kind, sender, payload, mac = self._frame_decoder.decode(frame)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            kind, sender, payload, mac = decoding.decode(
+                self._frame_decoder, frame
+            )
+        except decoding.DecodeError as error:
             raise DecodeError(f'frame: {error}') from error
         if not hmac.compare_digest(mac, self._mac(kind, sender, payload)):
             raise DecodeError(f'mac: does not match, sender {sender!r}')
         try:
-            return sender, _get_decoder(kind).decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return sender, decoding.decode(_get_decoder(kind), payload)
+        except decoding.DecodeError as error:
             raise DecodeError(f'{kind}: {error}') from error
 
     def _mac(self, kind, sender, payload):
--- a/rosemarycrank/node/_admin.py
+++ b/rosemarycrank/node/_admin.py
@@ -4,6 +4,7 @@
 
 import falcon
 
+from rosemarycrank import addresses
 from rosemarycrank import http_client
 from rosemarycrank import kernel
 from rosemarycrank.node import _metrics
@@ -148,9 +149,10 @@
         if type(value) is not expected_type:
             raise _bad_request(name, value, expected_type.__name__)
         values[name] = value
-    host, _, port = values['address'].rpartition(':')
-    if not host or not port.isdigit():
-        raise _bad_request('address', values['address'], 'host:port')
+    try:
+        addresses.parse(values['address'])
+    except ValueError:
+        raise _bad_request('address', values['address'], 'host:port') from None
     return kernel.UpstreamAnnounced(**values)
 
 
--- a/rosemarycrank/platform/_configuration.py
+++ b/rosemarycrank/platform/_configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rosemarycrank import dataplane
+from rosemarycrank import decoding
 
 _IDEMPOTENT_ROUTE_TYPE = 'idempotent'
 
@@ -82,10 +83,7 @@
     ValueError
         If the document is not a valid configuration.
     """
-    try:
-        document = _DECODER.decode(body)
-    except msgspec.MsgspecError as error:
-        raise ValueError(str(error)) from error
+    document = decoding.decode(_DECODER, body)
     limits = document.limits
     return dataplane.Configuration(
         version=document.version,
--- a/rosemarycrank/platform/_heartbeats.py
+++ b/rosemarycrank/platform/_heartbeats.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from rosemarycrank import dataplane
+from rosemarycrank import decoding
 from rosemarycrank.platform import _names
 
 
@@ -56,14 +57,10 @@
     ValueError
         If a field is missing, has another type or is out of range.
     """
-    try:
-        heartbeat = _HEARTBEAT_DECODER.decode(body)
-    except msgspec.MsgspecError as error:
-        raise ValueError(str(error)) from error
+    heartbeat = decoding.decode(_HEARTBEAT_DECODER, body)
     if heartbeat.state not in _STATES:
         raise ValueError(f'state: got {heartbeat.state!r}, allowed {_STATES}')
-    if heartbeat.slots < 0 or heartbeat.seq < 0:
-        raise ValueError('slots, seq: got a negative number')
+    dataplane.check_numbers(heartbeat.slots, heartbeat.born, heartbeat.seq)
     return dataplane.Heartbeat(
         instance=instance,
         service=heartbeat.service,
@@ -86,7 +83,4 @@
     """
     if not body:
         return 0
-    try:
-        return _WITHDRAWAL_DECODER.decode(body).born
-    except msgspec.MsgspecError as error:
-        raise ValueError(str(error)) from error
+    return decoding.decode(_WITHDRAWAL_DECODER, body).born
--- a/rosemarycrank/platform/_settings.py
+++ b/rosemarycrank/platform/_settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from rosemarycrank import dataplane
+from rosemarycrank import addresses
 
 
 class SettingsError(ValueError):
@@ -107,7 +107,7 @@
     if default is not None and not values.get(name):
         return default
     try:
-        return dataplane.parse_address(_required(values, name))
+        return addresses.parse(_required(values, name))
     except ValueError as error:
         raise SettingsError(f'{name}: {error}') from error
 
--- a/rosemarycrank/platform/_store.py
+++ b/rosemarycrank/platform/_store.py
@@ -1,15 +1,23 @@
 """Client of the platform's store of rows."""
 
 import base64
+import logging
 import urllib.parse
 
 import msgspec
 
 from rosemarycrank import dataplane
+from rosemarycrank import decoding
 
 #: Partition of all rows that the nodes use.
 PARTITION = ''
 
+#: Largest version of a row that is taken for one.
+MAX_VERSION = 2**63
+
+#: Maximum number of bytes of an invalid row in the log.
+MAX_LOGGED = 200
+
 _KIND_BY_STATUS = {
     200: dataplane.ReplyKind.OK,
     410: dataplane.ReplyKind.COMPACTED,
@@ -29,20 +37,47 @@
 
 class _Body(msgspec.Struct):
     ver: int = 0
-    rows: list[_Row] = []
+    rows: list[msgspec.Raw] = []
     has_more: bool = False
 
 
 _DECODER = msgspec.json.Decoder(_Body)
+_ROW_DECODER = msgspec.json.Decoder(_Row)
+_LOG = logging.getLogger(__name__)
 
 
-def _decode_row(row):
+def _decode_row(data):
+    row = decoding.decode(_ROW_DECODER, data)
+    if not 0 <= row.ver <= MAX_VERSION:
+        raise ValueError(f'ver: got {row.ver}')
     value = None
     if row.value is not None and not row.tombstone:
-        value = base64.b64decode(row.value)
+        value = base64.b64decode(row.value, validate=True)
     return dataplane.StoredRow(row.key, row.ver, value)
 
 
+def _decode_rows(rows):
+    """Decode rows; those that are invalid are left out."""
+    decoded = []
+    for data in rows:
+        try:
+            decoded.append(_decode_row(data))
+        except ValueError as error:
+            _LOG.warning(
+                'invalid row of the store ignored: %s',
+                error,
+                extra={
+                    'event': 'row_invalid',
+                    'row': bytes(data)[:MAX_LOGGED],
+                },
+            )
+    return tuple(decoded)
+
+
+def _decode_body(data):
+    return decoding.decode(_DECODER, data) if data else _Body()
+
+
 def _decode_reply(http_reply):
     if http_reply.status == 0:
         return dataplane.StoreReply(
@@ -51,9 +86,9 @@
     kind = _KIND_BY_STATUS.get(http_reply.status, dataplane.ReplyKind.FAILED)
     detail = f'status {http_reply.status}'
     try:
-        body = _DECODER.decode(http_reply.body) if http_reply.body else _Body()
-        rows = tuple(_decode_row(row) for row in body.rows)
-    except (msgspec.MsgspecError, ValueError) as error:
+        body = _decode_body(http_reply.body)
+        rows = _decode_rows(body.rows)
+    except ValueError as error:
         if kind is dataplane.ReplyKind.OK:
             return dataplane.StoreReply(
                 dataplane.ReplyKind.FAILED, detail=f'{detail}: {error}'
@@ -133,7 +168,7 @@
                 reply = dataplane.StoreReply(
                     reply.kind, previous.rows + reply.rows, previous.version
                 )
-            if _DECODER.decode(http_reply.body).has_more and reply.rows:
+            if _decode_body(http_reply.body).has_more and reply.rows:
                 # The smallest key after the last one read.
                 next_key = reply.rows[-1].key + '\0'
                 self._read_page(table, next_key, reply, on_reply)
--- a/rosemarycrank/table_service/_http.py
+++ b/rosemarycrank/table_service/_http.py
@@ -1,5 +1,6 @@
 """Platform client over HTTP."""
 
+import logging
 import math
 import re
 from urllib import parse
@@ -7,6 +8,7 @@
 import attrs
 import msgspec
 
+from rosemarycrank import decoding
 from rosemarycrank import http_client
 from rosemarycrank.table_service import _errors
 from rosemarycrank.table_service import _operations
@@ -22,6 +24,8 @@
 _PRECONDITION_FAILED = 412
 _SERVER_ERROR = 500
 
+LOG = logging.getLogger(__name__)
+
 
 @attrs.frozen
 class _RowBody:
@@ -38,7 +42,7 @@
 
 @attrs.frozen
 class _RowsBody:
-    rows: list[_RowBody]
+    rows: list[msgspec.Raw]
 
 
 @attrs.frozen
@@ -145,7 +149,7 @@
         if answer.status == _NOT_FOUND:
             return []
         body = _decode(answer.body, _RowsBody)
-        return [_to_row(row, row.key, row.version) for row in body.rows]
+        return _decode_listed_rows(operation.table, body.rows)
 
     def _write(self, operation):
         answer = self._request_write(
@@ -237,8 +241,8 @@
 
 def _decode(body, body_type):
     try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decoding.decode(msgspec.json.Decoder(body_type), body)
+    except decoding.DecodeError as error:
         raise _errors.PlatformUnavailable(
             f'cannot decode the answer: {error}'
         ) from error
@@ -250,6 +254,21 @@
     return _operations.Row(key, body.value, version, body.write_id)
 
 
+def _decode_listed_rows(table, rows):
+    """Decode rows; those that another writer has spoiled are left out."""
+    decoded = []
+    for data in rows:
+        try:
+            body = _decode(data, _RowBody)
+            decoded.append(_to_row(body, body.key, body.version))
+        except _errors.PlatformUnavailable as error:
+            LOG.warning(
+                'invalid row ignored',
+                extra={'table': table, 'error': str(error)},
+            )
+    return decoded
+
+
 def _decode_row(key, answer):
     body = _decode(answer.body, _RowBody)
     match = _VERSION_TAG.fullmatch(answer.etag)
--- a/tests/dataplane/test_discovery.py
+++ b/tests/dataplane/test_discovery.py
@@ -67,6 +67,29 @@
     return polled_at
 
 
+# Guards against a table that is not followed any more since one row could not
+# be handled.
+def test_table_is_followed_on_after_a_row_that_cannot_be_handled(
+    reactor, store, caplog
+):
+    handled = []
+
+    def handle(row):
+        if row.value == b'odd':
+            raise OverflowError('too large')
+        handled.append(row.value)
+
+    follower = _discovery.TableFollower(
+        reactor, store, 't', handle, random.Random(1), MAX_POLL_DELAY_S
+    )
+    follower.start()
+    store.answer(OK, [_row(b'odd', 1), _row(b'good', 2)], 2)
+    reactor.run(1.0)
+    assert handled == [b'good']
+    assert [r.event for r in caplog.records] == ['row_failed']
+    assert len(store.calls) == 2
+
+
 def test_long_series_of_changes_needs_few_polls(follower, store, reactor):
     polled_at = _reply_with_changes(follower, store, reactor, 0.01, 10.0)
     assert len(polled_at) < 10.0 / MAX_POLL_DELAY_S + 6
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -1,5 +1,9 @@
 """Readiness and metrics of a node process without open sockets."""
 
+import json
+
+import gevent
+import msgspec
 import pytest
 
 from rosemarycrank import dataplane
@@ -138,6 +142,59 @@
     assert [r.event for r in caplog.records] == ['row_invalid']
 
 
+ODD_KEY = '10.0.0.9:7620'
+
+
+def _odd_rows():
+    """Return the keys and values of rows that another writer may leave."""
+    record = msgspec.json.encode(record_of(ODD_KEY))
+    deep = b'[' * 100_000 + b']' * 100_000
+    extra = record[:-1] + b',' + deep + b']'
+    for value in (deep, extra, record + b']', b'\xff', b'null'):
+        yield ODD_KEY, value
+    for index, number in [
+        (4, -1),
+        (4, 10**30),
+        (4, 2**63),
+        (5, 'sleeping'),
+        (6, -1),
+        (6, 10**30),
+        (6, 2**64),
+        (7, 10**30),
+        (7, 1.5),
+        (7, None),
+    ]:
+        fields = json.loads(record)
+        fields[index] = number
+        yield ODD_KEY, json.dumps(fields).encode()
+    for key in ('10.0.0.9:99999', '10.0.0.9:0', '10.0.0.9:\u0663', '::1:80'):
+        yield key, msgspec.json.encode(record_of(key))
+    # The record of another node than that of the row.
+    yield ODD_KEY, msgspec.json.encode(record_of('10.0.0.8:7620'))
+
+
+# Guards against nodes that end, or stop following the table, as one of its
+# rows holds something else than a record.
+@pytest.mark.parametrize('number', range(len(list(_odd_rows()))))
+def test_odd_row_names_no_target_and_others_hold(process, caplog, number):
+    key, value = list(_odd_rows())[number]
+    other = record_of(OTHER_ADDRESS)
+    rows = (
+        _discovery.StoredRow(key, 1, value),
+        _discovery.StoredRow(OTHER_ADDRESS, 2, _node.encode_record(other)),
+    )
+    calls = []
+    process.store.read = lambda table, on_reply: calls.append(on_reply)
+    process.store.follow = lambda table, after, *_: calls.append(after)
+    process.target_follower.start()
+    calls[0](_discovery.StoreReply(_discovery.ReplyKind.OK, rows, 7))
+    gevent.sleep(0.05)
+    assert process.node.directory.records() == [other]
+    lines = [r for r in caplog.records if r.event != 'peer_lost']
+    assert [line.event for line in lines] == ['row_invalid']
+    assert calls[1:] == [7]
+
+
 # Guards against a store that has to answer many polls of each node during a
 # series of changes, however many nodes there are.
 @pytest.mark.parametrize(('count', 'delay_s'), [(12, 2.0), (200, 8.0)])
--- a/tests/membership/test_bootstrap.py
+++ b/tests/membership/test_bootstrap.py
@@ -67,6 +67,31 @@
         assert len(member.target_addresses('gallery')) == 12
 
 
+# Guards against a failure domain that does not find the others, as another
+# writer has left something else among the seeds.
+@pytest.mark.parametrize(
+    'value',
+    [
+        {},
+        [],
+        None,
+        {'address': 3},
+        {'address': ['a0:1']},
+        {'address': 'nowhere'},
+        {'address': 'vm:99999'},
+        {'address': 'vm:0'},
+    ],
+)
+def test_odd_seed_is_ignored(network, table, value):
+    table.by_key[''] = table_service.Row('', value, 1, 'w')
+    for domain in 'ab':
+        address = f'{domain}0:1'
+        network.start(address, domain, seeds=()).announce('gallery')
+    network.run(120)
+    for member in network.by_address.values():
+        assert len(member.target_addresses('gallery')) == 2
+
+
 def test_platform_replies_to_other_components_are_ignored(network, table):
     member = network.start('a0:1', 'a', seeds=())
     reply = kernel.PlatformReply('bundles-1', value=[object()])
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -145,6 +145,10 @@
         {'seq': None},
         {'service': 3},
         {'born': 1.5},
+        {'born': -1},
+        {'born': 10**30},
+        {'seq': 10**30},
+        {'slots': 10**30},
     ],
 )
 def test_invalid_heartbeat_is_rejected(changes):
@@ -152,6 +156,12 @@
         _heartbeats.decode('i-1', _heartbeat(**changes))
 
 
+def test_heartbeat_that_is_nested_too_deeply_is_rejected():
+    deep = b'[' * 100_000 + b']' * 100_000
+    with pytest.raises(ValueError):
+        _heartbeats.decode('i-1', _heartbeat()[:-1] + b',"x":' + deep + b'}')
+
+
 class _RecordingRegistration:
     def __init__(self):
         self.reports = []
@@ -285,6 +295,35 @@
     assert base64.b64decode(body['puts'][0]['value']) == b'v'
 
 
+# Guards against a table that cannot be read as one row of it is odd.
+@pytest.mark.parametrize(
+    'odd',
+    [
+        3,
+        None,
+        {'key': 'k', 'ver': 'x'},
+        {'key': 'k', 'ver': 4, 'value': '%%'},
+        {'key': 'k', 'ver': 10**30, 'value': ''},
+        {'key': 'k', 'ver': 4, 'value': ['x']},
+    ],
+)
+def test_odd_row_of_a_table_is_left_out(odd, caplog):
+    rows = [_stored_row('a', 1, b'x'), odd, _stored_row('z', 2, b'y')]
+    client = _FakeClient(_http_reply(200, rows=rows, ver=4))
+    replies = []
+    _store.RowStore(client).read('t', replies.append)
+    assert [row.key for row in replies[0].rows] == ['a', 'z']
+    assert [r.event for r in caplog.records] == ['row_invalid']
+
+
+def test_reply_that_is_nested_too_deeply_counts_as_failed():
+    body = b'{"rows": [], "x": ' + b'[' * 100_000
+    client = _FakeClient(dataplane.HttpReply(200, body))
+    replies = []
+    _store.RowStore(client).read('t', replies.append)
+    assert replies[0].kind is dataplane.ReplyKind.FAILED
+
+
 def test_truncated_reply_counts_as_failed():
     client = _FakeClient(dataplane.HttpReply(200, b'{"rows": 3'))
     replies = []
--- a/tests/table_service/test_http.py
+++ b/tests/table_service/test_http.py
@@ -85,6 +85,33 @@
     assert b'/tables/nodes?prefix=a&limit=5' in scripted.requests[0]
 
 
+# Guards against a table that cannot be listed as one of its rows is odd.
+@pytest.mark.parametrize(
+    'odd',
+    [
+        3,
+        None,
+        {'key': 'j', 'value': [], 'version': 2, 'write_id': 'w'},
+        {'key': 'j', 'value': {}, 'version': 0, 'write_id': 'w'},
+        {'key': 'j', 'value': {}, 'version': 'x', 'write_id': 'w'},
+        {'key': 3, 'value': {}, 'version': 2, 'write_id': 'w'},
+    ],
+)
+def test_odd_row_is_left_out_of_a_list(scripted, client, odd):
+    row = {'key': 'k', 'value': {}, 'version': 2, 'write_id': 'w'}
+    body = json.dumps({'rows': [odd, row]}).encode()
+    scripted.answers = [make_answer(200, body)]
+    listed = client.execute(table_service.TableList('nodes', 'a', 5))
+    assert listed == [table_service.Row('k', {}, 2, 'w')]
+
+
+def test_answer_that_is_nested_too_deeply_is_an_error(scripted, client):
+    body = b'{"rows": [], "x": ' + b'[' * 100_000
+    scripted.answers = [make_answer(200, body)]
+    with pytest.raises(table_service.PlatformUnavailable):
+        client.execute(table_service.TableList('nodes', 'a', 5))
+
+
 def test_objects(scripted, client):
     scripted.answers = [
         make_answer(201),
