Read ahead of an attempt only where what has been read may be old

At an entry node the connection of a client is read ahead for its first request, which may have waited to be accepted, for second attempts, while reading is paused, and for all requests while the event loop is over 0.02 s behind. Otherwise its end arrived after the last pass of the loop. At the target's node, a read that did not fill its buffer has returned all that had arrived; the frames behind an attempt are handled before it starts. Attempts from the queue are preceded by a read as before.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -56,6 +56,7 @@
         '_exchanges',
         '_not_begun',
         '_is_beginning',
+        '_is_new',
         '_paused',
         '_response_is_last',
         '_output_closed_at',
@@ -72,6 +73,7 @@
         self._exchanges = []
         self._not_begun = collections.deque()
         self._is_beginning = False
+        self._is_new = True
         self._paused = False
         self._response_is_last = False
         self._output_closed_at = 0.0
@@ -219,15 +221,27 @@
         self._is_beginning = True
         try:
             while self._not_begun:
-                self._catch_up()
+                if self._may_have_ended():
+                    self._catch_up()
                 if not self._not_begun:
                     return
+                self._is_new = False
                 exchange = self._not_begun.popleft()
                 if exchange.response is None:
                     self.server.entry.begin(exchange)
         finally:
             self._is_beginning = False
 
+    def _may_have_ended(self):
+        """Return whether the client may have left a while ago.
+
+        A new connection may have waited to be accepted.
+        """
+        if self._is_new or self._paused:
+            return True
+        reactor = self.server.reactor
+        return reactor.is_behind(reactor.now())
+
     def _catch_up(self):
         if not self.stream.catch_up() and self.stream.peer_has_closed():
             self.close()
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -43,6 +43,7 @@
         self._silent_checks = 0
         self._reader = _frames.FrameReader()
         self._frames = collections.deque()
+        self._has_read_all = False
         self._stream = _reactor.Stream(node.reactor, sock, self)
 
     @property
@@ -78,12 +79,20 @@
             self.close()
             return
         self._frames.extend(frames)
-        while self._frames and self._stream.is_open:
-            self._handle_frame(self._frames.popleft())
+        self._has_read_all = len(data) < _reactor.MAX_READ_BYTES
+        self._handle_frames()
+        self._has_read_all = False
 
     def catch_up(self, _number):
         """Handle what has arrived, such as cancellations of attempts."""
-        self._stream.catch_up()
+        if self._has_read_all:
+            self._handle_frames()
+        else:
+            self._stream.catch_up()
+
+    def _handle_frames(self):
+        while self._frames and self._stream.is_open:
+            self._handle_frame(self._frames.popleft())
 
     def check_silence(self):
         """Close the connection if the other node has been silent for long.
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -23,6 +23,10 @@
 #: that was stopped or short of processor time finds input that is as old.
 HELD_UP_S = 0.25
 
+#: Delay of the event loop up to which input that has just been read counts as
+#: new, in seconds. What has arrived since is read within a few of its passes.
+MAX_FRESH_DELAY_S = 0.02
+
 #: Maximum number of bytes that one read from a socket returns.
 MAX_READ_BYTES = 65536
 
@@ -74,6 +78,7 @@
         self.timers = timers.Timers()
         self.timers.now = time.monotonic()
         self.delays = _counters.Histogram()
+        self._last_delay_s = 0.0
         self._ticker = self.loop.timer(TICK_INTERVAL_S, TICK_INTERVAL_S)
         self._ticker.start(self._tick)
 
@@ -81,6 +86,17 @@
         """Return the monotonic time in seconds."""
         return time.monotonic()
 
+    def is_behind(self, now):
+        """Return whether newer input may have waited for some time.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        """
+        since_tick_s = now - self.timers.now - TICK_INTERVAL_S
+        return max(since_tick_s, self._last_delay_s) > MAX_FRESH_DELAY_S
+
     def unix_ms(self):
         """Return the time of day in Unix milliseconds; it may jump."""
         return int(time.time() * 1000.0)
@@ -92,7 +108,8 @@
     def _tick(self):
         now = time.monotonic()
         late_s = now - self.timers.now - TICK_INTERVAL_S
-        self.delays.observe(max(0.0, late_s))
+        self._last_delay_s = max(0.0, late_s)
+        self.delays.observe(self._last_delay_s)
         if late_s > HELD_UP_S:
             _LOG.warning(
                 'event loop was held up for %.3f s',
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -19,6 +19,9 @@
     def now(self):
         return self.timers.now
 
+    def is_behind(self, now):
+        return False
+
     def unix_ms(self):
         return 1_700_000_000_000 + int(self.timers.now * 1000.0)
 
--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -67,8 +67,9 @@
     def catch_up(self):
         """Read what has arrived, unless the node is paused."""
         if self.simulation.pause_left_s(self.target_address) <= 0.0:
-            while self._unread and self.is_open:
-                self.owner.received(self._unread.pop(0))
+            data, self._unread = b''.join(self._unread), []
+            if data and self.is_open:
+                self.owner.received(data)
         return True
 
     def _receive(self, data):
