Believe an answer without identifier only on a connection not used before

A copy that names its request was dropped already, while the connection is idle, with the refusal or while a later request is in flight; tests show it. But a refusal that names no request was taken for that of the request in flight, also on a connection that had served another one: three cases failed, at the data path (503 and 421) and at the HTTP client of the product's own path. Its outcome is unknown now, and the connection is not used again. On a new connection it counts as before.

--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -102,6 +102,7 @@
         '_request_id',
         '_on_answer',
         '_out_of_sync',
+        '_is_used_again',
         '_connect_timer',
     )
 
@@ -113,6 +114,7 @@
         self._request_id = b''
         self._on_answer = None
         self._out_of_sync = False
+        self._is_used_again = False
         self.stream = _reactor.connect(pool.reactor, pool.address, self)
         self._connect_timer = pool.reactor.timers.after(
             CONNECT_TIMEOUT_S, self._on_connect_timeout
@@ -232,8 +234,6 @@
                 self._discard()
             return
         answer = self._classify(message, echoed_id)
-        # A second copy of an answer without an identifier could not be told
-        # from the answer to the next request.
         reusable = (
             message.keep_alive
             and echoed_id is not None
@@ -249,6 +249,7 @@
         on_answer = self._on_answer
         self._on_answer = None
         if reusable:
+            self._is_used_again = True
             self.pool.release(self)
         else:
             self._discard()
@@ -258,6 +259,11 @@
         names = self.pool.names
         values = message.values_by_name
         status = message.status
+        if echoed_id is None and self._is_used_again:
+            # It may be a copy of the response to an earlier request.
+            return Answer(
+                _frames.Outcome.UNKNOWN, _frames.Reason.ANSWER_INVALID
+            )
         if names.not_executed in values or status == 421:
             return Answer(
                 _frames.Outcome.NOT_RUN,
--- a/rosemarycrank/http_client/_client.py
+++ b/rosemarycrank/http_client/_client.py
@@ -53,6 +53,7 @@
     """
 
     bytes_left = 0
+    is_used_again = False
 
     def recv(self, *arguments):
         """Receive bytes; raise `AnswerTooLarge` beyond the limit."""
@@ -106,10 +107,16 @@
         if sock is None:
             return
         if is_reusable:
+            sock.is_used_again = True
             super().return_socket(sock)
         else:
             self.release_socket(sock)
 
+    def is_used_again(self):
+        """Return whether this greenlet's connection served another request."""
+        sock = self.read_sockets_by_greenlet.get(gevent.getcurrent())
+        return sock is not None and sock.is_used_again
+
     def _create_tcp_socket(self, family, socktype, protocol):
         return _BoundedSocket(family, socktype, protocol)
 
@@ -298,6 +305,8 @@
             return False
         returned = response.headers.get(self.token_header.lower())
         if returned is None:
+            if self._pool.is_used_again():
+                raise AnswerSurplus('answer: names no request')
             return False
         if returned != headers.get(self.token_header):
             raise AnswerSurplus('answer: names another request')
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _upstream
@@ -120,6 +121,64 @@
     assert [answer.status for answer in answers] == [200]
 
 
+REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nrosemarycrank-request-id: r1\r\n'
+    b'rosemarycrank-not-executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+REFUSED_BY_OTHER = b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n'
+WITHOUT_ID = REFUSAL.replace(b'rosemarycrank-request-id: r1\r\n', b'')
+
+
+def _outcomes(answers):
+    return [_frames.Outcome(answer.outcome).name for answer in answers]
+
+
+# Guards against callers who are told "not run" for a request that runs: the
+# target sends an earlier refusal once more, on a connection in use again.
+@pytest.mark.parametrize('is_at_once', [True, False])
+def test_earlier_refusal_is_not_the_answer_to_a_later_request(
+    pool, listener, is_at_once
+):
+    answers = []
+    pool.acquire(True).start(b'r1', REQUEST % 1, False, answers.append)
+    gevent.sleep(PASS_S)
+    target, _ = listener.accept()
+    with target:
+        target.recv(4096)
+        connection_count = pool.opened
+        _send(target, REFUSAL)
+        pool.acquire(True).start(b'r2', REQUEST % 2, False, answers.append)
+        assert pool.opened == connection_count
+        if not is_at_once:
+            gevent.sleep(PASS_S)
+        _send(target, REFUSAL)
+        _send(target, RESPONSE.replace(b'r1', b'r2'))
+    assert _outcomes(answers) == ['NOT_RUN', 'COMPLETE']
+
+
+# Guards against the same if the copy does not name its request.
+@pytest.mark.parametrize('refusal', [WITHOUT_ID, REFUSED_BY_OTHER])
+def test_refusal_without_id_proves_nothing_on_a_connection_in_use_again(
+    pool, listener, refusal
+):
+    with _serve_first_request(pool, listener) as target:
+        answers = []
+        pool.acquire(True).start(b'r2', REQUEST % 2, False, answers.append)
+        gevent.sleep(PASS_S)
+        _send(target, refusal)
+    assert _outcomes(answers) == ['UNKNOWN']
+
+
+def test_refusal_without_id_counts_on_a_new_connection(pool, listener):
+    answers = []
+    pool.acquire(True).start(b'r1', REQUEST % 1, False, answers.append)
+    gevent.sleep(PASS_S)
+    target, _ = listener.accept()
+    with target:
+        _send(target, WITHOUT_ID)
+    assert _outcomes(answers) == ['NOT_RUN']
+
+
 def _send(target, data):
     """Send data, if the other end is still there, and wait for its effect."""
     try:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -20,6 +20,7 @@
 from rosemarycrank import http_client
 from rosemarycrank.node import _web
 
+END = b'Content-Length: 0\r\n\r\n'
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n'
 
 
@@ -302,6 +303,29 @@
     assert len(peers) == connection_count
 
 
+# Guards against callers who are told "not run" for a request that runs: the
+# server sends an earlier refusal on a connection in use again.
+@pytest.mark.parametrize('earlier', ['Token: t1\r\n', ''])
+def test_earlier_answer_is_not_that_to_a_later_request(earlier):
+    def serve(connection, _address):
+        connection.recv(65536)
+        connection.sendall(b'HTTP/1.1 200 OK\r\nToken: t1\r\n' + END)
+        connection.recv(65536)
+        head = 'HTTP/1.1 503 Full\r\nUpstream-Outcome: not-run\r\n' + earlier
+        connection.sendall(head.encode() + END)
+
+    origin = server.StreamServer(('127.0.0.1', 0), serve)
+    origin.start()
+    client = http_client.Client(
+        '127.0.0.1', origin.server_port, token_header='Token'
+    )
+    client.request('GET', '/', headers={'Token': 't1'}, timeout_s=5)
+    with pytest.raises(http_client.AnswerSurplus):
+        client.request('GET', '/', headers={'Token': 't2'}, timeout_s=5)
+    client.close()
+    origin.stop()
+
+
 def test_answer_that_names_another_request_is_an_error(origin, client):
     client.token_header = 'Token'
     origin.answer = (
