--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -179,6 +179,33 @@
     assert _outcomes(answers) == ['NOT_RUN']
 
 
+# Guards against a 200 with an empty or short body, framed as whole: the target
+# stops within the head of its answer, or its body, and closes.
+@pytest.mark.parametrize('interim', [b'', b'HTTP/1.1 100 Continue\r\n\r\n'])
+def test_answer_that_ends_early_is_not_complete(pool, listener, interim):
+    response = interim + RESPONSE
+    answers = []
+    for length in range(len(response)):
+        pool.acquire(True).start(b'r1', REQUEST % 1, False, answers.append)
+        target, _ = listener.accept()
+        with target:
+            target.sendall(response[:length])
+    gevent.sleep(PASS_S)
+    assert _outcomes(answers) == ['UNKNOWN'] * len(response)
+
+
+def test_head_without_length_that_ends_early_is_not_complete(pool, listener):
+    head = RESPONSE[: RESPONSE.index(b'Content-Length')]
+    answers = []
+    for length in range(len(head) + 1):
+        pool.acquire(True).start(b'r1', REQUEST % 1, False, answers.append)
+        target, _ = listener.accept()
+        with target:
+            target.sendall(head[:length])
+    gevent.sleep(PASS_S)
+    assert _outcomes(answers) == ['UNKNOWN'] * (len(head) + 1)
+
+
 def _send(target, data):
     """Send data, if the other end is still there, and wait for its effect."""
     try:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -335,6 +335,23 @@
         client.request('GET', '/', headers={'Token': 't'}, timeout_s=5)
 
 
+# Guards against a 200 with an empty or short body: the server stops within the
+# head of its answer, or its body, and closes.
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'HTTP/1.1 200 OK\r\nToken: t\r\nContent-Length: 5\r\n\r\nhello',
+        b'HTTP/1.1 200 OK\r\nToken: t\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'5\r\nhello\r\n0\r\n\r\n',
+    ],
+)
+def test_answer_that_ends_early_is_an_error(origin, client, answer):
+    for length in range(len(answer)):
+        origin.answer = answer[:length]
+        with pytest.raises(http_client.HttpError):
+            client.request('GET', '/', timeout_s=5)
+
+
 # Guards against an answer to which the library has joined the next one.
 def test_second_copy_that_comes_with_the_answer_is_an_error(origin, client):
     origin.answer = (HEAD % 5 + b'whole') * 2
