--- a/rosemarycrank/node/_upstream.py
+++ b/rosemarycrank/node/_upstream.py
@@ -1,11 +1,13 @@
 """Task that calls the local upstream over HTTP."""
 
-import json
 import logging
+import typing
 
 import gevent
 from gevent import pool
+import msgspec
 
+from rosemarycrank import decoding
 from rosemarycrank import http_client
 from rosemarycrank import kernel
 from rosemarycrank import results
@@ -32,6 +34,25 @@
 OUTCOME_NOT_RUN = 'not-run'
 
 
+#: Largest number of requests that an upstream may report.
+MAX_REPORTED = 1_000_000
+
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REPORTED)]
+
+
+class _Load(msgspec.Struct):
+    in_flight: _Count
+    slots: _Count
+
+
+class _Health(msgspec.Struct):
+    healthy: bool
+
+
+_LOAD_DECODER = msgspec.json.Decoder(_Load)
+_HEALTH_DECODER = msgspec.json.Decoder(_Health)
+
+
 class UpstreamTask:
     """Calls the local upstream, and requests its load and health.
 
@@ -135,29 +156,37 @@
     def _report_load_and_health(self):
         while True:
             gevent.sleep(REPORT_PERIOD_S)
-            load = self._send_control_request('GET', '/load')
-            health = self._send_control_request('GET', '/health')
-            if load is None or health is None:
-                continue
             try:
-                report = kernel.UpstreamReport(
-                    in_flight=int(load['in_flight']),
-                    slots=int(load['slots']),
-                    healthy=bool(health['healthy']),
+                load = decoding.decode(_LOAD_DECODER, self._read('/load'))
+                health = decoding.decode(
+                    _HEALTH_DECODER, self._read('/health')
+                )
+            except (http_client.HttpError, decoding.DecodeError) as error:
+                LOG.info(
+                    'no report of the upstream', extra={'error': str(error)}
                 )
-            except (KeyError, TypeError, ValueError):
                 continue
-            self.deliver(report)
+            self.deliver(
+                kernel.UpstreamReport(
+                    in_flight=load.in_flight,
+                    slots=load.slots,
+                    healthy=health.healthy,
+                )
+            )
+
+    def _read(self, path):
+        return self._client.request(
+            'GET', path, timeout_s=CONTROL_TIMEOUT_S
+        ).body
 
     def _send_control_request(self, method, path):
-        """Return the JSON answer of the upstream; None if there is none."""
         try:
-            response = self._client.request(
-                method, path, timeout_s=CONTROL_TIMEOUT_S
+            self._client.request(method, path, timeout_s=CONTROL_TIMEOUT_S)
+        except http_client.HttpError as error:
+            LOG.info(
+                'control request failed',
+                extra={'path': path, 'error': str(error)},
             )
-            return json.loads(response.body) if response.body else {}
-        except (http_client.HttpError, ValueError):
-            return None
 
 
 def _failed_answer(effect, result):
