Take a target for alive again at its next heartbeat

A target that lives but has lost all its connections at once (a reset of connections on its VM) is taken for ended, and got no work for ten seconds. Its next heartbeat, about 1.5 s later, shows that its process lives: the record is announced with the heartbeat's number, so that all nodes give it work again. The suspicion against the requests that ran stays until they have run well.

test_heartbeat_shows_that_a_target_has_not_ended failed before. The state dump has the facts about crashes.

--- a/rosemarycrank/dataplane/_directory.py
+++ b/rosemarycrank/dataplane/_directory.py
@@ -216,6 +216,16 @@
             del self._ended_by_node[record.node]
             self._ready_by_service.pop(record.service, None)
 
+    def is_ended(self, node):
+        """Return whether the target of a node is taken for ended.
+
+        Parameters
+        ----------
+        node : str
+            Address of the node.
+        """
+        return node in self._ended_by_node
+
     def is_ready(self, node):
         """Return whether the target of a node accepts new work.
 
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -196,6 +196,7 @@
         'target': process.target_side.record,
         'load': process.target_side.load(),
         'targets': node.directory.records(),
+        'crashes': node.crash_history.facts(),
         'peers': {
             address: {
                 'reachable': peer.reachable,
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -237,7 +237,9 @@
         node.on_configuration.append(lambda _new: picker.reset())
         node.on_client_route.append(self._publish_client_route)
         self.registration = _registration.Registration(
-            settings.peer_address, self._publish_record
+            settings.peer_address,
+            self._publish_record,
+            lambda: node.directory.is_ended(settings.peer_address),
         )
         self.store = self.adapter.open_store(self.reactor)
         self.record_publisher = _discovery.RowPublisher(
--- a/rosemarycrank/dataplane/_registration.py
+++ b/rosemarycrank/dataplane/_registration.py
@@ -54,11 +54,15 @@
     on_change : callable
         Called with each new `TargetRecord`, before the heartbeat or
         withdrawal that changed it is acknowledged.
+    is_ended : callable, optional
+        Returns whether the process of the target is taken for ended. Its
+        next heartbeat shows that it lives.
     """
 
-    def __init__(self, node_address, on_change):
+    def __init__(self, node_address, on_change, is_ended=lambda: False):
         self.node_address = node_address
         self.on_change = on_change
+        self._is_ended = is_ended
         self._record = None
         self._early_withdrawal = ('', 0)
         self._last_sequence = -1
@@ -108,6 +112,7 @@
             or record.state != state
             or record.slots != heartbeat.slots
             or record.service != heartbeat.service
+            or self._is_ended()
         ):
             self._update_record(heartbeat, state)
         return True
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -2,6 +2,7 @@
 
 import json
 
+import attrs
 import gevent
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _metrics
 from rosemarycrank.dataplane import _node
+from rosemarycrank.dataplane import _registration
 from tests.dataplane import fakes
 
 OWN_ADDRESS = '10.0.0.1:7620'
@@ -230,3 +232,18 @@
     process.counters.cancelled = 7
     page = _metrics.handle_request(process, request).body
     assert b'rosemarycrank_cancelled_total 7' in page
+
+
+# Guards against a target that gets no work for ten seconds, as it was taken
+# for ended when it lost its connections.
+def test_heartbeat_shows_that_a_target_has_not_ended(process):
+    node = process.node
+    heartbeat = _registration.Heartbeat(
+        'i-1', 'archive', '10.0.0.1:8301', 'a', 8, _directory.READY, 1, 1
+    )
+    process.registration.report(heartbeat)
+    node.crash_history.record_crash('i-1', 1, [5])
+    assert not node.directory.is_ready(OWN_ADDRESS)
+    process.registration.report(attrs.evolve(heartbeat, sequence=2))
+    assert node.directory.is_ready(OWN_ADDRESS)
+    assert node.directory.records_by_node[OWN_ADDRESS].sequence == 2
