--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -216,32 +216,25 @@
 
     def _begin_requests(self):
         """Begin the requests that have been read, if their client is there."""
-        if self._is_beginning:
+        if self._is_beginning or not self._not_begun:
             return
+        reactor = self.server.reactor
         self._is_beginning = True
         try:
             while self._not_begun:
-                if self._may_have_ended():
+                read_at = self._not_begun[0].arrived_at
+                # A new connection may have waited to be accepted.
+                if self._is_new or self._paused or reactor.is_behind(read_at):
+                    self._is_new = False
                     self._catch_up()
-                if not self._not_begun:
-                    return
-                self._is_new = False
+                    if not self._not_begun:
+                        return
                 exchange = self._not_begun.popleft()
                 if exchange.response is None:
                     self.server.entry.begin(exchange)
         finally:
             self._is_beginning = False
 
-    def _may_have_ended(self):
-        """Return whether the client may have left a while ago.
-
-        A new connection may have waited to be accepted.
-        """
-        if self._is_new or self._paused:
-            return True
-        reactor = self.server.reactor
-        return reactor.is_behind(reactor.now())
-
     def _catch_up(self):
         if not self.stream.catch_up() and self.stream.peer_has_closed():
             self.close()
--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -561,8 +561,8 @@
                 break
             try:
                 payload = bytes(buffer[start : start + length])
-                frames.append(decoding.decode(_DECODER, payload))
-            except decoding.DecodeError as error:
+                frames.append(_DECODER.decode(payload))
+            except decoding.ERRORS as error:
                 raise FrameError(str(error)) from error
             position = start + length
         if position:
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -84,11 +84,11 @@
         self._has_read_all = False
 
     def catch_up(self, _number):
-        """Handle what has arrived, such as cancellations of attempts."""
-        if self._has_read_all:
-            self._handle_frames()
-        else:
+        """Handle what has arrived, if it may have cancellations."""
+        if not self._has_read_all:
             self._stream.catch_up()
+        elif any(type(frame) is _frames.Cancel for frame in self._frames):
+            self._handle_frames()
 
     def _handle_frames(self):
         while self._frames and self._stream.is_open:
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -94,8 +94,10 @@
         now : float
             Current time in seconds.
         """
-        since_tick_s = now - self.timers.now - TICK_INTERVAL_S
-        return max(since_tick_s, self._last_delay_s) > MAX_FRESH_DELAY_S
+        return (
+            self._last_delay_s > MAX_FRESH_DELAY_S
+            or now - self.timers.now > TICK_INTERVAL_S + MAX_FRESH_DELAY_S
+        )
 
     def unix_ms(self):
         """Return the time of day in Unix milliseconds; it may jump."""
@@ -185,7 +187,7 @@
         if connecting:
             self._start_write_watcher()
         else:
-            self._read_watcher.start(self._handle_readable)
+            self._read_watcher.start(self._read)
 
     def write(self, data):
         """Queue bytes to be sent.
@@ -207,7 +209,7 @@
     def resume(self):
         """Continue to read after `pause`."""
         if self.is_open and not self.is_connecting:
-            self._read_watcher.start(self._handle_readable)
+            self._read_watcher.start(self._read)
 
     def catch_up(self):
         """Read what has arrived, and pass it to the owner.
@@ -285,9 +287,6 @@
             self.close()
             self.owner.closed(error)
 
-    def _handle_readable(self):
-        self._read()
-
     def _read(self):
         """Read once; return whether there was something to read."""
         try:
@@ -323,7 +322,7 @@
                 self._close_and_report(OSError(code, 'connect failed'))
                 return
             self.is_connecting = False
-            self._read_watcher.start(self._handle_readable)
+            self._read_watcher.start(self._read)
         self._write_watcher.stop()
         self._flush()
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -259,13 +259,7 @@
         heapq.heappush(self._waiting, (priority_at, next(self._sequence), job))
 
     def _start_if_wanted(self, job, now):
-        """Start a job that counts as waiting, unless its sender gave it up."""
-        if self._is_wanted(job):
-            self._waiting_count -= 1
-            self._start(job, now)
-
-    def _is_wanted(self, job):
-        """Return whether a job may start, by what its sender has sent since.
+        """Start a job that counts as waiting, by what its sender sent since.
 
         A cancellation that has arrived may not have been read. While the
         sender has no connection it cannot cancel, so its job waits until the
@@ -281,11 +275,12 @@
         finally:
             self._is_catching_up = False
         if job.result is not None:
-            return False
+            return
         if caller.is_lost:
             caller.parked_jobs.append(job)
-            return False
-        return True
+            return
+        self._waiting_count -= 1
+        self._start(job, now)
 
     def restore_caller(self, caller, address, send, catch_up):
         """Record that a calling node has connected; see `Callers.restore`."""
--- a/rosemarycrank/decoding.py
+++ b/rosemarycrank/decoding.py
@@ -3,6 +3,10 @@
 import msgspec
 
 
+#: What a decoder raises for data that it cannot decode.
+ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+
 class DecodeError(ValueError):
     """Raised for data that cannot be decoded."""
 
@@ -25,7 +29,5 @@
     """
     try:
         return decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except ERRORS as error:
         raise DecodeError(str(error)) from error
-    except RecursionError as error:
-        raise DecodeError('nested too deeply') from error
