Take the table of targets out of the node's process

_process.py held how rows of the table are read, checked and written beside how a node is put together. Behaviour is unchanged, tests only name the new place.

--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -26,27 +26,13 @@
 from rosemarycrank.dataplane import _routes
 from rosemarycrank.dataplane import _small_server
 from rosemarycrank.dataplane import _target
+from rosemarycrank.dataplane import _target_table
 from rosemarycrank.dataplane import _upstream
 
-#: Longest delay between a change of a table and the next long poll, in
-#: seconds. Nodes that call each other exchange target records directly; a
-#: configuration has to be installed at all nodes within the 2 s that the
-#: platform's bounds leave.
-MAX_TARGETS_POLL_DELAY_S = 2.0
-
-#: Polls of the table of targets a second of all nodes together, during a
-#: series of changes, and the longest delay of one node, in seconds. Nodes in
-#: contact with others learn of changes from them.
-FLEET_POLLS_PER_S = 25.0
-MAX_FLEET_POLL_DELAY_S = 60.0
-
 #: Longest delay between a change of the configuration and the next long poll,
 #: in seconds.
 MAX_CONFIGURATION_POLL_DELAY_S = 0.5
 
-#: Prefix of the keys of rows that name the routes that clients use.
-CLIENT_ROUTE_PREFIX = 'client-route/'
-
 #: Net allocations that start a collection of the youngest objects, and the
 #: numbers of collections after which the older generations are included.
 #: Requests free their memory by reference counting, so rare collections
@@ -235,29 +221,17 @@
         )
         node.on_configuration.append(self._apply_limits)
         node.on_configuration.append(lambda _new: picker.reset())
-        node.on_client_route.append(self._publish_client_route)
         self.registration = _registration.Registration(
             settings.peer_address,
             self._publish_record,
             lambda: node.directory.is_ended(settings.peer_address),
         )
         self.store = self.adapter.open_store(self.reactor)
-        self.record_publisher = _discovery.RowPublisher(
-            self.reactor,
-            self.store,
-            settings.targets_table,
-            settings.peer_address,
-            rng,
+        self.target_table = _target_table.TargetTable(
+            self.reactor, self.store, settings.targets_table, node, rng
         )
-        self.target_follower = _discovery.TableFollower(
-            self.reactor,
-            self.store,
-            settings.targets_table,
-            self._receive_target_row,
-            rng,
-            MAX_TARGETS_POLL_DELAY_S,
-        )
-        node.has_read_directory = lambda: self.target_follower.has_read
+        node.on_client_route.append(self.target_table.publish_client_route)
+        node.has_read_directory = lambda: self.target_table.has_read
         self.cost_rows = _cost_rows.CostRows(
             self.reactor,
             self.store,
@@ -301,7 +275,7 @@
         self.node.listen(settings.peer_listen_address)
         self.clients.listen(settings.client_address)
         self.configuration_follower.start()
-        self.target_follower.start()
+        self.target_table.start()
         self.cost_rows.start()
         gevent.signal_handler(signal.SIGTERM, self.planned_stop.begin)
         gc.collect()
@@ -328,25 +302,13 @@
         return (
             not self.planned_stop.has_begun
             and self.node.configuration is not None
-            and (
-                self.target_follower.has_read or self.node.knows_other_nodes()
-            )
+            and (self.target_table.has_read or self.node.knows_other_nodes())
             and self.node.is_informed()
         )
 
     def _publish_record(self, record):
         self.node.announce(record)
-        self.record_publisher.publish(_node.encode_record(record))
-
-    def _publish_client_route(self, route):
-        row = _discovery.StoredRow(CLIENT_ROUTE_PREFIX + route, 0, b'{}')
-        self.store.write(
-            self.settings.targets_table,
-            row,
-            lambda reply: _LOG.debug(
-                'client route %s published: %s', route, reply.kind.value
-            ),
-        )
+        self.target_table.publish(record)
 
     def _is_costs_writer(self):
         """Return whether this node stores the costs of its service.
@@ -361,46 +323,6 @@
     def _apply_limits(self, configuration):
         self.clients.limits = configuration.limits
 
-    def _adapt_polls(self):
-        """Let the store carry the polls of many nodes."""
-        delay_s = MAX_TARGETS_POLL_DELAY_S
-        if self.node.is_in_contact():
-            node_count = len(self.node.directory.records_by_node)
-            delay_s = max(
-                delay_s,
-                min(MAX_FLEET_POLL_DELAY_S, node_count / FLEET_POLLS_PER_S),
-            )
-        self.target_follower.max_poll_delay_s = delay_s
-        self.target_follower.max_reread_delay_s = (
-            delay_s - MAX_TARGETS_POLL_DELAY_S
-        )
-
-    def _receive_target_row(self, row):
-        self._adapt_polls()
-        self.record_publisher.receive_row(row)
-        if row.key == self.settings.peer_address:
-            return
-        if row.key.startswith(CLIENT_ROUTE_PREFIX):
-            route = row.key.removeprefix(CLIENT_ROUTE_PREFIX)
-            self.node.add_client_route(route)
-            return
-        if row.value is None:
-            self.node.directory.remove(row.key)
-            return
-        try:
-            record = _node.decode_record(row.value)
-            if record.node != row.key:
-                raise ValueError(f'record of node {record.node!r}')
-        except ValueError as error:
-            _LOG.warning(
-                'invalid target record in row %s ignored: %s',
-                row.key,
-                error,
-                extra={'event': 'row_invalid', 'version': row.version},
-            )
-            return
-        self.node.merge(record)
-
     def _receive_configuration_row(self, row):
         if row.key == self.settings.configuration_key and row.value:
             self.node.install(row.value, f'store at {row.version}')
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -108,7 +108,7 @@
 def test_node_is_ready_once_it_has_met_another_one(process):
     process.node.install(b'{}', 'test')
     process.node.merge(record_of(OTHER_ADDRESS))
-    process.target_follower.has_read = True
+    process.target_table.follower.has_read = True
     assert not process.ready()
     process.node.receive_hello(fakes.hello(), fakes.RecordingPeer())
     assert process.ready()
@@ -118,7 +118,7 @@
 def test_node_that_meets_no_other_one_is_ready_after_a_time(process):
     process.node.install(b'{}', 'test')
     process.node.merge(record_of(OTHER_ADDRESS))
-    process.target_follower.has_read = True
+    process.target_table.follower.has_read = True
     process.node._started_at -= _node.INFORMATION_TIMEOUT_S
     assert process.ready()
 
@@ -126,7 +126,7 @@
 def test_only_node_is_ready_once_the_table_is_read(process):
     process.node.install(b'{}', 'test')
     process.node.announce(record_of(OWN_ADDRESS))
-    process.target_follower.has_read = True
+    process.target_table.follower.has_read = True
     assert process.ready()
 
 
@@ -139,7 +139,7 @@
 # names an address that is none.
 def test_record_with_a_malformed_address_is_ignored(process, caplog):
     value = _node.encode_record(record_of('nowhere'))
-    process._receive_target_row(_discovery.StoredRow('nowhere', 1, value))
+    process.target_table.receive_row(_discovery.StoredRow('nowhere', 1, value))
     assert not process.node.directory.records()
     assert [r.event for r in caplog.records] == ['row_invalid']
 
@@ -188,7 +188,7 @@
     calls = []
     process.store.read = lambda table, on_reply: calls.append(on_reply)
     process.store.follow = lambda table, after, *_: calls.append(after)
-    process.target_follower.start()
+    process.target_table.follower.start()
     calls[0](_discovery.StoreReply(_discovery.ReplyKind.OK, rows, 7))
     gevent.sleep(0.05)
     assert process.node.directory.records() == [other]
@@ -207,20 +207,20 @@
     monkeypatch.setattr(process.node, 'is_in_contact', lambda: True)
     for number in range(count):
         record = record_of(f'10.1.0.{number}:7620')
-        process._receive_target_row(
+        process.target_table.receive_row(
             _discovery.StoredRow(record.node, 1, _node.encode_record(record))
         )
-    delay_of_last_s = process.target_follower.max_poll_delay_s
+    delay_of_last_s = process.target_table.follower.max_poll_delay_s
     assert delay_of_last_s == pytest.approx(delay_s, abs=0.1)
 
 
 def test_polls_stay_frequent_without_contact_to_other_nodes(process):
     for number in range(200):
         record = record_of(f'10.1.0.{number}:7620')
-        process._receive_target_row(
+        process.target_table.receive_row(
             _discovery.StoredRow(record.node, 1, _node.encode_record(record))
         )
-    assert process.target_follower.max_poll_delay_s == 2.0
+    assert process.target_table.follower.max_poll_delay_s == 2.0
 
 
 # Guards against a metrics page that fails after its first reading: the
--- a/tests/test_recorded_files.py
+++ b/tests/test_recorded_files.py
@@ -19,7 +19,7 @@
 from rosemarycrank.bundles import _pollers
 from rosemarycrank.bundles import _table as bundle_table
 from rosemarycrank.dataplane import _frames
-from rosemarycrank.dataplane import _process
+from rosemarycrank.dataplane import _target_table
 from rosemarycrank import kernel
 from rosemarycrank import keys
 from rosemarycrank.ledger import _closing
@@ -189,7 +189,7 @@
         'costs table': _names.COSTS_TABLE,
         'configuration table': _names.OPERATOR_TABLE,
         'configuration key': _names.CONFIGURATION_KEY,
-        'client route prefix': _process.CLIENT_ROUTE_PREFIX,
+        'client route prefix': _target_table.CLIENT_ROUTE_PREFIX,
     }
 
 
