Keep in the store which requests are refused after crashes

Each node keeps a row about the crashes that it has seen, with the requests that are refused for them: small, written when a request has crashed a second target, and when it has run well. All nodes read these rows with the table of targets, before they are ready, so no further call is needed.

--- a/rosemarycrank/dataplane/_crash_history.py
+++ b/rosemarycrank/dataplane/_crash_history.py
@@ -101,6 +101,7 @@
         self._crashes_by_start = {}
         self._crashes_by_suspect = {}
         self._repeat_suspects = set()
+        self._own_starts = set()
 
     def __len__(self):
         return len(self._crashes_by_start)
@@ -127,6 +128,7 @@
         list of rosemarycrank.dataplane.Crash
             The facts that were new.
         """
+        self._own_starts.add((instance, born_ms))
         suspects = list(dict.fromkeys(digests))[:MAX_REQUESTS_IN_CRASH]
         at_ms = self._reactor.unix_ms()
         crash = _frames.Crash(instance, born_ms, at_ms, suspects, [])
@@ -287,6 +289,31 @@
             for crash in self._crashes_by_start.values()
         ]
 
+    def lasting_facts(self):
+        """Return the facts that this node has to keep in the store.
+
+        They are about crashes that it has seen, and name the requests that
+        are refused for them, or will be once another node's facts are added.
+
+        Returns
+        -------
+        list of rosemarycrank.dataplane.Crash
+        """
+        facts = []
+        for start in sorted(self._own_starts):
+            crash = self._crashes_by_start.get(start)
+            if crash is None:
+                continue
+            refused = self._repeat_suspects & crash.suspects - crash.cleared
+            if refused:
+                facts.append(_fact(crash, refused, ()))
+        return facts
+
+    def merge_own(self, crashes):
+        """Add facts that an earlier process of this node has kept."""
+        self._own_starts.update((c.instance, c.born_ms) for c in crashes)
+        self.merge(crashes)
+
     def suspicions(self, digest=None):
         """Return the facts by which requests are under suspicion.
 
--- a/rosemarycrank/dataplane/_target_table.py
+++ b/rosemarycrank/dataplane/_target_table.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from rosemarycrank.dataplane import _crash_rows
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _node
 
@@ -50,6 +51,9 @@
         self._publisher = _discovery.RowPublisher(
             reactor, store, table, node.address, random
         )
+        self._crash_rows = _crash_rows.CrashRows(
+            reactor, store, table, node.address, node.crash_history, random
+        )
         self.follower = _discovery.TableFollower(
             reactor, store, table, self.receive_row, random, MAX_POLL_DELAY_S
         )
@@ -93,6 +97,8 @@
         if row.key.startswith(CLIENT_ROUTE_PREFIX):
             route = row.key.removeprefix(CLIENT_ROUTE_PREFIX)
             self._node.add_client_route(route)
+        elif row.key.startswith(_crash_rows.KEY_PREFIX):
+            self._crash_rows.receive_row(row)
         elif row.value is None:
             self._node.directory.remove(row.key)
         else:
--- a/tests/test_recorded_files.py
+++ b/tests/test_recorded_files.py
@@ -18,6 +18,7 @@
 from rosemarycrank.bundles import _document
 from rosemarycrank.bundles import _pollers
 from rosemarycrank.bundles import _table as bundle_table
+from rosemarycrank.dataplane import _crash_rows
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _target_table
 from rosemarycrank import kernel
@@ -190,6 +191,7 @@
         'configuration table': _names.OPERATOR_TABLE,
         'configuration key': _names.CONFIGURATION_KEY,
         'client route prefix': _target_table.CLIENT_ROUTE_PREFIX,
+        'crash rows prefix': _crash_rows.KEY_PREFIX,
     }
 
 
