--- a/rosemarycrank/calls/_outgoing.py
+++ b/rosemarycrank/calls/_outgoing.py
@@ -5,9 +5,9 @@
 import attrs
 
 from rosemarycrank.calls import _call
+from rosemarycrank.calls import _cancellations
 from rosemarycrank.calls import _refusals
 from rosemarycrank import kernel
-from rosemarycrank import messages
 from rosemarycrank import results
 
 
@@ -54,6 +54,7 @@
         self._by_id = {}
         self._awaiting_clock_by_address = {}
         self._sequence = itertools.count(1)
+        self._cancellations = _cancellations.Cancellations(context)
 
     def __len__(self):
         return len(self._by_id)
@@ -113,9 +114,10 @@
             None if no such attempt is open.
         """
         outgoing = self._by_id.get(attempt_id)
-        if outgoing is None or outgoing.target.address != address:
+        if outgoing is None:
+            self._cancellations.confirm(attempt_id)
             return None
-        return outgoing
+        return outgoing if outgoing.target.address == address else None
 
     def open_at(self, address):
         """Return the list of the open attempts at a node."""
@@ -202,8 +204,8 @@
         self._close(outgoing, None)
         if outgoing.sent:
             outgoing.call.may_have_run = True
-            self.context.send(
-                outgoing.target.address, messages.Cancel(outgoing.attempt_id)
+            self._cancellations.send(
+                outgoing.target.address, outgoing.attempt_id
             )
 
     def _close(self, outgoing, reply):
