--- a/rosemarycrank/node/_kernel_task.py
+++ b/rosemarycrank/node/_kernel_task.py
@@ -23,6 +23,13 @@
     function: object
     result: event.AsyncResult
 
+    def run(self):
+        """Call the function; its result or error goes to the caller."""
+        try:
+            self.result.set(self.function())
+        except Exception as error:
+            self.result.set_exception(error)
+
 
 class KernelTask:
     """Runs a kernel in its own greenlet.
@@ -35,7 +42,7 @@
     Attributes
     ----------
     errors_ : int
-        Number of events and functions that raised an exception.
+        Number of events and effects that raised an exception.
     """
 
     def __init__(self, node_kernel):
@@ -98,7 +105,9 @@
         Raises
         ------
         gevent.Timeout
-            If the function raises or does not return in time.
+            If the function does not return in time.
+        Exception
+            What the function raises.
         """
         call = _FunctionCall(function, event.AsyncResult())
         self._queue.put(call)
@@ -139,7 +148,7 @@
             if item is None:
                 effects = self.kernel.advance(now)
             elif isinstance(item, _FunctionCall):
-                item.result.set(item.function())
+                item.run()
                 effects = self.kernel.context.take_effects()
             else:
                 effects = self.kernel.handle(item, now)
@@ -153,4 +162,15 @@
             )
             effects = self.kernel.context.take_effects()
         for effect in effects:
+            self._execute(effect)
+
+    def _execute(self, effect):
+        try:
             self._executors_by_type[type(effect)](effect)
+        except Exception:
+            # The others may be answers and messages to other nodes.
+            self.errors_ += 1
+            LOG.exception(
+                'executing an effect failed',
+                extra={'effect': repr(effect)[:200]},
+            )
