Correct admission by how long calls of each rank wait at a target

Requests of the least important kind were admitted in a shortage, and most of them failed: their calls waited behind all others, one after the other, until their time was up. The queue did not grow by that, as a request that waits makes no further calls, so the share to shed, which is worked out from queue and estimated costs, stayed too small; with wrong costs nearly all failed.

The node beside the target follows the wait of the calls of each rank, and reports a factor for it: it falls while calls wait for longer than a seventh of their goal, or are refused for want of room, and rises while they do not, above 1 while slots are free. Entry nodes multiply what they admit of a route by the factor of its rank. The integration is at the target's node, so that entry nodes do not drift apart. Frames of earlier builds are understood in both directions.

--- a/rosemarycrank/dataplane/_frames.py
+++ b/rosemarycrank/dataplane/_frames.py
@@ -176,10 +176,13 @@
         Fraction of the service's load that entry nodes have to shed.
     age_s : float
         Seconds since the nodes of the service's targets last reported.
+    factor_by_rank : dict of int to float
+        See `Load`.
     """
 
     share: float
     age_s: float
+    factor_by_rank: dict[int, float] = {}
 
 
 class Load(msgspec.Struct, array_like=True):
@@ -199,6 +202,9 @@
         the entry nodes.
     pressures : dict of str to Pressure
         Overloaded services that the node knows about.
+    factor_by_rank : dict of int to float
+        Factors by which the requests that are admitted are to be multiplied,
+        by the rank of their calls; 1 if not named.
     """
 
     running: int
@@ -209,6 +215,7 @@
     demand_per_s: float = 0.0
     admitted_per_s: float = 0.0
     pressures: dict[str, Pressure] = {}
+    factor_by_rank: dict[int, float] = {}
 
 
 class Crash(msgspec.Struct, array_like=True, frozen=True):
--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -9,6 +9,8 @@
 import abc
 import logging
 
+import attrs
+
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _pressure
 from rosemarycrank import plugins
@@ -151,6 +153,25 @@
         return {}
 
 
+@attrs.frozen
+class _Shortage:
+    """What the targets of a service report of their overload.
+
+    Attributes
+    ----------
+    share : float
+        Share of the load to shed.
+    factor_by_rank : dict of int to float
+        Factors for the requests that are admitted then, by rank.
+    reported_at : float
+        Time of the report, in seconds of the node's clock.
+    """
+
+    share: float
+    factor_by_rank: dict
+    reported_at: float
+
+
 class _RouteDemand:
     """Request rate and shed share of one route to one service."""
 
@@ -208,8 +229,10 @@
         """Store the pressure on a service if it is newer than the stored."""
         reported_at = now - pressure.age_s
         relayed = self._relayed_by_service.get(service)
-        if relayed is None or reported_at > relayed[1]:
-            self._relayed_by_service[service] = (pressure.share, reported_at)
+        if relayed is None or reported_at > relayed.reported_at:
+            self._relayed_by_service[service] = _Shortage(
+                pressure.share, pressure.factor_by_rank, reported_at
+            )
 
     def demands(self):
         """Return the calls that this node's clients cause, by service."""
@@ -247,11 +270,13 @@
     def pressures(self, now):
         """Return the `Pressure` of overloaded services, by service."""
         return {
-            service: _frames.Pressure(share, now - reported_at)
-            for service, (share, reported_at) in self._current_shares(
-                now
-            ).items()
-            if share > 0.0
+            service: _frames.Pressure(
+                shortage.share,
+                now - shortage.reported_at,
+                shortage.factor_by_rank,
+            )
+            for service, shortage in self._current_shortages(now).items()
+            if shortage.share > 0.0 or shortage.factor_by_rank
         }
 
     def update(self, now):
@@ -279,33 +304,33 @@
             demand.refused_share = 0.0
             if demand.offered_per_s < 1e-3:
                 del self._demands_by_key[key]
-        for service, (share, _) in self._current_shares(now).items():
-            if share > 0.0:
-                self._shed(service, share)
-            self._log_share(service, share)
+        for service, shortage in self._current_shortages(now).items():
+            if shortage.share > 0.0 or shortage.factor_by_rank:
+                self._shed(service, shortage)
+            self._log_share(service, shortage.share)
 
-    def _current_shares(self, now):
-        """Return the share to shed and the time of its reports, by service.
+    def _current_shortages(self, now):
+        """Return the `_Shortage` of each service that is reported on.
 
-        A share computed from reports of the service's own targets takes
-        precedence over a share relayed by another node.
+        One computed from reports of the service's own targets takes
+        precedence over one relayed by another node.
         """
-        shares = {}
+        shortages = {}
         for service, direct in self._direct_by_service.items():
             reported_at = direct.last_report_at()
             if (
                 reported_at is not None
                 and now - reported_at <= MAX_REPORT_AGE_S
             ):
-                shares[service] = (direct.share, reported_at)
-        for service, (share, reported_at) in list(
-            self._relayed_by_service.items()
-        ):
-            if now - reported_at > MAX_REPORT_AGE_S:
+                shortages[service] = _Shortage(
+                    direct.share, direct.factor_by_rank, reported_at
+                )
+        for service, relayed in list(self._relayed_by_service.items()):
+            if now - relayed.reported_at > MAX_REPORT_AGE_S:
                 del self._relayed_by_service[service]
-            elif service not in shares:
-                shares[service] = (share, reported_at)
-        return shares
+            elif service not in shortages:
+                shortages[service] = relayed
+        return shortages
 
     def _log_share(self, service, share):
         logged_share = self._logged_share_by_service.get(service, 0.0)
@@ -341,7 +366,7 @@
             },
         )
 
-    def _shed(self, service, share):
+    def _shed(self, service, shortage):
         """Shed a share of the calls that clients cause at a service."""
         candidates = []
         for demand in self._demands_by_key.values():
@@ -352,7 +377,7 @@
         total_per_s = sum(
             calls * demand.offered_per_s for _, calls, demand in candidates
         )
-        excess_per_s = share * total_per_s
+        excess_per_s = shortage.share * total_per_s
         candidates.sort(key=lambda candidate: candidate[:2], reverse=True)
         shed_shares = dict.fromkeys(
             (
@@ -372,6 +397,8 @@
                 )
                 shed_shares[key] += shed_per_s / load_per_s
                 excess_per_s -= shed_per_s
-        for _, _, demand in candidates:
+        for priority, _, demand in candidates:
             key = (demand.route.name, demand.service)
-            demand.refused_share = max(demand.refused_share, shed_shares[key])
+            factor = shortage.factor_by_rank.get(int(priority), 1.0)
+            admitted = min(1.0, factor * (1.0 - shed_shares[key]))
+            demand.refused_share = max(demand.refused_share, 1.0 - admitted)
--- a/rosemarycrank/dataplane/_pressure.py
+++ b/rosemarycrank/dataplane/_pressure.py
@@ -130,11 +130,14 @@
         Share of the offered load to shed, from 0 to `MAX_SHED_SHARE`.
     offered_per_s : float
         Estimate of the calls per second that would arrive without shedding.
+    factor_by_rank : dict of int to float
+        Means of the factors that the targets report; see `Load`.
     """
 
     def __init__(self):
         self.share = 0.0
         self.offered_per_s = 0.0
+        self.factor_by_rank = {}
         self._calibration_factor = 1.0
         self._updated_at = None
         self._reports_by_node = {}
@@ -208,6 +211,7 @@
                 waiting += load.waiting
                 expected = max(expected, load.demand_per_s)
                 admitted = max(admitted, load.admitted_per_s)
+        self.factor_by_rank = self._mean_factors()
         if not self._reports_by_node:
             self.share = 0.0
             return
@@ -237,6 +241,15 @@
         if self.share < 0.005:
             self.share = 0.0
 
+    def _mean_factors(self):
+        loads = [load for load, _ in self._reports_by_node.values()]
+        ranks = {rank for load in loads for rank in load.factor_by_rank}
+        return {
+            rank: sum(load.factor_by_rank.get(rank, 1.0) for load in loads)
+            / len(loads)
+            for rank in ranks
+        }
+
     def _estimate_offered(self, arrivals, expected, admitted, elapsed_s):
         """Return the calls per second that would arrive without shedding.
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -19,6 +19,7 @@
 from rosemarycrank.dataplane import _limit
 from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _pressure
+from rosemarycrank.dataplane import _rank_waits
 from rosemarycrank.dataplane import _rate_limit
 from rosemarycrank.dataplane import _run_limits
 from rosemarycrank.dataplane import _self_calls
@@ -32,14 +33,20 @@
 RATE_UPDATE_INTERVAL_S = 0.1
 
 #: Delay in the queue that one rank is worth, in seconds: an attempt precedes
-#: those of the next lower rank that arrived up to this much earlier. It
-#: exceeds the usual time in the queue, so that the most important attempts
-#: hardly wait, and is short enough to prevent starvation.
-RANK_DELAY_S = 0.5
+#: those of the next lower rank that arrived up to this much earlier. Usually
+#: it is short, as attempts of each rank belong to requests that were
+#: admitted. While the most important ones wait too long, it exceeds the usual
+#: time in the queue, and is short enough to prevent starvation.
+RANK_DELAY_S = 0.01
+OVERLOAD_RANK_DELAY_S = 0.5
 
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _UNKNOWN = int(_frames.Outcome.UNKNOWN)
+_NO_ROOM_REASONS = (
+    _frames.Reason.QUEUE_FULL,
+    _frames.Reason.QUEUE_EXPIRED,
+)
 
 
 class TargetSide:
@@ -80,6 +87,8 @@
         Limit on the attempts that run at once.
     rate_limit : RateLimit
         Limit on the attempts that start per second.
+    rank_waits : RankWaits
+        Corrections of admission by the waits of calls.
     callers : Callers
         Calling nodes and their attempts.
     suspect_runs : SuspectRuns
@@ -105,6 +114,7 @@
         self.stopping = False
         self.limit = _limit.ConcurrencyLimit()
         self.rate_limit = _rate_limit.RateLimit()
+        self.rank_waits = _rank_waits.RankWaits()
         self.callers = _callers.Callers(reactor)
         self.suspect_runs = _suspect_runs.SuspectRuns(
             _crash_history.CrashHistory(reactor),
@@ -179,6 +189,7 @@
             self.arrivals.per_s,
             *self._demand_per_s,
             self.pressures,
+            self.rank_waits.factors(),
         )
 
     def _reported_capacity(self):
@@ -382,14 +393,12 @@
             return _frames.Reason.LEAVING
         return None
 
-    @staticmethod
-    def _priority_at(attempt, now):
+    def _priority_at(self, attempt, now):
         """Return the sort key of an attempt in the queue; lowest is first."""
-        return (
-            now
-            + attempt.soft_deadline_ms / 1000.0
-            + RANK_DELAY_S * attempt.rank
-        )
+        delay_s = RANK_DELAY_S
+        if self.rank_waits.has_urgent_excess:
+            delay_s = OVERLOAD_RANK_DELAY_S
+        return now + attempt.soft_deadline_ms / 1000.0 + delay_s * attempt.rank
 
     def _start(self, job, now):
         attempt = job.attempt
@@ -400,6 +409,7 @@
         self._running.add(job)
         self._self_calls.record_start(job)
         self.rate_limit.record_start(now)
+        self.rank_waits.record_start(attempt.rank)
         connection = self.pool.acquire(attempt.idempotent)
         job.connection = connection
         remaining_ms = max(1, int((job.deadline_at - now) * 1000.0))
@@ -522,6 +532,8 @@
             body,
             self.load(),
         )
+        if reason in _NO_ROOM_REASONS:
+            self.rank_waits.record_refusal(attempt.rank)
         if outcome != _COMPLETE:
             self.counters.target_failures_by_reason[int(reason)] += 1
             self._ended_attempts.log(job, outcome, reason, status)
@@ -668,6 +680,11 @@
     def _update_rates(self, now):
         self.arrivals.update(now)
         self._demand_per_s = self.demand.total_per_s(now)
+        self.rank_waits.update(
+            now,
+            [job for _, _, job in self._waiting if job.result is None],
+            len(self._running) < self.limit.value,
+        )
         # Sent until the next update, so the ages are those at its time.
         # Otherwise nodes that relay a report to each other keep it recent.
         self.pressures = self.front.pressures(now + RATE_UPDATE_INTERVAL_S)
--- a/tests/dataplane/test_front.py
+++ b/tests/dataplane/test_front.py
@@ -69,14 +69,15 @@
     return _front.AdmitByCost(costs, _one_target)
 
 
-def _admitted_shares(front, share, seconds=10.0, rate=100):
+def _admitted_shares(front, share, seconds=10.0, rate=100, factors=None):
     """Return the admitted share of each route in the second half."""
     offered = {'read': 0, 'pay': 0, 'list': 0}
     admitted = dict(offered)
     steps = int(seconds * rate)
     for step in range(steps):
         now = step / rate
-        front.receive_pressure('leaf', _frames.Pressure(share, 0.0), now)
+        pressure = _frames.Pressure(share, 0.0, factors or {})
+        front.receive_pressure('leaf', pressure, now)
         if step % 10 == 0:
             front.update(now)
         for route, service in (
@@ -97,6 +98,37 @@
     assert shares['read'] == pytest.approx(0.5, abs=0.05)
 
 
+# Guards against requests that are admitted although their calls wait in vain.
+@pytest.mark.parametrize('share', [0.0, 0.25])
+def test_route_whose_calls_wait_is_shed_further(front, costs, share):
+    before = _admitted_shares(front, share)
+    other = _front.AdmitByCost(costs, _one_target)
+    after = _admitted_shares(other, share, factors={2: 0.5})
+    assert after['read'] == pytest.approx(0.5 * before['read'], abs=0.02)
+    assert (after['pay'], after['list']) == (1.0, 1.0)
+
+
+def test_route_whose_calls_find_free_slots_is_shed_less(front, costs):
+    before = _admitted_shares(front, 0.25)
+    other = _front.AdmitByCost(costs, _one_target)
+    after = _admitted_shares(other, 0.25, factors={0: 2.0, 2: 1.5})
+    assert after['read'] == pytest.approx(1.5 * before['read'], abs=0.02)
+
+
+def test_factors_are_relayed(costs):
+    now = 1.0
+    near, far = [_front.AdmitByCost(costs, _one_target) for _ in range(2)]
+    load = _frames.Load(0, 0, 10, 0.05, factor_by_rank={2: 0.5})
+    near.receive_load('leaf', 'n1', load, now)
+    near.update(now)
+    (pressure,) = near.pressures(now).values()
+    far.receive_pressure('leaf', pressure, now)
+    far.update(now)
+    far.admit(READ, 'archive')
+    far.update(now + 0.1)
+    assert far.refused_share(READ, 'archive') == pytest.approx(0.5)
+
+
 def test_route_that_does_not_call_the_service_is_not_shed(front):
     assert _admitted_shares(front, 0.6)['list'] == 1.0
     assert _admitted_shares(front, 0.9)['list'] == 1.0
--- a/tests/test_recorded_formats.py
+++ b/tests/test_recorded_formats.py
@@ -204,6 +204,13 @@
 
 #: Frames as builds encode them that do not have the last fields yet; these
 #: have their defaults then.
+
+
+def _frame(cls):
+    (frame,) = [frame for frame in FRAMES if type(frame) is cls]
+    return frame
+
+
 EARLIER_FRAMES = [
     (
         'Hello before features',
@@ -233,6 +240,9 @@
         'Pong before crashes',
         msgspec.structs.replace(FRAMES[5], crash_digest=0),
     ),
+    ('Result before factors', _frame(_frames.Result)),
+    ('Pong before factors', _frame(_frames.Pong)),
+    ('LoadReport before factors', _frame(_frames.LoadReport)),
 ]
 
 #: Types of the values in JSON, by name of the recorded item.
@@ -277,7 +287,20 @@
     encoded = _frames.encode(frame)
     values = msgspec.msgpack.decode(encoded[_frames._LENGTH.size :])
     earlier = msgspec.msgpack.decode(recorded[_frames._LENGTH.size :])
-    assert values[: len(earlier)] == earlier
+    assert _begins_with(values, earlier)
+
+
+def _begins_with(values, earlier):
+    """Return whether arrays begin with others, at each level."""
+    if isinstance(earlier, dict):
+        return values.keys() == earlier.keys() and all(
+            _begins_with(values[key], value) for key, value in earlier.items()
+        )
+    if not isinstance(earlier, list):
+        return values == earlier
+    return len(values) >= len(earlier) and all(
+        map(_begins_with, values, earlier)
+    )
 
 
 def test_no_frame_is_expected_that_this_build_cannot_read():
