--- a/rosemarycrank/dataplane/_front.py
+++ b/rosemarycrank/dataplane/_front.py
@@ -29,7 +29,7 @@
 #: more precisely.
 MIN_CALLS_PER_REQUEST = 0.5
 
-#: Minimum change of a shed share that is logged.
+#: Minimum change of a shed share, or of a factor, that is logged.
 MIN_LOGGED_CHANGE = 0.1
 
 #: Maximum share of a route's requests that is shed: in the first pass, which
@@ -171,6 +171,22 @@
     factor_by_rank: dict
     reported_at: float
 
+    def differs_from(self, other):
+        """Return whether the difference is worth a line of the log."""
+        if self.share == 0.0 and other.share > 0.0:
+            return True
+        ranks = self.factor_by_rank.keys() | other.factor_by_rank.keys()
+        changes = [
+            self.factor_by_rank.get(rank, 1.0)
+            - other.factor_by_rank.get(rank, 1.0)
+            for rank in ranks
+        ]
+        changes.append(self.share - other.share)
+        return max(map(abs, changes)) >= MIN_LOGGED_CHANGE
+
+
+_NO_SHORTAGE = _Shortage(0.0, {}, 0.0)
+
 
 class _RouteDemand:
     """Request rate and shed share of one route to one service."""
@@ -209,7 +225,7 @@
         self._relayed_by_service = {}
         self._demands_by_key = {}
         self._updated_at = None
-        self._logged_share_by_service = {}
+        self._logged_by_service = {}
 
     def receive_load(self, service, reporter, load, now):
         """Store the load of a target, as reported by the target's node."""
@@ -307,7 +323,7 @@
         for service, shortage in self._current_shortages(now).items():
             if shortage.share > 0.0 or shortage.factor_by_rank:
                 self._shed(service, shortage)
-            self._log_share(service, shortage.share)
+            self._log_shortage(service, shortage)
 
     def _current_shortages(self, now):
         """Return the `_Shortage` of each service that is reported on.
@@ -332,20 +348,19 @@
                 shortages[service] = relayed
         return shortages
 
-    def _log_share(self, service, share):
-        logged_share = self._logged_share_by_service.get(service, 0.0)
-        if abs(share - logged_share) < MIN_LOGGED_CHANGE and (
-            share > 0.0 or not logged_share
-        ):
+    def _log_shortage(self, service, shortage):
+        known = self._logged_by_service.get(service, _NO_SHORTAGE)
+        if not shortage.differs_from(known):
             return
-        self._logged_share_by_service[service] = share
+        self._logged_by_service[service] = shortage
         direct = self._direct_by_service.get(service)
         _LOG.info(
             'load shedding for service %s: share is now %.2f',
             service,
-            share,
+            shortage.share,
             extra={
                 'event': 'pressure',
+                'factor_by_rank': shortage.factor_by_rank,
                 'offered_per_s': round(direct.offered_per_s, 1)
                 if direct
                 else None,
