Refuse requests under which upstreams crash on the product's own path

When an answer is lost, the node asks with a further connection whether the upstream's process has ended. All requests that ran then are under suspicion; one under which two upstreams have crashed is refused at once with the new code 308, not run unless this request has run, for 60 s, four times as long after each further crash. A good run lifts the suspicion of one crash. The nodes of the failure domain, the targets of the service and the entry nodes that have called are told before the reply to the attempt is sent. Bounded memory; log lines and counters.

--- a/rosemarycrank/calls/_accepted.py
+++ b/rosemarycrank/calls/_accepted.py
@@ -4,6 +4,7 @@
 
 from rosemarycrank import admission
 from rosemarycrank.calls import _allowance
+from rosemarycrank.calls import _crash_suspects
 from rosemarycrank.calls import _path_levels
 from rosemarycrank import messages
 
@@ -16,7 +17,8 @@
     token back with its nested calls. ``started_at`` is the local time in
     seconds at which the upstream was called; None while the attempt is
     queued. ``threshold_below`` is the lowest shedding threshold among the
-    services that the upstream has called for this attempt.
+    services that the upstream has called for this attempt. ``digest`` stands
+    for the request and all that are like it.
     """
 
     sender: str
@@ -27,6 +29,7 @@
     started_at: float | None = None
     cancelled: bool = False
     threshold_below: float = _path_levels.NO_THRESHOLD
+    digest: str = ''
 
 
 def make_accepted(context, sender, message):
@@ -57,4 +60,5 @@
         ),
         token=f'{context.random.getrandbits(128):032x}',
         allowance=_allowance.Allowance(message.context.allowance),
+        digest=_crash_suspects.digest_of(message),
     )
--- a/rosemarycrank/calls/_call.py
+++ b/rosemarycrank/calls/_call.py
@@ -17,7 +17,8 @@
     in-flight token of the attempt at the local upstream for which this call
     is made, or empty. ``threshold`` is the lowest shedding threshold in the
     last reply: that of the target or of the services downstream of it.
-    ``may_have_run`` is set once an attempt has an unknown outcome.
+    ``may_have_run`` is set once an attempt has an unknown outcome. ``digest``
+    stands for the request and all that are like it.
     """
 
     request: object
@@ -38,6 +39,7 @@
     attempt: object = None
     deadline_timer: object = None
     done: bool = False
+    digest: str = ''
 
     @property
     def shed_score(self):
--- a/rosemarycrank/calls/_entry.py
+++ b/rosemarycrank/calls/_entry.py
@@ -5,6 +5,7 @@
 from rosemarycrank.calls import _attempt_checks
 from rosemarycrank.calls import _attempt_sender
 from rosemarycrank.calls import _call
+from rosemarycrank.calls import _crash_suspects
 from rosemarycrank.calls import _discovery
 from rosemarycrank.calls import _early_refusals
 from rosemarycrank.calls import _outgoing
@@ -130,6 +131,13 @@
         if retry_after_s > 0.0:
             self._refuse_early(call, retry_after_s)
             return
+        suspects = self.target_calls.crash_suspects
+        call.digest = _crash_suspects.digest_of(call.request)
+        refused_for_s = suspects.refused_for_s(call.digest)
+        if refused_for_s > 0.0:
+            self.context.count('entry.crash_suspects')
+            call.finish(self._refuse_suspect(call, refused_for_s))
+            return
         self._calls.add(call)
         call.deadline_timer = self.context.timers.after(
             max(0.0, call.deadline - self.context.now),
@@ -160,6 +168,16 @@
             attrs.evolve(answer, allowance_left=call.allowance.remaining)
         )
 
+    def _refuse_suspect(self, call, refused_for_s):
+        answer = _refusals.make_refusal(
+            self.context, results.Result.CRASH_SUSPECT, refused_for_s
+        )
+        return attrs.evolve(answer, allowance_left=call.allowance.remaining)
+
+    def _is_crash_suspect(self, call):
+        suspects = self.target_calls.crash_suspects
+        return suspects.refused_for_s(call.digest) > 0.0
+
     def _cancel_nested(self, parent_token):
         for call in self._calls.nested(parent_token):
             self.cancel(call)
@@ -216,6 +234,10 @@
         outcome = answer.result.outcome
         if outcome is results.Outcome.COMPLETE:
             another_follows = False
+        elif self._is_crash_suspect(call):
+            # It would end another upstream.
+            call.may_have_run |= outcome is results.Outcome.UNKNOWN
+            another_follows = False
         elif outcome is results.Outcome.NOT_RUN:
             call.last_refusal = answer
             another_follows = self._retries.allow_after_refusal(
--- a/rosemarycrank/calls/_retries.py
+++ b/rosemarycrank/calls/_retries.py
@@ -14,7 +14,9 @@
 )
 
 #: Refusals after which another attempt could not succeed either.
-_FINAL_REFUSALS = frozenset({results.Result.DEADLINE_TOO_SHORT})
+_FINAL_REFUSALS = frozenset(
+    {results.Result.CRASH_SUSPECT, results.Result.DEADLINE_TOO_SHORT}
+)
 
 #: Maximum number of redirects of one call that spend no retry.
 MAX_FREE_REDIRECTS = 4
--- a/rosemarycrank/calls/_target.py
+++ b/rosemarycrank/calls/_target.py
@@ -7,6 +7,7 @@
 from rosemarycrank import admission
 from rosemarycrank import bundles
 from rosemarycrank.calls import _accepted
+from rosemarycrank.calls import _crash_suspects
 from rosemarycrank.calls import _local_upstream
 from rosemarycrank.calls import _replies
 from rosemarycrank.calls import _reply_cache
@@ -22,6 +23,9 @@
 #: upstream that has stopped, in seconds.
 MAINTENANCE_PERIOD_S = 1.0
 
+#: Maximum number of entry nodes that are remembered, to be told of crashes.
+MAX_SENDERS = 1000
+
 #: Minimum time limit of a call to the upstream, in seconds.
 MIN_UPSTREAM_TIMEOUT_S = 0.001
 
@@ -62,6 +66,7 @@
     handles = {
         messages.Attempt: '_on_attempt',
         messages.Cancel: '_on_cancel',
+        messages.CrashMark: '_on_crash_mark',
         messages.Hello: '_on_hello',
         messages.Revoke: '_on_revoke',
         kernel.PartnerLeaveRequested: '_on_partner_leave',
@@ -89,6 +94,7 @@
         self.accepted_by_attempt_id_ = {}
         self.cancel_nested = None
         self._running_by_token = {}
+        self._senders = {}
         self._reply_cache = _reply_cache.ReplyCache(
             attempt_validity_s, max_cached_bytes
         )
@@ -104,6 +110,9 @@
         self._replies = _replies.Replies(
             context, self.controller, self._reply_cache
         )
+        self.crash_suspects = _crash_suspects.CrashSuspects(
+            context, self._nodes_to_tell
+        )
         context.timers.every(MAINTENANCE_PERIOD_S, self._run_maintenance)
         context.subscribe(bundles.BundleAccepted, self._on_bundle)
 
@@ -244,9 +253,13 @@
             return refusal
         if message.service != self.upstream_.service:
             return results.Result.STALE_ATTEMPT
+        digest = _crash_suspects.digest_of(message)
+        if self.crash_suspects.refused_for_s(digest):
+            return results.Result.CRASH_SUSPECT
         return None
 
     def _offer(self, attempt):
+        self._remember_sender(attempt.sender)
         decision = self.controller.offer(attempt.ticket, self.context.now)
         for displaced in decision.displaced:
             self._refuse_queued(displaced, results.Result.SHED)
@@ -261,6 +274,32 @@
         else:
             self._start_expiry_timer()
 
+    # Requests under which upstreams crash
+
+    def _on_crash_mark(self, sender, message):
+        self.crash_suspects.receive(message)
+
+    def _nodes_to_tell(self):
+        """Return the nodes that may run or send such requests."""
+        nodes = {*self.directory.members(), *self._senders}
+        if self.upstream_ is not None:
+            targets = self.directory.targets(self.upstream_.service)
+            nodes.update(target.address for target in targets)
+        nodes.discard(self.context.address)
+        return nodes
+
+    def _remember_sender(self, address):
+        self._senders.pop(address, None)
+        self._senders[address] = None
+        if len(self._senders) > MAX_SENDERS:
+            del self._senders[next(iter(self._senders))]
+
+    def _judge_run(self, attempt, event):
+        if event.process_ended:
+            self.crash_suspects.record_lost_run(attempt.digest)
+        elif event.result is results.Result.OK and event.status < 500:
+            self.crash_suspects.record_good_run(attempt.digest)
+
     # Running attempts
 
     def _call_upstream(self, attempt):
@@ -290,6 +329,7 @@
             return
         if self.cancel_nested is not None:
             self.cancel_nested(event.token)
+        self._judge_run(attempt, event)
         self._end_run(attempt, event)
 
     def _end_run(self, attempt, event):
--- a/rosemarycrank/kernel/_effects.py
+++ b/rosemarycrank/kernel/_effects.py
@@ -68,7 +68,8 @@
 
     ``result`` is OK for a complete answer, CONNECT_FAILED if nothing was
     sent, UPSTREAM_REFUSED if the upstream states that it did not run the
-    request, or one of the codes whose outcome is unknown.
+    request, or one of the codes whose outcome is unknown. ``process_ended``
+    tells that the process of the upstream has ended during the run.
     """
 
     token: str
@@ -77,6 +78,7 @@
     headers: dict = attrs.field(factory=dict)
     body: bytes = b''
     retry_after_s: float = 0.0
+    process_ended: bool = False
 
 
 @attrs.frozen
--- a/rosemarycrank/messages/__init__.py
+++ b/rosemarycrank/messages/__init__.py
@@ -7,6 +7,7 @@
 AttemptReply = _types.AttemptReply
 CallContext = _types.CallContext
 Cancel = _types.Cancel
+CrashMark = _types.CrashMark
 Hello = _types.Hello
 HelloReply = _types.HelloReply
 KeyedCall = _types.KeyedCall
@@ -25,6 +26,7 @@
     'AttemptReply',
     'CallContext',
     'Cancel',
+    'CrashMark',
     'Codec',
     'DecodeError',
     'Hello',
--- a/rosemarycrank/messages/_types.py
+++ b/rosemarycrank/messages/_types.py
@@ -166,6 +166,21 @@
     attempt_id: str
 
 
+@_codec.register
+@attrs.frozen
+class CrashMark:
+    """Tells that an upstream crashed during a run of a request.
+
+    ``digest`` stands for the request and all that are like it. If ``cleared``
+    is true, the request has run well since, and this crash does not count
+    against it any more.
+    """
+
+    digest: str
+    crash_id: str
+    cleared: bool = False
+
+
 @_codec.register
 @attrs.frozen
 class KeyedCall:
--- a/rosemarycrank/node/_upstream.py
+++ b/rosemarycrank/node/_upstream.py
@@ -5,6 +5,7 @@
 
 import gevent
 from gevent import pool
+from gevent import socket
 import msgspec
 
 from rosemarycrank import decoding
@@ -19,6 +20,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+#: Timeout of the connection that shows whether the upstream's process has
+#: ended, in seconds. The operating system refuses it at once then.
+PROBE_TIMEOUT_S = 0.1
+
 #: Header with the token of a call, which the upstream may return.
 TOKEN_HEADER = 'Rosemarycrank-Token'
 
@@ -135,9 +140,11 @@
         except http_client.ConnectFailed:
             return _failed_answer(effect, results.Result.CONNECT_FAILED)
         except http_client.AnswerTruncated:
-            return _failed_answer(effect, results.Result.ANSWER_TRUNCATED)
+            return _lost_answer(
+                client, effect, results.Result.ANSWER_TRUNCATED
+            )
         except http_client.AnswerLost:
-            return _failed_answer(effect, results.Result.ANSWER_LOST)
+            return _lost_answer(client, effect, results.Result.ANSWER_LOST)
         except ValueError:
             # The HTTP client refused to send a malformed path or header.
             return _failed_answer(effect, results.Result.CONNECT_FAILED)
@@ -189,6 +196,30 @@
             )
 
 
+def _lost_answer(client, effect, result):
+    return kernel.UpstreamAnswer(
+        token=effect.token, result=result, process_ended=_has_ended(client)
+    )
+
+
+def _has_ended(client):
+    """Return whether no process listens at the upstream's address any more.
+
+    A connection may be lost while the process lives.
+    """
+    try:
+        probe = socket.create_connection(
+            (client.host, client.port), PROBE_TIMEOUT_S
+        )
+    except ConnectionRefusedError:
+        return True
+    except OSError as error:
+        LOG.info('probe of the upstream failed', extra={'error': str(error)})
+        return False
+    probe.close()
+    return False
+
+
 def _failed_answer(effect, result):
     return kernel.UpstreamAnswer(token=effect.token, result=result)
 
--- a/rosemarycrank/results/_codes.py
+++ b/rosemarycrank/results/_codes.py
@@ -110,6 +110,12 @@
     KEY_NEVER_RAN = _CodeProperties(
         307, Outcome.NOT_RUN, 404, 'no request has run under the key'
     )
+    CRASH_SUSPECT = _CodeProperties(
+        308,
+        Outcome.NOT_RUN,
+        503,
+        'upstreams have crashed under the request',
+    )
 
     SHED = _CodeProperties(
         400, Outcome.NOT_RUN, 503, 'shed by class under overload'
