--- a/rosemarycrank/dataplane/_rank_waits.py
+++ b/rosemarycrank/dataplane/_rank_waits.py
@@ -23,6 +23,22 @@
 MIN_FACTOR = 0.02
 MAX_FACTOR = 2.0
 
+#: Longest wait that counts, in units of the longest short one.
+LONGEST_WAIT = 2.0
+
+#: Bounds of the delay in the queue that one rank is worth, in seconds: an
+#: attempt precedes those of the next lower rank that arrived up to this much
+#: earlier. The largest exceeds the usual time in the queue, and is short
+#: enough to prevent starvation.
+MIN_RANK_DELAY_S = 0.01
+MAX_RANK_DELAY_S = 0.5
+
+#: Wait of the most important calls above which ranks count for more, in units
+#: of the longest short one, and how the delay grows and falls in one update.
+URGENT_WAIT = 0.5
+RANK_DELAY_GROWTH = 1.5
+RANK_DELAY_DECAY = 0.98
+
 #: Distance from 1 up to which a factor is not reported.
 REPORTED_CHANGE = 0.02
 
@@ -32,18 +48,19 @@
 
     Attributes
     ----------
-    has_urgent_excess : bool
-        Whether calls of the most important rank wait too long, too.
+    rank_delay_s : float
+        Delay in the queue that one rank is worth, in seconds.
     """
 
     def __init__(self):
-        self.has_urgent_excess = False
+        self.rank_delay_s = MIN_RANK_DELAY_S
         self._factor_by_rank = {}
         self._refused_ranks = set()
 
     def record_refusal(self, rank):
         """Record that a call was refused, or expired, for want of room."""
         self._refused_ranks.add(int(rank))
+        self._factor_by_rank.setdefault(int(rank), 1.0)
 
     def record_start(self, rank):
         """Record that a call has started."""
@@ -61,40 +78,41 @@
         has_free_slots : bool
             Whether the target could run more than it does.
         """
-        excess_by_rank = dict.fromkeys(self._refused_ranks, 1.0)
+        # Waits in units of the longest short one.
+        wait_by_rank = dict.fromkeys(self._refused_ranks, LONGEST_WAIT)
         self._refused_ranks.clear()
         for job in waiting:
             rank = int(job.attempt.rank)
-            goal_s = max(
-                MIN_WAIT_GOAL_S,
-                WAIT_GOAL_SHARE * job.attempt.soft_deadline_ms / 1000.0,
-            )
-            excess = min(1.0, (now - job.arrived_at) / goal_s - 1.0)
-            if excess > excess_by_rank.get(rank, 0.0):
-                excess_by_rank[rank] = excess
-        self.has_urgent_excess = self._has_urgent_excess(
-            excess_by_rank, waiting
-        )
-        for rank, excess in excess_by_rank.items():
-            factor = self._factor_by_rank.get(rank, 1.0)
-            factor *= 1.0 - MAX_DECREASE * excess
-            self._factor_by_rank[rank] = max(MIN_FACTOR, factor)
-        self._raise_others(excess_by_rank, has_free_slots)
-
-    def _has_urgent_excess(self, excess_by_rank, waiting):
-        ranks = {int(job.attempt.rank) for job in waiting}
-        ranks.update(self._factor_by_rank)
-        return bool(ranks) and min(ranks) in excess_by_rank
-
-    def _raise_others(self, excess_by_rank, has_free_slots):
+            wait = (now - job.arrived_at) / _wait_goal_s(job.attempt)
+            wait_by_rank[rank] = max(wait_by_rank.get(rank, 0.0), wait)
+            self._factor_by_rank.setdefault(rank, 1.0)
+        self._follow_urgent_wait(wait_by_rank)
         for rank, factor in self._factor_by_rank.items():
-            if rank in excess_by_rank:
-                continue
-            if factor < 1.0 or has_free_slots:
-                factor += INCREASE
+            wait = min(LONGEST_WAIT, wait_by_rank.get(rank, 0.0))
+            if wait > 1.0:
+                factor *= 1.0 - MAX_DECREASE * (wait - 1.0)
+                self._factor_by_rank[rank] = max(MIN_FACTOR, factor)
             else:
-                factor -= INCREASE
-            self._factor_by_rank[rank] = min(MAX_FACTOR, factor)
+                self._raise(rank, has_free_slots)
+
+    def _follow_urgent_wait(self, wait_by_rank):
+        """Let ranks count for more while the most important calls wait."""
+        urgent_rank = min(self._factor_by_rank, default=None)
+        if wait_by_rank.get(urgent_rank, 0.0) > URGENT_WAIT:
+            delay_s = self.rank_delay_s * RANK_DELAY_GROWTH
+        else:
+            delay_s = self.rank_delay_s * RANK_DELAY_DECAY
+        self.rank_delay_s = min(
+            MAX_RANK_DELAY_S, max(MIN_RANK_DELAY_S, delay_s)
+        )
+
+    def _raise(self, rank, has_free_slots):
+        factor = self._factor_by_rank[rank]
+        if factor < 1.0 or has_free_slots:
+            factor += INCREASE
+        else:
+            factor -= INCREASE
+        self._factor_by_rank[rank] = min(MAX_FACTOR, factor)
 
     def factors(self):
         """Return the factors that differ from 1, by rank."""
@@ -103,3 +121,10 @@
             for rank, factor in self._factor_by_rank.items()
             if abs(factor - 1.0) > REPORTED_CHANGE
         }
+
+
+def _wait_goal_s(attempt):
+    """Return the longest wait of a call that is taken for short."""
+    return max(
+        MIN_WAIT_GOAL_S, WAIT_GOAL_SHARE * attempt.soft_deadline_ms / 1000.0
+    )
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -32,14 +32,6 @@
 #: Interval between updates of the rates of arrival and demand, in seconds.
 RATE_UPDATE_INTERVAL_S = 0.1
 
-#: Delay in the queue that one rank is worth, in seconds: an attempt precedes
-#: those of the next lower rank that arrived up to this much earlier. Usually
-#: it is short, as attempts of each rank belong to requests that were
-#: admitted. While the most important ones wait too long, it exceeds the usual
-#: time in the queue, and is short enough to prevent starvation.
-RANK_DELAY_S = 0.01
-OVERLOAD_RANK_DELAY_S = 0.5
-
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _UNKNOWN = int(_frames.Outcome.UNKNOWN)
@@ -395,10 +387,8 @@
 
     def _priority_at(self, attempt, now):
         """Return the sort key of an attempt in the queue; lowest is first."""
-        delay_s = RANK_DELAY_S
-        if self.rank_waits.has_urgent_excess:
-            delay_s = OVERLOAD_RANK_DELAY_S
-        return now + attempt.soft_deadline_ms / 1000.0 + delay_s * attempt.rank
+        goal_at = now + attempt.soft_deadline_ms / 1000.0
+        return goal_at + self.rank_waits.rank_delay_s * attempt.rank
 
     def _start(self, job, now):
         attempt = job.attempt
--- a/tests/dataplane/test_rank_waits.py
+++ b/tests/dataplane/test_rank_waits.py
@@ -85,14 +85,16 @@
     assert waits.factors()[2] < 0.6
 
 
-def test_waits_of_the_most_important_rank_are_told_apart(waits):
+# Guards against important requests that fail as their calls wait among those
+# of others.
+def test_ranks_count_for_more_while_the_most_important_calls_wait(waits):
     waits.record_start(0.0)
     _update(waits, 1.0, [2.0])
-    assert not waits.has_urgent_excess
-    _update(waits, 0.1, [0.0, 2.0])
-    assert waits.has_urgent_excess
-    _update(waits, 0.1)
-    assert not waits.has_urgent_excess
+    assert waits.rank_delay_s == _rank_waits.MIN_RANK_DELAY_S
+    _update(waits, 3.0, [0.0, 2.0])
+    assert waits.rank_delay_s == _rank_waits.MAX_RANK_DELAY_S
+    _update(waits, 60.0, [2.0])
+    assert waits.rank_delay_s == _rank_waits.MIN_RANK_DELAY_S
 
 
 def test_factors_of_several_targets_are_averaged():
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -11,6 +11,7 @@
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _pauses
+from rosemarycrank.dataplane import _rank_waits
 from rosemarycrank.dataplane import _target
 from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
@@ -316,7 +317,7 @@
 ):
     side.accept(caller, fakes.attempt(1, remaining_ms=9000))
     side.accept(caller, fakes.attempt(2, remaining_ms=9000, rank=2.0))
-    reactor.run(2 * _target.RANK_DELAY_S + 0.1)
+    reactor.run(2 * _rank_waits.MAX_RANK_DELAY_S + 0.1)
     side.accept(caller, fakes.attempt(3, remaining_ms=9000, rank=0.0))
     pool.calls[0].on_answer(_complete())
     assert pool.calls[-1].request_id == b'r2'
