Take the queue of waiting attempts out of the target side

_target.py kept a heap, its order and its counts between admission and runs; WaitingQueue has the heap and the order.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -5,8 +5,6 @@
 fences it to the current instance of the target.
 """
 
-import heapq
-import itertools
 import math
 
 from rosemarycrank.dataplane import _call_links
@@ -25,6 +23,7 @@
 from rosemarycrank.dataplane import _self_calls
 from rosemarycrank.dataplane import _suspect_runs
 from rosemarycrank.dataplane import _target_log
+from rosemarycrank.dataplane import _waiting_queue
 
 #: Interval between checks for attempts past their deadlines, in seconds.
 SWEEP_INTERVAL_S = 0.05
@@ -118,11 +117,9 @@
         )
         self._self_calls = _self_calls.SelfCalls(costs)
         self._running = set()
-        self._waiting = []
-        self._waiting_count = 0
+        self._waiting = _waiting_queue.WaitingQueue(self.rank_waits)
         # Those that wait as they are suspected; they say nothing of the load.
         self._held_suspects = 0
-        self._sequence = itertools.count()
         self._run_limits = _run_limits.RunLimits(drain_s)
         self._last_run_at = reactor.now()
         self._is_catching_up = False
@@ -175,7 +172,7 @@
         limit, service_s = self._reported_capacity()
         return _frames.Load(
             len(self._running),
-            max(0, self._waiting_count - self._held_suspects),
+            max(0, self._waiting.count - self._held_suspects),
             limit,
             service_s,
             self.arrivals.per_s,
@@ -205,7 +202,7 @@
     @property
     def waiting_count(self):
         """Number of attempts in the queue."""
-        return self._waiting_count
+        return self._waiting.count
 
     def idle_s(self, now):
         """Return the seconds since the last run ended; 0 during a run."""
@@ -213,7 +210,7 @@
 
     def busy(self):
         """Return whether attempts are running or queued."""
-        return bool(self._running) or self._waiting_count > 0
+        return bool(self._running) or self._waiting.count > 0
 
     def accept(self, caller, attempt):
         """Start, queue or refuse an attempt.
@@ -248,18 +245,14 @@
         if reason is not None:
             self._finish(job, _NOT_RUN, reason)
         else:
-            self._waiting_count += 1
+            self._waiting.count += 1
             if self._is_catching_up:
-                self._enqueue(job)
+                self._waiting.add(job)
                 self._start_waiting_soon()
             elif self._may_start(now) and self._may_start_job(job, now):
                 self._start_if_wanted(job, now)
             else:
-                self._enqueue(job)
-
-    def _enqueue(self, job):
-        priority_at = self._priority_at(job.attempt, job.arrived_at)
-        heapq.heappush(self._waiting, (priority_at, next(self._sequence), job))
+                self._waiting.add(job)
 
     def _start_if_wanted(self, job, now):
         """Start a job that counts as waiting, by what its sender sent since.
@@ -282,7 +275,7 @@
         if caller.is_lost:
             caller.parked_jobs.append(job)
             return
-        self._waiting_count -= 1
+        self._waiting.count -= 1
         self._start(job, now)
 
     def restore_caller(self, caller, address, send, catch_up):
@@ -290,7 +283,7 @@
         self.callers.restore(caller, address, send, catch_up)
         parked, caller.parked_jobs = caller.parked_jobs, []
         for job in parked:
-            self._enqueue(job)
+            self._waiting.add(job)
         if parked:
             self._start_waiting_soon()
 
@@ -341,9 +334,9 @@
         Those in the queue have not run. Those that run are aborted, and
         their outcome is unknown.
         """
-        waiting = [job for _, _, job in self._waiting if job.result is None]
+        waiting = self._waiting.jobs()
         self._waiting.clear()
-        self._waiting_count = 0
+        self._waiting.count = 0
         for job in waiting:
             self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
         now = self.reactor.now()
@@ -371,12 +364,7 @@
             return suspect_reason
         start_at = now
         if not self._may_start(now):
-            priority_at = self._priority_at(attempt, now)
-            ahead = sum(
-                1
-                for waiting_at, _, waiting in self._waiting
-                if waiting_at <= priority_at and waiting.result is None
-            )
+            ahead = self._waiting.count_ahead(attempt, now)
             start_at += self._expected_wait_s(ahead, now)
             least_s = self.limit.min_remaining_s(attempt.route)
             if start_at + least_s > job.deadline_at:
@@ -385,11 +373,6 @@
             return _frames.Reason.LEAVING
         return None
 
-    def _priority_at(self, attempt, now):
-        """Return the sort key of an attempt in the queue; lowest is first."""
-        goal_at = now + attempt.soft_deadline_ms / 1000.0
-        return goal_at + self.rank_waits.rank_delay_s * attempt.rank
-
     def _start(self, job, now):
         attempt = job.attempt
         job.started_at = now
@@ -540,7 +523,7 @@
             self._remove_running(job, self.reactor.now(), True)
             outcome = _UNKNOWN
         else:
-            self._waiting_count -= 1
+            self._waiting.count -= 1
             outcome = _NOT_RUN
         _target_log.log_abandoned(job, outcome, reason, self.reactor.now())
         job.result = _frames.Result(
@@ -561,18 +544,17 @@
         if self._is_catching_up:
             self._start_waiting_soon()
             return
-        waiting = self._waiting
         held_back = []
         held_suspects = 0
         now = self.reactor.now()
-        while waiting and self._may_start(now):
-            entry = heapq.heappop(waiting)
-            job = entry[2]
-            if job.result is not None:
-                continue
+        while self._may_start(now):
+            entry = self._waiting.pop()
+            if entry is None:
+                break
+            job = entry[-1]
             reason = self.suspect_runs.refusal_reason(job)
             if reason is not None:
-                self._waiting_count -= 1
+                self._waiting.count -= 1
                 self._finish(job, _NOT_RUN, reason)
                 continue
             if not self._may_start_job(job, now):
@@ -581,16 +563,15 @@
                 continue
             least_s = self.limit.min_remaining_s(job.attempt.route)
             if now + least_s > job.deadline_at:
-                self._waiting_count -= 1
+                self._waiting.count -= 1
                 self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
             elif self._ends_too_late(job, now):
-                self._waiting_count -= 1
+                self._waiting.count -= 1
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
                 self._start_if_wanted(job, now)
         self._held_suspects = held_suspects
-        for entry in held_back:
-            heapq.heappush(waiting, entry)
+        self._waiting.put_back(held_back)
 
     def _ends_too_late(self, job, start_at):
         """Return whether a run may outlast the target or its node.
@@ -636,12 +617,10 @@
             return
         now = self.reactor.now()
         ahead = 0
-        for _, _, job in sorted(self._waiting):
-            if job.result is not None:
-                continue
+        for job in self._waiting.jobs_in_order():
             start_at = now + self._expected_wait_s(ahead, now)
             if self._ends_too_late(job, start_at):
-                self._waiting_count -= 1
+                self._waiting.count -= 1
                 self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
             else:
                 ahead += 1
@@ -650,15 +629,13 @@
         self._pauses.tick(now)
         self.suspect_runs.report_cleared()
         self._give_back_waiting()
-        if self._waiting_count:
-            for _, _, job in list(self._waiting):
-                if job.result is not None:
-                    continue
+        if self._waiting.count:
+            for job in self._waiting.jobs():
                 least_s = self.limit.min_remaining_s(job.attempt.route)
                 if now + least_s > job.deadline_at:
-                    self._waiting_count -= 1
+                    self._waiting.count -= 1
                     self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
-        elif self._waiting:
+        else:
             self._waiting.clear()
         for job in list(self._running):
             if now > job.deadline_at + SWEEP_INTERVAL_S:
@@ -672,7 +649,7 @@
         self._demand_per_s = self.demand.total_per_s(now)
         self.rank_waits.update(
             now,
-            [job for _, _, job in self._waiting if job.result is None],
+            self._waiting.jobs(),
             len(self._running) < self.limit.value,
         )
         # Sent until the next update, so the ages are those at its time.
