Take a target for leaving that says so in an answer

A target that leaves says so in all its answers; only heartbeats were listened to, so requests went on to reach it. The field is read from each whole head that names its request, also of refusals and of answers whose body is lost. The node beside the target then treats it as if it had announced its leaving: other nodes are told before the answer is passed on, attempts that would end too late are given back, and nothing starts later than its drain period. All attempts reach a target through that node, so it binds entry nodes that are cut off, too. Later heartbeats, rows and peers do not take it back; the next start of the target, or another one at its address, is used. An answer of the process before, read after the first heartbeat of the next, says nothing.

--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -349,6 +349,11 @@
         """Whether a response has been received in part."""
         return self._headers_complete or bool(self.message.headers)
 
+    @property
+    def head(self):
+        """`Message` with the whole head of an unfinished response, or None."""
+        return self.message if self._headers_complete else None
+
     def feed(self, data):
         """Parse received bytes.
 
--- a/rosemarycrank/dataplane/_names.py
+++ b/rosemarycrank/dataplane/_names.py
@@ -29,6 +29,8 @@
         Signature of the response, present if the target itself created it.
     rate_limit : bytes
         Requests per second that the target takes from all nodes together.
+    leaving : bytes
+        ``1`` in the responses of a target that is leaving.
     """
 
     request_id: bytes = b'rosemarycrank-request-id'
@@ -39,6 +41,7 @@
     not_executed: bytes = b'rosemarycrank-not-executed'
     signature: bytes = b'rosemarycrank-signature'
     rate_limit: bytes = b'rosemarycrank-rate-limit'
+    leaving: bytes = b'rosemarycrank-leaving'
 
     def set_by_nodes(self):
         """Return the headers that nodes set themselves.
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -226,6 +226,7 @@
             self._publish_record,
             lambda: node.directory.is_ended(settings.peer_address),
         )
+        self.target_side.on_leaving = self.registration.leave
         self.store = self.adapter.open_store(self.reactor)
         self.target_table = _target_table.TargetTable(
             self.reactor, self.store, settings.targets_table, node, rng
--- a/rosemarycrank/dataplane/_registration.py
+++ b/rosemarycrank/dataplane/_registration.py
@@ -3,6 +3,7 @@
 import logging
 
 import attrs
+import msgspec
 
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
@@ -160,6 +161,22 @@
             )
         )
 
+    def leave(self, instance):
+        """Process that a target has said in an answer that it is leaving.
+
+        Parameters
+        ----------
+        instance : str
+            Identifier of the target.
+        """
+        record = self._record
+        if record is None or record.instance != instance:
+            return
+        if record.state == _directory.READY:
+            self._set_record(
+                msgspec.structs.replace(record, state=_directory.DRAINING)
+            )
+
     def _was_withdrawn(self, heartbeat):
         instance, born_ms = self._early_withdrawal
         return heartbeat.instance == instance and born_ms in (
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -82,6 +82,9 @@
         Corrections of admission by the waits of calls.
     callers : Callers
         Calling nodes and their attempts.
+    on_leaving : callable
+        Called with the identifier of the target that says in an answer that
+        it is leaving.
     suspect_runs : SuspectRuns
         Runs of requests that are suspected of crashing targets; shared with
         the node.
@@ -101,8 +104,10 @@
         self._demand_per_s = (0.0, 0.0)
         self.pressures = {}
         self.record = None
+        self._target_since = 0.0
         self._has_served = False
         self.stopping = False
+        self.on_leaving = lambda _instance: None
         self.limit = _limit.ConcurrencyLimit()
         self.rate_limit = _rate_limit.RateLimit()
         self.rank_waits = _rank_waits.RankWaits()
@@ -148,6 +153,7 @@
             self.limit.reset(record.slots)
             self.rate_limit.reset()
             self._has_served = False
+            self._target_since = self.reactor.now()
         if known is not None and _run_limits.is_new_start(record, known):
             self._record_unseen_crash(known)
         self.record = record
@@ -409,6 +415,10 @@
             _target_log.log_rate_limit(self, job, per_s, known)
 
     def _on_answer(self, job, answer):
+        if answer.is_leaving and job.started_at >= self._target_since:
+            _target_log.log_leaving(self, job)
+            # Other nodes learn of it before the caller gets the response.
+            self.on_leaving(job.attempt.instance)
         if answer.reason == _frames.Reason.ANSWER_LOST:
             self._crash_detection.add(job, answer)
             return
--- a/rosemarycrank/dataplane/_target_log.py
+++ b/rosemarycrank/dataplane/_target_log.py
@@ -3,6 +3,7 @@
 import logging
 import math
 
+from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _repeated_lines
 
@@ -100,6 +101,36 @@
     )
 
 
+def log_leaving(side, job):
+    """Write the line of an answer in which the target says that it leaves.
+
+    Only the first such answer of a target is logged.
+
+    Parameters
+    ----------
+    side : TargetSide
+        Target side, with the record of the target.
+    job : Job
+        Attempt whose answer says so.
+    """
+    record = side.record
+    is_news = (
+        record is not None
+        and record.instance == job.attempt.instance
+        and record.state == _directory.READY
+    )
+    if is_news:
+        _LOG.warning(
+            'target %s says in an answer that it is leaving',
+            record.instance,
+            extra={
+                'event': 'leaving_in_answer',
+                'instance': record.instance,
+                'request_id': job.attempt.request_id,
+            },
+        )
+
+
 def log_rate_limit(side, job, per_s, previous_per_s):
     """Write the line of a new rate limit that the target names.
 
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -56,6 +56,8 @@
         it names none, None if the answer does not tell.
     is_refused : bool
         Whether no process listens at the address of the target.
+    is_leaving : bool
+        Whether the target says that it is leaving, in a whole head.
     """
 
     outcome: int
@@ -65,6 +67,7 @@
     body: bytes = b''
     rate_limit_per_s: float | None = None
     is_refused: bool = False
+    is_leaving: bool = False
 
 
 def _keep_alive_timeout_s(value):
@@ -197,9 +200,24 @@
             self.closed(TimeoutError('connect timed out'))
 
     def _fail(self, reason):
-        self._finish(Answer(_frames.Outcome.UNKNOWN, reason))
+        head = self._reader.head
+        is_leaving = (
+            head is not None
+            and self._names_request(head)
+            and self._is_leaving(head)
+        )
+        self._finish(
+            Answer(_frames.Outcome.UNKNOWN, reason, is_leaving=is_leaving)
+        )
         self._discard()
 
+    def _names_request(self, message):
+        echoed_id = message.values_by_name.get(self.pool.names.request_id)
+        return echoed_id is not None and echoed_id == self._request_id
+
+    def _is_leaving(self, message):
+        return message.values_by_name.get(self.pool.names.leaving) == b'1'
+
     def _finish(self, answer):
         on_answer = self._on_answer
         self._on_answer = None
@@ -259,6 +277,8 @@
         names = self.pool.names
         values = message.values_by_name
         status = message.status
+        # 421 is the answer of another target.
+        is_leaving = status != 421 and self._is_leaving(message)
         if echoed_id is None and self._is_used_again:
             # It may be a copy of the response to an earlier request.
             return Answer(
@@ -269,7 +289,7 @@
                 _frames.Outcome.NOT_RUN,
                 _frames.Reason.REFUSED_BY_TARGET,
                 status,
-                # 421 is the answer of another target.
+                is_leaving=is_leaving,
                 rate_limit_per_s=(
                     None if status == 421 else self._rate_limit_per_s(values)
                 ),
@@ -277,7 +297,9 @@
         authentic = echoed_id is not None and names.signature in values
         if status < 300 and not authentic or b'content-encoding' in values:
             return Answer(
-                _frames.Outcome.UNKNOWN, _frames.Reason.ANSWER_INVALID
+                _frames.Outcome.UNKNOWN,
+                _frames.Reason.ANSWER_INVALID,
+                is_leaving=is_leaving and echoed_id is not None,
             )
         return Answer(
             _frames.Outcome.COMPLETE,
@@ -286,6 +308,7 @@
             _http1.forwarded_headers(message, frozenset()),
             message.body,
             self._rate_limit_per_s(values),
+            is_leaving=is_leaving,
         )
 
     def _rate_limit_per_s(self, values):
--- a/rosemarycrank/platform/_names.py
+++ b/rosemarycrank/platform/_names.py
@@ -11,6 +11,7 @@
     not_executed=b'x-rosemarycrank-not-executed',
     signature=b'x-rosemarycrank-response-signature',
     rate_limit=b'server-limit',
+    leaving=b'server-leaving',
 )
 
 READY_PATH = b'/rosemarycrank/ready'
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -75,6 +75,52 @@
     assert [answer.rate_limit_per_s for answer in answers] == [per_s]
 
 
+LEAVING = b'rosemarycrank-leaving: 1\r\n'
+
+
+# Guards against a leaving that is only told in answers, and not noticed.
+@pytest.mark.parametrize(
+    ('answer', 'is_leaving'),
+    [
+        (RESPONSE.replace(b'Content', LEAVING + b'Content'), True),
+        (RESPONSE, False),
+        (
+            RESPONSE.replace(
+                b'Content', b'rosemarycrank-leaving: 0\r\nContent'
+            ),
+            False,
+        ),
+        (RESPONSE.replace(b'200 OK\r\n', b'503 Full\r\n' + LEAVING), True),
+        (RESPONSE.replace(b'200 OK\r\n', b'421 Other\r\n' + LEAVING), False),
+        # The head is whole, the body is not.
+        (RESPONSE.replace(b'Content', LEAVING + b'Content')[:-1], True),
+        # The head is not whole.
+        (RESPONSE.replace(b'Content', LEAVING + b'Content')[:-6], False),
+        # The answer to another request.
+        (
+            RESPONSE.replace(b'id: r1', b'id: r9').replace(
+                b'Content', LEAVING + b'Content'
+            ),
+            False,
+        ),
+        (b'garbage\r\n' + LEAVING + b'\r\n', False),
+    ],
+    ids=range(9),
+)
+def test_leaving_of_the_target_is_read_from_its_answers(
+    pool, listener, answer, is_leaving
+):
+    answers = []
+    pool.acquire(True).start(b'r1', REQUEST % 1, False, answers.append)
+    gevent.sleep(PASS_S)
+    target, _ = listener.accept()
+    with target:
+        target.recv(4096)
+        target.sendall(answer)
+    gevent.sleep(PASS_S)
+    assert [answer.is_leaving for answer in answers] == [is_leaving]
+
+
 # Guards against requests that reach the target after their cancellation: the
 # end of a connection sent what was queued on it.
 def test_request_aborted_before_it_is_sent_does_not_reach_the_target(
