Admit more than was worked out only while requests are shed

Cause: the factor of a rank rose to 2 at every target with free slots, overloaded or not. At a calm service it did nothing but fill reports (195 nodes reported and logged it for each service several times a second), and a burst then met nodes that admitted twice as much as was worked out, until the factor had fallen again, 0.02 in an update.

Change: the factor exceeds 1 only at a target with free slots for which requests are shed.

--- a/rosemarycrank/dataplane/_rank_waits.py
+++ b/rosemarycrank/dataplane/_rank_waits.py
@@ -19,7 +19,7 @@
 INCREASE = 0.02
 
 #: Bounds of a factor. One above 1 admits more than was worked out, while slots
-#: of the target are free.
+#: of the target are free and requests are shed.
 MIN_FACTOR = 0.02
 MAX_FACTOR = 2.0
 
@@ -66,7 +66,7 @@
         """Record that a call has started."""
         self._factor_by_rank.setdefault(int(rank), 1.0)
 
-    def update(self, now, waiting, has_free_slots):
+    def update(self, now, waiting, may_admit_more):
         """Follow the waits.
 
         Parameters
@@ -75,8 +75,8 @@
             Seconds of the node's clock.
         waiting : iterable of Job
             Attempts in the queue.
-        has_free_slots : bool
-            Whether the target could run more than it does.
+        may_admit_more : bool
+            Whether requests are shed although the target could run more.
         """
         # Waits in units of the longest short one.
         wait_by_rank = dict.fromkeys(self._refused_ranks, LONGEST_WAIT)
@@ -93,7 +93,7 @@
                 factor *= 1.0 - MAX_DECREASE * (wait - 1.0)
                 self._factor_by_rank[rank] = max(MIN_FACTOR, factor)
             else:
-                self._raise(rank, has_free_slots)
+                self._raise(rank, may_admit_more)
 
     def _follow_urgent_wait(self, wait_by_rank):
         """Let ranks count for more while the most important calls wait."""
@@ -106,9 +106,9 @@
             MAX_RANK_DELAY_S, max(MIN_RANK_DELAY_S, delay_s)
         )
 
-    def _raise(self, rank, has_free_slots):
+    def _raise(self, rank, may_admit_more):
         factor = self._factor_by_rank[rank]
-        if factor < 1.0 or has_free_slots:
+        if factor < 1.0 or may_admit_more:
             factor += INCREASE
         else:
             factor -= INCREASE
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -31,6 +31,9 @@
 #: Interval between updates of the rates of arrival and demand, in seconds.
 RATE_UPDATE_INTERVAL_S = 0.1
 
+#: Share of the offered requests below which requests count as shed.
+MAX_SHARE_WITH_SHEDDING = 0.98
+
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _UNKNOWN = int(_frames.Outcome.UNKNOWN)
@@ -654,13 +657,19 @@
             self._abandon(job, _frames.Reason.CANCELLED)
         self._start_waiting()
 
+    def _may_admit_more(self):
+        """Return whether requests are shed while slots are free."""
+        offered_per_s, admitted_per_s = self._demand_per_s
+        return (
+            len(self._running) < self.limit.value
+            and admitted_per_s < MAX_SHARE_WITH_SHEDDING * offered_per_s
+        )
+
     def _update_rates(self, now):
         self.arrivals.update(now)
         self._demand_per_s = self.demand.total_per_s(now)
         self.rank_waits.update(
-            now,
-            self._waiting.jobs(),
-            len(self._running) < self.limit.value,
+            now, self._waiting.jobs(), self._may_admit_more()
         )
         # Sent until the next update, so the ages are those at its time.
         # Otherwise nodes that relay a report to each other keep it recent.
--- a/tests/dataplane/test_rank_waits.py
+++ b/tests/dataplane/test_rank_waits.py
@@ -29,12 +29,14 @@
     return _Job(attempt, arrived_at)
 
 
-def _update(waits, seconds, ranks=(), wait_s=LONG_WAIT_S, has_free=False):
+def _update(
+    waits, seconds, ranks=(), wait_s=LONG_WAIT_S, may_admit_more=False
+):
     """Let calls of some ranks wait, for a time."""
     for tenth in range(int(seconds * 10)):
         now = 10.0 + tenth / 10.0
         jobs = [_waiting(rank, now - wait_s) for rank in ranks]
-        waits.update(now, jobs, has_free)
+        waits.update(now, jobs, may_admit_more)
 
 
 # Guards against requests that are admitted although all of their calls expire
@@ -63,11 +65,11 @@
 # Guards against slots that stay free, as costs were estimated too high.
 def test_more_requests_than_worked_out_are_admitted_to_free_slots(waits):
     waits.record_start(2.0)
-    _update(waits, 3.0, has_free=True)
+    _update(waits, 3.0, may_admit_more=True)
     assert waits.factors()[2] > 1.3
-    _update(waits, 60.0, has_free=True)
+    _update(waits, 60.0, may_admit_more=True)
     assert waits.factors()[2] == _rank_waits.MAX_FACTOR
-    _update(waits, 10.0, has_free=False)
+    _update(waits, 10.0, may_admit_more=False)
     assert waits.factors() == {}
 
 
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -323,6 +323,25 @@
     assert pool.calls[-1].request_id == b'r2'
 
 
+# Guards against reports about a calm service, and against a burst that meets
+# nodes that admit twice as much as was worked out.
+@pytest.mark.parametrize('admitted_per_s', [100.0, 50.0])
+def test_more_than_worked_out_is_admitted_only_while_requests_are_shed(
+    side, caller, reactor, admitted_per_s
+):
+    for tenth in range(30):
+        demand = _frames.Demand(100.0, admitted_per_s)
+        side.demand.receive('n1', demand, reactor.now())
+        side.accept(caller, fakes.attempt(tenth + 1, rank=1.0))
+        side.cancel(caller, tenth + 1)
+        reactor.run(0.1)
+    factors = side.load().factor_by_rank
+    if admitted_per_s < 100.0:
+        assert factors[1] > 1.3
+    else:
+        assert factors == {}
+
+
 # Guards against attempts that are refused although the queue is short, since
 # cancelled ones in front of them are counted.
 def test_cancelled_attempts_do_not_count_as_ahead_in_the_queue(
