Lower the admission of less important requests first

Cause: the factor of each rank followed its own wait alone. Calls with a short latency goal are late after a wait that is short for others, so requests that are more important, with a short goal, were refused while less important ones with a long goal were admitted.

Change: the factor of a rank falls only once those of all less important ranks are at 0.2 or below; these fall as well while it waits.

Result: the new test failed before.

--- a/rosemarycrank/dataplane/_rank_waits.py
+++ b/rosemarycrank/dataplane/_rank_waits.py
@@ -23,6 +23,9 @@
 MIN_FACTOR = 0.02
 MAX_FACTOR = 2.0
 
+#: Factor to which those of less important ranks fall before one falls.
+MAX_FACTOR_BELOW = 0.2
+
 #: Longest wait that counts, in units of the longest short one.
 LONGEST_WAIT = 2.0
 
@@ -87,13 +90,22 @@
             wait_by_rank[rank] = max(wait_by_rank.get(rank, 0.0), wait)
             self._factor_by_rank.setdefault(rank, 1.0)
         self._follow_urgent_wait(wait_by_rank)
-        for rank, factor in self._factor_by_rank.items():
-            wait = min(LONGEST_WAIT, wait_by_rank.get(rank, 0.0))
-            if wait > 1.0:
-                factor *= 1.0 - MAX_DECREASE * (wait - 1.0)
-                self._factor_by_rank[rank] = max(MIN_FACTOR, factor)
-            else:
+        wait = 0.0
+        for rank in sorted(self._factor_by_rank):
+            # Calls wait for those of less important ranks that run, too.
+            wait = max(wait, min(LONGEST_WAIT, wait_by_rank.get(rank, 0.0)))
+            if wait <= 1.0:
                 self._raise(rank, may_admit_more)
+            elif self._is_next_to_fall(rank):
+                self._lower(rank, wait)
+
+    def _is_next_to_fall(self, rank):
+        """Return whether the less important ranks have fallen already."""
+        return all(
+            factor <= MAX_FACTOR_BELOW
+            for other, factor in self._factor_by_rank.items()
+            if other > rank
+        )
 
     def _follow_urgent_wait(self, wait_by_rank):
         """Let ranks count for more while the most important calls wait."""
@@ -106,6 +118,11 @@
             MAX_RANK_DELAY_S, max(MIN_RANK_DELAY_S, delay_s)
         )
 
+    def _lower(self, rank, wait):
+        decrease = MAX_DECREASE * (wait - 1.0)
+        factor = self._factor_by_rank[rank] * (1.0 - decrease)
+        self._factor_by_rank[rank] = max(MIN_FACTOR, factor)
+
     def _raise(self, rank, may_admit_more):
         factor = self._factor_by_rank[rank]
         if factor < 1.0 or may_admit_more:
--- a/tests/dataplane/test_rank_waits.py
+++ b/tests/dataplane/test_rank_waits.py
@@ -48,6 +48,17 @@
     assert factors[2] < 0.4
 
 
+# Guards against important requests that are refused while less important ones,
+# whose calls may wait for longer, are admitted.
+def test_less_important_ranks_are_admitted_less_first(waits):
+    waits.record_start(2.0)
+    _update(waits, 2.0, [1.0])
+    factors = waits.factors()
+    assert list(factors) == [2]
+    _update(waits, 10.0, [1.0])
+    assert waits.factors()[1] < 0.5
+
+
 def test_short_waits_change_nothing(waits):
     _update(waits, 5.0, [0.0, 2.0], wait_s=0.02)
     assert waits.factors() == {}
