Follow a store that comes back from an older copy of itself

Cause: a version of a row, a cursor or an answer said nothing about the era in which it was read. After a return, a cursor that the store accepted again hid all changes up to it, an answer that was on its way counted as new, and rows that the store had lost were not written again before they changed. A configuration that was given the version of another one was ignored. A row of a node that someone else changed stayed so.

Change: `EraStore` follows the era in all answers, drops those of an earlier era and refuses cursors of one. After a return, tables are read again and rows are written again, at most 200 a second by all nodes together. The longest backoff of calls to the store is 1 s (2 s before). The stand-in comes back on command. `rosemarycrank_store_returns_total` counts returns.

--- a/rosemarycrank/dataplane/_cost_rows.py
+++ b/rosemarycrank/dataplane/_cost_rows.py
@@ -60,6 +60,10 @@
         """Start reading the table."""
         self.store.read(self.table, self._on_read)
 
+    def recover(self):
+        """Write again what the store may have lost; return the row count."""
+        return self._publisher.write_again() if self.is_writer() else 0
+
     def _on_read(self, reply):
         if reply.kind is not _discovery.ReplyKind.OK:
             _LOG.info(
--- a/rosemarycrank/dataplane/_crash_rows.py
+++ b/rosemarycrank/dataplane/_crash_rows.py
@@ -85,6 +85,11 @@
         else:
             self._history.merge(facts)
 
+    def recover(self, max_delay_s):
+        """Write the row again, within a time; return the number of rows."""
+        self._publisher.max_delay_s = max_delay_s
+        return self._publisher.write_again()
+
     def _check(self, _now):
         facts = self._history.lasting_facts()
         facts.sort(key=lambda fact: fact.at_ms)
--- a/rosemarycrank/dataplane/_discovery.py
+++ b/rosemarycrank/dataplane/_discovery.py
@@ -27,9 +27,13 @@
 #: Delay between a single change and the next long poll, in seconds.
 MIN_POLL_DELAY_S = 0.05
 
+#: Longest delay before a lost row is written again in a small fleet, in
+#: seconds.
+MIN_REWRITE_DELAY_S = 0.5
+
 #: Initial and maximum backoff after a failed call, in seconds, before jitter.
 INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 2.0
+MAX_BACKOFF_S = 1.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -77,12 +81,16 @@
         Newest version of the store.
     detail : str
         Status or error, for the log.
+    era : int or None
+        Number of times that the store has come back from an older copy; None
+        if it does not say.
     """
 
     kind: ReplyKind
     rows: tuple = ()
     version: int = 0
     detail: str = ''
+    era: int | None = None
 
 
 class Store(abc.ABC):
@@ -174,6 +182,17 @@
         self._backoff = Backoff(random)
         self._store_is_available = True
 
+    def read_again(self):
+        """Read the whole table with the next call.
+
+        Returns
+        -------
+        int
+            0, the number of rows that are written for it.
+        """
+        self._received_version = None
+        return 0
+
     def start(self):
         """Send the next call: a read at first, then long polls."""
         if self._received_version is None:
@@ -271,9 +290,17 @@
         Table and key of the row.
     random : random.Random
         Random source.
+
+    Attributes
+    ----------
+    max_delay_s : float
+        Longest delay, of random length, before the row is written again after
+        it was found to be lost, in seconds. All nodes may lose theirs at once.
     """
 
     def __init__(self, reactor, store, table, key, random):
+        self.max_delay_s = MIN_REWRITE_DELAY_S
+        self._random = random
         self.reactor = reactor
         self.store = store
         self.table = table
@@ -285,9 +312,42 @@
         self._backoff = Backoff(random)
 
     def receive_row(self, row):
-        """Record the stored version if the row is the published one."""
-        if row.key == self.key:
-            self._version = 0 if row.value is None else row.version
+        """Record the stored version if the row is the published one.
+
+        A row that another writer has changed is written again.
+        """
+        if row.key != self.key:
+            return
+        is_newer = row.version > self._version
+        self._version = 0 if row.value is None else row.version
+        if is_newer and self._differs(row) and not self._writing:
+            _LOG.warning(
+                'row %s was changed by another writer; writing it again',
+                self.key,
+                extra={'event': 'row_changed', 'version': row.version},
+            )
+            self.write_again()
+
+    def _differs(self, row):
+        return (
+            self._newest_value is not None and row.value != self._newest_value
+        )
+
+    def write_again(self):
+        """Write the newest value again, after a delay of random length.
+
+        Returns
+        -------
+        int
+            Number of rows that are written: 1, or 0 before the first value.
+        """
+        if self._newest_value is None:
+            return 0
+        if not self._backing_off:
+            self._backing_off = True
+            delay_s = self.max_delay_s * self._random.random()
+            self.reactor.timers.after(delay_s, self._retry)
+        return 1
 
     def publish(self, value):
         """Write a value; retry until the store accepts it."""
--- a/rosemarycrank/dataplane/_http_client.py
+++ b/rosemarycrank/dataplane/_http_client.py
@@ -22,11 +22,14 @@
         Body of the response.
     error : str
         Reason why no response was received; otherwise empty.
+    values_by_name : dict of bytes to bytes
+        Header fields of the response, with names in lower case.
     """
 
     status: int
     body: bytes = b''
     error: str = ''
+    values_by_name: dict = attrs.field(factory=dict)
 
 
 class _Call:
@@ -68,7 +71,10 @@
         self._finish(HttpReply(0, error=reason), reset=True)
 
     def _handle_response(self, message):
-        self._finish(HttpReply(message.status, message.body), reset=False)
+        reply = HttpReply(
+            message.status, message.body, '', message.values_by_name
+        )
+        self._finish(reply, reset=False)
 
     def _finish(self, reply, reset):
         self._timer.cancel()
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -146,6 +146,12 @@
         'Requests that are suspected of crashing targets.',
         [({}, len(process.node.crash_history.suspects))],
     )
+    _register_counter(
+        registry,
+        'store_returns_total',
+        'Returns of the store from an older copy.',
+        [({}, process.store.rises)],
+    )
     _register_gauge(
         registry,
         'configuration_version',
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -247,7 +247,7 @@
             return -1
         return self.configuration.version
 
-    def install(self, body, source):
+    def install(self, body, source, is_stored=False):
         """Replace the configuration if a document holds a newer version.
 
         An invalid document is logged and ignored.
@@ -258,6 +258,9 @@
             Configuration document.
         source : str
             Sender of the document, for the log.
+        is_stored : bool, default=False
+            Whether this is what the store has now. Among documents of the
+            same version, it counts.
         """
         try:
             configuration = self.decode_configuration(body)
@@ -269,7 +272,7 @@
                 extra={'event': 'configuration_invalid'},
             )
             return
-        if configuration.version <= self.configuration_version():
+        if not self._is_news(configuration, is_stored):
             return
         _LOG.warning(
             'configuration version %d installed',
@@ -288,6 +291,27 @@
         for callback in self.on_configuration:
             callback(configuration)
 
+    def _is_news(self, configuration, is_stored):
+        """Return whether a configuration replaces the one in force.
+
+        A store that comes back from an older copy may get another one under
+        the same number.
+        """
+        known = self.configuration
+        if known is None or configuration.version != known.version:
+            return configuration.version > self.configuration_version()
+        if configuration.body == known.body:
+            return False
+        _LOG.warning(
+            'another configuration has version %d, too',
+            configuration.version,
+            extra={
+                'event': 'configuration_differs',
+                'is_installed': is_stored,
+            },
+        )
+        return is_stored
+
     def broadcast(self, frame):
         """Send a notification to every connected node."""
         for connection in self.connections():
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -25,6 +25,7 @@
 from rosemarycrank.dataplane import _registration
 from rosemarycrank.dataplane import _routes
 from rosemarycrank.dataplane import _small_server
+from rosemarycrank.dataplane import _store_era
 from rosemarycrank.dataplane import _target
 from rosemarycrank.dataplane import _target_table
 from rosemarycrank.dataplane import _upstream
@@ -227,7 +228,7 @@
             lambda: node.directory.is_ended(settings.peer_address),
         )
         self.target_side.on_leaving = self.registration.leave
-        self.store = self.adapter.open_store(self.reactor)
+        self.store = _store_era.EraStore(self.adapter.open_store(self.reactor))
         self.target_table = _target_table.TargetTable(
             self.reactor, self.store, settings.targets_table, node, rng
         )
@@ -250,6 +251,13 @@
             MAX_CONFIGURATION_POLL_DELAY_S,
         )
 
+        for callback in (
+            self.target_table.recover,
+            self.cost_rows.recover,
+            self.configuration_follower.read_again,
+        ):
+            self.store.on_rise(callback)
+
     def run(self):
         """Serve requests until the planned stop is complete."""
         settings = self.settings
@@ -326,7 +334,9 @@
 
     def _receive_configuration_row(self, row):
         if row.key == self.settings.configuration_key and row.value:
-            self.node.install(row.value, f'store at {row.version}')
+            self.node.install(
+                row.value, f'store at {row.version}', is_stored=True
+            )
 
     def _handle_readiness_request(self, message):
         if not self.adapter.is_readiness_probe(message):
--- a/rosemarycrank/dataplane/_target_table.py
+++ b/rosemarycrank/dataplane/_target_table.py
@@ -16,6 +16,10 @@
 FLEET_POLLS_PER_S = 25.0
 MAX_FLEET_POLL_DELAY_S = 60.0
 
+#: Rows a second that all nodes together write again after the store has lost
+#: them; well below what a store takes.
+REWRITES_PER_S = 200.0
+
 #: Prefix of the keys of rows that name the routes that clients use.
 CLIENT_ROUTE_PREFIX = 'client-route/'
 
@@ -45,6 +49,9 @@
     """
 
     def __init__(self, reactor, store, table, node, random):
+        self._reactor = reactor
+        self._random = random
+        self._published_routes = set()
         self._store = store
         self._table = table
         self._node = node
@@ -71,8 +78,37 @@
         """Keep the row of the local target at a record."""
         self._publisher.publish(_node.encode_record(record))
 
+    def recover(self):
+        """Read the table again, and write what the store may have lost.
+
+        Returns
+        -------
+        int
+            Number of rows that are written again.
+        """
+        self.follower.read_again()
+        node_count = len(self._node.directory.records_by_node)
+        delay_s = max(
+            _discovery.MIN_REWRITE_DELAY_S, node_count / REWRITES_PER_S
+        )
+        self._publisher.max_delay_s = delay_s
+        for route in sorted(self._published_routes):
+            self._reactor.timers.after(
+                delay_s * self._random.random(),
+                lambda _now, route=route: self._write_client_route(route),
+            )
+        return (
+            self._publisher.write_again()
+            + self._crash_rows.recover(delay_s)
+            + len(self._published_routes)
+        )
+
     def publish_client_route(self, route):
         """Tell nodes that start later that clients use a route."""
+        self._published_routes.add(route)
+        self._write_client_route(route)
+
+    def _write_client_route(self, route):
         row = _discovery.StoredRow(CLIENT_ROUTE_PREFIX + route, 0, b'{}')
         self._store.write(
             self._table,
--- a/rosemarycrank/platform/_names.py
+++ b/rosemarycrank/platform/_names.py
@@ -26,5 +26,8 @@
 TARGETS_TABLE = 'targets'
 COSTS_TABLE = 'costs'
 
+#: Header field in which the store counts its returns from an older copy.
+STORE_ERA_HEADER = b'store-era'
+
 #: Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'ROSEMARYCRANK_CONFIG'
--- a/rosemarycrank/platform/_store.py
+++ b/rosemarycrank/platform/_store.py
@@ -8,6 +8,7 @@
 
 from rosemarycrank import dataplane
 from rosemarycrank import decoding
+from rosemarycrank.platform import _names
 
 #: Partition of all rows that the nodes use.
 PARTITION = ''
@@ -15,6 +16,9 @@
 #: Largest version of a row that is taken for one.
 MAX_VERSION = 2**63
 
+#: Largest number of digits of an era that is taken for one.
+MAX_ERA_DIGITS = 18
+
 #: Maximum number of bytes of an invalid row in the log.
 MAX_LOGGED = 200
 
@@ -83,6 +87,7 @@
         return dataplane.StoreReply(
             dataplane.ReplyKind.FAILED, detail=http_reply.error
         )
+    era = _decode_era(http_reply.values_by_name.get(_names.STORE_ERA_HEADER))
     kind = _KIND_BY_STATUS.get(http_reply.status, dataplane.ReplyKind.FAILED)
     detail = f'status {http_reply.status}'
     try:
@@ -91,10 +96,24 @@
     except ValueError as error:
         if kind is dataplane.ReplyKind.OK:
             return dataplane.StoreReply(
-                dataplane.ReplyKind.FAILED, detail=f'{detail}: {error}'
+                dataplane.ReplyKind.FAILED,
+                detail=f'{detail}: {error}',
+                era=era,
             )
         body, rows = _Body(), ()
-    return dataplane.StoreReply(kind, rows, body.ver, detail)
+    return dataplane.StoreReply(kind, rows, body.ver, detail, era)
+
+
+def _decode_era(value):
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        _LOG.warning(
+            'the store names an invalid era',
+            extra={'event': 'store_era_invalid', 'era': value[:MAX_LOGGED]},
+        )
+        return None
+    return int(value)
 
 
 class RowStore(dataplane.Store):
@@ -162,11 +181,22 @@
             if reply.kind is not dataplane.ReplyKind.OK:
                 on_reply(reply)
                 return
+            if previous is not None and previous.era != reply.era:
+                reply = dataplane.StoreReply(
+                    dataplane.ReplyKind.FAILED,
+                    detail='pages of different eras',
+                    era=reply.era,
+                )
+                on_reply(reply)
+                return
             if previous is not None:
                 # Keep the version of the first page: changes made while the
                 # other pages were read are received by following from there.
                 reply = dataplane.StoreReply(
-                    reply.kind, previous.rows + reply.rows, previous.version
+                    reply.kind,
+                    previous.rows + reply.rows,
+                    previous.version,
+                    era=reply.era,
                 )
             if _decode_body(http_reply.body).has_more and reply.rows:
                 # The smallest key after the last one read.
--- a/rosemarycrank/standins/row_store.py
+++ b/rosemarycrank/standins/row_store.py
@@ -3,6 +3,7 @@
 It implements the row calls of the platform's published interface over HTTP,
 so that tests and the soak test need no real store. Rows are kept in memory.
 The mode of the store makes it refuse calls, stop responding or lose answers.
+It comes back from a copy of itself on command, and counts that in its answers.
 """
 
 import json
@@ -33,12 +34,16 @@
         One of `MODES`.
     calls : int
         Number of calls received.
+    era : int
+        Number of returns from a copy.
     """
 
     def __init__(self):
         self.version = 0
         self.mode = 'up'
         self.calls = 0
+        self.era = 0
+        self._copy = (0, {})
         self._rows = {}
         self._history = []
         self._compacted_version = 0
@@ -64,6 +69,18 @@
         self._apply([(table, part, key, value)])
         return self.version
 
+    def take_copy(self):
+        """Copy all rows and the version."""
+        self._copy = (self.version, dict(self._rows))
+
+    def come_back(self):
+        """Go on from the copy, without a history, in the next era."""
+        self.version, rows = self._copy
+        self._rows = dict(rows)
+        self.era += 1
+        self.compact()
+        self._changed.set()
+
     def compact(self):
         """Discard the history; feeds after an older version then get 410."""
         self._compacted_version = self.version
@@ -89,7 +106,7 @@
             int(query.get('wait_ms', 0)) / 1000.0
         )
         while True:
-            if after < self._compacted_version:
+            if not self._compacted_version <= after <= self.version:
                 return 410, {}
             keys = {
                 (row_table, part, key): None
@@ -134,7 +151,11 @@
         body |= {'ver': self.version, 'now_s': 0.0}
         data = json.dumps(body).encode()
         start_response(
-            f'{status} Status', [('Content-Type', 'application/json')]
+            f'{status} Status',
+            [
+                ('Content-Type', 'application/json'),
+                ('Store-Era', str(self.era)),
+            ],
         )
         return [data]
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -163,6 +163,11 @@
         """Create the target of a node."""
         return Target(ip, service)
 
+    def stored_keys(self, table):
+        """Return the keys of all rows of a table."""
+        rows = self.store.get({'table_name': table})[1]['rows']
+        return [row['key'] for row in rows]
+
     def configure(self, version, **services_by_prefix):
         """Write a configuration to the store, as the operator does."""
         routes = [
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -233,8 +233,10 @@
         on_reply(self.http_replies.pop(0))
 
 
-def _http_reply(status, **body):
-    return dataplane.HttpReply(status, json.dumps(body).encode())
+def _http_reply(status, era=None, **body):
+    headers = {} if era is None else {b'store-era': era}
+    data = json.dumps(body).encode()
+    return dataplane.HttpReply(status, data, values_by_name=headers)
 
 
 def _stored_row(key, ver, value=None):
@@ -272,6 +274,41 @@
     assert 'wait_ms=10000' in client.calls[0][1]
 
 
+@pytest.mark.parametrize(
+    'value, era',
+    [
+        (None, None),
+        (b'0', 0),
+        (b'17', 17),
+        (b'-1', None),
+        (b'1e3', None),
+        (b'', None),
+        ('²'.encode(), None),
+        (b'9' * 40, None),
+    ],
+)
+@pytest.mark.parametrize('status', [200, 410, 503])
+def test_era_of_a_reply(status, value, era):
+    client = _FakeClient(_http_reply(status, value, rows=[], ver=3))
+    replies = []
+    _store.RowStore(client).read('t', replies.append)
+    assert replies[0].era == era
+
+
+# Guards against a table of which one half is older than the other.
+def test_pages_of_different_eras_are_not_put_together():
+    rows = [_stored_row('a', 1, b'x')]
+    client = _FakeClient(
+        _http_reply(200, b'1', rows=rows, has_more=True, ver=5),
+        _http_reply(200, b'2', rows=rows, has_more=False, ver=3),
+    )
+    replies = []
+    _store.RowStore(client).read('t', replies.append)
+    (reply,) = replies
+    assert reply.kind is dataplane.ReplyKind.FAILED
+    assert reply.era == 2
+
+
 @pytest.mark.parametrize(
     'status, kind',
     [
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -150,6 +150,25 @@
     assert status == 200
 
 
+# Guards against nodes that are unknown to those that start later, as the store
+# has come back without their rows.
+def test_rows_are_written_again_after_a_return_of_the_store(cluster):
+    keys = set(cluster.stored_keys('targets'))
+    assert len(keys) >= len(cluster.ips)
+    cluster.store.come_back()
+    assert not cluster.stored_keys('targets')
+    cluster.configure(1, read='archive', pay='dues')
+    cluster.wait_until(
+        lambda: set(cluster.stored_keys('targets')) >= keys,
+        'rows are still missing',
+    )
+    assert cluster.send(cluster.ips[0], 'read')[1] == 200
+    text = deployment.exchange(
+        cluster.ips[0], METRICS_PORT, 'GET', '/metrics'
+    )[1]
+    assert 'rosemarycrank_store_returns_total 1' in text
+
+
 def test_invalid_settings_file_is_ignored_on_reload(cluster, tmp_path):
     ip = cluster.ips[0]
     path = tmp_path / f'{ip}.conf'
