Ping idle peers also while they send something

Cause: a node pinged an idle peer 2 s after it had last received something. While the peer sent on its own (facts about crashes, costs), it got no ping, took the connection for silent after 2.75 s and closed it; the node connected again, with handshakes and comparisons.

Change: a peer is pinged every 2 s whatever it sends, as the other side expects.

--- a/rosemarycrank/dataplane/_peer_connection.py
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -149,15 +149,15 @@
         float
             Time until which no ping becomes due; `now` after a ping.
         """
+        interval_s = IDLE_PING_INTERVAL_S
         if active_interval_s is not None:
-            # A ping also allows the peer to discard results that have
-            # arrived here.
-            due_at = min(
-                self.last_received_at + active_interval_s,
-                self.last_ping_at + IDLE_PING_INTERVAL_S,
-            )
-        else:
-            due_at = self.last_received_at + IDLE_PING_INTERVAL_S
+            interval_s = active_interval_s
+        # The peer takes a node that sends nothing for silent, whatever it
+        # sends itself, and discards results that have arrived here.
+        due_at = min(
+            self.last_received_at + interval_s,
+            self.last_ping_at + IDLE_PING_INTERVAL_S,
+        )
         if now > due_at:
             self._send_ping(now)
             return now
--- a/tests/dataplane/test_fleet.py
+++ b/tests/dataplane/test_fleet.py
@@ -267,3 +267,19 @@
     earlier = _frames.Hello(2, second.address, 5, 0, -1, [], [])
     first.receive_hello(earlier, peer)
     assert sent == [_frames.Announcement(first.directory.records())]
+
+
+# Guards against connections that are closed as silent and opened again, with
+# handshakes, while only the node that was called has something to tell.
+def test_connection_on_which_only_one_side_tells_something_stays_open(
+    make_fleet,
+):
+    fleet = make_fleet(2)
+    fleet.send(fleet.nodes[0], fleet.addresses[1])
+    fleet.reactor.run(1.0, 0.05)
+    fleet.clear_counts()
+    for _ in range(100):
+        for connection in fleet.nodes[1].inbound_connections:
+            connection.notify(_frames.Crashes([]))
+        fleet.reactor.run(0.2, 0.05)
+    assert fleet.frames_by_tag[HELLO] == 0
