--- a/rosemarycrank/dataplane/_crash_exchange.py
+++ b/rosemarycrank/dataplane/_crash_exchange.py
@@ -13,7 +13,7 @@
 
 #: Number of nodes to which new facts are passed on. With fewer, some nodes of
 #: a fleet would get none.
-FANOUT = 12
+FANOUT = 8
 
 #: Seconds between two comparisons of a node, and the maximum delay of one.
 COMPARISON_INTERVAL_S = 0.5
