Let calls wait for 50 ms before fewer requests are admitted

Cause: calls of routes with a goal of 100 ms counted as late after 30 ms in the queue, which is less than the time of two runs of such a call, so other requests were refused while theirs would have been in time.

Change: waits of up to 50 ms count as short, whatever the goal.

--- a/rosemarycrank/dataplane/_rank_waits.py
+++ b/rosemarycrank/dataplane/_rank_waits.py
@@ -10,7 +10,7 @@
 
 #: Longest wait of a call that is taken for short, in seconds and as a share
 #: of its latency goal; the larger one applies. A request may make ten calls.
-MIN_WAIT_GOAL_S = 0.03
+MIN_WAIT_GOAL_S = 0.05
 WAIT_GOAL_SHARE = 0.15
 
 #: Share by which a factor falls in one update while calls wait for twice as
