Log why connections are not accepted, count them, and say what crashes have in common

Now a line a second at most, a counter of the failures, and gauges of the connections of clients, nodes and the target. crash_suspect_refused says how many other requests share all crashes, and how far these are apart, so that blame by a cause outside can be told. No decision changes.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -321,6 +321,22 @@
         )
         return self._listener.address
 
+    @property
+    def accept_failures(self):
+        """Number of connections that could not be accepted."""
+        return self._listener.failures if self._listener is not None else 0
+
+    def count_by_state(self):
+        """Return the numbers of open connections, by state.
+
+        Returns
+        -------
+        dict of str to int
+            ``idle`` without a request, and ``busy``.
+        """
+        idle = sum(connection.is_idle for connection in self._connections)
+        return {'idle': idle, 'busy': len(self._connections) - idle}
+
     def discard(self, connection):
         """Remove a closed connection."""
         self._connections.discard(connection)
--- a/rosemarycrank/dataplane/_crash_history.py
+++ b/rosemarycrank/dataplane/_crash_history.py
@@ -416,7 +416,7 @@
         crashes.sort(key=lambda known: known.crashed_at)
         if len(crashes) >= CRASHES_TO_REFUSE:
             self._repeat_suspects.add(digest)
-            _log_refusal(digest, len(crashes), self.refused_for_s(digest))
+            _log_refusal(digest, crashes, self.refused_for_s(digest))
 
     def _add_cleared(self, crash, digest):
         crash.cleared.add(digest)
@@ -478,16 +478,22 @@
     )
 
 
-def _log_refusal(digest, crash_count, refusal_s):
+def _log_refusal(digest, crashes, refusal_s):
+    shared = set.intersection(*(crash.suspects for crash in crashes))
+    spread_ms = max(c.at_ms for c in crashes) - min(c.at_ms for c in crashes)
     _LOG.warning(
         'request %x is refused: %d targets have crashed under it',
         digest,
-        crash_count,
+        len(crashes),
         extra={
             'event': 'crash_suspect_refused',
             'digest': '%x' % digest,
-            'crashes': crash_count,
+            'crashes': len(crashes),
             'refusal_s': round(refusal_s, 1),
+            # Other requests that ran at all of these crashes, and the time
+            # between the first and the last one.
+            'shared_with': len(shared) - 1,
+            'spread_ms': spread_ms,
         },
     )
 
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -95,6 +95,24 @@
         'Requests whose client left.',
         [({}, counters.cancelled)],
     )
+    _register_counter(
+        registry,
+        'accept_failures_total',
+        'Connections of clients that could not be accepted.',
+        [({}, process.clients.accept_failures)],
+    )
+    _register_gauge(
+        registry,
+        'client_connections',
+        'Open connections of clients, by state.',
+        _labelled('state', process.clients.count_by_state()),
+    )
+    _register_gauge(
+        registry,
+        'node_connections',
+        'Open connections to and from other nodes.',
+        [({}, len(process.node.all_connections()))],
+    )
     _register_counter(
         registry,
         'target_sends_total',
@@ -113,6 +131,12 @@
         'Connections opened to the local target.',
         [({}, process.pool.opened)],
     )
+    _register_gauge(
+        registry,
+        'target_connections_open',
+        'Open connections to the local target.',
+        [({}, process.pool.open_count)],
+    )
     _register_gauge(
         registry,
         'target_attempts',
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -14,6 +14,7 @@
 import gevent
 
 from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank import timers
 
 #: Interval at which the timer service runs; the resolution of time-outs.
@@ -42,6 +43,10 @@
 #: accepted at the next event.
 MAX_ACCEPTS_PER_EVENT = 64
 
+#: Shortest time between two lines that say that connections are not accepted,
+#: in seconds.
+ACCEPT_LINE_INTERVAL_S = 1.0
+
 #: TCP keep-alive: idle time before the first probe, interval between probes,
 #: and number of unanswered probes after which the connection is closed.
 KEEPALIVE_IDLE_S = 1
@@ -432,6 +437,8 @@
     ----------
     address : tuple of (str, int)
         Address to which the socket is bound.
+    failures : int
+        Number of connections that could not be accepted.
 
     Raises
     ------
@@ -443,6 +450,10 @@
         self.reactor = reactor
         self.address = address
         self.on_accept = on_accept
+        self.failures = 0
+        self._failure_lines = _repeated_lines.RepeatedLines(
+            ACCEPT_LINE_INTERVAL_S
+        )
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind(address)
@@ -464,7 +475,7 @@
                 sock, peer = self._sock.accept()
             except OSError as error:
                 if error.errno not in _WOULD_BLOCK:
-                    _LOG.warning('accept failed: %s', error)
+                    self._record_failure(error)
                 return
             try:
                 _set_socket_options(sock)
@@ -472,3 +483,17 @@
             except Exception:
                 _LOG.exception('handling of an accepted connection failed')
                 sock.close()
+
+    def _record_failure(self, error):
+        self.failures += 1
+        if self._failure_lines.suppress(self.reactor.now()):
+            return
+        _LOG.warning(
+            'cannot accept connections: %s',
+            error,
+            extra={
+                'event': 'accept_failed',
+                'address': '%s:%d' % self.address,
+                'suppressed': self._failure_lines.take_suppressed(),
+            },
+        )
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -360,6 +360,11 @@
         self._idle = []
         self._retire_timer = reactor.timers.every(0.25, self._close_expired)
 
+    @property
+    def open_count(self):
+        """Number of open connections."""
+        return len(self._opened_at_by_connection)
+
     def acquire(self, idempotent):
         """Return an idle or a new connection for one request.
 
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -247,3 +247,12 @@
     process.registration.report(attrs.evolve(heartbeat, sequence=2))
     assert node.directory.is_ready(OWN_ADDRESS)
     assert node.directory.records_by_node[OWN_ADDRESS].sequence == 2
+
+
+def test_metrics_page_counts_connections(process):
+    request = fakes.request(target=b'/metrics')
+    page = _metrics.handle_request(process, request).body
+    assert b'rosemarycrank_accept_failures_total 0' in page
+    assert b'rosemarycrank_client_connections{state="idle"} 0' in page
+    assert b'rosemarycrank_node_connections 0' in page
+    assert b'rosemarycrank_target_connections_open 0' in page
