--- a/tests/dataplane/conftest.py
+++ b/tests/dataplane/conftest.py
@@ -1,5 +1,8 @@
 """Fixtures for the tests of the data path."""
 
+import os
+import resource
+
 import pytest
 
 from rosemarycrank.dataplane import _costs
@@ -53,3 +56,17 @@
         return side
 
     return make
+
+
+@pytest.fixture
+def exhaust_descriptors():
+    """Return a function after which no descriptor can be opened."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    def exhaust():
+        lowest_free = os.dup(0)
+        os.close(lowest_free)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+
+    yield exhaust
+    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -4,6 +4,7 @@
 import collections
 import json
 import os
+import resource
 import signal
 import subprocess
 import time
@@ -146,8 +147,16 @@
         First three numbers of the loopback addresses.
     services : list of str
         Service of each target.
+
+    Attributes
+    ----------
+    max_descriptors : int or None
+        Limit on the descriptors of each node that is started; None for that
+        of the tests.
     """
 
+    max_descriptors = None
+
     def __init__(self, directory, prefix, services):
         self.directory = directory
         self.store, self._store_server = row_store.serve(f'{prefix}.1:0')
@@ -228,6 +237,13 @@
                 stdout=log,
                 stderr=log,
             )
+        if self.max_descriptors is not None:
+            # The new process has yet to start its interpreter.
+            resource.prlimit(
+                self._processes_by_ip[ip].pid,
+                resource.RLIMIT_NOFILE,
+                (self.max_descriptors, self.max_descriptors),
+            )
 
     def target(self, ip):
         """Return the target at an address."""
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -13,6 +13,9 @@
 
 METRICS_PORT = node.METRICS_PORT
 
+#: Deadline of clients that keep their connections, in seconds.
+DEADLINE_S = 4
+
 
 @pytest.fixture
 def cluster(tmp_path, request):
@@ -169,6 +172,57 @@
     assert 'rosemarycrank_store_returns_total 1' in text
 
 
+@pytest.fixture
+def keep_connections(cluster):
+    """Return a function that sends requests and keeps their connections.
+
+    It returns the statuses of the answers; 0 for none within the deadline.
+    """
+    connections = []
+
+    def send(ip, number):
+        try:
+            sock = gevent.socket.create_connection(
+                (ip, deployment.CLIENT_PORT), DEADLINE_S
+            )
+            connections.append(sock)
+            sock.sendall(
+                b'GET /read/1 HTTP/1.1\r\nHost: h.example\r\n'
+                b'X-Rosemarycrank-Request-Id: k%d\r\n'
+                b'X-Rosemarycrank-Deadline-Ms: %d\r\n\r\n'
+                % (number, DEADLINE_S * 1000)
+            )
+            return int((sock.recv(65536) or b'- 0').split(b' ')[1])
+        except OSError:
+            return 0
+
+    yield lambda ip, count: [send(ip, number) for number in range(count)]
+    for sock in connections:
+        sock.close()
+
+
+# Guards against a node that accepts no connection, as clients that repeat
+# leave theirs open until no descriptor is left.
+def test_clients_are_served_while_others_keep_their_connections(
+    cluster, keep_connections, tmp_path
+):
+    ip = cluster.ips[0]
+    cluster.max_descriptors = 100
+    cluster.signal(ip, signal.SIGTERM)
+    cluster.wait_for_exit(ip)
+    cluster.start(ip)
+    cluster.wait_until(lambda: cluster.is_ready(ip), 'node is not ready')
+    cluster.send(ip, 'read')
+    assert set(keep_connections(ip, 200)) == {200}
+    assert cluster.is_ready(ip)
+    cluster.configure(7, read='dues')
+    cluster.wait_until(
+        lambda: cluster.send(ip, 'read')[2].endswith('@dues'),
+        'the store is not followed any more',
+    )
+    assert b'Traceback' not in (tmp_path / f'{ip}.log').read_bytes()
+
+
 def test_invalid_settings_file_is_ignored_on_reload(cluster, tmp_path):
     ip = cluster.ips[0]
     path = tmp_path / f'{ip}.conf'
