Report a socket that cannot be opened to its owner, like a lost connection

Cause: connect() raised what opening the socket raised, in places that expect a connection to fail later.

Change: connect() returns a stream that is lost at once, before anything was sent, so an attempt ends as not run, and a call to the store with a reply. The class of fault: an error of a resource that surfaces where only errors of the other end are expected.

--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -44,8 +44,8 @@
 MAX_ACCEPTS_PER_EVENT = 64
 
 #: Shortest time between two lines that say that connections are not accepted,
-#: in seconds.
-ACCEPT_LINE_INTERVAL_S = 1.0
+#: or cannot be opened, in seconds.
+FAILURE_LINE_INTERVAL_S = 1.0
 
 #: TCP keep-alive: idle time before the first probe, interval between probes,
 #: and number of unanswered probes after which the connection is closed.
@@ -76,6 +76,8 @@
         Timer service, advanced every `TICK_INTERVAL_S`.
     delays : Histogram
         Delays of the ticks, which show how far the loop is behind.
+    connect_failure_lines : RepeatedLines
+        Limit on the lines about sockets that cannot be opened.
     """
 
     def __init__(self):
@@ -83,6 +85,9 @@
         self.timers = timers.Timers()
         self.timers.now = time.monotonic()
         self.delays = _counters.Histogram()
+        self.connect_failure_lines = _repeated_lines.RepeatedLines(
+            FAILURE_LINE_INTERVAL_S
+        )
         self._last_delay_s = 0.0
         self._ticker = self.loop.timer(TICK_INTERVAL_S, TICK_INTERVAL_S)
         self._ticker.start(self._tick)
@@ -376,6 +381,48 @@
         return None
 
 
+class UnopenedStream:
+    """Stands in for a `Stream` whose socket could not be opened.
+
+    It is lost as soon as its owner knows it.
+
+    Parameters
+    ----------
+    reactor : Reactor
+        Event loop.
+    owner : object
+        As for `Stream`.
+    error : OSError
+        Why there is no socket.
+    """
+
+    unsent_bytes = 0
+    is_connecting = True
+    on_drained = None
+
+    def __init__(self, reactor, owner, error):
+        self.reactor = reactor
+        self.owner = owner
+        self.is_open = True
+        self._error = error
+        reactor.call_soon(self._report)
+
+    def write(self, data):
+        """Discard bytes that cannot be sent."""
+
+    def discard_unsent(self):
+        """Do nothing; no bytes are queued."""
+
+    def close(self, reset=False):
+        """Report nothing to the owner any more."""
+        self.is_open = False
+
+    def _report(self):
+        if self.is_open:
+            self.is_open = False
+            self.owner.closed(self._error)
+
+
 def _set_socket_options(sock):
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -405,10 +452,14 @@
 
     Returns
     -------
-    Stream
+    Stream or UnopenedStream
         Connecting stream; bytes written before it is connected are queued.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        _log_unopened(reactor, address, error)
+        return UnopenedStream(reactor, owner, error)
     _set_socket_options(sock)
     if keep_alive:
         _enable_keep_alive(sock)
@@ -420,6 +471,20 @@
     return stream
 
 
+def _log_unopened(reactor, address, error):
+    lines = reactor.connect_failure_lines
+    if not lines.suppress(reactor.now()):
+        _LOG.warning(
+            'cannot open a socket: %s',
+            error,
+            extra={
+                'event': 'socket_failed',
+                'address': '%s:%d' % address,
+                'suppressed': lines.take_suppressed(),
+            },
+        )
+
+
 class Listener:
     """Listening socket that accepts connections.
 
@@ -452,7 +517,7 @@
         self.on_accept = on_accept
         self.failures = 0
         self._failure_lines = _repeated_lines.RepeatedLines(
-            ACCEPT_LINE_INTERVAL_S
+            FAILURE_LINE_INTERVAL_S
         )
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
