Pause accepting for a moment when no connection can be accepted

Change: after a failure the listener waits for 0.05 s. A connection that its client has given up does not end the loop, as the next one may be there.

--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -43,6 +43,11 @@
 #: accepted at the next event.
 MAX_ACCEPTS_PER_EVENT = 64
 
+#: Time after a failed accept in which no further one is tried, in seconds. The
+#: connection stays in the queue, and its socket ready, so that the loop would
+#: do nothing else.
+ACCEPT_PAUSE_S = 0.05
+
 #: Shortest time between two lines that say that connections are not accepted,
 #: or cannot be opened, in seconds.
 FAILURE_LINE_INTERVAL_S = 1.0
@@ -526,10 +531,13 @@
         self._sock.setblocking(False)
         self.address = self._sock.getsockname()
         self._watcher = reactor.loop.io(self._sock.fileno(), _READ)
-        self._watcher.start(self._handle_acceptable)
+        self._pause_timer = None
+        self._resume()
 
     def close(self):
         """Stop accepting connections."""
+        if self._pause_timer is not None:
+            self._pause_timer.cancel()
         self._watcher.stop()
         self._watcher.close()
         self._sock.close()
@@ -538,9 +546,13 @@
         for _ in range(MAX_ACCEPTS_PER_EVENT):
             try:
                 sock, peer = self._sock.accept()
+            except ConnectionAbortedError:
+                # The client has left the queue; the next one may be there.
+                continue
             except OSError as error:
                 if error.errno not in _WOULD_BLOCK:
                     self._record_failure(error)
+                    self._pause()
                 return
             try:
                 _set_socket_options(sock)
@@ -549,6 +561,16 @@
                 _LOG.exception('handling of an accepted connection failed')
                 sock.close()
 
+    def _pause(self):
+        self._watcher.stop()
+        self._pause_timer = self.reactor.timers.after(
+            ACCEPT_PAUSE_S, lambda _now: self._resume()
+        )
+
+    def _resume(self):
+        self._pause_timer = None
+        self._watcher.start(self._handle_acceptable)
+
     def _record_failure(self, error):
         self.failures += 1
         if self._failure_lines.suppress(self.reactor.now()):
