Close idle connections of clients to make room for new ones

Cause: nothing bounded the connections of clients. One that repeats opens a new one each time, and those that it leaves open were kept for the idle time of the configuration (15 s), until no descriptor was left. Then no connection was accepted, while all that were kept did nothing: a resource without a limit of our own, whose exhaustion keeps it exhausted.

Change: connections of clients may take 0.7 of the descriptors, those of the platform's file or of the operating system, whichever are fewer. Above that, and when accepting fails, the ones that have been idle for longest are closed, not before what has arrived on them was read.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -1,10 +1,13 @@
 """HTTP server for the requests of clients and of the local target."""
 
 import collections
+import heapq
 import logging
+import math
 
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _repeated_lines
 
 #: Maximum number of requests of one connection that are in flight at once;
 #: reading pauses at this number.
@@ -23,6 +26,18 @@
 #: reset, which can destroy the response before the client has read it.
 LINGER_S = 1.0
 
+#: Share of the connections that is closed at once to make room for new ones,
+#: so that the search for idle ones is rare.
+ROOM_SHARE = 0.05
+
+#: Idle time below which a connection is not closed to make room, in seconds:
+#: its client has just opened it, or may be about to send the next request.
+MIN_IDLE_S = 0.5
+
+#: Shortest time between two lines about connections that are closed to make
+#: room, in seconds.
+ROOM_LINE_INTERVAL_S = 1.0
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -284,23 +299,31 @@
         Event loop.
     entry : EntrySide
         Handler of the requests.
+    max_connections : float, default=inf
+        Number of open connections above which those that have been idle for
+        longest are closed.
 
     Attributes
     ----------
     limits : Limits
         Limits of the current configuration.
+    closed_for_room : int
+        Number of idle connections that were closed to make room.
     draining : bool
         Whether connections are closed after the next response, because the
         node is shutting down.
     """
 
-    def __init__(self, reactor, entry):
+    def __init__(self, reactor, entry, max_connections=math.inf):
         self.reactor = reactor
         self.entry = entry
+        self.max_connections = max_connections
         self.limits = _http1.Limits()
         self.draining = False
+        self.closed_for_room = 0
         self._connections = set()
         self._listener = None
+        self._room_lines = _repeated_lines.RepeatedLines(ROOM_LINE_INTERVAL_S)
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
 
     def listen(self, address):
@@ -317,7 +340,7 @@
             If the address cannot be bound.
         """
         self._listener = _reactor.Listener(
-            self.reactor, address, self._add_connection
+            self.reactor, address, self._add_connection, self._make_room
         )
         return self._listener.address
 
@@ -360,6 +383,40 @@
 
     def _add_connection(self, sock, _ip):
         self._connections.add(ClientConnection(self, sock))
+        if len(self._connections) > self.max_connections:
+            self._make_room()
+
+    def _make_room(self):
+        """Close the connections that have been idle for longest."""
+        open_count = len(self._connections)
+        idle_since = self.reactor.now() - MIN_IDLE_S
+        longest_idle = heapq.nsmallest(
+            max(1, int(ROOM_SHARE * open_count)),
+            (
+                connection
+                for connection in self._connections
+                if connection.is_idle
+                and connection.last_progress_at <= idle_since
+            ),
+            key=lambda connection: connection.last_progress_at,
+        )
+        for connection in longest_idle:
+            # A request may have arrived meanwhile.
+            connection.catch_up()
+            connection.close_when_idle()
+        closed = open_count - len(self._connections)
+        self.closed_for_room += closed
+        if not self._room_lines.suppress(self.reactor.now()):
+            _LOG.warning(
+                '%d connections of clients are open; closed %d idle ones',
+                open_count,
+                closed,
+                extra={
+                    'event': 'connections_limited',
+                    'idle': len(longest_idle),
+                    'suppressed': self._room_lines.take_suppressed(),
+                },
+            )
 
     def _sweep(self, now):
         for connection in list(self._connections):
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -101,6 +101,12 @@
         'Connections of clients that could not be accepted.',
         [({}, process.clients.accept_failures)],
     )
+    _register_counter(
+        registry,
+        'connections_closed_for_room_total',
+        'Idle connections of clients that were closed to make room.',
+        [({}, process.clients.closed_for_room)],
+    )
     _register_gauge(
         registry,
         'client_connections',
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -34,6 +34,10 @@
 #: in seconds.
 MAX_CONFIGURATION_POLL_DELAY_S = 0.5
 
+#: Share of the descriptors that connections of clients may take. The others
+#: are for files, and for connections to the target, other nodes and the store.
+CLIENT_DESCRIPTORS_SHARE = 0.7
+
 #: Net allocations that start a collection of the youngest objects, and the
 #: numbers of collections after which the older generations are included.
 #: Requests free their memory by reference counting, so rare collections
@@ -74,6 +78,8 @@
         is leaving.
     budget : RetryBudgetSettings
         Limit on retries.
+    max_descriptors : int
+        Number of descriptors that the process may open.
     targets_table : str
         Table in which the nodes publish their targets.
     costs_table : str
@@ -95,6 +101,7 @@
     grace_s: float
     drain_s: float
     budget: _node.RetryBudgetSettings
+    max_descriptors: int
     targets_table: str
     costs_table: str
     configuration_table: str
@@ -210,7 +217,11 @@
             self.counters,
             rng,
         )
-        self.clients = _clients.ClientServer(self.reactor, self.entry)
+        self.clients = _clients.ClientServer(
+            self.reactor,
+            self.entry,
+            int(CLIENT_DESCRIPTORS_SHARE * settings.max_descriptors),
+        )
         self.planned_stop = _planned_stop.PlannedStop(
             node,
             self.entry,
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -502,6 +502,9 @@
     on_accept : callable
         Called with the socket and the peer's IP address of each accepted
         connection.
+    on_failure : callable, optional
+        Called without arguments when a connection cannot be accepted, to
+        release descriptors.
 
     Attributes
     ----------
@@ -516,10 +519,11 @@
         If the address cannot be bound.
     """
 
-    def __init__(self, reactor, address, on_accept):
+    def __init__(self, reactor, address, on_accept, on_failure=None):
         self.reactor = reactor
         self.address = address
         self.on_accept = on_accept
+        self.on_failure = on_failure
         self.failures = 0
         self._failure_lines = _repeated_lines.RepeatedLines(
             FAILURE_LINE_INTERVAL_S
@@ -553,6 +557,8 @@
                 if error.errno not in _WOULD_BLOCK:
                     self._record_failure(error)
                     self._pause()
+                    if self.on_failure is not None:
+                        self.on_failure()
                 return
             try:
                 _set_socket_options(sock)
--- a/rosemarycrank/platform/__main__.py
+++ b/rosemarycrank/platform/__main__.py
@@ -40,6 +40,7 @@
         budget=dataplane.RetryBudgetSettings(
             settings.retry_budget_ratio, settings.retry_budget_slack
         ),
+        max_descriptors=settings.max_descriptors,
         targets_table=_names.TARGETS_TABLE,
         costs_table=_names.COSTS_TABLE,
         configuration_table=_names.OPERATOR_TABLE,
--- a/rosemarycrank/platform/_settings.py
+++ b/rosemarycrank/platform/_settings.py
@@ -1,12 +1,17 @@
 """Settings file of the platform: lines of the form ``name=value``."""
 
 import os
+import resource
 
 import attrs
 
 from rosemarycrank import addresses
 
 
+#: Number of descriptors that a process uses at most where nothing limits it.
+MAX_DESCRIPTORS = 1_000_000
+
+
 class SettingsError(ValueError):
     """A settings file that cannot be used."""
 
@@ -51,6 +56,9 @@
         Retries that all nodes together may send to a service in addition.
     memory_mb : float
         Memory limit of the process in MB; the process is killed above it.
+    max_descriptors : int
+        Number of descriptors that the process may open; that of the operating
+        system if the file states none, or more.
     """
 
     node_name: str
@@ -69,6 +77,7 @@
     retry_budget_ratio: float
     retry_budget_slack: float
     memory_mb: float
+    max_descriptors: int
 
 
 def _parse_lines(text):
@@ -103,6 +112,18 @@
         raise SettingsError(f'{name}: got {value!r}, expected a number')
 
 
+def _max_descriptors(values):
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        allowed = MAX_DESCRIPTORS
+    stated = _number(values, 'limits.max_fds', allowed)
+    if not stated >= 1:
+        raise SettingsError(
+            f'limits.max_fds: got {stated}, expected a positive number'
+        )
+    return int(min(stated, allowed))
+
+
 def _address(values, name, default=None):
     if default is not None and not values.get(name):
         return default
@@ -158,6 +179,7 @@
         retry_budget_ratio=_number(values, 'bounds.retry_budget_ratio', 0.2),
         retry_budget_slack=_number(values, 'bounds.budget_slack', 48.0),
         memory_mb=_number(values, 'limits.memory_mb', 300.0),
+        max_descriptors=_max_descriptors(values),
     )
 
 
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -274,3 +274,63 @@
     reactor.run(_clients.LINGER_S + 2 * _clients.SWEEP_INTERVAL_S)
     assert not connection.stream.is_open
     assert not server.has_unsent_output()
+
+
+def _open_connections(server, reactor, count):
+    """Open connections, the first one first, and return them in order."""
+    connections = []
+    for _ in range(count):
+        known = set(server._connections)
+        server._add_connection(None, '10.0.0.1')
+        connections += server._connections - known
+        reactor.run(0.01)
+    return connections
+
+
+# Guards against clients that get no connection while others keep theirs.
+def test_longest_idle_connection_makes_room_for_a_new_one(
+    server, entry, reactor
+):
+    server.max_connections = 4
+    connections = _open_connections(server, reactor, 4)
+    connections[0].received(REQUEST % 1)
+    connections[1].received(REQUEST % 2)
+    reactor.run(0.1)
+    entry.answer(1)
+    reactor.run(_clients.MIN_IDLE_S)
+    server._add_connection(None, '10.0.0.1')
+    closed = [c.stream.is_open for c in connections].index(False)
+    assert closed == 2
+    assert len(server._connections) == 4
+    assert server.closed_for_room == 1
+
+
+def test_connection_with_a_request_is_not_closed_to_make_room(server, reactor):
+    server.max_connections = 2
+    connections = _open_connections(server, reactor, 2)
+    for number, connection in enumerate(connections):
+        connection.received(REQUEST % number)
+    reactor.run(_clients.MIN_IDLE_S)
+    server._add_connection(None, '10.0.0.1')
+    assert all(c.stream.is_open for c in server._connections)
+    assert len(server._connections) == 3
+
+
+# Guards against a request that is lost with a connection that seems idle.
+def test_unread_request_keeps_its_connection_open(server, entry, reactor):
+    server.max_connections = 2
+    connections = _open_connections(server, reactor, 2)
+    oldest = connections[0]
+
+    unread = [REQUEST % 1]
+
+    def catch_up():
+        while unread:
+            oldest.received(unread.pop())
+        return True
+
+    oldest.stream.catch_up = catch_up
+    reactor.run(_clients.MIN_IDLE_S)
+    server._add_connection(None, '10.0.0.1')
+    assert oldest.stream.is_open
+    assert len(entry.exchanges) == 1
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -94,6 +94,7 @@
             grace_s=grace_s,
             drain_s=2.0,
             budget=_node.RetryBudgetSettings(),
+            max_descriptors=1000,
             targets_table='targets',
             costs_table='costs',
             configuration_table='op',
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -71,6 +71,7 @@
         grace_s=6.0,
         drain_s=2.0,
         budget=dataplane.RetryBudgetSettings(),
+        max_descriptors=1000,
         targets_table='targets',
         costs_table='costs',
         configuration_table='configuration',
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import resource
 
 import hypothesis
 from hypothesis import strategies
@@ -26,6 +27,7 @@
 bounds.drain_s=2.5
 bounds.retry_budget_ratio=0.2
 bounds.budget_slack=48
+limits.max_fds=200
 app_addr=10.1.0.8:8301
 service=archive
 provider.address=10.200.1.7:8309
@@ -40,6 +42,14 @@
     assert settings.store_address == ('10.200.1.7', 8309)
     assert settings.retry_budget_slack == 48.0
     assert (settings.grace_s, settings.drain_s) == (6.0, 2.5)
+    assert settings.max_descriptors == 200
+
+
+@pytest.mark.parametrize('stated', ['', 'limits.max_fds=1e9'])
+def test_descriptors_are_those_that_the_operating_system_allows(stated):
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    text = SETTINGS.replace('limits.max_fds=200', stated)
+    assert _settings.parse(text).max_descriptors == allowed
 
 
 # Guards against starts at a leaving target whose drain period is not known.
@@ -57,6 +67,9 @@
         ('bounds.grace_s=6', 'bounds.grace_s=six', 'bounds.grace_s'),
         ('bounds.drain_s=2.5', 'bounds.drain_s=two', 'bounds.drain_s'),
         ('port_range=7620,7635', 'port_range=x', 'port_range'),
+        ('max_fds=200', 'max_fds=many', 'limits.max_fds'),
+        ('max_fds=200', 'max_fds=nan', 'limits.max_fds'),
+        ('max_fds=200', 'max_fds=0', 'limits.max_fds'),
         ('zone=a', 'zone', 'line 4'),
     ],
 )
