--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -84,7 +84,7 @@
                 [('X-Rosemarycrank-Request-Id', request_id)],
             )
             return [b'']
-        body = f'{request_id}@{self.service}'.encode()
+        body = self.body(request_id)
         start_response(
             '200 OK',
             [
@@ -100,6 +100,10 @@
         gevent.sleep(self.work_s)
         return True
 
+    def body(self, request_id):
+        """Return the body of the response to a request."""
+        return f'{request_id}@{self.service}'.encode()
+
     def next_heartbeat(self):
         """Return the body of the next heartbeat."""
         self.sequence += 1
--- /dev/null
+++ b/tests/platform/test_memory_limit.py
@@ -0,0 +1,154 @@
+"""Nodes as real processes stay within their memory under any connections.
+
+A process above its limit is killed at once, as the platform does, and the
+requests that it holds are lost.
+"""
+
+import signal
+
+import gevent
+import pytest
+
+from rosemarycrank.platform import _settings
+from tests.platform import deployment
+from tests.platform import memory_loads
+
+#: Largest share of its limit that a node may take.
+MAX_MEMORY_SHARE = 0.9
+
+#: Least share of the requests of other clients that are served meanwhile.
+MIN_SERVED_SHARE = 0.99
+
+#: Time for which the connections are kept once all are open, in seconds.
+KEPT_S = 3.0
+
+SAMPLE_INTERVAL_S = 0.01
+LARGE_BODY = b'x' * 2_000_000
+
+
+class LargeTarget(deployment.Target):
+    """Target whose responses to requests of the loads are large."""
+
+    def body(self, request_id):
+        """Return the body of the response to a request."""
+        if request_id.startswith('large'):
+            return LARGE_BODY
+        return super().body(request_id)
+
+
+class LargeDeployment(deployment.Deployment):
+    """Deployment of such targets."""
+
+    def make_target(self, ip, service):
+        """Create the target of a node."""
+        return LargeTarget(ip, service)
+
+
+@pytest.fixture
+def cluster(tmp_path, request):
+    number = 20 + sum(map(ord, request.node.name)) % 200
+    cluster = LargeDeployment(tmp_path, f'127.5.{number}', ['dues', 'archive'])
+    try:
+        cluster.configure(1, read='archive', page='dues')
+        cluster.start_all()
+        cluster.wait_until_targets_are_known()
+        cluster.wait_until(
+            lambda: cluster.send(cluster.ips[1], 'page')[1] == 200,
+            'no request was served',
+        )
+        yield cluster
+    finally:
+        cluster.close()
+
+
+class _Watch:
+    """Memory of all nodes, and requests of clients beside a load."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self.peak_mb = 0.0
+        self.killed = []
+        self.statuses = []
+        self.goes_on = True
+        self._greenlets = [gevent.spawn(self._limit_memory)]
+        self._greenlets += [
+            gevent.spawn(self._send_requests, ip) for ip in cluster.ips
+        ]
+
+    def _limit_memory(self):
+        while self.goes_on:
+            for ip in self._cluster.ips:
+                used_mb = self._cluster.resident_mb(ip)
+                self.peak_mb = max(self.peak_mb, used_mb)
+                if used_mb > _settings.DEFAULT_MEMORY_MB:
+                    self.killed.append(ip)
+                    self._cluster.signal(ip, signal.SIGKILL)
+                    self._cluster.wait_for_exit(ip)
+            gevent.sleep(SAMPLE_INTERVAL_S)
+
+    def _send_requests(self, ip):
+        while self.goes_on:
+            self.statuses.append(self._cluster.send(ip, 'page')[1])
+            gevent.sleep(SAMPLE_INTERVAL_S)
+
+    def end(self):
+        """Wait for the last requests."""
+        self.goes_on = False
+        gevent.joinall(self._greenlets)
+
+    def check_memory(self):
+        """Assert that no node was close to its limit."""
+        assert not self.killed, f'killed above its memory: {self.killed}'
+        limit_mb = MAX_MEMORY_SHARE * _settings.DEFAULT_MEMORY_MB
+        assert self.peak_mb <= limit_mb
+
+    def check_served(self):
+        """Assert that other clients were served."""
+        served = self.statuses.count(200) / len(self.statuses)
+        assert served >= MIN_SERVED_SHARE
+
+
+def _play(cluster, load, count):
+    """Play a load; return the requests of others, once memory was checked."""
+    watch = _Watch(cluster)
+    try:
+        load.run(count)
+        gevent.sleep(KEPT_S)
+        watch.end()
+    finally:
+        load.close()
+    watch.check_memory()
+    return watch
+
+
+# Guards against a node that is killed above its memory with the requests that
+# it holds: unfinished heads and frames, connections and responses that are not
+# read were not in its account.
+@pytest.mark.parametrize(
+    'kind, count',
+    [
+        (memory_loads.UnfinishedHeads, 3800),
+        (memory_loads.UnfinishedProbes, 3800),
+        (memory_loads.UnfinishedHeartbeats, 3800),
+        (memory_loads.UnreadResponses, 480),
+        (memory_loads.UnfinishedFrames, 3800),
+        (memory_loads.UnfinishedFramesOfNodes, 3800),
+    ],
+)
+def test_node_survives_connections_of_one_kind(cluster, kind, count):
+    _play(cluster, kind(cluster.ips[0]), count).check_served()
+    assert all(cluster.is_ready(ip) for ip in cluster.ips)
+
+
+# Guards against the same by requests ahead. They are more than the node has
+# the processor time to answer, so that others are not served either.
+def test_node_survives_many_requests_ahead(cluster):
+    _play(cluster, memory_loads.ManyAhead(cluster.ips[0]), 3800)
+
+
+# Guards against the same with connections of several kinds at several ports,
+# each of which would fit alone.
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_node_survives_connections_of_mixed_kinds(cluster, seed):
+    _play(cluster, memory_loads.Mixed(cluster.ips[0], seed), 3400)
+    assert all(cluster.is_ready(ip) for ip in cluster.ips)
