Let a budget have memory that others cannot take

Readiness probes, heartbeats and other nodes are to be served while clients hold all shared memory; a node that cannot be asked is taken for gone.

--- a/rosemarycrank/dataplane/_memory.py
+++ b/rosemarycrank/dataplane/_memory.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import attrs
+
 from rosemarycrank.dataplane import _repeated_lines
 
 #: Default memory limit of the process, in bytes.
@@ -45,9 +47,9 @@
     Attributes
     ----------
     limit_bytes : int
-        Memory that the budgets may take together.
+        Memory that the budgets may take together, without what is reserved.
     used_bytes : int
-        Memory that they take.
+        Memory that they take of it.
     budgets_by_name : dict of str to Budget
         The budgets.
     """
@@ -56,28 +58,52 @@
         self.limit_bytes = int(HELD_SHARE * limit_bytes)
         self.used_bytes = 0
         self.budgets_by_name = {}
-        self._budget_bytes = int(BUDGET_SHARE * limit_bytes)
+        self._process_limit_bytes = limit_bytes
 
-    def budget(self, name):
+    def budget(self, name, share=BUDGET_SHARE, is_reserved=False):
         """Return a new budget.
 
         Parameters
         ----------
         name : str
             What it is for; a label value of metrics.
+        share : float, default=0.25
+            Share of the limit of the process that it may take.
+        is_reserved : bool, default=False
+            Whether that share is kept for it, so that the other budgets
+            cannot take it, however much they hold.
         """
-        budget = Budget(self, name, self._budget_bytes)
+        budget_bytes = int(share * self._process_limit_bytes)
+        pool = self
+        if is_reserved:
+            self.limit_bytes -= budget_bytes
+            pool = _Reserve(budget_bytes)
+        budget = Budget(pool, name, budget_bytes)
         self.budgets_by_name[name] = budget
         return budget
 
 
+@attrs.define
+class _Reserve:
+    """Memory that is kept for one budget.
+
+    Attributes
+    ----------
+    limit_bytes, used_bytes : int
+        Its size, and how much of it is taken.
+    """
+
+    limit_bytes: int
+    used_bytes: int = 0
+
+
 class Budget:
     """Limit on the memory that messages of one kind take.
 
     Parameters
     ----------
-    account : MemoryAccount
-        Account that it belongs to.
+    account : MemoryAccount or _Reserve
+        What it shares with other budgets.
     name : str
         What it is for.
     limit_bytes : int
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -68,6 +68,20 @@
     assert account.used_bytes <= account.limit_bytes
 
 
+# Guards against other nodes and probes that are refused while clients hold all
+# memory, so that the node is taken for gone.
+def test_reserved_memory_is_not_taken_by_others(account):
+    reserved = account.budget('control', share=0.05, is_reserved=True)
+    for name in 'abcd':
+        budget = account.budget(name)
+        while _hold(budget, 65536):
+            pass
+    while _hold(reserved, 65536):
+        pass
+    assert 4.9 * MB <= reserved.used_bytes <= 5 * MB
+    assert account.used_bytes <= 55 * MB
+
+
 def test_message_that_does_not_fit_takes_no_more(budget):
     hold = _memory.Hold(budget)
     assert hold.grow(20 * MB)
