Let a planned stop end in time when one of its steps fails

Callers lost every request that a node held in such a stop: an error in one step (a notice that could not be encoded, an error while connections were closed) kept the later steps from being taken. Each step is now taken by itself, and an error in it is logged.

--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -3,6 +3,7 @@
 import logging
 
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank import stop_times
 
 #: Seconds from SIGTERM during which requests of clients are still accepted, so
@@ -21,6 +22,9 @@
 #: Seconds between checks whether the drain is complete.
 DRAIN_CHECK_INTERVAL_S = 0.05
 
+#: Shortest time between two lines about steps that failed, in seconds.
+FAILURE_LINE_INTERVAL_S = 1.0
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -79,6 +83,9 @@
         self._times = None
         self._ended_at = None
         self._timer = None
+        self._failure_lines = _repeated_lines.RepeatedLines(
+            FAILURE_LINE_INTERVAL_S
+        )
 
     def begin(self):
         """Announce the stop; has no effect if it has begun."""
@@ -96,13 +103,13 @@
             stop_times.max_drain_s(self.grace_s),
             MAX_NOTICE_SHARE,
         )
-        self.entry.limit_run_end(self._times.runs_end_at)
-        # A run may make calls until it ends.
-        self.target_side.limit_run_end(self._times.calls_end_at)
-        self.clients.draining = True
         self._timer = self.node.reactor.timers.every(
             DRAIN_CHECK_INTERVAL_S, self._continue
         )
+        self.clients.draining = True
+        self._take(self.entry.limit_run_end, self._times.runs_end_at)
+        # A run may make calls until it ends.
+        self._take(self.target_side.limit_run_end, self._times.calls_end_at)
 
     def _continue(self, now):
         """Take the next step that is due."""
@@ -110,7 +117,7 @@
             return
         if not self.target_side.stopping:
             self.target_side.stopping = True
-            self.node.broadcast(_frames.Leaving())
+            self._take(self.node.broadcast, _frames.Leaving())
         if self._ended_at is not None:
             if self._is_flushed(now):
                 self._complete()
@@ -125,8 +132,29 @@
         if not self.target_side.busy():
             # Requests that run at the target may still make calls through
             # this node, over new connections too.
-            self.clients.stop_accepting()
-            self.clients.close_idle()
+            self._take(self.clients.stop_accepting)
+            self._take(self.clients.close_idle)
+
+    def _take(self, step, *arguments):
+        """Take a step; an error in it must not keep the next from theirs.
+
+        Returns
+        -------
+        object
+            What the step returns; None after an error.
+        """
+        try:
+            return step(*arguments)
+        except Exception:
+            if not self._failure_lines.suppress(self.node.reactor.now()):
+                _LOG.exception(
+                    'a step of the planned stop failed',
+                    extra={
+                        'event': 'stop_step_failed',
+                        'suppressed': self._failure_lines.take_suppressed(),
+                    },
+                )
+            return None
 
     def _is_drained(self):
         return not (
@@ -136,8 +164,8 @@
         )
 
     def _has_unsent_output(self):
-        return (
-            self.clients.has_unsent_output() or self.node.has_unsent_results()
+        return self._take(self.clients.has_unsent_output) or self._take(
+            self.node.has_unsent_results
         )
 
     def _is_flushed(self, now):
@@ -150,18 +178,18 @@
     def _end_drain(self, now):
         """Answer what is left; nothing new is accepted any more."""
         self._ended_at = now
-        self.clients.stop_accepting()
         self.entry.refuses_target_calls = True
-        self.target_side.end_all()
-        self.entry.end_all()
-        self.clients.close_idle()
+        self._take(self.clients.stop_accepting)
+        self._take(self.target_side.end_all)
+        self._take(self.entry.end_all)
+        self._take(self.clients.close_idle)
 
     def _complete(self):
         """Close the connections and have the process exit."""
         self._timer.cancel()
-        self.clients.close()
-        self.node.close()
-        self.pool.close()
+        self._take(self.clients.close)
+        self._take(self.node.close)
+        self._take(self.pool.close)
         _LOG.warning(
             'node stopped',
             extra={'event': 'stopped', 'under_way': self.entry.in_flight},
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -1,5 +1,7 @@
 """Planned stop of a node, in virtual time."""
 
+import contextlib
+
 import hypothesis
 import hypothesis.strategies as st
 import pytest
@@ -149,13 +151,14 @@
 
 @pytest.fixture
 def start_stop(reactor, monkeypatch):
-    def start_stop(work_s, attempts=1, grace_s=GRACE_S):
+    def start_stop(work_s, attempts=1, grace_s=GRACE_S, is_begun=True):
         stop = _Stop(reactor, work_s, grace_s)
         stop.process.target_side.limit.value = 1
         for number in range(1, attempts + 1):
             stop.accept_attempt(number)
         stop.early_request = stop.call(b'/page/1')
-        stop.process.planned_stop.begin()
+        if is_begun:
+            stop.process.planned_stop.begin()
         return stop
 
     monkeypatch.setattr(_process._reactor, 'Reactor', lambda: reactor)
@@ -531,3 +534,50 @@
         assert answer.endswith(TARGET_BODY)
     else:
         assert answer.startswith(b'HTTP/1.1 503 ')
+
+
+def _fail(*_arguments):
+    raise OverflowError('planted')
+
+
+def _run_to_the_end(reactor):
+    """Run for the grace period; errors of timers end no process."""
+    end = reactor.now() + GRACE_S
+    while reactor.now() < end:
+        with contextlib.suppress(OverflowError):
+            reactor.run(0.01)
+
+
+# Guards against a node that stays until it is killed, with its requests: an
+# error in one step of a planned stop kept the later ones from being taken.
+@pytest.mark.parametrize(
+    'part, step',
+    [
+        ('entry', 'limit_run_end'),
+        ('target_side', 'limit_run_end'),
+        ('node', 'broadcast'),
+        ('node', 'has_unsent_results'),
+        ('clients', 'stop_accepting'),
+        ('clients', 'close_idle'),
+        ('clients', 'has_unsent_output'),
+        ('target_side', 'end_all'),
+        ('entry', 'end_all'),
+        ('clients', 'close'),
+        ('node', 'close'),
+        ('pool', 'close'),
+    ],
+)
+def test_error_in_a_step_does_not_keep_a_node_from_its_exit(
+    start_stop, reactor, monkeypatch, part, step, caplog
+):
+    stop = start_stop(work_s=2 * GRACE_S, is_begun=False)
+    monkeypatch.setattr(
+        getattr(stop.process, part), step, _fail, raising=False
+    )
+    with contextlib.suppress(OverflowError):
+        stop.process.planned_stop.begin()
+    _run_to_the_end(reactor)
+    assert stop.has_exited()
+    assert (part, step) == ('entry', 'end_all') or _status(stop.early_request)
+    failures = [r for r in caplog.records if r.event == 'stop_step_failed']
+    assert 1 <= len(failures) <= 2
