Check the numbers of the settings by their ranges

A grace period that is no number (nan) was accepted, and a planned stop then never ended, so that the node was killed with the requests that it held; an infinite memory limit, and a port that is none, ended the start with a traceback. One table has unit, range and default of each number.

--- a/rosemarycrank/platform/_settings.py
+++ b/rosemarycrank/platform/_settings.py
@@ -14,6 +14,38 @@
 #: Memory limit of a process if the file states none, in MB.
 DEFAULT_MEMORY_MB = 300.0
 
+_DAY_S = 86400.0
+
+
+@attrs.frozen
+class Range:
+    """Range of a number in the settings.
+
+    Attributes
+    ----------
+    unit : str
+        Unit of the number.
+    least, most : float
+        Bounds of the range, both allowed.
+    default : float or None
+        Value if the file states none.
+    """
+
+    unit: str
+    least: float
+    most: float
+    default: float | None
+
+
+RANGES_BY_NAME = {
+    'bounds.grace_s': Range('s', 0.0, _DAY_S, 6.0),
+    'bounds.drain_s': Range('s', 0.0, _DAY_S, 0.0),
+    'bounds.retry_budget_ratio': Range('retries a request', 0.0, 100.0, 0.2),
+    'bounds.budget_slack': Range('retries', 0.0, 1e9, 48.0),
+    'limits.memory_mb': Range('MB', 1.0, 1e8, DEFAULT_MEMORY_MB),
+    'limits.max_fds': Range('descriptors', 1.0, 1e12, None),
+}
+
 
 class SettingsError(ValueError):
     """A settings file that cannot be used."""
@@ -109,21 +141,27 @@
     return value
 
 
-def _number(values, name, default):
+def _number(values, name, default=None):
+    """Return a number, which has to lie in its range.
+
+    Raises
+    ------
+    SettingsError
+        If it is none, or out of its range.
+    """
+    allowed = RANGES_BY_NAME[name]
     value = values.get(name, '')
     if not value:
-        return default
+        return allowed.default if default is None else default
     try:
-        return float(value)
+        number = float(value)
     except ValueError:
         raise SettingsError(f'{name}: got {value!r}, expected a number')
-
-
-def _positive(values, name, default):
-    number = _number(values, name, default)
-    if not number >= 1:
+    # A comparison with NaN is false.
+    if not allowed.least <= number <= allowed.most:
         raise SettingsError(
-            f'{name}: got {number}, expected a positive number'
+            f'{name}: got {value}, allowed {allowed.least:g} to '
+            f'{allowed.most:g} {allowed.unit}'
         )
     return number
 
@@ -132,7 +170,7 @@
     allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if allowed == resource.RLIM_INFINITY:
         allowed = MAX_DESCRIPTORS
-    return int(min(_positive(values, 'limits.max_fds', allowed), allowed))
+    return int(min(_number(values, 'limits.max_fds', allowed), allowed))
 
 
 def _address(values, name, default=None):
@@ -148,9 +186,14 @@
     value = _required(values, 'port_range')
     first, _, last = value.partition(',')
     last = last or first
-    if not (first.isdigit() and last.isdigit()):
-        raise SettingsError(f'port_range: got {value!r}, expected first,last')
-    return range(int(first), max(int(first), int(last)) + 1)
+    try:
+        _, first_port = addresses.parse(f'any:{first}')
+        _, last_port = addresses.parse(f'any:{last}')
+    except ValueError as error:
+        raise SettingsError(
+            f'port_range: got {value!r}, expected first,last'
+        ) from error
+    return range(first_port, max(first_port, last_port) + 1)
 
 
 def parse(text):
@@ -189,11 +232,11 @@
         target_address=_address(values, 'app_addr'),
         service=_required(values, 'service'),
         store_address=_address(values, 'provider.address'),
-        grace_s=_number(values, 'bounds.grace_s', 6.0),
-        drain_s=_number(values, 'bounds.drain_s', 0.0),
-        retry_budget_ratio=_number(values, 'bounds.retry_budget_ratio', 0.2),
-        retry_budget_slack=_number(values, 'bounds.budget_slack', 48.0),
-        memory_mb=_positive(values, 'limits.memory_mb', DEFAULT_MEMORY_MB),
+        grace_s=_number(values, 'bounds.grace_s'),
+        drain_s=_number(values, 'bounds.drain_s'),
+        retry_budget_ratio=_number(values, 'bounds.retry_budget_ratio'),
+        retry_budget_slack=_number(values, 'bounds.budget_slack'),
+        memory_mb=_number(values, 'limits.memory_mb'),
         max_descriptors=_max_descriptors(values),
     )
 
