Keep the text of an unfinished head in place of its fields

A node was killed above its memory by 2,458 connections with unfinished heads of 700 short fields. A field takes some 220 bytes as objects (three and a tuple, in a list and a dictionary) for 11 bytes on the wire, and was charged less. The parser made them as soon as they arrived.

The reader now looks for the end of a head itself, and gives the parser whole heads only. Until then it keeps and charges the text: 1.1 times its size with the room of the buffer. A reader also kept the last message, with its body, for as long as the connection was idle; it drops it now. The parser does not tell where a chunked body ends, so that chunks are parsed in parts up to each empty line, where the end may be.

What stays: 431 above the limit, 408 for slow heads, 400 at once for a first line that is malformed, offers of other protocols, the request id of a refused head. New: where packets end has no effect any more. The limit also holds for the text of a head that arrives whole, with 64 bytes for what is not counted of the request line; empty lines between requests begin none, and no 408 follows them.

test_unfinished_heads_share_the_budget needs six times as many readers to fill the budget, as each takes far less; what it checks stays.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -264,10 +264,9 @@
 
     def _reject(self, error):
         self.closing = True
+        request = self._reader.request_so_far()
         self._reader.release()
-        exchange = self.server.entry.refuse_message(
-            error, self._reader.message, self
-        )
+        exchange = self.server.entry.refuse_message(error, request, self)
         self._exchanges.append(exchange)
         self.response_ready(exchange)
 
--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -1,6 +1,8 @@
 """Parsing of HTTP/1.1 messages with `httptools`, and their encoding."""
 
+import logging
 import re
+import sys
 
 import attrs
 import httptools
@@ -52,9 +54,31 @@
     504: b'Gateway Timeout',
 }
 
+#: Size by which the text of a head may exceed the limit of its header section,
+#: for the rest of the request line, line ends and white space, in bytes.
+MAX_HEAD_EXCESS_BYTES = 64
+
+#: Size of a head up to which its beginning is checked with each part that is
+#: received, as the method may be invalid, in bytes.
+MAX_METHOD_BYTES = 64
+
+#: Memory that a reader takes for the text of an unfinished head beside the
+#: text, in bytes.
+UNFINISHED_HEAD_OVERHEAD_BYTES = 256
+
+_LINE_END_BYTES = b'\r\n'
+_HEAD_END = b'\r\n\r\n'
+
+# Line ends behind which a chunked body may be complete. The line before the
+# first one may have been received earlier.
+_FIRST_CHUNKED_END = re.compile(rb'\n\r?\n|\A\r?\n')
+_CHUNKED_END = re.compile(rb'\n\r?\n')
+
 # Request target with scheme and authority; groups of authority and rest.
 _ABSOLUTE_TARGET = re.compile(rb'(?i:https?)://([^/?#@]+)([/?][^#]*)?')
 
+_LOG = logging.getLogger(__name__)
+
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -226,6 +250,9 @@
 class RequestReader(_Reader):
     """Incremental parser for the requests of one connection.
 
+    A head is parsed once it is complete. Until then its text is kept, as
+    objects for its fields would take many times as much memory.
+
     Parameters
     ----------
     limits : Limits
@@ -238,6 +265,9 @@
     budget : Budget, optional
         Budget for the requests, until `Message.release`; one of its own if
         not given.
+    head_budget : Budget, optional
+        Budget for the text of unfinished heads; that of the requests if not
+        given.
 
     Attributes
     ----------
@@ -247,18 +277,31 @@
         Whether the header section of that request is complete.
     """
 
-    def __init__(self, limits, on_request, on_continue=None, budget=None):
+    def __init__(
+        self,
+        limits,
+        on_request,
+        on_continue=None,
+        budget=None,
+        head_budget=None,
+    ):
         super().__init__()
         self.limits = limits
         self.started = False
         self.in_body = False
+        self.message = None
         self._on_request = on_request
         self._on_continue = on_continue
         self._budget = budget or _memory.MemoryAccount().budget('requests')
         self._hold = _memory.Hold(self._budget)
-        self._header_bytes = 0
+        self._head_hold = _memory.Hold(head_budget or self._budget)
+        # Text of an unfinished head; None if there is none.
+        self._head = None
+        self._empty_bytes = 0
         self._head_size = 0
         self._body_bytes = 0
+        # Size of the body; None if it has chunks.
+        self._length = None
         self._has_offer = False
         self._error = None
         self._parser = httptools.HttpRequestParser(self)
@@ -272,21 +315,130 @@
             If a request is malformed or exceeds a limit; the rest of the
             stream cannot be parsed then.
         """
-        if not self.in_body:
-            self._header_bytes += len(data)
+        if self._head is not None:
+            data = self._complete_head(data)
+        elif (
+            # Most requests arrive whole and one by one.
+            not self.in_body
+            and 0 < data.find(_HEAD_END) == len(data) - len(_HEAD_END)
+            and len(data) <= self.limits.header_bytes
+        ):
+            self._empty_bytes = 0
+            self._parse(data)
+            return
+        position = 0
+        while position < len(data):
+            if self.in_body:
+                position = self._feed_body(data, position)
+            else:
+                position = self._feed_head(data, position)
+
+    def _feed_head(self, data, position):
+        """Parse a head if it is complete; return the position behind it."""
+        if data[position] in _LINE_END_BYTES:
+            return self._skip_empty_lines(data, position)
+        end = data.find(_HEAD_END, position) + len(_HEAD_END)
+        if end < len(_HEAD_END):
+            self._keep_head(data[position:])
+            return len(data)
+        head = data[position:end]
+        if len(head) > self.limits.header_bytes + MAX_HEAD_EXCESS_BYTES:
+            self._reject_long_head(head)
+        self._empty_bytes = 0
+        self._parse(head)
+        if self._head_hold.size:
+            self._head_hold.release()
+        return end
+
+    def _skip_empty_lines(self, data, position):
+        """Return the position behind line ends before a request.
+
+        A server should ignore them (RFC 9112, 2.2).
+        """
+        end = len(data) - len(data[position:].lstrip(_LINE_END_BYTES))
+        self._empty_bytes += end - position
+        if self._empty_bytes > self.limits.header_bytes:
+            raise MessageError(431, 'header section over the limit')
+        return end
+
+    def _keep_head(self, text):
+        """Keep the text of an unfinished head."""
         self.started = True
+        self._head = bytearray(text)
+        self._check_first_line(text)
+        self._hold_head()
+
+    def _complete_head(self, data):
+        """Add data to an unfinished head.
+
+        Returns
+        -------
+        bytes
+            The head with what stands behind it; empty if its end is missing.
+        """
+        head = self._head
+        known = len(head)
+        has_line = b'\n' in head
+        head += data
+        if head.find(_HEAD_END, max(0, known - len(_HEAD_END))) >= 0:
+            self._head = None
+            return bytes(head)
+        if not has_line and (known < MAX_METHOD_BYTES or b'\n' in data):
+            self._check_first_line(head)
+        self._hold_head()
+        return b''
+
+    def _hold_head(self):
+        head = self._head
+        if len(head) > self.limits.header_bytes + MAX_HEAD_EXCESS_BYTES:
+            self._reject_long_head(head)
+        size = sys.getsizeof(head) + UNFINISHED_HEAD_OVERHEAD_BYTES
+        if not self._head_hold.grow(size):
+            raise NoMemoryError(size, self._head_hold.budget)
+
+    def _reject_long_head(self, head):
+        self._check_first_line(head)
+        raise MessageError(431, 'header section over the limit')
+
+    def _check_first_line(self, head):
+        """Reject what is no request before the head is complete."""
+        line = head[: head.find(b'\n') + 1] or head
         try:
-            self._parse(data)
+            httptools.HttpRequestParser(None).feed_data(line)
+        except httptools.HttpParserUpgrade:
+            return
         except httptools.HttpParserError as error:
-            if self._error is not None:
-                raise self._error from error
             raise MessageError(400, f'malformed request: {error}') from error
-        if self._error is not None:
-            raise self._error
-        if not self.in_body and self._header_bytes > self.limits.header_bytes:
-            raise MessageError(431, 'header section over the limit')
-        if self.started:
-            self._hold_received()
+
+    def _feed_body(self, data, position):
+        """Parse a part of a body; return the position behind it."""
+        if self._length is None:
+            return self._feed_chunks(data, position)
+        end = position + self._length - self._body_bytes
+        self._parse_body(data[position:end])
+        return min(end, len(data))
+
+    def _feed_chunks(self, data, position):
+        """Parse chunks up to the end of the body, if it is there.
+
+        The parser does not tell where a body ends. So it gets the data in
+        parts, each up to where this may be.
+        """
+        match = _FIRST_CHUNKED_END.search(data, position)
+        while match is not None:
+            end = match.end()
+            self._parse_body(data[position:end])
+            position = end
+            if not self.in_body:
+                return position
+            match = _CHUNKED_END.search(data, position - 1)
+        self._parse_body(data[position:])
+        return len(data)
+
+    def _parse_body(self, data):
+        self._parse(data)
+        if self.in_body:
+            self._require(self._head_size + self._body_bytes)
 
     def _parse(self, data):
         """Parse data; ignore offers of other protocols (RFC 9110, 7.8).
@@ -294,14 +446,18 @@
         The parser stops behind a head with such an offer, as if the other
         protocol followed. So the request is parsed again without the offer.
         """
-        while True:
-            try:
-                self._parser.feed_data(data)
-                return
-            except httptools.HttpParserUpgrade as stop:
-                (position,) = stop.args
-            data = self._head_without_offer() + data[position:]
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            head = self._head_without_offer()
             self._parser = httptools.HttpRequestParser(self)
+            self._parse(head)
+        except httptools.HttpParserError as error:
+            if self._error is not None:
+                raise self._error from error
+            raise MessageError(400, f'malformed request: {error}') from error
+        if self._error is not None:
+            raise self._error
 
     def _head_without_offer(self):
         """Return the encoded head of the message without its offer."""
@@ -318,20 +474,18 @@
     def release(self):
         """Give back the memory of a request that is not read any more."""
         self._hold.release()
+        self._head_hold.release()
 
-    def _hold_received(self):
-        """Take memory for the part of a request that has been received.
-
-        Raises
-        ------
-        MessageError
-            If it does not fit.
-        """
-        if self.in_body:
-            self._require(self._head_size + self._body_bytes)
-        else:
-            size = self._new_field_count * _memory.FIELD_OVERHEAD_BYTES
-            self._require(size + self._header_bytes)
+    def request_so_far(self):
+        """Return `Message` with the fields of an unfinished request."""
+        if self._head is None:
+            return self.message or Message()
+        fields = _Reader()
+        try:
+            httptools.HttpRequestParser(fields).feed_data(self._head)
+        except httptools.HttpParserError as error:
+            _LOG.debug('malformed fields of an unfinished head: %s', error)
+        return fields.message
 
     def _require(self, size):
         if self._hold.grow(size):
@@ -343,7 +497,6 @@
     def on_message_begin(self):
         self.message = Message()
         self._in_headers = True
-        self._new_field_count = 0
 
     def on_url(self, url):
         self.message.target += url
@@ -357,7 +510,7 @@
         if self._has_offer:
             return
         self._in_headers = False
-        self.in_body = True
+        self.in_body = self.started = True
         self._body_bytes = 0
         values = message.values_by_name
         # Lists cost less than generators: each request comes here.
@@ -374,6 +527,9 @@
                 self._reject(400, 'both Content-Length and Transfer-Encoding')
             if int(length) > self.limits.body_bytes:
                 self._reject(413, 'body over the limit')
+            self._length = int(length)
+        else:
+            self._length = None
         host_count = [name for name, _ in message.headers].count(b'host')
         if host_count != 1:
             self._reject(400, f'{host_count} Host headers')
@@ -405,8 +561,8 @@
         message.keep_alive = self._parser.should_keep_alive()
         self.in_body = False
         self.started = False
-        self._header_bytes = 0
         if self._error is None:
+            self.message = None
             message.hold = self._hold
             self._hold = _memory.Hold(self._budget)
             self._on_request(message)
--- a/tests/dataplane/test_http1.py
+++ b/tests/dataplane/test_http1.py
@@ -2,7 +2,10 @@
 
 import itertools
 import tracemalloc
+import weakref
 
+import hypothesis
+import hypothesis.strategies as st
 import pytest
 
 from rosemarycrank.dataplane import _http1
@@ -291,3 +294,141 @@
     for reader in readers:
         reader.release()
     assert budget.used_bytes == 0
+
+
+#: Heads that lack their end: many short fields, one long one, or no line.
+UNFINISHED_HEADS = [
+    b'GET / HTTP/1.1\r\nHost: h\r\n'
+    + b''.join(b'x%d: %d\r\n' % (n, n) for n in range(700)),
+    b'GET / HTTP/1.1\r\nHost: h\r\na: ' + b'b' * 12_000,
+    b'GET /' + b'a' * 12_000,
+    b'GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\n'
+    + b'a: b\r\n' * 2000,
+]
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: a field of an unfinished head took many times its size.
+@pytest.mark.parametrize('head', UNFINISHED_HEADS, ids=range(4))
+@pytest.mark.parametrize('part_bytes', [100, 5000, 65536])
+def test_unfinished_head_takes_the_memory_of_its_text(head, part_bytes):
+    budget = _budget(1 << 40)
+    limits = _http1.Limits()
+    readers = [
+        _http1.RequestReader(
+            limits, lambda message: message.release(), budget=budget
+        )
+        for _ in range(8)
+    ]
+    tracemalloc.start()
+    for reader in readers:
+        for position in range(0, len(head), part_bytes):
+            reader.feed(head[position : position + part_bytes])
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held <= budget.used_bytes
+    assert budget.used_bytes <= 1.2 * len(head) * len(readers)
+    for reader in readers:
+        reader.release()
+    assert budget.used_bytes == 0
+
+
+# Guards against the same: the body of the last request was kept for as long as
+# its connection was open.
+def test_reader_keeps_nothing_of_a_complete_request():
+    bodies = []
+    reader = _http1.RequestReader(
+        _http1.Limits(), lambda message: bodies.append(message.body)
+    )
+    head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n'
+    reader.feed(head + b'b' * 4000)
+    reader.feed(b'b' * 5000)
+    body = weakref.ref(bodies.pop())
+    assert body() is None
+
+
+def _read_in_parts(data, sizes):
+    """Return what a reader makes of data that arrive in parts."""
+    messages = []
+    continues = []
+    limits = _http1.Limits(header_bytes=200, body_bytes=100)
+    reader = _http1.RequestReader(
+        limits, messages.append, lambda: continues.append(len(messages))
+    )
+    status = None
+    position = 0
+    try:
+        for size in (*sizes, len(data)):
+            reader.feed(data[position : position + size])
+            position += size
+    except _http1.MessageError as error:
+        status = error.status
+    read = [
+        (m.method, m.target, m.headers, bytes(m.body), m.keep_alive)
+        for m in messages
+    ]
+    state = status or (reader.started, reader.in_body)
+    return read, continues, state
+
+
+STREAM_PIECES = [
+    b'GET / HTTP/1.1\r\nHost: h\r\n\r\n',
+    b'GET /%d HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n',
+    b'GET / HTTP/1.0\r\nHost: h\r\n\r\n',
+    b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nab\r\n\r\ncd\n',
+    b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n',
+    b'POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n'
+    b'Content-Length: 4\r\n\r\n\r\n\r\n',
+    b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n',
+    b'5\r\n\r\n\r\na\r\n',
+    b'2;x=y\r\n\r\n\r\n',
+    b'0\r\n\r\n',
+    b'0\r\na: b\r\n\r\n',
+    b'GET / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n'
+    b'Upgrade: h2c\r\n\r\n',
+    b'POST / HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n',
+    b'\r\n',
+    b'\r\n\r\n',
+    b'\n\n',
+    b'GET / HTTP/1.1\r\nHost: h\r\n',
+    b'x: y\r\n',
+    b'x: ' + b'y' * 150 + b'\r\n',
+    b'GET / HTTP/1.1\r\n\r\n',
+    b'GET / HTTP/1.1\nHost: h\n\n',
+    b'CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n',
+    b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n',
+    b'GARBAGE',
+    b'\x16\x03\x01\x00',
+    b'G',
+    b'\r',
+    b'\n',
+]
+
+
+# Guards against requests that are lost, changed or refused because of where
+# the packets that carry them end.
+@hypothesis.settings(max_examples=1500)
+@hypothesis.given(
+    st.lists(st.sampled_from(STREAM_PIECES), max_size=8).map(b''.join),
+    st.lists(st.integers(1, 90), max_size=40),
+)
+def test_any_split_of_a_stream_is_read_as_in_one_piece(data, sizes):
+    assert _read_in_parts(data, sizes) == _read_in_parts(data, ())
+
+
+@pytest.mark.parametrize('piece', STREAM_PIECES, ids=range(len(STREAM_PIECES)))
+def test_stream_in_single_bytes_is_read_as_in_one_piece(piece):
+    data = STREAM_PIECES[0] + piece + STREAM_PIECES[0]
+    assert _read_in_parts(data, [1] * len(data)) == _read_in_parts(data, ())
+
+
+# Guards against an answer to a client that has sent an empty line only.
+def test_empty_lines_begin_no_request(reader, requests):
+    reader.feed(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    reader.feed(b'\r\n')
+    assert not reader.started
+    with pytest.raises(_http1.MessageError) as error:
+        for _ in range(400):
+            reader.feed(b'\r\n')
+    assert error.value.status == 431
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -164,7 +164,7 @@
 
 
 def test_unfinished_heads_share_the_budget(make_reader, budget):
-    readers = [make_reader() for _ in range(400)]
+    readers = [make_reader() for _ in range(2400)]
     lines = b'a: b\r\n' * 2000
     with pytest.raises(_http1.NoMemoryError):
         for reader in readers:
