Bound what the small servers of a node hold

Unfinished requests on 3,800 connections to the port of readiness or of heartbeats, 8 KB of short fields each, ended a node of 300 MB at about 2,400 of them, and the requests of its clients with it. The servers of readiness, heartbeats and metrics bounded neither their connections nor what a connection holds: requests that are not complete, all replies to requests ahead, and delayed replies, which also left in another order than their requests had come.

A refused connection frees its request at once; the parser refers to its reader, so that it stayed until a collection.

--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -319,6 +319,16 @@
         """Give back the memory of a request that is not read any more."""
         self._hold.release()
 
+    def free(self):
+        """Free what has been read, once nothing more is read.
+
+        The reader itself stays until the next collection of cycles, as the
+        parser refers to it; so would a request, and an error with its frames.
+        """
+        self.release()
+        self.message = Message()
+        self._error = None
+
     def _hold_received(self):
         """Take memory for the part of a request that has been received.
 
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -203,6 +203,11 @@
         )
         self._stopped = gevent.event.Event()
         self._http_servers = []
+        self._small_server_room = _small_server.Room(
+            self.memory.budget(
+                'control', _small_server.MEMORY_SHARE, is_reserved=True
+            )
+        )
         self._is_metrics_failure_logged = False
         self.node = _node.Node(
             self.reactor,
@@ -346,7 +351,7 @@
         server = self._listen(
             address,
             lambda address: _small_server.HttpServer(
-                self.reactor, address, handle
+                self.reactor, address, handle, self._small_server_room
             ),
         )
         self._http_servers.append(server)
@@ -356,7 +361,10 @@
         address = self.settings.metrics_address
         try:
             server = _small_server.HttpServer(
-                self.reactor, address, self._handle_metrics_request
+                self.reactor,
+                address,
+                self._handle_metrics_request,
+                self._small_server_room,
             )
         except OSError as error:
             if not self._is_metrics_failure_logged:
