Give the small servers of a node time limits

A connection to the port of readiness, heartbeats or metrics was kept for as long as its peer liked: without a request, within one, or with a reply that is not read. A request has 5 s now from its first byte to its end, as these are small, and is refused with 408 and a line in the log, limited to one per second; a connection has the same time for its first request, 75 s between requests, and 15 s without progress to read a reply. Input that has arrived is read before, so that a paused process refuses nothing that was in time.

--- a/rosemarycrank/dataplane/_small_server.py
+++ b/rosemarycrank/dataplane/_small_server.py
@@ -46,12 +46,24 @@
 #: connection.
 MAX_WAITING = 8
 
+#: Longest time from the start of a connection to its first request, or of a
+#: request to its end, in seconds. Data in between change nothing, as the
+#: requests are small.
+REQUEST_TIMEOUT_S = 5.0
+
+#: Time between requests after which a connection is closed, in seconds. It is
+#: longer than usual periods of heartbeats, probes and scrapes.
+IDLE_TIMEOUT_S = 75.0
+
+#: Longest time for which a peer may not read its replies, in seconds.
+UNREAD_TIMEOUT_S = 15.0
+
 #: Interval between checks of the connections.
 SWEEP_INTERVAL_S = 0.25
 
 #: Shortest time between two lines about connections that are closed to make
-#: room, in seconds.
-ROOM_LINE_INTERVAL_S = 1.0
+#: room, or about requests that are not handled, in seconds.
+LINE_INTERVAL_S = 1.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -158,6 +170,8 @@
         '_reply_bytes',
         '_is_served',
         '_is_last',
+        '_started_at',
+        '_unsent_at_last_check',
     )
 
     def __init__(self, server, sock):
@@ -171,7 +185,9 @@
         self._reply_bytes = 0
         self._is_served = False
         self._is_last = False
-        self.last_progress_at = server.reactor.now()
+        self._unsent_at_last_check = 0
+        # Start of the connection, or of the request that is read.
+        self._started_at = self.last_progress_at = server.reactor.now()
         self.hold = _memory.Hold(server.room.budget)
         server.room.budget.take(CONNECTION_BYTES)
         self.stream = _reactor.Stream(server.reactor, sock, self)
@@ -200,6 +216,8 @@
         if reader is None:
             return
         self.last_progress_at = self._server.reactor.now()
+        if not reader.started:
+            self._started_at = self.last_progress_at
         try:
             reader.feed(data)
         except _http1.MessageError as error:
@@ -231,7 +249,9 @@
         self.closed(None)
 
     def check(self, now):
-        """Close the connection if its peer has left while it is not read.
+        """Close the connection if its peer has left or is too slow.
+
+        While reading is paused, the end of the connection is not read.
 
         Parameters
         ----------
@@ -240,6 +260,39 @@
         """
         if self._is_paused and self.stream.peer_has_closed():
             self.close()
+            return
+        if not self._is_overdue(now):
+            return
+        # After a pause of the process there may be input that is in time.
+        self.stream.catch_up()
+        if not self.stream.is_open or not self._is_overdue(now):
+            return
+        if self._is_reading_request and not self._has_unsent_reply:
+            self._refuse(408)
+        else:
+            self.close()
+
+    def _is_overdue(self, now):
+        self._record_sent(now)
+        if self._delayed is not None:
+            return False
+        idle_s = now - self.last_progress_at
+        if self._has_unsent_reply:
+            return idle_s > UNREAD_TIMEOUT_S
+        if self._is_reading_request or not self._is_served:
+            return now - self._started_at > REQUEST_TIMEOUT_S
+        return idle_s > IDLE_TIMEOUT_S
+
+    @property
+    def _has_unsent_reply(self):
+        return bool(self._waiting or self.stream.unsent_bytes or self._is_last)
+
+    def _record_sent(self, now):
+        """Record progress if a part of a reply has been sent."""
+        unsent_bytes = self.stream.unsent_bytes
+        if unsent_bytes < self._unsent_at_last_check:
+            self.last_progress_at = now
+        self._unsent_at_last_check = unsent_bytes
 
     @property
     def _is_paused(self):
@@ -250,6 +303,8 @@
             message.release()
             return
         self._waiting.append(message)
+        # Another request may follow in the same data.
+        self._started_at = self.last_progress_at
         if len(self._waiting) >= MAX_WAITING:
             message.keep_alive = False
         if not message.keep_alive:
@@ -257,6 +312,7 @@
 
     def _refuse(self, status):
         """End with a response to a request that is not handled."""
+        self._server.log_refusal(status)
         self._drop_reader()
         self._waiting.append(Reply(status))
         self._handle_waiting()
@@ -365,6 +421,7 @@
         self._reply_bytes = 0
         if not self._is_last:
             self._take_memory()
+            self._started_at = self.last_progress_at
             self._handle_waiting()
 
 
@@ -489,7 +546,8 @@
         self.max_connections = max_connections
         self.connections = set()
         self.closed_for_room = 0
-        self._room_lines = _repeated_lines.RepeatedLines(ROOM_LINE_INTERVAL_S)
+        self._room_lines = _repeated_lines.RepeatedLines(LINE_INTERVAL_S)
+        self._refusal_lines = _repeated_lines.RepeatedLines(LINE_INTERVAL_S)
         self._listener = _reactor.Listener(
             reactor, address, self._add_connection, self._make_room
         )
@@ -505,6 +563,25 @@
         for connection in list(self.connections):
             connection.close()
 
+    def log_refusal(self, status):
+        """Log that a request is not handled, unless that was said just now.
+
+        Parameters
+        ----------
+        status : int
+            Status of the response.
+        """
+        if not self._refusal_lines.suppress(self.reactor.now()):
+            _LOG.warning(
+                'request refused with status %d',
+                status,
+                extra={
+                    'event': 'small_request_refused',
+                    'port': self.address[1],
+                    'suppressed': self._refusal_lines.take_suppressed(),
+                },
+            )
+
     def _add_connection(self, sock, _ip):
         connection = _Connection(self, sock)
         self.connections.add(connection)
--- a/tests/dataplane/test_small_server.py
+++ b/tests/dataplane/test_small_server.py
@@ -296,3 +296,93 @@
         sock.close()
     _wait_until_all_are_closed(server)
     assert budget.used_bytes == 0
+
+
+def _advance(reactor, seconds):
+    """Let time pass for the timers."""
+    reactor.timers.advance(reactor.now() + seconds)
+    gevent.sleep(PASS_S)
+
+
+# Guards against connections that are kept for as long as their peers like.
+@pytest.mark.parametrize('data', [b'GET / HT', UNFINISHED, HEARTBEAT])
+def test_request_that_stays_incomplete_is_refused(
+    make_server, connect, reactor, caplog, data
+):
+    server = make_server()
+    sock = connect(server, data)
+    gevent.sleep(PASS_S)
+    _advance(reactor, _small_server.REQUEST_TIMEOUT_S - 1)
+    assert len(server.connections) == 1
+    _advance(reactor, _small_server.REQUEST_TIMEOUT_S)
+    assert _status(sock) == 408
+    events = [getattr(record, 'event', '') for record in caplog.records]
+    assert events.count('small_request_refused') == 1
+
+
+def test_request_that_trickles_in_is_refused(
+    make_server, connect, reactor, monkeypatch
+):
+    server = make_server()
+    now = reactor.now()
+    sock = connect(server, b'GET / HTTP/1.1\r\nHost: ')
+    gevent.sleep(PASS_S)
+    for second in range(1, 8):
+        monkeypatch.setattr(reactor, 'now', lambda s=second: now + s)
+        sock.sendall(b'h')
+        gevent.sleep(PASS_S)
+        reactor.timers.advance(now + second)
+    assert _status(sock) == 408
+
+
+def test_connection_without_a_request_is_closed(make_server, connect, reactor):
+    server = make_server()
+    connect(server)
+    gevent.sleep(PASS_S)
+    _advance(reactor, _small_server.REQUEST_TIMEOUT_S + 1)
+    assert not server.connections
+
+
+def test_connection_between_requests_is_kept_for_longer(
+    make_server, connect, reactor
+):
+    server = make_server()
+    sock = connect(server, GET % b'a')
+    assert _status(sock) == 200
+    _advance(reactor, _small_server.IDLE_TIMEOUT_S - 1)
+    sock.sendall(GET % b'a')
+    assert _status(sock) == 200
+    _advance(reactor, _small_server.IDLE_TIMEOUT_S + 1)
+    assert not server.connections
+
+
+def test_connection_whose_reply_is_not_read_is_closed(
+    make_server, connect, reactor
+):
+    server = make_server()
+    connect(server, GET % b'large')
+    gevent.sleep(PASS_S)
+    _advance(reactor, _small_server.UNREAD_TIMEOUT_S - 1)
+    assert len(server.connections) == 1
+    _advance(reactor, _small_server.UNREAD_TIMEOUT_S + 1)
+    assert not server.connections
+
+
+# Guards against a request that is refused after a pause of the process,
+# although its rest has arrived in time.
+def test_request_that_arrived_during_a_pause_is_served(
+    make_server, connect, reactor
+):
+    sock = connect(make_server(), HEARTBEAT)
+    gevent.sleep(PASS_S)
+    sock.sendall(b'abc')
+    reactor.timers.advance(reactor.now() + _small_server.REQUEST_TIMEOUT_S + 1)
+    assert _status(sock) == 200
+
+
+def test_delayed_reply_is_waited_for(make_server, connect, reactor, handler):
+    sock = connect(make_server(), GET % b'delayed')
+    gevent.sleep(PASS_S)
+    _advance(reactor, 10 * _small_server.IDLE_TIMEOUT_S)
+    handler.delayed[0].send(_small_server.Reply(200))
+    assert _status(sock) == 200
