Let the small servers of a node linger after a last reply

After its last reply a connection to the port of readiness, heartbeats or metrics was kept until its peer left or 15 s had passed, and then closed whether the peer had its reply or not: unread input made a reset of it. It lingers now as those of clients do: it ends a second after the reply was acknowledged, and input that goes on is read and ignored.

Of 4 new tests 2 fail without this; the others hold what was so before.

--- a/rosemarycrank/dataplane/_small_server.py
+++ b/rosemarycrank/dataplane/_small_server.py
@@ -17,6 +17,7 @@
 import attrs
 
 from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _lingering
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _repeated_lines
@@ -55,7 +56,8 @@
 #: longer than usual periods of heartbeats, probes and scrapes.
 IDLE_TIMEOUT_S = 75.0
 
-#: Longest time for which a peer may not read its replies, in seconds.
+#: Longest time for which a peer may not read its replies, or may go on to send
+#: after the last one, in seconds.
 UNREAD_TIMEOUT_S = 15.0
 
 #: Interval between checks of the connections.
@@ -170,6 +172,7 @@
         '_reply_bytes',
         '_is_served',
         '_is_last',
+        '_lingering_close',
         '_started_at',
         '_unsent_at_last_check',
     )
@@ -185,6 +188,7 @@
         self._reply_bytes = 0
         self._is_served = False
         self._is_last = False
+        self._lingering_close = None
         self._unsent_at_last_check = 0
         # Start of the connection, or of the request that is read.
         self._started_at = self.last_progress_at = server.reactor.now()
@@ -214,6 +218,7 @@
         """Parse received bytes and answer the requests that are complete."""
         reader = self._reader
         if reader is None:
+            self._ignore_input()
             return
         self.last_progress_at = self._server.reactor.now()
         if not reader.started:
@@ -261,6 +266,10 @@
         if self._is_paused and self.stream.peer_has_closed():
             self.close()
             return
+        if self._lingering_close is not None:
+            if self._lingering_close.is_over(now, UNREAD_TIMEOUT_S):
+                self.close()
+            return
         if not self._is_overdue(now):
             return
         # After a pause of the process there may be input that is in time.
@@ -298,6 +307,10 @@
     def _is_paused(self):
         return bool(self._waiting) or self._delayed is not None
 
+    def _ignore_input(self):
+        if self._lingering_close is not None:
+            self._lingering_close.record_input(self._server.reactor.now())
+
     def _add_request(self, message):
         if self._reader is None:
             message.release()
@@ -419,10 +432,14 @@
     def _handle_drained(self):
         self.last_progress_at = self._server.reactor.now()
         self._reply_bytes = 0
-        if not self._is_last:
-            self._take_memory()
-            self._started_at = self.last_progress_at
-            self._handle_waiting()
+        self._take_memory()
+        if self._is_last:
+            self._lingering_close = _lingering.LingeringClose(
+                self.stream, self.last_progress_at
+            )
+            return
+        self._started_at = self.last_progress_at
+        self._handle_waiting()
 
 
 def _encode(reply, close):
--- a/tests/dataplane/test_small_server.py
+++ b/tests/dataplane/test_small_server.py
@@ -4,6 +4,7 @@
 import gevent.socket
 import pytest
 
+from rosemarycrank.dataplane import _lingering
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _small_server
@@ -386,3 +387,46 @@
     _advance(reactor, 10 * _small_server.IDLE_TIMEOUT_S)
     handler.delayed[0].send(_small_server.Reply(200))
     assert _status(sock) == 200
+
+
+LAST = b'GET /%b HTTP/1.0\r\nHost: h\r\n\r\n'
+
+
+# Guards against a reply that is reset as its client sends more than is read.
+@pytest.mark.parametrize('request_', [b'bad\r\n\r\n', LAST % b'a'])
+def test_last_reply_is_delivered_whatever_follows(
+    make_server, connect, reactor, request_
+):
+    server = make_server()
+    sock = connect(server, request_)
+    for _ in range(5):
+        sock.sendall(b'x' * 100_000)
+        gevent.sleep(PASS_S)
+    assert len(server.connections) == 1
+    assert _read_all(sock).startswith(b'HTTP/1.1 ')
+
+
+def test_connection_ends_a_while_after_its_last_reply(
+    make_server, connect, reactor
+):
+    server = make_server()
+    sock = connect(server, LAST % b'a')
+    assert _status(sock) == 200
+    gevent.sleep(PASS_S)
+    assert len(server.connections) == 1
+    _advance(reactor, _lingering.LINGER_S + 0.5)
+    _advance(reactor, 2 * _lingering.LINGER_S + 1.0)
+    assert not server.connections
+
+
+def test_large_last_reply_is_delivered_to_a_slow_client(
+    make_server, connect, reactor
+):
+    server = make_server()
+    sock = connect(server, LAST % b'large')
+    sock.sendall(b'x' * 100_000)
+    for _ in range(3):
+        gevent.sleep(PASS_S)
+        sock.recv(4096)
+    assert len(_read_all(sock)) > LARGE_BYTES - 3 * 4096
+    _wait_until_all_are_closed(server)
