--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -476,6 +476,17 @@
         self._hold.release()
         self._head_hold.release()
 
+    def free(self):
+        """Free what has been read, once nothing more is read.
+
+        The reader itself stays until the next collection of cycles, as the
+        parser refers to it; so would a request, and an error with its frames.
+        """
+        self.release()
+        self.message = None
+        self._head = None
+        self._error = None
+
     def request_so_far(self):
         """Return `Message` with the fields of an unfinished request."""
         if self._head is None:
