Free what a refused or closed connection holds at once

A refused connection gave its memory back in the account, while its reader kept the text or fields and the body of the request until the client closed the connection, which may be never. A closed one was freed by a full collection only: reader and parser, stream and connection refer to each other, and so does an error that was raised within a callback of the parser. An exchange referred to its connection until its deadline had passed, also when it had been answered.

The reader drops its message, text, parser and callbacks when it is released, which is also done after the last response; a closed connection leaves its stream; an exchange leaves its connection with the response.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -133,6 +133,8 @@
         """Abandon the requests in flight after the connection was lost."""
         self.server.discard(self)
         self._reader.release()
+        # The stream refers to the connection; both are freed at once.
+        self.stream.owner = self.stream.on_drained = None
         self._not_begun.clear()
         exchanges, self._exchanges = self._exchanges, []
         for exchange in exchanges:
@@ -276,6 +278,8 @@
 
     def _shutdown_output(self):
         self.closing = True
+        self._reader.release()
+        self._not_begun.clear()
         self._response_is_last = True
         self._resume()
         abandoned, self._exchanges = self._exchanges, []
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -275,6 +275,7 @@
         self._log_client_left(exchange)
         self._attempts.cancel(exchange)
         exchange.response = b''
+        exchange.connection = None
         self._finish(exchange, 0)
 
     def _log_client_left(self, exchange):
@@ -318,7 +319,7 @@
     def _refuse(self, exchange, status, reason):
         exchange.response = self._refusals.response(exchange, status, reason)
         self._finish(exchange, status)
-        exchange.connection.response_ready(exchange)
+        self._pass_response(exchange)
 
     def _respond(self, exchange, result):
         status = result.status
@@ -333,7 +334,16 @@
         )
         exchange.response_body = result.body
         self._finish(exchange, status)
-        exchange.connection.response_ready(exchange)
+        self._pass_response(exchange)
+
+    def _pass_response(self, exchange):
+        """Pass the response to the connection.
+
+        The exchange refers to it no more: its deadline may come long after
+        the end of the connection.
+        """
+        connection, exchange.connection = exchange.connection, None
+        connection.response_ready(exchange)
 
     def _finish(self, exchange, status):
         """Count a response; a status of 0 stands for a cancelled request."""
--- a/rosemarycrank/dataplane/_exchange.py
+++ b/rosemarycrank/dataplane/_exchange.py
@@ -11,8 +11,8 @@
     ----------
     request_id : bytes
         Request identifier set by the sender; empty if missing.
-    connection : ClientConnection
-        Connection on which the response is written.
+    connection : ClientConnection or None
+        Connection on which the response is written; None once it has it.
     keep_alive : bool
         Whether the connection may carry another request.
     message : Message or None
--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -472,9 +472,16 @@
         return b'\r\n'.join(lines) + b'\r\n\r\n'
 
     def release(self):
-        """Give back the memory of a request that is not read any more."""
+        """End reading, and free what is held of a request.
+
+        No more data may be fed afterwards.
+        """
         self._hold.release()
         self._head_hold.release()
+        self.message = self._head = None
+        # These refer to the reader; all are freed at once without them.
+        self._parser = self._on_request = self._on_continue = None
+        self._error = None
 
     def request_so_far(self):
         """Return `Message` with the fields of an unfinished request."""
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -1,6 +1,8 @@
 """Memory that requests of clients take, against the limit of the process."""
 
+import gc
 import random
+import tracemalloc
 
 import pytest
 
@@ -304,3 +306,76 @@
     assert line.request_id == b'r1'
     assert line.size >= 20 * MB
     assert line.held >= 20 * MB
+
+
+@pytest.fixture
+def held_bytes():
+    """Return a function that tells the memory taken since the start."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    yield lambda: tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    gc.enable()
+
+
+#: What a client can have sent on a connection that is refused then.
+REFUSED = [
+    b'GET / HTTP/1.1\r\nHost: h.example\r\na: ' + b'b' * 20_000,
+    b'GET / HTTP/1.1\r\nHost: h.example\r\n'
+    + b'a: b\r\n' * 2000
+    + b'c\r\n\r\n',
+    CHUNKED + b'ea60\r\n' + b'b' * 60_000 + b'\r\nx',
+    CHUNKED + b'1\r\nb\r\n' * 5000 + b'x',
+    SMALL * 3 + b'GARBAGE\r\n\r\n' + SMALL * 1000,
+]
+
+#: Memory that an open connection may take, in bytes, and all of them together
+#: for what is kept once.
+MAX_CONNECTION_BYTES = 4096
+ONCE_BYTES = 30_000
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: what was refused stayed in memory until the client closed the
+# connection.
+@pytest.mark.parametrize('data', REFUSED, ids=range(len(REFUSED)))
+def test_refused_connection_keeps_nothing(entry, budget, held_bytes, data):
+    connections = [entry.connect() for _ in range(20)]
+    empty_bytes = held_bytes()
+    for connection in connections:
+        connection.received(data)
+        while entry.node.peers_by_node and entry.node.peers_by_node['n1'].sent:
+            entry.end_attempt(_frames.Outcome.COMPLETE)
+        assert connection.closing
+        assert connection.stream.is_open
+        connection.stream.sent.clear()
+    del connection
+    entry.node.reactor.run(10.0)
+    assert budget.used_bytes == 0
+    per_connection = MAX_CONNECTION_BYTES * len(connections)
+    assert held_bytes() - empty_bytes < ONCE_BYTES + per_connection
+
+
+# Guards against the same for connections that have been closed: they were
+# freed by the next full collection only.
+@pytest.mark.parametrize(
+    'data', [b'', *REFUSED, SMALL, HEAD % 9 + b'x'], ids=range(8)
+)
+def test_closed_connection_is_freed_at_once(entry, budget, held_bytes, data):
+    def close_one():
+        connection = entry.connect()
+        if data:
+            connection.received(data)
+        connection.closed(None)
+        if entry.node.peers_by_node:
+            entry.node.peers_by_node['n1'].sent.clear()
+
+    close_one()
+    empty_bytes = held_bytes()
+    for _ in range(50):
+        close_one()
+    # Requests are forgotten at their deadlines.
+    entry.node.reactor.run(10.0)
+    assert budget.used_bytes == 0
+    assert held_bytes() - empty_bytes < ONCE_BYTES
