Free the reader of a small server outside of its callbacks

A reader that is freed while it parses has no parser for what follows in the same data, once freeing drops the parser, too. No change for callers.

--- a/rosemarycrank/dataplane/_small_server.py
+++ b/rosemarycrank/dataplane/_small_server.py
@@ -321,7 +321,8 @@
         if len(self._waiting) >= MAX_WAITING:
             message.keep_alive = False
         if not message.keep_alive:
-            self._drop_reader()
+            # It is freed once it has parsed what follows.
+            self._reader = None
 
     def _refuse(self, status):
         """End with a response to a request that is not handled."""
