Free connections at once when they end

Nodes were killed above their memory after, and not only during, loads of large messages, with the requests of all clients. What had ended stayed in memory and was in no account: each connection, its stream and its readers refer to each other, so that only a collection of cycles freed them, with their buffers and messages. The oldest objects are collected after 20 million allocations; a body of 16 MB is one of them.

A stream that is closed now forgets its owner and what it has not sent, a reader its owner, message and parser, and a cancelled timer its callback.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -132,7 +132,7 @@
     def closed(self, _error):
         """Abandon the requests in flight after the connection was lost."""
         self.server.discard(self)
-        self._reader.release()
+        self._reader.close()
         self._not_begun.clear()
         exchanges, self._exchanges = self._exchanges, []
         for exchange in exchanges:
--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -222,6 +222,16 @@
     def on_body(self, data):
         self.message.append_body(data)
 
+    def close(self):
+        """Release what is held, and free the reader; nothing more is read.
+
+        Parser and reader, and the owner of the reader, refer to each other:
+        they would stay, with the message, until a collection of cycles.
+        """
+        self.release()
+        self.message = Message()
+        self._parser = self._error = None
+
 
 class RequestReader(_Reader):
     """Incremental parser for the requests of one connection.
@@ -319,6 +329,10 @@
         """Give back the memory of a request that is not read any more."""
         self._hold.release()
 
+    def close(self):
+        super().close()
+        self._on_request = self._on_continue = None
+
     def _hold_received(self):
         """Take memory for the part of a request that has been received.
 
@@ -507,6 +521,10 @@
         self._received_bytes = 0
         self._new_field_count = 0
 
+    def close(self):
+        super().close()
+        self._on_response = None
+
     def _hold_more(self, count):
         """Take memory from the budget.
 
--- a/rosemarycrank/dataplane/_http_client.py
+++ b/rosemarycrank/dataplane/_http_client.py
@@ -78,6 +78,7 @@
 
     def _finish(self, reply, reset):
         self._timer.cancel()
+        self._reader.close()
         self.stream.close(reset)
         on_reply = self._on_reply
         self._on_reply = None
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -318,6 +318,10 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
         self._sock.close()
+        # Owner and stream refer to each other: both would stay, with all that
+        # they hold, until a collection of cycles.
+        self.owner = self.on_drained = None
+        self._chunks.clear()
 
     def shutdown_write(self):
         """Close the sending direction once all queued bytes are sent."""
@@ -328,8 +332,9 @@
 
     def _close_and_report(self, error):
         if self.is_open:
+            owner = self.owner
             self.close()
-            self.owner.closed(error)
+            owner.closed(error)
 
     def _read(self):
         """Read once; return whether there was something to read."""
@@ -465,11 +470,13 @@
     def close(self, reset=False):
         """Report nothing to the owner any more."""
         self.is_open = False
+        self.owner = None
 
     def _report(self):
         if self.is_open:
-            self.is_open = False
-            self.owner.closed(self._error)
+            owner = self.owner
+            self.close()
+            owner.closed(self._error)
 
 
 def _set_socket_options(sock):
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -252,7 +252,7 @@
 
     def _discard(self):
         self._connect_timer.cancel()
-        self._reader.release()
+        self._reader.close()
         self.stream.close()
         self.pool.discard(self)
 
--- a/rosemarycrank/timers/_timers.py
+++ b/rosemarycrank/timers/_timers.py
@@ -14,8 +14,8 @@
     ----------
     due_at : float
         Time at which it fires, in seconds of the driver's monotonic clock.
-    callback : callable
-        Called with the current time in seconds.
+    callback : callable or None
+        Called with the current time in seconds; None once cancelled.
     period_s : float
         Seconds between firings; 0 for a timer that fires once.
     cancelled : bool
@@ -28,8 +28,13 @@
     cancelled: bool = False
 
     def cancel(self):
-        """Prevent all further firings of the timer."""
+        """Prevent all further firings of the timer; forget the callback.
+
+        The timer stays in the queue until it is due, and what the callback
+        refers to would stay as long.
+        """
         self.cancelled = True
+        self.callback = None
 
 
 class Timers:
