Give the memory of large messages back once they are freed

A node that had passed on large messages kept most of their memory, so that later ones came on top of it: it was close to its limit with nothing held. The GNU C library raises the size from which a block is mapped by itself to that of the largest one freed; later large messages lie in the heap, and small objects among them keep its pages.

The thresholds are now fixed at their initial values once the node listens, just before it reports its start; this takes 3 ms, the import of ctypes.

A thread's arena plays no part, as nodes have one thread.

--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -11,6 +11,7 @@
 import gevent
 import gevent.event
 
+from rosemarycrank.dataplane import _allocator
 from rosemarycrank.dataplane import _balance
 from rosemarycrank.dataplane import _binding
 from rosemarycrank.dataplane import _clients
@@ -325,6 +326,7 @@
         self.configuration_follower.start()
         self.target_table.start()
         self.cost_rows.start()
+        _allocator.fix_thresholds()
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
