--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -132,9 +132,7 @@
     def closed(self, _error):
         """Abandon the requests in flight after the connection was lost."""
         self.server.discard(self)
-        self._reader.release()
-        # The stream refers to the connection; both are freed at once.
-        self.stream.owner = self.stream.on_drained = None
+        self._reader.close()
         self._not_begun.clear()
         exchanges, self._exchanges = self._exchanges, []
         for exchange in exchanges:
@@ -267,7 +265,7 @@
     def _reject(self, error):
         self.closing = True
         request = self._reader.request_so_far()
-        self._reader.release()
+        self._reader.close()
         exchange = self.server.entry.refuse_message(error, request, self)
         self._exchanges.append(exchange)
         self.response_ready(exchange)
@@ -278,7 +276,7 @@
 
     def _shutdown_output(self):
         self.closing = True
-        self._reader.release()
+        self._reader.close()
         self._not_begun.clear()
         self._response_is_last = True
         self._resume()
--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -246,6 +246,16 @@
     def on_body(self, data):
         self.message.append_body(data)
 
+    def close(self):
+        """Release what is held, and free the reader; nothing more is read.
+
+        Parser and reader, and the owner of the reader, refer to each other:
+        they would stay, with the message, until a collection of cycles.
+        """
+        self.release()
+        self.message = Message()
+        self._parser = self._error = None
+
 
 class RequestReader(_Reader):
     """Incremental parser for the requests of one connection.
@@ -472,27 +482,14 @@
         return b'\r\n'.join(lines) + b'\r\n\r\n'
 
     def release(self):
-        """End reading, and free what is held of a request.
-
-        No more data may be fed afterwards.
-        """
+        """Give back the memory of a request that is not read any more."""
         self._hold.release()
         self._head_hold.release()
-        self.message = self._head = None
-        # These refer to the reader; all are freed at once without them.
-        self._parser = self._on_request = self._on_continue = None
-        self._error = None
-
-    def free(self):
-        """Free what has been read, once nothing more is read.
 
-        The reader itself stays until the next collection of cycles, as the
-        parser refers to it; so would a request, and an error with its frames.
-        """
-        self.release()
-        self.message = None
+    def close(self):
+        super().close()
         self._head = None
-        self._error = None
+        self._on_request = self._on_continue = None
 
     def request_so_far(self):
         """Return `Message` with the fields of an unfinished request."""
@@ -681,6 +678,10 @@
         self._received_bytes = 0
         self._new_field_count = 0
 
+    def close(self):
+        super().close()
+        self._on_response = None
+
     def _hold_more(self, count):
         """Take memory from the budget.
 
--- a/rosemarycrank/dataplane/_small_server.py
+++ b/rosemarycrank/dataplane/_small_server.py
@@ -231,7 +231,7 @@
                 return
         if self._reader is None:
             # What follows the last request has been parsed, too.
-            reader.free()
+            reader.close()
         self._handle_waiting()
         if not self._take_memory():
             self._give_up()
@@ -334,7 +334,7 @@
     def _drop_reader(self):
         """Ignore further input, and free what has been read of a request."""
         if self._reader is not None:
-            self._reader.free()
+            self._reader.close()
             self._reader = None
 
     def _drop_waiting(self):
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -208,6 +208,7 @@
 
     def close(self):
         self.is_open = False
+        self.owner = self.on_drained = None
 
 
 class _Entry:
@@ -367,6 +368,7 @@
         connection = entry.connect()
         if data:
             connection.received(data)
+        connection.stream.close()
         connection.closed(None)
         if entry.node.peers_by_node:
             entry.node.peers_by_node['n1'].sent.clear()
