Count connections of clients and their unfinished heads

Nothing bounded the number of connections times what each may hold: an open connection takes 3.1 KB of objects, beside its socket and watcher, and was counted with nothing; unfinished heads shared the budget of the requests, so that they could refuse whole ones.

A connection takes 4 KiB of the budget client_connections from accept to close, and there the text of its unfinished head. For what does not fit, the newest request of which there is only part of a head is refused with 503 and its id, if that is known; for a new connection the longest idle one is closed next, and if there is none, the new one. Requests that run are not touched, and those that arrive whole do not need this budget.

Tests: test_memory.py, ten new cases, fail before (nothing is counted). With 200 real connections the objects take less than is counted.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -15,6 +15,10 @@
 #: reading pauses at this number.
 MAX_PIPELINED_REQUESTS = 32
 
+#: Memory that an open connection takes, with its parser, its socket and what
+#: the event loop has for it, in bytes.
+CONNECTION_BYTES = 4096
+
 #: Size of the unsent responses of one connection above which reading pauses,
 #: so that a client that does not read cannot fill the memory.
 MAX_UNSENT_BYTES = 256 * 1024
@@ -47,6 +51,8 @@
         Server that accepted the connection.
     sock : socket.socket
         Socket of the connection.
+    hold : Hold
+        Memory that the connection takes.
 
     Attributes
     ----------
@@ -64,7 +70,9 @@
         'stream',
         'last_progress_at',
         'closing',
+        '_hold',
         '_reader',
+        '_is_unfinished',
         '_exchanges',
         '_not_begun',
         '_is_beginning',
@@ -75,7 +83,7 @@
         '_unsent_at_last_check',
     )
 
-    def __init__(self, server, sock):
+    def __init__(self, server, sock, hold):
         self.server = server
         self.closing = False
         self.last_progress_at = server.reactor.now()
@@ -84,7 +92,11 @@
             self._handle_request,
             self._send_continue,
             server.budget,
+            server.connection_budget,
+            self._make_room,
         )
+        self._hold = hold
+        self._is_unfinished = False
         self._exchanges = []
         self._not_begun = collections.deque()
         self._is_beginning = False
@@ -112,6 +124,8 @@
             self._reader.feed(data)
         except _http1.MessageError as error:
             self._reject(error)
+        if self._is_unfinished or self._reader.unfinished_head is not None:
+            self._record_unfinished()
         if (
             len(self._exchanges) >= MAX_PIPELINED_REQUESTS
             or self.stream.unsent_bytes > MAX_UNSENT_BYTES
@@ -133,6 +147,7 @@
         """Abandon the requests in flight after the connection was lost."""
         self.server.discard(self)
         self._reader.release()
+        self._hold.release()
         # The stream refers to the connection; both are freed at once.
         self.stream.owner = self.stream.on_drained = None
         self._not_begun.clear()
@@ -183,6 +198,8 @@
                 self._shutdown_output()
                 return
         self.last_progress_at = self.server.reactor.now()
+        if self._reader.unfinished_head is not None:
+            self._record_unfinished()
         if self._paused and self.stream.unsent_bytes < MAX_UNSENT_BYTES:
             self._resume()
 
@@ -225,6 +242,27 @@
         elif elapsed_s > limits.idle_timeout_s:
             self.close()
 
+    def refuse_unfinished(self):
+        """Refuse the request whose head is not complete."""
+        self._reject(
+            _http1.NoMemoryError(
+                len(self._reader.unfinished_head),
+                self.server.connection_budget,
+            )
+        )
+
+    def _make_room(self):
+        return self._is_unfinished and self.server.refuse_newer(self)
+
+    def _record_unfinished(self):
+        """Record whether all that there is of a request is part of a head."""
+        is_unfinished = (
+            self._reader.unfinished_head is not None and not self._exchanges
+        )
+        if is_unfinished != self._is_unfinished:
+            self._is_unfinished = is_unfinished
+            self.server.record_unfinished(self, is_unfinished)
+
     def _handle_request(self, message):
         if self.closing:
             message.release()
@@ -270,6 +308,7 @@
         self._reader.release()
         exchange = self.server.entry.refuse_message(error, request, self)
         self._exchanges.append(exchange)
+        self._record_unfinished()
         self.response_ready(exchange)
 
     def _ignore_input(self):
@@ -321,6 +360,9 @@
         longest are closed.
     budget : Budget, optional
         Memory for the requests; a default one if not given.
+    connection_budget : Budget, optional
+        Memory for the connections and for unfinished heads; a default one if
+        not given.
 
     Attributes
     ----------
@@ -333,15 +375,28 @@
         node is shutting down.
     """
 
-    def __init__(self, reactor, entry, max_connections=math.inf, budget=None):
+    def __init__(
+        self,
+        reactor,
+        entry,
+        max_connections=math.inf,
+        budget=None,
+        connection_budget=None,
+    ):
+        account = _memory.MemoryAccount()
         self.reactor = reactor
         self.entry = entry
         self.max_connections = max_connections
-        self.budget = budget or _memory.MemoryAccount().budget('requests')
+        self.budget = budget or account.budget('requests')
+        self.connection_budget = connection_budget or account.budget(
+            'connections'
+        )
         self.limits = _http1.Limits()
         self.draining = False
         self.closed_for_room = 0
         self._connections = set()
+        # Those with part of a head and no request; the newest one is last.
+        self._unfinished = {}
         self._listener = None
         self._room_lines = _repeated_lines.RepeatedLines(ROOM_LINE_INTERVAL_S)
         reactor.timers.every(SWEEP_INTERVAL_S, self._sweep)
@@ -383,6 +438,33 @@
     def discard(self, connection):
         """Remove a closed connection."""
         self._connections.discard(connection)
+        self._unfinished.pop(connection, None)
+
+    def record_unfinished(self, connection, is_unfinished):
+        """Record whether all that a client has sent is part of a head."""
+        if is_unfinished:
+            self._unfinished[connection] = True
+        else:
+            self._unfinished.pop(connection, None)
+
+    def refuse_newer(self, connection=None):
+        """Refuse the newest request whose head is not complete.
+
+        Parameters
+        ----------
+        connection : ClientConnection, optional
+            Connection that needs memory; only newer ones are refused.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        newest = next(reversed(self._unfinished), None)
+        if newest is None or newest is connection:
+            return False
+        newest.refuse_unfinished()
+        return True
 
     def close_idle(self):
         """Close the connections that have no request in flight."""
@@ -408,13 +490,34 @@
             self._listener.close()
             self._listener = None
 
-    def _add_connection(self, sock, _ip):
-        self._connections.add(ClientConnection(self, sock))
+    def _add_connection(self, sock, ip):
+        hold = self._hold_connection()
+        if hold is None:
+            self.connection_budget.log_refusal(
+                self.reactor.now(), CONNECTION_BYTES, client=ip
+            )
+            sock.close()
+            return
+        self._connections.add(ClientConnection(self, sock, hold))
         if len(self._connections) > self.max_connections:
             self._make_room()
 
+    def _hold_connection(self):
+        """Return memory for a new connection, or None if there is none."""
+        hold = _memory.Hold(self.connection_budget)
+        while not hold.grow(CONNECTION_BYTES):
+            if not self.refuse_newer() and not self._make_room():
+                return None
+        return hold
+
     def _make_room(self):
-        """Close the connections that have been idle for longest."""
+        """Close the connections that have been idle for longest.
+
+        Returns
+        -------
+        int
+            Number of connections that were closed.
+        """
         open_count = len(self._connections)
         idle_since = self.reactor.now() - MIN_IDLE_S
         longest_idle = heapq.nsmallest(
@@ -444,6 +547,7 @@
                     'suppressed': self._room_lines.take_suppressed(),
                 },
             )
+        return closed
 
     def _sweep(self, now):
         for connection in list(self._connections):
--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -268,9 +268,14 @@
     head_budget : Budget, optional
         Budget for the text of unfinished heads; that of the requests if not
         given.
+    make_room : callable, optional
+        Called without arguments when an unfinished head does not fit; returns
+        whether to try again.
 
     Attributes
     ----------
+    unfinished_head : bytearray or None
+        Text of a head whose end has not been received; None if there is none.
     started : bool
         Whether a request has been received in part.
     in_body : bool
@@ -284,6 +289,7 @@
         on_continue=None,
         budget=None,
         head_budget=None,
+        make_room=None,
     ):
         super().__init__()
         self.limits = limits
@@ -295,8 +301,8 @@
         self._budget = budget or _memory.MemoryAccount().budget('requests')
         self._hold = _memory.Hold(self._budget)
         self._head_hold = _memory.Hold(head_budget or self._budget)
-        # Text of an unfinished head; None if there is none.
-        self._head = None
+        self._make_room = make_room
+        self.unfinished_head = None
         self._empty_bytes = 0
         self._head_size = 0
         self._body_bytes = 0
@@ -315,7 +321,7 @@
             If a request is malformed or exceeds a limit; the rest of the
             stream cannot be parsed then.
         """
-        if self._head is not None:
+        if self.unfinished_head is not None:
             data = self._complete_head(data)
         elif (
             # Most requests arrive whole and one by one.
@@ -364,7 +370,7 @@
     def _keep_head(self, text):
         """Keep the text of an unfinished head."""
         self.started = True
-        self._head = bytearray(text)
+        self.unfinished_head = bytearray(text)
         self._check_first_line(text)
         self._hold_head()
 
@@ -376,12 +382,12 @@
         bytes
             The head with what stands behind it; empty if its end is missing.
         """
-        head = self._head
+        head = self.unfinished_head
         known = len(head)
         has_line = b'\n' in head
         head += data
         if head.find(_HEAD_END, max(0, known - len(_HEAD_END))) >= 0:
-            self._head = None
+            self.unfinished_head = None
             return bytes(head)
         if not has_line and (known < MAX_METHOD_BYTES or b'\n' in data):
             self._check_first_line(head)
@@ -389,12 +395,13 @@
         return b''
 
     def _hold_head(self):
-        head = self._head
+        head = self.unfinished_head
         if len(head) > self.limits.header_bytes + MAX_HEAD_EXCESS_BYTES:
             self._reject_long_head(head)
         size = sys.getsizeof(head) + UNFINISHED_HEAD_OVERHEAD_BYTES
-        if not self._head_hold.grow(size):
-            raise NoMemoryError(size, self._head_hold.budget)
+        while not self._head_hold.grow(size):
+            if self._make_room is None or not self._make_room():
+                raise NoMemoryError(size, self._head_hold.budget)
 
     def _reject_long_head(self, head):
         self._check_first_line(head)
@@ -478,18 +485,18 @@
         """
         self._hold.release()
         self._head_hold.release()
-        self.message = self._head = None
+        self.message = self.unfinished_head = None
         # These refer to the reader; all are freed at once without them.
         self._parser = self._on_request = self._on_continue = None
-        self._error = None
+        self._error = self._make_room = None
 
     def request_so_far(self):
         """Return `Message` with the fields of an unfinished request."""
-        if self._head is None:
+        if self.unfinished_head is None:
             return self.message or Message()
         fields = _Reader()
         try:
-            httptools.HttpRequestParser(fields).feed_data(self._head)
+            httptools.HttpRequestParser(fields).feed_data(self.unfinished_head)
         except httptools.HttpParserError as error:
             _LOG.debug('malformed fields of an unfinished head: %s', error)
         return fields.message
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -249,6 +249,7 @@
             self.entry,
             int(CLIENT_DESCRIPTORS_SHARE * settings.max_descriptors),
             self.memory.budget('client_requests'),
+            self.memory.budget('client_connections'),
         )
         self.planned_stop = _planned_stop.PlannedStop(
             node,
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -213,7 +213,7 @@
 class _Entry:
     """Node with one target, and clients connected to it."""
 
-    def __init__(self, reactor, budget):
+    def __init__(self, reactor, budget, connection_budget):
         self.node = fakes.EntryNode(reactor)
         self.node.directory.merge(fakes.record('n1'))
         rng = random.Random(1)
@@ -227,7 +227,13 @@
             _counters.Counters(),
             rng,
         )
-        self.server = _clients.ClientServer(reactor, self.side, budget=budget)
+        self.server = _clients.ClientServer(
+            reactor,
+            self.side,
+            budget=budget,
+            connection_budget=connection_budget,
+
+        )
         self.server.limits = LIMITS
 
     def connect(self):
@@ -246,9 +252,14 @@
 
 
 @pytest.fixture
-def entry(reactor, budget, monkeypatch):
+def connection_budget(account):
+    return account.budget('client_connections', share=0.005)
+
+
+@pytest.fixture
+def entry(reactor, budget, connection_budget, monkeypatch):
     monkeypatch.setattr(_reactor, 'Stream', _Stream)
-    return _Entry(reactor, budget)
+    return _Entry(reactor, budget, connection_budget)
 
 
 @pytest.mark.parametrize(
@@ -379,3 +390,103 @@
     entry.node.reactor.run(10.0)
     assert budget.used_bytes == 0
     assert held_bytes() - empty_bytes < ONCE_BYTES
+
+
+@pytest.mark.parametrize('data', [b'', SMALL, *REFUSED], ids=range(7))
+def test_connection_takes_memory_until_it_is_closed(
+    entry, connection_budget, data
+):
+    connection = entry.connect()
+    if data:
+        connection.received(data)
+    assert connection_budget.used_bytes == _clients.CONNECTION_BYTES
+    connection.received(b'GET / HTTP/1.1\r\na: ' + b'b' * 5000)
+    connection.closed(None)
+    assert connection_budget.used_bytes == 0
+
+
+#: An unfinished head, of which the budget holds about 30.
+PART = b'GET /a/ HTTP/1.1\r\nHost: h.example\r\na: ' + b'b' * 12_000
+
+
+def _statuses(connection):
+    return [
+        bytes(data[9:12])
+        for data in connection.stream.sent
+        if data.startswith(b'HTTP/')
+    ]
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: unfinished heads and connections had no limit.
+def test_newest_unfinished_head_is_refused(entry, connection_budget, caplog):
+    running, served, *others = (entry.connect() for _ in range(50))
+    running.received(SMALL + PART[:100])
+    served.received(SMALL)
+    entry.end_attempt(_frames.Outcome.COMPLETE)
+    entry.node.reactor.run(1.0)
+    for number, connection in enumerate(others):
+        connection.received(PART[:100])
+        connection.received(PART[100:] if number < 40 else PART[100:1000])
+    assert connection_budget.used_bytes <= connection_budget.limit_bytes
+    refused = [connection.closing for connection in others]
+    assert 15 < refused.index(True) < 35
+    assert refused[:40] == sorted(refused[:40])
+    assert refused[40:] == sorted(refused[40:])
+    assert not refused[40]
+    assert all(_statuses(one) == [b'503'] for one in others if one.closing)
+    assert connection_budget.refusals
+    (line, *_) = [r for r in caplog.records if r.msg.startswith('no memory')]
+    assert line.kind == 'client_connections'
+    # An older one goes on, at the expense of a newer one.
+    kept = [connection for connection in others if not connection.closing]
+    others[0].received(b'b' * 3000)
+    refused = [connection.closing for connection in kept]
+    assert 1 <= sum(refused) < 9
+    assert refused == sorted(refused)
+    others[0].received(b'\r\nrosemarycrank-request-id: r9\r\n\r\n')
+    entry.end_attempt(_frames.Outcome.COMPLETE)
+    assert _statuses(others[0]) == [b'200']
+    entry.end_attempt(_frames.Outcome.COMPLETE)
+    assert _statuses(running) == _statuses(served) == [b'200']
+    assert running.stream.is_open and served.stream.is_open
+
+
+# Guards against small requests that are refused for the memory of unfinished
+# heads.
+def test_whole_request_needs_no_room_for_unfinished_heads(entry):
+    connections = [entry.connect() for _ in range(50)]
+    for connection in connections[:40]:
+        connection.received(PART)
+    assert connections[39].closing
+    for connection in connections[40:]:
+        connection.received(SMALL)
+        entry.end_attempt(_frames.Outcome.COMPLETE)
+        assert _statuses(connection) == [b'200']
+
+
+class _Socket:
+    is_open = True
+
+    def close(self):
+        self.is_open = False
+
+
+def test_connections_that_do_not_fit_are_closed(entry, connection_budget):
+    entry.connect().received(SMALL)
+    entry.connect().received(PART)
+    sockets = [_Socket() for _ in range(200)]
+    for sock in sockets:
+        entry.server._add_connection(sock, '10.0.0.9')
+    # The memory of the unfinished head has been taken for others.
+    (running,) = [c for c in entry.server._connections if c._exchanges]
+    assert not running.closing
+    assert connection_budget.used_bytes <= connection_budget.limit_bytes
+    assert 110 < sum(sock.is_open for sock in sockets) < 125
+    assert not sockets[-1].is_open
+    # Those that have been idle make room.
+    entry.node.reactor.run(1.0)
+    last = _Socket()
+    entry.server._add_connection(last, '10.0.0.9')
+    assert last.is_open
+    assert not running.closing
--- a/tests/dataplane/test_unread_input.py
+++ b/tests/dataplane/test_unread_input.py
@@ -4,7 +4,10 @@
 arrived and lie unread behind other input, however short the time.
 """
 
+import gc
+import os
 import socket
+import tracemalloc
 
 import attrs
 import gevent
@@ -226,3 +229,32 @@
         _send_frames(theirs, fakes.hello(generation=2), _frames.Cancel(2))
         gevent.sleep(PASS_S)
         assert _started(pool) == [b'r1']
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: connections were not in its account.
+@pytest.mark.parametrize('data', [b'', b'\r\n', b'G', REQUEST % 1 + b'G'])
+def test_connection_takes_the_memory_that_is_counted(reactor, data):
+    server = _clients.ClientServer(reactor, _Entry(reactor))
+    address = server.listen(('127.0.0.1', 0))
+    count = 200
+    gc.collect()
+    tracemalloc.start()
+    clients = []
+    for _ in range(count):
+        with socket.create_connection(address) as client:
+            clients.append(client.detach())
+        if data:
+            os.write(clients[-1], data)
+    gevent.sleep(PASS_S)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    for client in clients:
+        os.close(client)
+    assert len(server._connections) == count
+    budgets = (server.connection_budget, server.budget)
+    counted = sum(budget.used_bytes for budget in budgets)
+    server.close()
+    server.stop_accepting()
+    assert held <= counted
+    assert server.connection_budget.used_bytes == 0
