Begin no more requests ahead than may be in flight on a connection

All requests of one read were begun before reading paused: 64 KB hold some 800 of them, 25 times as many as may be in flight, each with its message, exchange and attempt. Reading went on after any response, also while the limit was still reached.

The reader stops behind the last request that may be begun and keeps the rest as text, counted in client_connections; each response lets it go on. What has been received is served at a planned stop too, as before. If the text does not fit, the next request is refused behind the answers to those in flight. A client that has left is looked for before more is begun.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -76,7 +76,7 @@
         '_exchanges',
         '_not_begun',
         '_is_beginning',
-        '_is_new',
+        '_must_catch_up',
         '_paused',
         '_response_is_last',
         '_lingering_close',
@@ -100,7 +100,8 @@
         self._exchanges = []
         self._not_begun = collections.deque()
         self._is_beginning = False
-        self._is_new = True
+        # A new connection may have waited to be accepted.
+        self._must_catch_up = True
         self._paused = False
         self._response_is_last = False
         self._lingering_close = None
@@ -111,7 +112,8 @@
     @property
     def is_idle(self):
         """Whether no request is partly received or in flight."""
-        return not self._exchanges and not self._reader.started
+        reader = self._reader
+        return not (self._exchanges or reader.started or reader.has_rest)
 
     def received(self, data):
         """Parse received bytes and start the requests that are complete."""
@@ -119,6 +121,15 @@
             self._ignore_input()
             return
         self.last_progress_at = self.server.reactor.now()
+        self._parse(data)
+        if (
+            len(self._exchanges) >= MAX_PIPELINED_REQUESTS
+            or self.stream.unsent_bytes > MAX_UNSENT_BYTES
+        ):
+            self._pause()
+        self._begin_requests()
+
+    def _parse(self, data):
         self._reader.limits = self.server.limits
         try:
             self._reader.feed(data)
@@ -126,12 +137,6 @@
             self._reject(error)
         if self._is_unfinished or self._reader.unfinished_head is not None:
             self._record_unfinished()
-        if (
-            len(self._exchanges) >= MAX_PIPELINED_REQUESTS
-            or self.stream.unsent_bytes > MAX_UNSENT_BYTES
-        ):
-            self._pause()
-        self._begin_requests()
 
     def catch_up(self):
         """Read what has arrived, to know whether the client is still there.
@@ -184,9 +189,10 @@
         exchanges = self._exchanges
         while exchanges and exchanges[0].response is not None:
             exchange = exchanges.pop(0)
-            is_last = (
-                not exchange.keep_alive or self.server.draining
-            ) and not exchanges
+            is_last = not exchanges and (
+                not exchange.keep_alive
+                or (self.server.draining and not self._reader.has_rest)
+            )
             data = exchange.response
             if is_last:
                 data = data.replace(b'\r\n', b'\r\nConnection: close\r\n', 1)
@@ -200,8 +206,8 @@
         self.last_progress_at = self.server.reactor.now()
         if self._reader.unfinished_head is not None:
             self._record_unfinished()
-        if self._paused and self.stream.unsent_bytes < MAX_UNSENT_BYTES:
-            self._resume()
+        if self._paused:
+            self._resume_if_due()
 
     def check_timeouts(self, now):
         """Close the connection if its client has left or is too slow.
@@ -272,6 +278,8 @@
             self.closing = True
         self._exchanges.append(exchange)
         self._not_begun.append(exchange)
+        if len(self._exchanges) >= MAX_PIPELINED_REQUESTS:
+            self._reader.is_paused = True
 
     def _begin_requests(self):
         """Begin the requests that have been read, if their client is there."""
@@ -282,9 +290,12 @@
         try:
             while self._not_begun:
                 read_at = self._not_begun[0].arrived_at
-                # A new connection may have waited to be accepted.
-                if self._is_new or self._paused or reactor.is_behind(read_at):
-                    self._is_new = False
+                if (
+                    self._must_catch_up
+                    or self._paused
+                    or reactor.is_behind(read_at)
+                ):
+                    self._must_catch_up = False
                     self._catch_up()
                     if not self._not_begun:
                         return
@@ -335,6 +346,22 @@
         self._paused = False
         self.stream.resume()
 
+    def _resume_if_due(self):
+        """Go on with requests that have been received, and then to read."""
+        if (
+            len(self._exchanges) >= MAX_PIPELINED_REQUESTS
+            or self.stream.unsent_bytes >= MAX_UNSENT_BYTES
+        ):
+            return
+        self._reader.is_paused = False
+        if not self.closing:
+            # The client may have left since they were received.
+            self._must_catch_up = True
+            self._parse(b'')
+        if self.closing or not self._reader.is_paused:
+            self._resume()
+        self._begin_requests()
+
     def _handle_drained(self):
         self.last_progress_at = self.server.reactor.now()
         if self._response_is_last:
@@ -342,8 +369,8 @@
                 self.stream, self.last_progress_at
             )
             return
-        if self._paused and len(self._exchanges) < MAX_PIPELINED_REQUESTS:
-            self._resume()
+        if self._paused:
+            self._resume_if_due()
 
 
 class ClientServer:
--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -280,6 +280,9 @@
         Whether a request has been received in part.
     in_body : bool
         Whether the header section of that request is complete.
+    is_paused : bool
+        Whether to begin no further request. Data that have been received are
+        kept until `feed` is called again without it.
     """
 
     def __init__(
@@ -295,6 +298,7 @@
         self.limits = limits
         self.started = False
         self.in_body = False
+        self.is_paused = False
         self.message = None
         self._on_request = on_request
         self._on_continue = on_continue
@@ -303,6 +307,7 @@
         self._head_hold = _memory.Hold(head_budget or self._budget)
         self._make_room = make_room
         self.unfinished_head = None
+        self._rest = b''
         self._empty_bytes = 0
         self._head_size = 0
         self._body_bytes = 0
@@ -323,9 +328,14 @@
         """
         if self.unfinished_head is not None:
             data = self._complete_head(data)
+        elif self._rest:
+            data = self._rest + data
+            self._rest = b''
+            self._head_hold.release()
         elif (
             # Most requests arrive whole and one by one.
             not self.in_body
+            and not self.is_paused
             and 0 < data.find(_HEAD_END) == len(data) - len(_HEAD_END)
             and len(data) <= self.limits.header_bytes
         ):
@@ -336,9 +346,19 @@
         while position < len(data):
             if self.in_body:
                 position = self._feed_body(data, position)
+            elif self.is_paused:
+                self._keep_rest(data[position:])
+                return
             else:
                 position = self._feed_head(data, position)
 
+    def _keep_rest(self, data):
+        """Keep data behind the requests that may be begun now."""
+        self._rest = data
+        size = len(data) + UNFINISHED_HEAD_OVERHEAD_BYTES
+        if not self._head_hold.grow(size):
+            raise NoMemoryError(size, self._head_hold.budget)
+
     def _feed_head(self, data, position):
         """Parse a head if it is complete; return the position behind it."""
         if data[position] in _LINE_END_BYTES:
@@ -486,10 +506,16 @@
         self._hold.release()
         self._head_hold.release()
         self.message = self.unfinished_head = None
+        self._rest = b''
         # These refer to the reader; all are freed at once without them.
         self._parser = self._on_request = self._on_continue = None
         self._error = self._make_room = None
 
+    @property
+    def has_rest(self):
+        """Whether data are kept behind the requests that may be begun."""
+        return bool(self._rest)
+
     def request_so_far(self):
         """Return `Message` with the fields of an unfinished request."""
         if self.unfinished_head is None:
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -527,3 +527,58 @@
         entry.connect().received(data)
     counted = budget.used_bytes + connection_budget.used_bytes - counted
     assert held_bytes() - empty_bytes <= counted
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: all requests of one read were begun, more than may be in flight.
+def test_requests_ahead_are_kept_as_text(
+    entry, budget, connection_budget, held_bytes
+):
+    data = b''.join(
+        SMALL.replace(b'r2', b'r%d' % number) for number in range(800)
+    )
+    connection = entry.connect()
+    empty_bytes = held_bytes()
+    connection.received(data)
+    attempts = entry.node.peers_by_node['n1'].sent
+    assert len(attempts) == _clients.MAX_PIPELINED_REQUESTS
+    # The data of the test are held, too.
+    counted = budget.used_bytes + connection_budget.used_bytes
+    assert len(data) <= counted <= 3 * len(data)
+    assert held_bytes() - empty_bytes <= counted
+    read = []
+    while attempts:
+        read.append(attempts[0][0].request_id)
+        attempts.append(attempts.pop(0))
+        entry.end_attempt(_frames.Outcome.COMPLETE)
+        assert len(attempts) <= _clients.MAX_PIPELINED_REQUESTS
+    assert read == [b'r%d' % number for number in range(800)]
+    assert _statuses(connection) == [b'200'] * 800
+    assert budget.used_bytes == 0
+    assert connection_budget.used_bytes == _clients.CONNECTION_BYTES
+
+
+# Guards against requests that have been read, and that a planned stop leaves
+# without an answer.
+def test_planned_stop_serves_requests_that_are_kept(entry):
+    connection = entry.connect()
+    connection.received(SMALL * 100)
+    entry.server.draining = True
+    attempts = entry.node.peers_by_node['n1'].sent
+    while attempts:
+        entry.end_attempt(_frames.Outcome.COMPLETE)
+    assert _statuses(connection) == [b'200'] * 100
+    closing = [b'Connection: close' in data for data in connection.stream.sent]
+    assert closing.index(True) >= 2 * 99
+
+
+def test_requests_ahead_that_do_not_fit_are_refused(entry, connection_budget):
+    connections = [entry.connect() for _ in range(20)]
+    for connection in connections:
+        connection.received(SMALL * 800)
+    assert connections[-1].closing
+    attempts = entry.node.peers_by_node['n1'].sent
+    while attempts:
+        entry.end_attempt(_frames.Outcome.COMPLETE)
+    assert _statuses(connections[0]) == [b'200'] * 800
+    assert _statuses(connections[-1]) == [b'200'] * 32 + [b'503']
