Let the resident memory decide what there is room for

A node was killed above its memory while its account had room: 2,458 connections with unfinished heads held more than the account assumed for them, and their clients' requests were lost with those of all others.

The samples of the resident memory now feed the account. Reserved budgets are left alone, what runs goes on, and whole small requests fit.

A request that was refused is freed before its connection ends, which may take as long as its client goes on to send.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -101,6 +101,13 @@
         """Whether no request is partly received or in flight."""
         return not self._exchanges and not self._reader.started
 
+    @property
+    def is_unfinished(self):
+        """Whether all that there is of requests is part of one."""
+        return (
+            self._reader.started and not self._exchanges and not self.closing
+        )
+
     def received(self, data):
         """Parse received bytes and start the requests that are complete."""
         if self.closing:
@@ -223,6 +230,10 @@
         elif elapsed_s > limits.idle_timeout_s:
             self.close()
 
+    def refuse_unfinished(self):
+        """Refuse the request that is not complete, for want of memory."""
+        self._reject(_http1.NoMemoryError(0, self.server.budget))
+
     def _handle_request(self, message):
         if self.closing:
             message.release()
@@ -264,10 +275,9 @@
 
     def _reject(self, error):
         self.closing = True
-        self._reader.release()
-        exchange = self.server.entry.refuse_message(
-            error, self._reader.message, self
-        )
+        message = self._reader.message
+        self._reader.close()
+        exchange = self.server.entry.refuse_message(error, message, self)
         self._exchanges.append(exchange)
         self.response_ready(exchange)
 
@@ -381,6 +391,36 @@
         """Remove a closed connection."""
         self._connections.discard(connection)
 
+    def refuse_newer(self):
+        """Refuse the newest request that is not complete.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        newest = max(
+            (one for one in self._connections if one.is_unfinished),
+            key=lambda one: one.last_progress_at,
+            default=None,
+        )
+        if newest is None:
+            return False
+        newest.refuse_unfinished()
+        return True
+
+    def close_longest_idle(self):
+        """Close some connections that have been idle for longest.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
+        """
+        open_count = len(self._connections)
+        self._make_room()
+        return len(self._connections) < open_count
+
     def close_idle(self):
         """Close the connections that have no request in flight."""
         for connection in list(self._connections):
--- a/rosemarycrank/dataplane/_memory.py
+++ b/rosemarycrank/dataplane/_memory.py
@@ -1,5 +1,6 @@
 """Memory that a node holds for clients, targets and other nodes."""
 
+import enum
 import logging
 
 import attrs
@@ -36,6 +37,18 @@
 _LOG = logging.getLogger(__name__)
 
 
+class Shortage(enum.IntEnum):
+    """What there is no room for, as the process is close to its limit.
+
+    Reserved budgets have room always. Answers to what has run count as large
+    in the last case only: the others have not run, and are refused first.
+    """
+
+    NONE = 0
+    LARGE = 1
+    UNFINISHED = 2
+
+
 class MemoryAccount:
     """Limit on the memory that several budgets take together.
 
@@ -52,15 +65,24 @@
         Memory that they take of it.
     budgets_by_name : dict of str to Budget
         The budgets.
+    shortage : Shortage
+        What there is no room for, whatever the budgets take.
     """
 
     def __init__(self, limit_bytes=DEFAULT_LIMIT_BYTES):
         self.limit_bytes = int(HELD_SHARE * limit_bytes)
         self.used_bytes = 0
         self.budgets_by_name = {}
+        self.shortage = Shortage.NONE
         self._process_limit_bytes = limit_bytes
 
-    def budget(self, name, share=BUDGET_SHARE, is_reserved=False):
+    def budget(
+        self,
+        name,
+        share=BUDGET_SHARE,
+        is_reserved=False,
+        large_until=Shortage.LARGE,
+    ):
         """Return a new budget.
 
         Parameters
@@ -72,13 +94,15 @@
         is_reserved : bool, default=False
             Whether that share is kept for it, so that the other budgets
             cannot take it, however much they hold.
+        large_until : Shortage, default=Shortage.LARGE
+            Shortage from which it has no room for large messages.
         """
         budget_bytes = int(share * self._process_limit_bytes)
         pool = self
         if is_reserved:
             self.limit_bytes -= budget_bytes
             pool = _Reserve(budget_bytes)
-        budget = Budget(pool, name, budget_bytes)
+        budget = Budget(pool, name, budget_bytes, large_until)
         self.budgets_by_name[name] = budget
         return budget
 
@@ -91,10 +115,13 @@
     ----------
     limit_bytes, used_bytes : int
         Its size, and how much of it is taken.
+    shortage : Shortage
+        None, as others cannot take it.
     """
 
     limit_bytes: int
     used_bytes: int = 0
+    shortage: Shortage = Shortage.NONE
 
 
 class Budget:
@@ -108,6 +135,8 @@
         What it is for.
     limit_bytes : int
         Memory that it may take.
+    large_until : Shortage, default=Shortage.LARGE
+        Shortage from which it has no room for large messages.
 
     Attributes
     ----------
@@ -117,10 +146,11 @@
         Number of messages that were refused for want of memory.
     """
 
-    def __init__(self, account, name, limit_bytes):
+    def __init__(self, account, name, limit_bytes, large_until=Shortage.LARGE):
         self.account = account
         self.name = name
         self.limit_bytes = limit_bytes
+        self.large_until = large_until
         self.used_bytes = 0
         self.refusals = 0
         self._lines = _repeated_lines.RepeatedLines(REFUSAL_LINE_INTERVAL_S)
@@ -173,8 +203,12 @@
         bool
             Whether it fits; nothing is taken otherwise.
         """
-        share = 1.0 if size <= MAX_SMALL_BYTES else LARGE_SHARE
+        share = 1.0
         account = self.account
+        if size > MAX_SMALL_BYTES:
+            if account.shortage >= self.large_until:
+                return False
+            share = LARGE_SHARE
         used_bytes = self.used_bytes + additional
         used_in_all = account.used_bytes + additional
         if (
@@ -241,6 +275,20 @@
             self.size = 0
 
 
+class UnfinishedHold(Hold):
+    """Memory that a message takes which may never be complete."""
+
+    __slots__ = ()
+
+    def grow(self, size):
+        """Take memory up to a size; see `Hold.grow`."""
+        shortage = self.budget.account.shortage
+        if size > self.size and shortage >= Shortage.UNFINISHED:
+            self.budget.refusals += 1
+            return False
+        return super().grow(size)
+
+
 class HeldBuffer(bytearray):
     """Buffer that gives its memory back once nobody refers to it.
 
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -146,6 +146,19 @@
             },
         ),
     )
+    _register_gauge(
+        registry,
+        'memory_shortage',
+        'Whether there is no room for large requests (1), nor for unfinished '
+        'messages (2).',
+        [({}, int(process.memory.shortage))],
+    )
+    _register_counter(
+        registry,
+        'memory_shed_total',
+        'Things given up for want of memory, by kind.',
+        _labelled('kind', process.memory_guard.shed_by_name),
+    )
     _register_counter(
         registry,
         'memory_refusals_total',
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -134,7 +134,9 @@
     ):
         memory = memory or _memory.MemoryAccount()
         self.attempt_budget = memory.budget('node_attempts')
-        self.result_budget = memory.budget('node_results')
+        self.result_budget = memory.budget(
+            'node_results', large_until=_memory.Shortage.UNFINISHED
+        )
         self.reactor = reactor
         self.address = address
         self.incarnation = incarnation
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -23,6 +23,7 @@
 from rosemarycrank.dataplane import _entry
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _memory
+from rosemarycrank.dataplane import _memory_guard
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _planned_stop
 from rosemarycrank.dataplane import _reactor
@@ -49,6 +50,10 @@
 #: suffice and pauses stay short.
 GC_THRESHOLDS = (20000, 20, 50)
 
+#: Number of connections of clients with an unfinished request that are closed
+#: after a sample of the resident memory that is close to the limit.
+MAX_UNFINISHED_SHED = 256
+
 #: Longest time for which the acknowledgement of a leaving waits until the
 #: store has it, in seconds. A target waits for a second.
 MAX_STORING_S = 0.5
@@ -198,6 +203,10 @@
         self.resident_memory = _resident_memory.ResidentMemory(
             self.reactor, self.memory, settings.max_memory_bytes
         )
+        self.memory_guard = _memory_guard.MemoryGuard(
+            self.memory, settings.max_memory_bytes
+        )
+        self.resident_memory.on_sample.append(self.memory_guard.update)
         self.costs = _costs.CallCosts(settings.service)
         self.front = _front.AdmitByCost(
             self.costs, lambda service: self.node.usable_targets.count(service)
@@ -222,7 +231,9 @@
             self.reactor,
             settings.target_address,
             self.adapter.names,
-            self.memory.budget('target_responses'),
+            self.memory.budget(
+                'target_responses', large_until=_memory.Shortage.UNFINISHED
+            ),
         )
         self.target_side = _target.TargetSide(
             self.reactor,
@@ -251,6 +262,14 @@
             int(CLIENT_DESCRIPTORS_SHARE * settings.max_descriptors),
             self.memory.budget('client_requests'),
         )
+        self.memory_guard.subscribe(
+            'unfinished_requests',
+            self.clients.refuse_newer,
+            MAX_UNFINISHED_SHED,
+        )
+        self.memory_guard.subscribe(
+            'idle_connections', self.clients.close_longest_idle
+        )
         self.planned_stop = _planned_stop.PlannedStop(
             node,
             self.entry,
--- a/rosemarycrank/dataplane/_resident_memory.py
+++ b/rosemarycrank/dataplane/_resident_memory.py
@@ -36,6 +36,9 @@
         if the operating system does not tell it.
     limit_bytes : float
         Memory limit of the process.
+    on_sample : list of callable
+        Called with the time, in seconds of the node's clock, and the resident
+        memory of each sample, in bytes.
     """
 
     def __init__(self, reactor, account, limit_bytes):
@@ -43,6 +46,7 @@
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
         self.peak_bytes = 0
+        self.on_sample = []
         self._level = 0
         try:
             self._descriptor = os.open(_PATH, os.O_RDONLY | os.O_CLOEXEC)
@@ -55,7 +59,7 @@
             return
         reactor.timers.every(SAMPLE_INTERVAL_S, self.sample)
 
-    def sample(self, _now):
+    def sample(self, now):
         """Read the resident memory; log it when it crosses a share."""
         fields = os.pread(self._descriptor, _MAX_BYTES, 0).split()
         self.used_bytes = int(fields[1]) * mmap.PAGESIZE
@@ -67,6 +71,8 @@
         elif level < self._level:
             level = min(self._level, _level(share + HYSTERESIS_SHARE))
         self._level = level
+        for callback in self.on_sample:
+            callback(now, self.used_bytes)
 
     def _log(self):
         _LOG.warning(
--- a/tests/dataplane/test_freed_connections.py
+++ b/tests/dataplane/test_freed_connections.py
@@ -116,6 +116,25 @@
     assert _count(_memory.HeldBuffer) == 0
 
 
+def test_refused_request_is_freed_before_its_connection(
+    reactor, no_collection
+):
+    server = _clients.ClientServer(reactor, _Entry())
+    address = server.listen(('127.0.0.1', 0))
+    with socket.create_connection(address) as client:
+        client.sendall(HEAD + b'\r\n')
+        for position in range(0, len(BODY) - 1, 40_000):
+            client.sendall(BODY[position : position + 39_000])
+            gevent.sleep(0.0)
+        gevent.sleep(PASS_S)
+        assert _count(_memory.HeldBuffer) == 1
+        assert server.refuse_newer()
+        assert _count(_memory.HeldBuffer) == 0
+        assert _count(_clients.ClientConnection) == 1
+    server.close()
+    server.stop_accepting()
+
+
 @pytest.mark.parametrize(
     'data',
     [b'', RESPONSE[:-2], RESPONSE + BODY[1:], RESPONSE + BODY, b'NO RESPONSE'],
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -304,3 +304,33 @@
     assert line.request_id == b'r1'
     assert line.size >= 20 * MB
     assert line.held >= 20 * MB
+
+
+# Guards against a node short of memory that gives up requests which run, or
+# the older ones of those that are not complete.
+def test_newest_unfinished_request_is_refused_for_memory(entry, budget):
+    running, older, newer, idle = (entry.connect() for _ in range(4))
+    running.received(SMALL + HEAD % MB)
+    older.received(HEAD % MB)
+    entry.node.reactor.run(0.1)
+    newer.received(CHUNKED + b'3\r\nabc\r\n')
+    assert entry.server.refuse_newer()
+    (refusal,) = newer.stream.sent
+    assert refusal.startswith(b'HTTP/1.1 503 ')
+    assert b'Retry-After: ' in refusal
+    assert not older.stream.sent
+    assert entry.server.refuse_newer()
+    assert not entry.server.refuse_newer()
+    entry.end_attempt(_frames.Outcome.COMPLETE)
+    assert running.stream.sent[0].startswith(b'HTTP/1.1 200 ')
+    assert idle.stream.is_open
+
+
+def test_idle_connections_are_closed_for_memory(entry):
+    busy, idle = entry.connect(), entry.connect()
+    busy.received(SMALL)
+    entry.node.reactor.run(1.0)
+    assert entry.server.close_longest_idle()
+    assert not idle.stream.is_open
+    assert busy.stream.is_open
+    assert not entry.server.close_longest_idle()
