--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -115,6 +115,13 @@
         reader = self._reader
         return not (self._exchanges or reader.started or reader.has_rest)
 
+    @property
+    def is_unfinished(self):
+        """Whether all that there is of requests is part of one."""
+        return (
+            self._reader.started and not self._exchanges and not self.closing
+        )
+
     def received(self, data):
         """Parse received bytes and start the requests that are complete."""
         if self.closing:
@@ -247,13 +254,15 @@
             self.close()
 
     def refuse_unfinished(self):
-        """Refuse the request whose head is not complete."""
-        self._reject(
-            _http1.NoMemoryError(
-                len(self._reader.unfinished_head),
-                self.server.connection_budget,
+        """Refuse the request that is not complete, for want of memory."""
+        head = self._reader.unfinished_head
+        if head is None:
+            error = _http1.NoMemoryError(0, self.server.budget)
+        else:
+            error = _http1.NoMemoryError(
+                len(head), self.server.connection_budget
             )
-        )
+        self._reject(error)
 
     def _make_room(self):
         return self._is_unfinished and self.server.refuse_newer(self)
@@ -491,6 +500,38 @@
         newest.refuse_unfinished()
         return True
 
+    def refuse_newest_unfinished(self):
+        """Refuse the newest request that is not complete, heads first.
+
+        Returns
+        -------
+        bool
+            Whether there was one.
+        """
+        if self.refuse_newer():
+            return True
+        newest = max(
+            (one for one in self._connections if one.is_unfinished),
+            key=lambda one: one.last_progress_at,
+            default=None,
+        )
+        if newest is None:
+            return False
+        newest.refuse_unfinished()
+        return True
+
+    def close_longest_idle(self):
+        """Close some connections that have been idle for longest.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
+        """
+        open_count = len(self._connections)
+        self._make_room()
+        return len(self._connections) < open_count
+
     def close_idle(self):
         """Close the connections that have no request in flight."""
         for connection in list(self._connections):
