Bound the connections of other nodes and their unfinished frames

Cause: frames below 64 KB collect in a buffer that no account covers, large messages without a body too, and nothing bounds the number of connections or what one may send before it has said that it is a node's.

Now there is a budget `node_input`, 0.08 of the memory limit and reserved, for each connection and for what is unfinished on it. Large messages without a body are charged with what they take when decoded, and skipped if they never fit. The first message has to be a handshake of 1 MiB at most, within 1.5 s; connections without one are 128 at most, all together take 0.15 of the descriptors. When room is short those without a handshake are closed first, then the newest strangers, and those of known nodes only if nothing else is left. Of those without a handshake the oldest goes first, not the newest: a node sends its handshake at once, and could not connect while 128 others keep their places.

--- a/rosemarycrank/dataplane/_frame_reader.py
+++ b/rosemarycrank/dataplane/_frame_reader.py
@@ -2,7 +2,8 @@
 
 Large messages are collected apart from the others, in buffers that take memory
 of a budget, and their bodies are views of these buffers. One that does not fit
-is skipped as it arrives.
+is skipped as it arrives. What is received of other messages until they are
+complete is charged by the connection.
 """
 
 import abc
@@ -17,6 +18,15 @@
 #: Length from which a frame counts as large, in bytes.
 MIN_LARGE_BYTES = _frames.MIN_SEPARATE_BODY_BYTES
 
+#: Maximum length of a handshake, in bytes. One has the records of all targets
+#: if its sender or receiver is of an earlier build.
+MAX_HANDSHAKE_BYTES = 1024 * 1024
+
+#: Memory that a large message without a body takes while it is received and
+#: decoded, as a ratio to its length: a document, and lists of objects.
+DOCUMENT_RATIO = 2
+DECODED_RATIO = 8
+
 # Bytes of a payload after which the number of a message with a body is known.
 _NUMBERED_BYTES = 11
 
@@ -48,6 +58,8 @@
     kind.__struct_config__.tag: kind
     for kind in (_frames.Attempt, _frames.Result)
 }
+_HANDSHAKE_TAG = _frames.Hello.__struct_config__.tag
+_DOCUMENT_TAG = _frames.ConfigurationBody.__struct_config__.tag
 _BODY_VIEW_DECODERS_BY_TAG = {
     tag: msgspec.msgpack.Decoder(_with_body_view(kind))
     for tag, kind in _KINDS_WITH_BODY_BY_TAG.items()
@@ -70,6 +82,19 @@
     size: int
 
 
+@attrs.frozen
+class SkippedNotice:
+    """A message without a body that was skipped, as it never fits.
+
+    Attributes
+    ----------
+    size : int
+        Size of the message, in bytes.
+    """
+
+    size: int
+
+
 class FrameReader:
     """Incremental decoder for a stream of frames.
 
@@ -78,13 +103,36 @@
     budget : Budget, optional
         Memory for large messages with a body, until their bodies are not used
         any more. Without one, all of them fit.
+    input_budget : Budget, optional
+        Memory that `unfinished_bytes` is charged to. A message without a body
+        that never fits is skipped.
+
+    Attributes
+    ----------
+    expects_handshake : bool
+        Whether the first message has not been received, and has to be a
+        handshake.
     """
 
-    def __init__(self, budget=None):
+    def __init__(self, budget=None, input_budget=None):
+        self.expects_handshake = False
         self._budget = budget
+        self._input_budget = input_budget
         self._buffer = bytearray()
         self._large = None
 
+    @property
+    def unfinished_bytes(self):
+        """Memory that unfinished messages without a body take, in bytes.
+
+        It includes the room that a buffer has as it grows.
+        """
+        count = len(self._buffer)
+        count += count >> 3
+        if self._large is not None:
+            count += self._large.unfinished_bytes
+        return count
+
     def feed(self, data):
         """Add received bytes and return the messages that are complete.
 
@@ -102,8 +150,15 @@
             data = self._feed_large(data, frames)
         while data:
             data = self._feed_small(data, frames)
+        if frames:
+            self.expects_handshake = False
         return frames
 
+    def discard(self):
+        """Free the memory of unfinished messages."""
+        self._buffer = bytearray()
+        self._large = None
+
     def _feed_small(self, data, frames):
         """Decode frames up to a large one; return what follows that."""
         buffer = self._buffer
@@ -120,6 +175,8 @@
                 if end - start < _NUMBERED_BYTES:
                     break
                 rest = data[start:]
+                if self.expects_handshake and not frames:
+                    _check_handshake(rest, length)
                 self._buffer = bytearray()
                 self._large = self._open_large(rest, length)
                 return self._feed_large(rest, frames)
@@ -128,7 +185,9 @@
             position = start + length
             frames.append(_decode(bytes(data[start:position])))
         if data is buffer:
-            del buffer[:position]
+            if position:
+                # A copy, as the buffer would keep its size.
+                self._buffer = buffer[position:]
         elif position < end:
             buffer += data[position:]
         return b''
@@ -137,13 +196,22 @@
         """Return what receives a large message, from the first bytes on."""
         tag = _tag(payload)
         if tag not in _KINDS_WITH_BODY_BY_TAG:
-            return _LargeFrame(length)
+            return self._open_notice(tag, length)
         if self._budget is None:
             return _FrameWithBody(length, tag, None)
         hold = _memory.Hold(self._budget)
         if hold.grow(length):
             return _FrameWithBody(length, tag, hold)
-        return _SkippedFrame(length, _number(payload))
+        return _SkippedFrame(length, Skipped(_number(payload), length))
+
+    def _open_notice(self, tag, length):
+        ratio = DOCUMENT_RATIO if tag == _DOCUMENT_TAG else DECODED_RATIO
+        memory_bytes = ratio * length
+        budget = self._input_budget
+        if budget is None or budget.can_ever_fit(memory_bytes):
+            return _LargeFrame(length, memory_bytes)
+        budget.refusals += 1
+        return _SkippedFrame(length, SkippedNotice(length))
 
     def _feed_large(self, data, frames):
         """Add bytes of a large message; return what follows it."""
@@ -169,10 +237,14 @@
     ----------
     missing_bytes : int
         Number of bytes that have not been received.
+    unfinished_bytes : int
+        Memory that is in no budget yet, in bytes.
     """
 
+    unfinished_bytes = 0
+
     def __init__(self, length):
-        self.length = self.missing_bytes = length
+        self.missing_bytes = length
 
     @abc.abstractmethod
     def add(self, data):
@@ -184,10 +256,19 @@
 
 
 class _LargeFrame(_Receiver):
-    """Message without a body, which is decoded like a small one."""
+    """Message without a body, which is decoded like a small one.
 
-    def __init__(self, length):
+    Parameters
+    ----------
+    length : int
+        Length of the message, in bytes.
+    memory_bytes : int
+        Memory that it takes until it is decoded, in bytes.
+    """
+
+    def __init__(self, length, memory_bytes):
         super().__init__(length)
+        self.unfinished_bytes = memory_bytes
         self._buffer = bytearray()
 
     def add(self, data):
@@ -236,19 +317,19 @@
     ----------
     length : int
         Length of the message, in bytes.
-    number : int
-        Number of the attempt.
+    skipped : Skipped or SkippedNotice
+        What is returned for it.
     """
 
-    def __init__(self, length, number):
+    def __init__(self, length, skipped):
         super().__init__(length)
-        self._number = number
+        self._skipped = skipped
 
     def add(self, data):
         """Leave the bytes out."""
 
     def message(self):
-        return Skipped(self._number, self.length)
+        return self._skipped
 
 
 def _check_length(length):
@@ -256,6 +337,12 @@
         raise _frames.FrameError(f'frame of {length} bytes exceeds the limit')
 
 
+def _check_handshake(payload, length):
+    """Check the beginning of a large message that has to be a handshake."""
+    if length > MAX_HANDSHAKE_BYTES or _tag(payload) != _HANDSHAKE_TAG:
+        raise _frames.FrameError('no handshake within its limit')
+
+
 def _decode(payload):
     try:
         return _DECODER.decode(payload)
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -14,6 +14,11 @@
 SILENCE_CHECK_INTERVAL_S = 0.25
 MAX_SILENT_CHECKS = 11
 
+#: Number of these checks after which a connection without a handshake is
+#: closed, whatever has been received. The node that opened it has given it up
+#: by then.
+MAX_CHECKS_BEFORE_HANDSHAKE = 6
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -41,8 +46,13 @@
         self.address = ''
         self.caller = None
         self._generation = -1
+        self._checks_before_handshake = 0
         self._silent_checks = 0
-        self._reader = _frame_reader.FrameReader(node.attempt_budget)
+        self._unfinished_bytes = 0
+        self._reader = _frame_reader.FrameReader(
+            node.attempt_budget, node.input_budget
+        )
+        self._reader.expects_handshake = True
         self._frames = collections.deque()
         self._has_read_all = False
         self._stream = _reactor.Stream(node.reactor, sock, self)
@@ -82,6 +92,21 @@
         self._has_read_all = len(data) < _reactor.MAX_READ_BYTES
         self._handle_frames()
         self._has_read_all = False
+        self._charge_unfinished()
+
+    def _charge_unfinished(self):
+        unfinished_bytes = self._reader.unfinished_bytes
+        if unfinished_bytes == self._unfinished_bytes:
+            return
+        self._unfinished_bytes = unfinished_bytes
+        if self in self.node.inbound_connections:
+            self.node.inbound_connections.charge(self, unfinished_bytes)
+
+    def is_of_known_node(self):
+        """Return whether the other node has a target or attempts here."""
+        return self.address in self.node.directory.records_by_node or (
+            self.caller is not None and bool(self.caller.jobs_by_number)
+        )
 
     def catch_up(self, _number):
         """Handle what has arrived, if it may have cancellations."""
@@ -100,6 +125,11 @@
         Called periodically. The other node reconnects if it still runs;
         otherwise its attempts are cancelled.
         """
+        if self.caller is None:
+            self._checks_before_handshake += 1
+            if self._checks_before_handshake > MAX_CHECKS_BEFORE_HANDSHAKE:
+                self.close()
+                return
         self._silent_checks += 1
         if self._silent_checks <= MAX_SILENT_CHECKS:
             return
@@ -113,6 +143,10 @@
     def closed(self, _error):
         """Record the loss of the connection."""
         self.node.inbound_connections.discard(self)
+        # Its objects refer to each other, so that they are freed by a rare
+        # garbage collection only.
+        self._reader.discard()
+        self._frames.clear()
         caller = self.caller
         if caller is not None and caller.generation == self._generation:
             self.node.target_side.callers.lose(caller, self.address)
@@ -150,6 +184,10 @@
             self.node.target_side.accept(self.caller, frame)
         elif kind is _frame_reader.Skipped:
             self._refuse_skipped(frame)
+        elif kind is _frame_reader.SkippedNotice:
+            self.node.input_budget.log_refusal(
+                self.node.reactor.now(), frame.size, caller=self.address
+            )
         elif kind is _frames.Cancel:
             self.node.target_side.cancel(self.caller, frame.number)
         elif kind is _frames.Ping:
@@ -199,3 +237,4 @@
         )
         self.notify(self.node.hello(0, self.address, hello.features))
         self.node.receive_hello(hello, self)
+        self.node.inbound_connections.record_handshake(self)
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -17,6 +17,7 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _inbound
+from rosemarycrank.dataplane import _inbound_connections
 from rosemarycrank.dataplane import _local_peer
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _origins
@@ -84,6 +85,8 @@
     ----------
     attempt_budget, result_budget : Budget
         Memory for large attempts and results of other nodes.
+    input_budget : Budget
+        Memory for connections of other nodes and their unfinished frames.
     configuration : Configuration or None
         Current configuration; None before the first one is installed.
     directory : Directory
@@ -94,7 +97,7 @@
         Times that crashed targets take to start again.
     peers_by_node : dict of str to Peer
         Nodes whose targets this node calls, by address; includes this node.
-    inbound_connections : set of InboundConnection
+    inbound_connections : InboundConnections
         Connections that other nodes opened to this one.
     last_attempt_number : int
         Number of the newest attempt of this node.
@@ -135,6 +138,7 @@
         memory = memory or _memory.MemoryAccount()
         self.attempt_budget = memory.budget('node_attempts')
         self.result_budget = memory.budget('node_results')
+        self.input_budget = _inbound_connections.budget(memory)
         self.reactor = reactor
         self.address = address
         self.incarnation = incarnation
@@ -145,7 +149,9 @@
         self.directory = _directory.Directory()
         self.restart_times = _restart_times.RestartTimes()
         self.peers_by_node = {}
-        self.inbound_connections = set()
+        self.inbound_connections = _inbound_connections.InboundConnections(
+            reactor, self.input_budget
+        )
         self.last_attempt_number = 0
         self.active_ping_interval_s = _peer_connection.ACTIVE_PING_INTERVAL_S
         self.usable_targets = _usable_targets.UsableTargets(
--- a/rosemarycrank/dataplane/_peer_connection.py
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -11,6 +11,7 @@
 from rosemarycrank import addresses
 from rosemarycrank.dataplane import _frame_reader
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _probe
 from rosemarycrank.dataplane import _reactor
 
@@ -101,7 +102,11 @@
         self.opened_at = self.node.reactor.now()
         self.last_received_at = 0.0
         self.last_ping_at = 0.0
-        self._reader = _frame_reader.FrameReader(self.node.result_budget)
+        self._reader = _frame_reader.FrameReader(
+            self.node.result_budget, self.node.input_budget
+        )
+        self._hold = _memory.Hold(self.node.input_budget)
+        self._unfinished_bytes = 0
         self._probe = None
         self._connecting_checks = 0
         self._unconfirmed_bytes = 0
@@ -183,11 +188,16 @@
                 f'invalid frame: {error}', process_ended=False
             )
             return
+        self._charge_unfinished()
         for frame in frames:
             if type(frame) is _frames.Result:
                 self.peer.handle_result(frame, now)
             elif type(frame) is _frame_reader.Skipped:
                 self._drop_skipped(frame, now)
+            elif type(frame) is _frame_reader.SkippedNotice:
+                self.node.input_budget.log_refusal(
+                    now, frame.size, target_node=self.peer.address
+                )
             elif type(frame) is _frames.Hello:
                 self._handle_hello(frame)
             else:
@@ -197,6 +207,14 @@
         if self._unconfirmed_bytes > MAX_UNCONFIRMED_BYTES and self.is_ready:
             self._send_ping(now)
 
+    def _charge_unfinished(self):
+        unfinished_bytes = self._reader.unfinished_bytes
+        if unfinished_bytes != self._unfinished_bytes:
+            self._unfinished_bytes = unfinished_bytes
+            self.node.inbound_connections.charge_peer(
+                self._hold, unfinished_bytes
+            )
+
     def _drop_skipped(self, skipped, now):
         """Report a result that was not read for want of memory."""
         self.node.result_budget.log_refusal(
@@ -218,15 +236,23 @@
 
     def closed(self, error):
         """Report the loss of the connection to the peer."""
+        self._release_input()
         self.peer.connection_lost(error)
 
     def close(self):
         """Close the connection and discard what has not been delivered."""
         self._close_probe()
+        self._release_input()
         # A reset discards data in transit, so that it cannot arrive after
         # the data that is sent over a new connection.
         self.stream.close(reset=True)
 
+    def _release_input(self):
+        # The objects of a connection refer to each other, so that they are
+        # freed by a rare garbage collection only.
+        self._hold.release()
+        self._reader.discard()
+
     def _handle_hello(self, hello):
         if hello.protocol != _frames.PROTOCOL_VERSION:
             self.peer.mark_unreachable(
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -41,6 +41,8 @@
 #: Share of the descriptors that connections of clients may take. The others
 #: are for files, and for connections to the target, other nodes and the store.
 CLIENT_DESCRIPTORS_SHARE = 0.7
+#: Share that connections of other nodes may take.
+NODE_DESCRIPTORS_SHARE = 0.15
 
 #: Net allocations that start a collection of the youngest objects, and the
 #: numbers of collections after which the older generations are included.
@@ -213,6 +215,9 @@
             self.front,
             self.memory,
         )
+        self.node.inbound_connections.max_count = int(
+            NODE_DESCRIPTORS_SHARE * settings.max_descriptors
+        )
         self._create_components(rng)
 
     def _create_components(self, rng):
