--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -39,6 +39,9 @@
     crashed_starts : tuple of tuple of (str, int)
         Starts of targets that had crashed under the request when its run
         began.
+    is_watched : bool
+        Whether its run is watched for a crash, and so has few others beside
+        it.
     """
 
     caller: object
@@ -50,6 +53,7 @@
     run: object = None
     result: object = None
     crashed_starts: tuple = ()
+    is_watched: bool = False
 
 
 class Caller:
--- a/rosemarycrank/dataplane/_suspect_runs.py
+++ b/rosemarycrank/dataplane/_suspect_runs.py
@@ -115,6 +115,7 @@
         job.crashed_starts = self.history.starts_of(job.attempt.digest)
         if not job.crashed_starts:
             return
+        job.is_watched = self._is_suspect(job)
         _LOG.info(
             'suspected request starts to run',
             extra={
@@ -122,6 +123,7 @@
                 'request_id': job.attempt.request_id,
                 'digest': '%x' % job.attempt.digest,
                 'crashes': len(job.crashed_starts),
+                'is_watched': job.is_watched,
                 'instance': job.attempt.instance,
             },
         )
@@ -188,7 +190,11 @@
             },
         )
         digests = [attempt.digest for attempt in attempts if attempt.digest]
-        watched = [job.attempt.digest for job in jobs if job.crashed_starts]
+        watched = [
+            job.attempt.digest
+            for job in jobs
+            if job.crashed_starts and job.is_watched
+        ]
         self._tell_all(
             self.history.record_crash(
                 record.instance,
