Probe each request that shares several crashes, one at a time

Cause: a request is not watched if each of its crashes is explained by another one under which several targets have crashed. Requests that ran at the same two crashes explained them for each other, so that none was watched: all of them ran everywhere, many at once, in place of one probe.

Change: a request under which several targets have crashed is always watched.

Test: requests that share crashes with a deadly one.

--- a/rosemarycrank/dataplane/_crash_history.py
+++ b/rosemarycrank/dataplane/_crash_history.py
@@ -258,8 +258,9 @@
     def is_watched(self, digest):
         """Return whether the runs of a request have to be watched.
 
-        Not if each of its crashes has a better explanation, a request under
-        which another target has crashed too.
+        Not if only one target has crashed under it, and that has a better
+        explanation, a request under which another target has crashed too.
+        Requests that share several crashes would explain them for each other.
 
         Parameters
         ----------
@@ -268,6 +269,8 @@
         """
         if not self.count_crashes(digest):
             return False
+        if digest in self._repeat_suspects:
+            return True
         return not all(
             self._is_explained(crash, digest)
             for crash in self._crashes_by_suspect[digest]
--- a/tests/dataplane/test_crash_series.py
+++ b/tests/dataplane/test_crash_series.py
@@ -75,6 +75,26 @@
     assert 0 < len(fleet.ends) <= END_BOUND
 
 
+# Guards against requests that ran at the same crashes, each of which counts as
+# the explanation of the others, so that all of them run everywhere.
+@pytest.mark.parametrize('path_count', [1, 4, 12])
+@pytest.mark.parametrize('seed', SEEDS)
+def test_requests_that_share_crashes_are_probed_one_at_a_time(
+    make_fleet, seed, path_count
+):
+    fleet = make_fleet(12)
+    fleet.service_s = 0.8
+    rng = random.Random(seed)
+    paths = (b'/a/%d' % rng.randrange(path_count) for _ in itertools.count())
+    callers = fleet.nodes_of(crash_fleet.DEADLY_CALLER)
+    for _ in range(40):
+        fleet.send_request(rng.choice(callers), next(paths))
+        fleet.reactor.run(0.01)
+    _send_first(fleet)
+    _send_both(fleet, paths, 12.0)
+    assert 0 < len(fleet.ends) <= END_BOUND
+
+
 # Guards against the opposite: popular requests that are refused for a minute
 # because targets ended in several runs of theirs, for causes outside.
 @pytest.mark.parametrize('service_s', [0.1, 0.3])
