Sample the memory of nodes that run, not of parts in tests

The process of the tests has more memory than a node may, so that nodes in virtual time logged it; five cases of test_odd_row_names_no_target_and_others_hold failed in a process with many other tests before them.

--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -353,6 +353,7 @@
         gevent.signal_handler(signal.SIGTERM, self.planned_stop.begin)
         if settings.metrics_address is not None:
             self._serve_metrics()
+        self.resident_memory.start()
         self.configuration_follower.start()
         self.target_table.start()
         self.cost_rows.start()
--- a/rosemarycrank/dataplane/_resident_memory.py
+++ b/rosemarycrank/dataplane/_resident_memory.py
@@ -47,7 +47,12 @@
         self.used_bytes = 0
         self.peak_bytes = 0
         self.on_sample = []
+        self._reactor = reactor
+        self._descriptor = None
         self._level = 0
+
+    def start(self):
+        """Sample the memory from now on."""
         try:
             self._descriptor = os.open(_PATH, os.O_RDONLY | os.O_CLOEXEC)
         except OSError as error:
@@ -57,7 +62,7 @@
                 extra={'event': 'memory_unknown'},
             )
             return
-        reactor.timers.every(SAMPLE_INTERVAL_S, self.sample)
+        self._reactor.timers.every(SAMPLE_INTERVAL_S, self.sample)
 
     def sample(self, now):
         """Read the resident memory; log it when it crosses a share."""
--- a/tests/dataplane/test_resident_memory.py
+++ b/tests/dataplane/test_resident_memory.py
@@ -19,9 +19,11 @@
     """Return a function that watches memory against a limit in bytes."""
 
     def make(limit_bytes):
-        return _resident_memory.ResidentMemory(
+        memory = _resident_memory.ResidentMemory(
             fakes.VirtualReactor(), account, limit_bytes
         )
+        memory.start()
+        return memory
 
     return make
 
