--- a/tests/dataplane/test_freed_connections.py
+++ b/tests/dataplane/test_freed_connections.py
@@ -12,6 +12,7 @@
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _http_client
 from rosemarycrank.dataplane import _inbound
+from rosemarycrank.dataplane import _inbound_connections
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _reactor
@@ -164,8 +165,12 @@
 
 def test_connection_of_a_node_is_freed(reactor, no_collection):
     node = fakes.EntryNode(reactor)
-    node.attempt_budget = _memory.MemoryAccount().budget('node_attempts')
-    node.inbound_connections = set()
+    account = _memory.MemoryAccount()
+    node.attempt_budget = account.budget('node_attempts')
+    node.input_budget = _inbound_connections.budget(account)
+    node.inbound_connections = _inbound_connections.InboundConnections(
+        reactor, node.input_budget
+    )
     ours, theirs = socket.socketpair()
     ours.setblocking(False)
     connection = _inbound.InboundConnection(node, ours)
--- a/tests/dataplane/test_memory_guard.py
+++ b/tests/dataplane/test_memory_guard.py
@@ -222,6 +222,7 @@
         reactor, _memory.MemoryAccount(), 1e15
     )
     memory.on_sample.append(lambda now, used: samples.append((now, used)))
+    memory.start()
     reactor.run(0.25)
     assert [now for now, _ in samples] == pytest.approx([0.1, 0.2], abs=0.02)
     assert samples[-1][1] == memory.used_bytes > 0
