Count responses that clients do not read, and bound them together

What a client does not read was bounded for each connection, by 256 KB and 32 responses of any size, and in no account unless a body had more than 64 KB. A ready response behind one that is not ready was in none either.

The budget client_output counts what a connection keeps for unsent responses, except bodies that are counted until they are freed. Ready answers are always taken and delivered. Above three quarters of the budget a connection with unread output begins nothing further; above all of it a request is refused with 503 before it is sent, and the connections whose clients have read nothing for longest, 0.25 s at least, are closed until there is room. Requests that wait because their client does not read no longer keep its connection open beyond the idle timeout.

The usual response, which the system takes at once, costs no counting: the stream tells when it is blocked.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -23,6 +23,18 @@
 #: so that a client that does not read cannot fill the memory.
 MAX_UNSENT_BYTES = 256 * 1024
 
+#: Share of the budget for output above which a connection whose client leaves
+#: responses unread begins no further request.
+OUTPUT_SHORT_SHARE = 0.75
+
+#: Memory that a response takes beside its bytes while it waits for those
+#: before it, in bytes.
+RESPONSE_OVERHEAD_BYTES = 1024
+
+#: Time for which a client has read nothing when it may be disconnected as the
+#: budget for output is exhausted, in seconds.
+MIN_STALL_S = 0.25
+
 #: Interval between checks for idle and slow clients, and for those that leave
 #: while reading is paused.
 SWEEP_INTERVAL_S = 0.25
@@ -81,6 +93,8 @@
         '_response_is_last',
         '_lingering_close',
         '_unsent_at_last_check',
+        '_output_bytes',
+        '_read_at',
     )
 
     def __init__(self, server, sock, hold):
@@ -106,8 +120,13 @@
         self._response_is_last = False
         self._lingering_close = None
         self._unsent_at_last_check = 0
+        # Memory of responses that have not been sent, and when the client has
+        # last read some of them.
+        self._output_bytes = 0
+        self._read_at = 0.0
         self.stream = _reactor.Stream(server.reactor, sock, self)
         self.stream.on_drained = self._handle_drained
+        self.stream.on_blocked = self._count_output
 
     @property
     def is_idle(self):
@@ -154,7 +173,9 @@
         self._reader.release()
         self._hold.release()
         # The stream refers to the connection; both are freed at once.
-        self.stream.owner = self.stream.on_drained = None
+        self.stream.owner = None
+        self.stream.on_drained = self.stream.on_blocked = None
+        self._record_output(0)
         self._not_begun.clear()
         exchanges, self._exchanges = self._exchanges, []
         for exchange in exchanges:
@@ -178,32 +199,34 @@
         if self.is_idle and not self.has_unsent_output:
             self.close()
 
-    def response_ready(self, _exchange):
+    def response_ready(self, exchange):
         """Write the responses that are next in the order of the requests.
 
         Parameters
         ----------
-        _exchange : Exchange
+        exchange : Exchange
             Exchange whose ``response`` has been set.
         """
         exchanges = self._exchanges
         while exchanges and exchanges[0].response is not None:
-            exchange = exchanges.pop(0)
+            first = exchanges.pop(0)
             is_last = not exchanges and (
-                not exchange.keep_alive
+                not first.keep_alive
                 or (self.server.draining and not self._reader.has_rest)
             )
-            data = exchange.response
+            data = first.response
             if is_last:
                 data = data.replace(b'\r\n', b'\r\nConnection: close\r\n', 1)
             self.stream.write(data)
-            if exchange.response_body:
-                self.stream.write(exchange.response_body)
-            exchange.response = exchange.response_body = b''
-            if is_last or not exchange.keep_alive:
+            if first.response_body:
+                self.stream.write(first.response_body)
+            first.response = first.response_body = b''
+            if is_last or not first.keep_alive:
                 self._shutdown_output()
                 return
         self.last_progress_at = self.server.reactor.now()
+        if exchange.response or self._output_bytes:
+            self._count_output()
         if self._reader.unfinished_head is not None:
             self._record_unfinished()
         if self._paused:
@@ -225,13 +248,17 @@
         limits = self.server.limits
         unsent_bytes = self.stream.unsent_bytes
         if unsent_bytes < self._unsent_at_last_check:
-            self.last_progress_at = now
+            self.last_progress_at = self._read_at = now
         self._unsent_at_last_check = unsent_bytes
+        if self._output_bytes:
+            self._count_output()
+        if self._not_begun and self._paused:
+            self._resume_if_due()
         elapsed_s = now - self.last_progress_at
         if self._lingering_close is not None:
             if self._lingering_close.is_over(now, limits.idle_timeout_s):
                 self.close()
-        elif self._exchanges:
+        elif len(self._exchanges) > len(self._not_begun):
             return
         elif self._paused or unsent_bytes:
             # The client does not read its responses.
@@ -289,6 +316,9 @@
         self._is_beginning = True
         try:
             while self._not_begun:
+                if self._output_bytes and self.server.is_output_short():
+                    self._pause()
+                    return
                 read_at = self._not_begun[0].arrived_at
                 if (
                     self._must_catch_up
@@ -301,7 +331,7 @@
                         return
                 exchange = self._not_begun.popleft()
                 if exchange.response is None:
-                    self.server.entry.begin(exchange)
+                    self.server.begin(exchange)
         finally:
             self._is_beginning = False
 
@@ -351,6 +381,7 @@
         if (
             len(self._exchanges) >= MAX_PIPELINED_REQUESTS
             or self.stream.unsent_bytes >= MAX_UNSENT_BYTES
+            or (self._output_bytes and self.server.is_output_short())
         ):
             return
         self._reader.is_paused = False
@@ -362,8 +393,45 @@
             self._resume()
         self._begin_requests()
 
+    @property
+    def output_bytes(self):
+        """Memory of responses that have not been sent, as counted."""
+        return self._output_bytes
+
+    @property
+    def read_at(self):
+        """When the client has last read some output that was blocked."""
+        return self._read_at
+
+    def _count_output(self):
+        """Count the memory of the responses that have not been sent.
+
+        Bodies that are counted until they are freed are left out.
+        """
+        buffers = self.stream.unsent_buffers()
+        size = 0
+        for exchange in self._exchanges:
+            if exchange.response:
+                size += RESPONSE_OVERHEAD_BYTES
+                buffers.append(exchange.response)
+                buffers.append(exchange.response_body)
+        for buffer in buffers:
+            if type(buffer) is not _memory.HeldBuffer or buffer.hold is None:
+                size += len(buffer)
+        self._record_output(size)
+
+    def _record_output(self, size):
+        if not self._output_bytes and size:
+            self._read_at = self.server.reactor.now()
+        additional = size - self._output_bytes
+        self._output_bytes = size
+        if additional:
+            self.server.output_budget.take(additional)
+
     def _handle_drained(self):
         self.last_progress_at = self.server.reactor.now()
+        if self._output_bytes:
+            self._count_output()
         if self._response_is_last:
             self._lingering_close = _lingering.LingeringClose(
                 self.stream, self.last_progress_at
@@ -390,6 +458,9 @@
     connection_budget : Budget, optional
         Memory for the connections and for unfinished heads; a default one if
         not given.
+    output_budget : Budget, optional
+        Memory for responses that clients do not read; a default one if not
+        given.
 
     Attributes
     ----------
@@ -409,6 +480,7 @@
         max_connections=math.inf,
         budget=None,
         connection_budget=None,
+        output_budget=None,
     ):
         account = _memory.MemoryAccount()
         self.reactor = reactor
@@ -418,6 +490,7 @@
         self.connection_budget = connection_budget or account.budget(
             'connections'
         )
+        self.output_budget = output_budget or account.budget('output')
         self.limits = _http1.Limits()
         self.draining = False
         self.closed_for_room = 0
@@ -529,6 +602,49 @@
         if len(self._connections) > self.max_connections:
             self._make_room()
 
+    def is_output_short(self):
+        """Return whether clients that do not read get nothing more."""
+        return self._is_output_above(OUTPUT_SHORT_SHARE)
+
+    def _is_output_above(self, share):
+        budget = self.output_budget
+        account = budget.account
+        return (
+            budget.used_bytes > share * budget.limit_bytes
+            or account.used_bytes > account.limit_bytes
+        )
+
+    def begin(self, exchange):
+        """Begin a request, unless its response could not be held."""
+        if self._is_output_above(1.0):
+            self.entry.refuse_unsent(
+                exchange, self.output_budget, RESPONSE_OVERHEAD_BYTES
+            )
+        else:
+            self.entry.begin(exchange)
+
+    def _close_stalled(self, now):
+        """Close connections that read nothing while memory is exhausted."""
+        if not self._is_output_above(1.0):
+            return
+        stalled = [
+            connection
+            for connection in self._connections
+            if connection.output_bytes
+            and now - connection.read_at >= MIN_STALL_S
+        ]
+        stalled.sort(key=lambda connection: connection.read_at)
+        for connection in stalled:
+            if not self._is_output_above(1.0):
+                return
+            self.output_budget.refusals += 1
+            self.output_budget.log_refusal(
+                now,
+                connection.output_bytes,
+                stalled_s=round(now - connection.read_at, 3),
+            )
+            connection.close()
+
     def _hold_connection(self):
         """Return memory for a new connection, or None if there is none."""
         hold = _memory.Hold(self.connection_budget)
@@ -579,3 +695,4 @@
     def _sweep(self, now):
         for connection in list(self._connections):
             connection.check_timeouts(now)
+        self._close_stalled(now)
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -206,6 +206,24 @@
         else:
             self._attempts.send(exchange)
 
+    def refuse_unsent(self, exchange, budget, size):
+        """Refuse a request that has not begun, as memory is short.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        budget : Budget
+            Budget that has no room for its response.
+        size : int
+            Memory for which there is none, in bytes.
+        """
+        budget.refusals += 1
+        budget.log_refusal(
+            self.node.reactor.now(), size, request_id=exchange.request_id
+        )
+        self._refuse(exchange, 503, 'no memory for the response')
+
     def _send_later(self, exchange):
         """Send the first attempt after a time, if it is still wanted."""
         self.node.reactor.timers.after(
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -250,6 +250,7 @@
             int(CLIENT_DESCRIPTORS_SHARE * settings.max_descriptors),
             self.memory.budget('client_requests'),
             self.memory.budget('client_connections'),
+            self.memory.budget('client_output'),
         )
         self.planned_stop = _planned_stop.PlannedStop(
             node,
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -178,6 +178,8 @@
     on_drained : callable or None
         Called when all written bytes have been passed to the operating
         system.
+    on_blocked : callable or None
+        Called when the operating system does not take all of them now.
     """
 
     __slots__ = (
@@ -187,6 +189,7 @@
         'is_open',
         'is_connecting',
         'on_drained',
+        'on_blocked',
         '_sock',
         '_read_watcher',
         '_write_watcher',
@@ -200,7 +203,7 @@
         self.owner = owner
         self.unsent_bytes = 0
         self.is_open = True
-        self.on_drained = None
+        self.on_drained = self.on_blocked = None
         self._sock = sock
         self._chunks = []
         self._flush_scheduled = False
@@ -258,6 +261,13 @@
                 return True
         return False
 
+    def unsent_buffers(self):
+        """Return the buffers that are kept for bytes that are not sent."""
+        return [
+            chunk.obj if type(chunk) is memoryview else chunk
+            for chunk in self._chunks
+        ]
+
     def discard_unsent(self):
         """Discard the queued bytes that have not been sent."""
         self._chunks.clear()
@@ -382,6 +392,8 @@
             return
         if self._chunks:
             self._start_write_watcher()
+            if self.on_blocked is not None:
+                self.on_blocked()
             return
         if self._ends_when_sent:
             self._shutdown_socket()
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -42,6 +42,9 @@
     def unacknowledged_bytes(self):
         return self.unsent_bytes + self.in_transit_bytes
 
+    def unsent_buffers(self):
+        return [bytes(self.unsent_bytes)]
+
     def shutdown_write(self):
         self.write_closed = True
         if not self.unsent_bytes:
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -175,18 +175,36 @@
 
 
 class _Stream:
-    """Stream that records what is written."""
-
-    unsent_bytes = 0
+    """Stream that records what is written, and can be blocked."""
 
     def __init__(self, _reactor, _sock, owner):
         self.owner = owner
         self.sent = []
+        self.unsent = []
         self.is_open = True
-        self.on_drained = None
+        self.is_blocked = False
+        self.on_drained = self.on_blocked = None
+
+    @property
+    def unsent_bytes(self):
+        return sum(map(len, self.unsent))
+
+    def unsent_buffers(self):
+        return list(self.unsent)
 
     def write(self, data):
-        self.sent.append(data)
+        if self.is_blocked:
+            self.unsent.append(data)
+            self.on_blocked()
+        else:
+            self.sent.append(data)
+
+    def read(self, count=None):
+        """Let the client read some responses, all if no number is given."""
+        self.sent += self.unsent[:count]
+        del self.unsent[:count]
+        if not self.unsent:
+            self.on_drained()
 
     def pause(self):
         pass
@@ -213,7 +231,7 @@
 class _Entry:
     """Node with one target, and clients connected to it."""
 
-    def __init__(self, reactor, budget, connection_budget):
+    def __init__(self, reactor, budget, connection_budget, output_budget):
         self.node = fakes.EntryNode(reactor)
         self.node.directory.merge(fakes.record('n1'))
         rng = random.Random(1)
@@ -232,6 +250,7 @@
             self.side,
             budget=budget,
             connection_budget=connection_budget,
+            output_budget=output_budget,
         )
         self.server.limits = LIMITS
 
@@ -241,13 +260,13 @@
         (connection,) = self.server._connections - known
         return connection
 
-    def end_attempt(self, outcome, status=200):
+    def end_attempt(self, outcome, status=200, body=b'ok'):
         attempt, on_result = self.node.peers_by_node['n1'].sent.pop()
-        on_result(
-            fakes.result(
-                attempt.number, outcome, _frames.Reason.ANSWER_LOST, status
-            )
+        result = fakes.result(
+            attempt.number, outcome, _frames.Reason.ANSWER_LOST, status
         )
+        result.body = body
+        on_result(result)
 
 
 @pytest.fixture
@@ -256,9 +275,14 @@
 
 
 @pytest.fixture
-def entry(reactor, budget, connection_budget, monkeypatch):
+def output_budget(account):
+    return account.budget('client_output', share=0.005)
+
+
+@pytest.fixture
+def entry(reactor, budget, connection_budget, output_budget, monkeypatch):
     monkeypatch.setattr(_reactor, 'Stream', _Stream)
-    return _Entry(reactor, budget, connection_budget)
+    return _Entry(reactor, budget, connection_budget, output_budget)
 
 
 @pytest.mark.parametrize(
@@ -601,3 +625,118 @@
     assert entry.side.in_flight == 1
     entry.node.reactor.run(10.0)
     assert entry.side.in_flight == 0
+
+
+BODY = b'b' * 30_000
+
+
+def _serve(entry, connection, body=BODY):
+    """Serve a request; return whether it was sent to a target."""
+    attempts = entry.node.peer('n1').sent
+    known = len(attempts)
+    connection.received(SMALL)
+    if len(attempts) == known:
+        return False
+    entry.end_attempt(_frames.Outcome.COMPLETE, body=body)
+    return True
+
+
+def _connect_blocked(entry, count):
+    connections = [entry.connect() for _ in range(count)]
+    for connection in connections:
+        connection.stream.is_blocked = True
+    return connections
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: responses that a client does not read were not counted.
+def test_unread_responses_take_memory_until_they_are_sent(
+    entry, output_budget
+):
+    first, second = _connect_blocked(entry, 2)
+    first.received(SMALL * 3)
+    entry.end_attempt(_frames.Outcome.COMPLETE, body=BODY)
+    # It waits for the one to the first request.
+    assert len(BODY) <= output_budget.used_bytes <= 1.1 * len(BODY)
+    entry.end_attempt(_frames.Outcome.COMPLETE, body=BODY)
+    entry.end_attempt(_frames.Outcome.COMPLETE, body=BODY)
+    _serve(entry, second)
+    held = 4 * len(BODY)
+    assert held <= output_budget.used_bytes <= 1.1 * held
+    second.closed(None)
+    assert 0.75 * held <= output_budget.used_bytes <= 0.8 * held
+    first.stream.read(2)
+    entry.node.reactor.run(1.0)
+    assert 0.5 * held <= output_budget.used_bytes <= 0.55 * held
+    first.stream.read()
+    assert output_budget.used_bytes == 0
+    assert _statuses(first) == [b'200'] * 3
+
+
+def test_client_that_reads_nothing_begins_nothing_while_memory_is_short(
+    entry, output_budget
+):
+    blocked = _connect_blocked(entry, 17)
+    reading = entry.connect()
+    for connection in blocked:
+        assert _serve(entry, connection)
+        entry.node.reactor.run(0.01)
+    assert output_budget.used_bytes > output_budget.limit_bytes
+    entry.node.reactor.run(1.0)
+    # The one that has read nothing for longest has been closed.
+    kept = [connection for connection in blocked if connection.stream.is_open]
+    assert kept == blocked[1:]
+    assert output_budget.used_bytes <= output_budget.limit_bytes
+    assert output_budget.refusals == 1
+    assert not _serve(entry, kept[0])
+    assert _serve(entry, reading)
+    assert _statuses(reading) == [b'200']
+    # It goes on when its client reads.
+    kept[0].stream.is_blocked = False
+    kept[0].stream.read()
+    entry.end_attempt(_frames.Outcome.COMPLETE)
+    assert _statuses(kept[0]) == [b'200', b'200']
+
+
+def test_client_whose_requests_wait_for_it_to_read_is_disconnected(
+    entry, output_budget
+):
+    blocked = _connect_blocked(entry, 14)
+    for connection in blocked:
+        _serve(entry, connection)
+    assert not _serve(entry, blocked[0])
+    entry.node.reactor.run(0.9 * LIMITS.idle_timeout_s)
+    assert blocked[0].stream.is_open
+    # Its request may be begun once the others have been disconnected.
+    entry.node.reactor.run(1.5 * LIMITS.idle_timeout_s)
+    assert not blocked[0].stream.is_open
+    assert output_budget.used_bytes == 0
+
+
+def test_request_whose_response_could_not_be_held_is_refused(
+    entry, output_budget, caplog
+):
+    for connection in _connect_blocked(entry, 18):
+        _serve(entry, connection)
+    reading = entry.connect()
+    assert not _serve(entry, reading)
+    assert _statuses(reading) == [b'503']
+    (line,) = [r for r in caplog.records if r.msg.startswith('no memory')]
+    assert (line.kind, line.request_id) == ('client_output', b'r2')
+    assert entry.side.in_flight == 0
+    # Memory is made within a moment.
+    entry.node.reactor.run(1.0)
+    assert _serve(entry, reading)
+    assert _statuses(reading) == [b'503', b'200']
+
+
+# Guards against bodies that are counted twice, and starve other messages.
+def test_bodies_that_are_counted_already_are_not_counted_again(
+    entry, budget, output_budget
+):
+    body = _memory.HeldBuffer(BODY)
+    body.hold = _memory.Hold(budget)
+    body.hold.grow(len(body))
+    (connection,) = _connect_blocked(entry, 1)
+    _serve(entry, connection, body)
+    assert 0 < output_budget.used_bytes < 1000
--- a/tests/dataplane/test_slow_readers.py
+++ b/tests/dataplane/test_slow_readers.py
@@ -218,3 +218,27 @@
             frames += reader.feed(data)
     (result,) = [f for f in frames if type(f) is _frames.Result]
     assert result.body == body
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: responses that a client does not read were not counted.
+def test_responses_are_counted_until_the_client_reads_them(server, entry):
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    server._add_connection(ours, '')
+    with theirs:
+        theirs.sendall(b''.join(REQUEST % number for number in range(5)))
+        gevent.sleep(PASS_S)
+        unread = server.output_budget.used_bytes
+        theirs.setblocking(False)
+        read = b''
+        while len(read) < 5 * len(RESPONSE):
+            try:
+                read += theirs.recv(READ_BYTES)
+            except BlockingIOError:
+                gevent.sleep(0.01)
+        gevent.sleep(PASS_S)
+        assert server.output_budget.used_bytes == 0
+    assert 3 * len(RESPONSE) <= unread <= 5 * len(RESPONSE)
+    assert read == 5 * RESPONSE
