Bound and count input of clients for which reading is paused

What the system has received for a process and what is not read counts as memory of the process on the platform. It let such a buffer grow to 3.2 MB for a client that sends on while 32 of its requests are in flight, after it had sent a body of 30 MB (up to 32 MB by the settings of the system).

The receive buffers of clients' connections are 64 KiB, of which the system takes twice as much; connections inherit them from the listening socket. Every 0.25 s a paused connection counts what lies unread in client_connections, also beyond its limit: it has requests that run, so that others are refused, not it. Two ways were not taken. 128 KiB holds 255 KB unread for a connection. A smaller buffer while reading is paused holds 32 KB, but in trials the sender needed 0.6 s to go on, or did not within 3 s.

Tests: unread input of one connection 3.2 MB without the size, at most 128 KiB with it; nothing was counted before.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -23,6 +23,10 @@
 #: so that a client that does not read cannot fill the memory.
 MAX_UNSENT_BYTES = 256 * 1024
 
+#: Size of the receive buffer of a connection, in bytes. The system keeps up to
+#: twice as much of what a client sends while reading is paused.
+RECEIVE_BUFFER_BYTES = 65536
+
 #: Share of the budget for output above which a connection whose client leaves
 #: responses unread begins no further request.
 OUTPUT_SHORT_SHARE = 0.75
@@ -94,6 +98,7 @@
         '_lingering_close',
         '_unsent_at_last_check',
         '_output_bytes',
+        '_unread_bytes',
         '_read_at',
     )
 
@@ -124,6 +129,8 @@
         # last read some of them.
         self._output_bytes = 0
         self._read_at = 0.0
+        # Memory of what has arrived while reading is paused.
+        self._unread_bytes = 0
         self.stream = _reactor.Stream(server.reactor, sock, self)
         self.stream.on_drained = self._handle_drained
         self.stream.on_blocked = self._count_output
@@ -176,6 +183,7 @@
         self.stream.owner = None
         self.stream.on_drained = self.stream.on_blocked = None
         self._record_output(0)
+        self._record_unread(0)
         self._not_begun.clear()
         exchanges, self._exchanges = self._exchanges, []
         for exchange in exchanges:
@@ -242,9 +250,11 @@
         now : float
             Seconds of the node's clock.
         """
-        if self._paused and self.stream.peer_has_closed():
-            self.close()
-            return
+        if self._paused:
+            if self.stream.peer_has_closed():
+                self.close()
+                return
+            self._record_unread(self.stream.unread_bytes())
         limits = self.server.limits
         unsent_bytes = self.stream.unsent_bytes
         if unsent_bytes < self._unsent_at_last_check:
@@ -374,6 +384,7 @@
 
     def _resume(self):
         self._paused = False
+        self._record_unread(0)
         self.stream.resume()
 
     def _resume_if_due(self):
@@ -428,6 +439,13 @@
         if additional:
             self.server.output_budget.take(additional)
 
+    def _record_unread(self, count):
+        """Count what has arrived and is not read, also beyond the limit."""
+        additional = count - self._unread_bytes
+        self._unread_bytes = count
+        if additional:
+            self.server.connection_budget.take(additional)
+
     def _handle_drained(self):
         self.last_progress_at = self.server.reactor.now()
         if self._output_bytes:
@@ -515,7 +533,11 @@
             If the address cannot be bound.
         """
         self._listener = _reactor.Listener(
-            self.reactor, address, self._add_connection, self._make_room
+            self.reactor,
+            address,
+            self._add_connection,
+            self._make_room,
+            RECEIVE_BUFFER_BYTES,
         )
         return self._listener.address
 
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -73,7 +73,7 @@
 _WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 # SO_LINGER with a time-out of 0: close sends a reset instead of a FIN.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-# Argument of the request for the size of the send queue.
+# Argument of the requests for the sizes of the queues of a socket.
 _COUNT = struct.Struct('i')
 _NO_COUNT = bytes(_COUNT.size)
 _LOG = logging.getLogger(__name__)
@@ -261,6 +261,17 @@
                 return True
         return False
 
+    def unread_bytes(self):
+        """Return the number of bytes that have arrived and are not read."""
+        if not self.is_open or self.is_connecting:
+            return 0
+        try:
+            data = fcntl.ioctl(self._sock, termios.FIONREAD, _NO_COUNT)
+        except OSError as error:
+            _LOG.debug('input of a connection is unknown: %s', error)
+            return 0
+        return _COUNT.unpack(data)[0]
+
     def unsent_buffers(self):
         """Return the buffers that are kept for bytes that are not sent."""
         return [
@@ -561,6 +572,9 @@
     on_failure : callable, optional
         Called without arguments when a connection cannot be accepted, to
         release descriptors.
+    receive_buffer_bytes : int, optional
+        Size of the receive buffers of the connections, of which the operating
+        system takes twice as much; it chooses a size if none is given.
 
     Attributes
     ----------
@@ -575,7 +589,14 @@
         If the address cannot be bound.
     """
 
-    def __init__(self, reactor, address, on_accept, on_failure=None):
+    def __init__(
+        self,
+        reactor,
+        address,
+        on_accept,
+        on_failure=None,
+        receive_buffer_bytes=None,
+    ):
         self.reactor = reactor
         self.address = address
         self.on_accept = on_accept
@@ -586,6 +607,10 @@
         )
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if receive_buffer_bytes is not None:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
         self._sock.bind(address)
         self._sock.listen(LISTEN_BACKLOG)
         self._sock.setblocking(False)
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -42,6 +42,9 @@
     def unacknowledged_bytes(self):
         return self.unsent_bytes + self.in_transit_bytes
 
+    def unread_bytes(self):
+        return 0
+
     def unsent_buffers(self):
         return [bytes(self.unsent_bytes)]
 
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -183,12 +183,16 @@
         self.unsent = []
         self.is_open = True
         self.is_blocked = False
+        self.unread_count = 0
         self.on_drained = self.on_blocked = None
 
     @property
     def unsent_bytes(self):
         return sum(map(len, self.unsent))
 
+    def unread_bytes(self):
+        return self.unread_count
+
     def unsent_buffers(self):
         return list(self.unsent)
 
@@ -740,3 +744,25 @@
     (connection,) = _connect_blocked(entry, 1)
     _serve(entry, connection, body)
     assert 0 < output_budget.used_bytes < 1000
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: what arrives while reading is paused was not counted.
+def test_input_that_is_not_read_takes_memory(entry, connection_budget):
+    connection = entry.connect()
+    connection.received(SMALL * 32)
+    connection.stream.unread_count = 100_000
+    entry.node.reactor.run(1.0)
+    held = _clients.CONNECTION_BYTES + 100_000
+    assert connection_budget.used_bytes == held
+    entry.end_attempt(_frames.Outcome.COMPLETE)
+    entry.end_attempt(_frames.Outcome.COMPLETE)
+    attempts = entry.node.peers_by_node['n1'].sent
+    while attempts:
+        entry.end_attempt(_frames.Outcome.COMPLETE)
+    assert connection_budget.used_bytes == _clients.CONNECTION_BYTES
+    connection.received(SMALL * 32)
+    entry.node.reactor.run(1.0)
+    assert connection_budget.used_bytes == held
+    connection.closed(None)
+    assert connection_budget.used_bytes == 0
--- a/tests/dataplane/test_unread_input.py
+++ b/tests/dataplane/test_unread_input.py
@@ -11,6 +11,7 @@
 
 import attrs
 import gevent
+import gevent.socket
 import pytest
 
 from rosemarycrank.dataplane import _clients
@@ -262,3 +263,29 @@
     server.stop_accepting()
     assert held <= counted
     assert server.connection_budget.used_bytes == 0
+
+
+# Guards against a node over its memory, which is killed with the requests of
+# all clients: the system kept megabytes of input of each connection of which
+# nothing was read.
+def test_input_that_is_not_read_is_bounded_and_counted(reactor):
+    server = _clients.ClientServer(reactor, _Entry(reactor))
+    address = server.listen(('127.0.0.1', 0))
+    with gevent.socket.create_connection(address) as client:
+        client.sendall(
+            b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000000\r\n\r\n'
+        )
+        for _ in range(30):
+            client.sendall(b'x' * 1_000_000)
+        requests = [REQUEST % number for number in range(100_000)]
+        sender = gevent.spawn(client.sendall, b''.join(requests))
+        gevent.sleep(2 * _clients.SWEEP_INTERVAL_S + PASS_S)
+        (connection,) = server._connections
+        unread = connection.stream.unread_bytes()
+        counted = server.connection_budget.used_bytes
+        sender.kill()
+    server.close()
+    server.stop_accepting()
+    assert 0 < unread <= 2 * _clients.RECEIVE_BUFFER_BYTES
+    assert counted >= unread + _clients.CONNECTION_BYTES
+    assert server.connection_budget.used_bytes == 0
