--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -73,7 +73,7 @@
 _WOULD_BLOCK = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 # SO_LINGER with a time-out of 0: close sends a reset instead of a FIN.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
-# Argument of the request for the size of the send queue.
+# Argument of the requests for the sizes of the queues of a socket.
 _COUNT = struct.Struct('i')
 _NO_COUNT = bytes(_COUNT.size)
 _LOG = logging.getLogger(__name__)
@@ -178,6 +178,8 @@
     on_drained : callable or None
         Called when all written bytes have been passed to the operating
         system.
+    on_blocked : callable or None
+        Called when the operating system does not take all of them now.
     """
 
     __slots__ = (
@@ -187,6 +189,7 @@
         'is_open',
         'is_connecting',
         'on_drained',
+        'on_blocked',
         '_sock',
         '_read_watcher',
         '_write_watcher',
@@ -200,7 +203,7 @@
         self.owner = owner
         self.unsent_bytes = 0
         self.is_open = True
-        self.on_drained = None
+        self.on_drained = self.on_blocked = None
         self._sock = sock
         self._chunks = []
         self._flush_scheduled = False
@@ -258,6 +261,24 @@
                 return True
         return False
 
+    def unread_bytes(self):
+        """Return the number of bytes that have arrived and are not read."""
+        if not self.is_open or self.is_connecting:
+            return 0
+        try:
+            data = fcntl.ioctl(self._sock, termios.FIONREAD, _NO_COUNT)
+        except OSError as error:
+            _LOG.debug('input of a connection is unknown: %s', error)
+            return 0
+        return _COUNT.unpack(data)[0]
+
+    def unsent_buffers(self):
+        """Return the buffers that are kept for bytes that are not sent."""
+        return [
+            chunk.obj if type(chunk) is memoryview else chunk
+            for chunk in self._chunks
+        ]
+
     def discard_unsent(self):
         """Discard the queued bytes that have not been sent."""
         self._chunks.clear()
@@ -320,7 +341,7 @@
         self._sock.close()
         # Owner and stream refer to each other: both would stay, with all that
         # they hold, until a collection of cycles.
-        self.owner = self.on_drained = None
+        self.owner = self.on_drained = self.on_blocked = None
         self._chunks.clear()
 
     def shutdown_write(self):
@@ -387,6 +408,8 @@
             return
         if self._chunks:
             self._start_write_watcher()
+            if self.on_blocked is not None:
+                self.on_blocked()
             return
         if self._ends_when_sent:
             self._shutdown_socket()
@@ -556,6 +579,9 @@
     on_failure : callable, optional
         Called without arguments when a connection cannot be accepted, to
         release descriptors.
+    receive_buffer_bytes : int, optional
+        Size of the receive buffers of the connections, of which the operating
+        system takes twice as much; it chooses a size if none is given.
 
     Attributes
     ----------
@@ -570,7 +596,14 @@
         If the address cannot be bound.
     """
 
-    def __init__(self, reactor, address, on_accept, on_failure=None):
+    def __init__(
+        self,
+        reactor,
+        address,
+        on_accept,
+        on_failure=None,
+        receive_buffer_bytes=None,
+    ):
         self.reactor = reactor
         self.address = address
         self.on_accept = on_accept
@@ -581,6 +614,10 @@
         )
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if receive_buffer_bytes is not None:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+            )
         self._sock.bind(address)
         self._sock.listen(LISTEN_BACKLOG)
         self._sock.setblocking(False)
