Leave descriptors for all ports of a node

Connections of clients could take 0.7 of the descriptors and more, as those that had just connected or were busy are not closed for room, and each other port all that were left. Then no port accepted a connection, the node read neither heartbeats nor probes, and could not follow the store.

Each port has a share now, after 20 for the process itself: clients 0.55, and 0.605 with connections that cannot be closed, above which others wait in the queue of the socket; readiness, heartbeats and metrics 0.02 each and at least 3. What is left is for the target, other nodes and the store.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -27,6 +27,10 @@
 #: so that the search for idle ones is rare.
 ROOM_SHARE = 0.05
 
+#: Number of connections at which no more are accepted until some are closed,
+#: by the number above which idle ones are: the others may all be busy.
+EXCESS_FACTOR = 1.1
+
 #: Idle time below which a connection is not closed to make room, in seconds:
 #: its client has just opened it, or may be about to send the next request.
 MIN_IDLE_S = 0.5
@@ -357,7 +361,11 @@
             If the address cannot be bound.
         """
         self._listener = _reactor.Listener(
-            self.reactor, address, self._add_connection, self._make_room
+            self.reactor,
+            address,
+            self._add_connection,
+            self._make_room,
+            self._is_full,
         )
         return self._listener.address
 
@@ -410,6 +418,14 @@
         if len(self._connections) > self.max_connections:
             self._make_room()
 
+    def _is_full(self):
+        """Return whether others need the descriptors, after making room."""
+        limit = EXCESS_FACTOR * self.max_connections
+        if len(self._connections) < limit:
+            return False
+        self._make_room()
+        return len(self._connections) >= limit
+
     def _make_room(self):
         """Close the connections that have been idle for longest."""
         open_count = len(self._connections)
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -17,6 +17,7 @@
 from rosemarycrank.dataplane import _cost_rows
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _descriptor_shares
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _entry
@@ -38,10 +39,6 @@
 #: in seconds.
 MAX_CONFIGURATION_POLL_DELAY_S = 0.5
 
-#: Share of the descriptors that connections of clients may take. The others
-#: are for files, and for connections to the target, other nodes and the store.
-CLIENT_DESCRIPTORS_SHARE = 0.7
-
 #: Net allocations that start a collection of the youngest objects, and the
 #: numbers of collections after which the older generations are included.
 #: Requests free their memory by reference counting, so rare collections
@@ -252,7 +249,7 @@
         self.clients = _clients.ClientServer(
             self.reactor,
             self.entry,
-            int(CLIENT_DESCRIPTORS_SHARE * settings.max_descriptors),
+            _descriptor_shares.clients(settings.max_descriptors),
             self.memory.budget('client_requests'),
         )
         self.planned_stop = _planned_stop.PlannedStop(
@@ -350,21 +347,26 @@
     def _listen_for_http(self, address, handle):
         server = self._listen(
             address,
-            lambda address: _small_server.HttpServer(
-                self.reactor, address, handle, self._small_server_room
-            ),
+            lambda address: self._open_small_server(address, handle),
         )
         self._http_servers.append(server)
 
+    def _open_small_server(self, address, handle):
+        share = _descriptor_shares.small_server(self.settings.max_descriptors)
+        return _small_server.HttpServer(
+            self.reactor,
+            address,
+            handle,
+            self._small_server_room,
+            min(_small_server.MAX_CONNECTIONS, share),
+        )
+
     def _serve_metrics(self):
         """Serve metrics, now or once their address is free."""
         address = self.settings.metrics_address
         try:
-            server = _small_server.HttpServer(
-                self.reactor,
-                address,
-                self._handle_metrics_request,
-                self._small_server_room,
+            server = self._open_small_server(
+                address, self._handle_metrics_request
             )
         except OSError as error:
             if not self._is_metrics_failure_logged:
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -549,6 +549,9 @@
     on_failure : callable, optional
         Called without arguments when a connection cannot be accepted, to
         release descriptors.
+    is_full : callable, optional
+        Returns whether no connection may be accepted now, as others need the
+        descriptors. Connections wait in the queue then.
 
     Attributes
     ----------
@@ -563,11 +566,19 @@
         If the address cannot be bound.
     """
 
-    def __init__(self, reactor, address, on_accept, on_failure=None):
+    def __init__(
+        self,
+        reactor,
+        address,
+        on_accept,
+        on_failure=None,
+        is_full=lambda: False,
+    ):
         self.reactor = reactor
         self.address = address
         self.on_accept = on_accept
         self.on_failure = on_failure
+        self.is_full = is_full
         self.failures = 0
         self._failure_lines = _repeated_lines.RepeatedLines(
             FAILURE_LINE_INTERVAL_S
@@ -592,6 +603,9 @@
 
     def _handle_acceptable(self):
         for _ in range(MAX_ACCEPTS_PER_EVENT):
+            if self.is_full():
+                self._pause()
+                return
             try:
                 sock, peer = self._sock.accept()
             except ConnectionAbortedError:
--- a/tests/dataplane/test_descriptors.py
+++ b/tests/dataplane/test_descriptors.py
@@ -3,10 +3,13 @@
 import socket
 
 import gevent
+import gevent.socket
 import pytest
 
+from rosemarycrank.dataplane import _clients
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _descriptor_shares
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _http_client
@@ -93,6 +96,22 @@
             gevent.sleep(0.05)
 
 
+# Guards against clients that take the descriptors of other ports, as those
+# that have just connected, or are busy, are not closed for room.
+def test_clients_wait_while_too_many_are_connected(real_reactor):
+    server = _clients.ClientServer(real_reactor, None, max_connections=10)
+    address = server.listen(('127.0.0.1', 0))
+    clients = [gevent.socket.create_connection(address) for _ in range(30)]
+    gevent.sleep(WAIT_S)
+    assert sum(server.count_by_state().values()) <= 11
+    for client in clients:
+        client.close()
+    with gevent.Timeout(5.0):
+        while sum(server.count_by_state().values()):
+            gevent.sleep(0.05)
+    server.stop_accepting()
+
+
 # Guards against a slot that is lost for good with an attempt that could not
 # be sent, and a caller that gets no result.
 def test_attempt_without_a_descriptor_has_not_run(
@@ -150,3 +169,13 @@
     )
     gevent.sleep(0.05)
     assert [result.outcome for result in results] == [_frames.Outcome.NOT_RUN]
+
+
+@pytest.mark.parametrize('count', [64, 100, 256, 1024, 4096, 1_000_000])
+def test_connections_to_ports_leave_descriptors_for_others(count):
+    taken = (
+        _descriptor_shares.OWN_COUNT
+        + _clients.EXCESS_FACTOR * _descriptor_shares.clients(count)
+        + 3 * _descriptor_shares.small_server(count)
+    )
+    assert count - taken >= 0.1 * count
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -244,6 +244,77 @@
     assert b'Traceback' not in (tmp_path / f'{ip}.log').read_bytes()
 
 
+KEPT_REQUESTS_BY_PORT = {
+    deployment.CLIENT_PORT: b'/read/1',
+    deployment.READY_PORT: b'/rosemarycrank/ready',
+    deployment.CONTROL_PORT: b'/rosemarycrank/instances/other',
+    METRICS_PORT: b'/metrics',
+}
+
+
+@pytest.fixture
+def open_connections():
+    """Return a function that opens connections and sends data on them."""
+    connections = []
+
+    def open_one(ip, port, data):
+        sock = gevent.socket.socket()
+        connections.append(sock)
+        sock.settimeout(DEADLINE_S)
+        try:
+            sock.connect((ip, port))
+            sock.sendall(data)
+        except OSError:
+            sock.close()
+
+    yield open_one
+    for sock in connections:
+        sock.close()
+
+
+# Guards against a node whose ports take the descriptors from each other, and
+# from its target, other nodes and the store.
+@pytest.mark.parametrize('end', [b'', b'\r\n'])
+@pytest.mark.parametrize(
+    'ports', [*((port,) for port in KEPT_REQUESTS_BY_PORT), None]
+)
+def test_all_ports_serve_while_connections_to_some_are_kept(
+    cluster, open_connections, ports, end
+):
+    ip = cluster.ips[0]
+    cluster.max_descriptors = 100
+    cluster.signal(ip, signal.SIGTERM)
+    cluster.wait_for_exit(ip)
+    cluster.start(ip)
+    cluster.wait_until(lambda: cluster.is_ready(ip), 'node is not ready')
+    for number in range(300):
+        for port in ports or KEPT_REQUESTS_BY_PORT:
+            open_connections(
+                ip,
+                port,
+                b'GET %b HTTP/1.1\r\nHost: h\r\n%b'
+                % (KEPT_REQUESTS_BY_PORT[port], end),
+            )
+        if number % 50:
+            continue
+        assert cluster.is_ready(ip)
+        assert cluster.dump_state(ip)
+        if end or ports != (deployment.CLIENT_PORT,):
+            # Requests that are not complete keep the port until they time out.
+            assert cluster.send(ip, 'read')[1] == 200
+    sequence = cluster.target(ip).acknowledged_sequence
+    cluster.wait_until(
+        lambda: cluster.target(ip).acknowledged_sequence > sequence + 2,
+        'heartbeats are not acknowledged',
+        timeout_s=5.0,
+    )
+    cluster.configure(7, read='dues')
+    cluster.wait_until(
+        lambda: cluster.send(ip, 'read')[2].endswith('@dues'),
+        'the store is not followed any more',
+    )
+
+
 def _report(cluster, target, method, body):
     path = f'/rosemarycrank/instances/{target.instance}'
     status, _ = deployment.exchange(
