--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -262,13 +262,20 @@
         path.write_text(text[: int(share * len(text))])
         return path
 
-    def start(self, ip, settings_share=1.0):
-        """Start the node at an address; see `write_settings`."""
+    def start(self, ip, settings_share=1.0, closed=()):
+        """Start the node at an address; see `write_settings`.
+
+        It starts without the standard descriptors in `closed`.
+        """
         path = self.write_settings(ip, settings_share)
         build = self.choose_build(ip)
+        command = [build.python, '-m', 'rosemarycrank.platform']
+        if closed:
+            redirections = ''.join(f' {number}>&-' for number in closed)
+            command[:0] = ['/bin/sh', '-c', f'exec "$0" "$@"{redirections}']
         with open(self.directory / f'{ip}.log', 'ab') as log:
             self._processes_by_ip[ip] = subprocess.Popen(
-                [build.python, '-m', 'rosemarycrank.platform'],
+                command,
                 cwd=build.checkout,
                 env=os.environ | {'ROSEMARYCRANK_CONFIG': str(path)},
                 stdout=log,
--- a/tests/platform/test_starts.py
+++ b/tests/platform/test_starts.py
@@ -163,6 +163,24 @@
     assert 'Traceback' not in _log(cluster, ip)
 
 
+# Guards against a node that ends as it starts without standard output or
+# error, and against lines of the log that are sent to other processes, as a
+# socket has the number.
+@pytest.mark.parametrize('closed', [(0,), (1,), (2,), (0, 1, 2)])
+def test_node_without_standard_descriptors_serves(cluster, closed):
+    ip = cluster.ips[0]
+    cluster.start(cluster.ips[1])
+    cluster.start(ip, closed=closed)
+    cluster.wait_until(
+        lambda: _serves(cluster, ip), 'no payment was answered with 200'
+    )
+    for number in closed:
+        path = pathlib.Path(f'/proc/{cluster.pid(ip)}/fd/{number}')
+        assert str(path.readlink()) == '/dev/null'
+    cluster.signal(ip, signal.SIGTERM)
+    assert cluster.wait_for_exit(ip) == 0
+
+
 # Guards against a node that ends as its settings file is being written.
 def test_settings_file_that_is_half_written_is_read_again(cluster):
     ip = cluster.ips[0]
