--- a/rosemarycrank/dataplane/_inbound_connections.py
+++ b/rosemarycrank/dataplane/_inbound_connections.py
@@ -15,10 +15,11 @@
 
 #: Maximum number of connections without a handshake. That of a node arrives
 #: right behind its connection.
-MAX_WITHOUT_HANDSHAKE = 128
+MAX_WITHOUT_HANDSHAKE = 1024
 
-#: Share of all connections that those without a handshake may be.
-MAX_WITHOUT_HANDSHAKE_SHARE = 0.25
+#: Share of all connections that those without a handshake may be. All nodes
+#: connect at once after a loss of power.
+MAX_WITHOUT_HANDSHAKE_SHARE = 0.5
 
 #: Shortest time between two lines about connections that are closed for want
 #: of room, in seconds.
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -582,6 +582,9 @@
     receive_buffer_bytes : int, optional
         Size of the receive buffers of the connections, of which the operating
         system takes twice as much; it chooses a size if none is given.
+    is_full : callable, optional
+        Returns whether no connection may be accepted now, as others need the
+        descriptors. Connections wait in the queue then.
 
     Attributes
     ----------
@@ -603,11 +606,13 @@
         on_accept,
         on_failure=None,
         receive_buffer_bytes=None,
+        is_full=lambda: False,
     ):
         self.reactor = reactor
         self.address = address
         self.on_accept = on_accept
         self.on_failure = on_failure
+        self.is_full = is_full
         self.failures = 0
         self._failure_lines = _repeated_lines.RepeatedLines(
             FAILURE_LINE_INTERVAL_S
@@ -636,6 +641,9 @@
 
     def _handle_acceptable(self):
         for _ in range(MAX_ACCEPTS_PER_EVENT):
+            if self.is_full():
+                self._pause()
+                return
             try:
                 sock, peer = self._sock.accept()
             except ConnectionAbortedError:
