Charge attempts at the target's node until their results are confirmed

Cause: a result is kept until the calling node confirms it. Results whose response arrived in one read, up to 64 KB, and attempts that wait in the queue were in no account, and results that wait in a stream have a second copy. Large bodies are in the budget `target_responses`, but nothing refused new attempts as it ran full, so that responses of attempts that had run were lost.

Now an attempt takes memory of the budget `target_attempts` from its arrival until its result is discarded; twice its size if the caller already has unread results. Above 0.8 of it, and above half of `target_responses`, new attempts are refused as not run; these refusals are not kept. Results that are ready may exceed the limit and are delivered. When memory is short, results of callers that were lost for CALLER_RECONNECT_TIMEOUT_S or longer become unknown, those lost first first; their attempts still do not run again.

--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _memory
+
 #: Time that a calling node has to reconnect after its connection was lost,
 #: before its attempts are cancelled, in seconds.
 CALLER_RECONNECT_TIMEOUT_S = 1.5
@@ -13,9 +16,35 @@
 #: after it.
 CALLER_RETENTION_S = 120.0
 
+#: Share of the memory for attempts and results that may be taken when an
+#: attempt is accepted. The rest is for the results of those that run.
+ACCEPT_SHARE = 0.8
+
+#: Share of it, and of all shared memory, above which results of lost nodes are
+#: given up.
+SHORT_SHARE = 0.7
+
+#: Share of the memory for responses of the target that may be taken then.
+ACCEPT_RESPONSES_SHARE = 0.5
+
+#: Size from which a result is worth giving up, in bytes.
+MIN_FORGOTTEN_BYTES = 1024
+
+#: Memory that an attempt takes beside its bytes, with its result, in bytes.
+ATTEMPT_BYTES = _memory.MESSAGE_OVERHEAD_BYTES
+
 _LOG = logging.getLogger(__name__)
 
 
+def _do_nothing(_number):
+    """Stand in for reading from a node that is not connected."""
+
+
+def _have_none():
+    """Stand in for the output of a node that is not connected."""
+    return False
+
+
 @attrs.define(eq=False, slots=True)
 class Job:
     """An attempt that was accepted or refused for the local target.
@@ -39,6 +68,8 @@
     crashed_starts : tuple of tuple of (str, int)
         Starts of targets that had crashed under the request when its run
         began.
+    held_bytes : int
+        Memory that it takes of the budget of its caller.
     """
 
     caller: object
@@ -50,6 +81,7 @@
     run: object = None
     result: object = None
     crashed_starts: tuple = ()
+    held_bytes: int = 0
 
 
 class Caller:
@@ -59,13 +91,21 @@
     ----------
     incarnation : int
         Random number that identifies the process of that node.
+    budget : Budget
+        Memory for its attempts and their results.
 
     Attributes
     ----------
+    is_local : bool
+        Whether it is this node, whose clients' requests are charged for it,
+        and which gets its results at once.
     generation : int
         Number of its newest connection; -1 before the first.
     send : callable or None
         Sends a result to the node; None while it is disconnected.
+    has_unsent : callable
+        Returns whether earlier results wait to be sent, so that the next one
+        is encoded and waits, too.
     catch_up : callable
         Called with the number of an attempt; handles what has arrived from
         its sender.
@@ -83,10 +123,13 @@
         `Feature` flags of the node.
     """
 
-    def __init__(self, incarnation):
+    def __init__(self, incarnation, budget):
         self.incarnation = incarnation
+        self.is_local = False
         self.generation = -1
         self.send = None
+        self.has_unsent = _have_none
+        self._budget = budget
         self.catch_up = _do_nothing
         self.is_lost = False
         self.lost_at = 0.0
@@ -118,7 +161,78 @@
             if number < oldest and job.result is not None
         ]
         for number in ended:
-            del self.jobs_by_number[number]
+            self._remove(number)
+
+    def hold_attempt(self, job):
+        """Take memory for an attempt that has arrived.
+
+        Returns
+        -------
+        bool
+            Whether it fits.
+        """
+        if self.is_local:
+            return True
+        budget = self._budget
+        size = ATTEMPT_BYTES + _own_bytes(job.attempt)
+        if budget.used_bytes + size > ACCEPT_SHARE * budget.limit_bytes or (
+            not budget.take_if_fits(size, size)
+        ):
+            budget.refusals += 1
+            return False
+        job.held_bytes = size
+        return True
+
+    def hold_result(self, job):
+        """Take memory for a result in place of its attempt, if it is kept.
+
+        It may exceed the limit: a result that is ready is delivered.
+        """
+        if (
+            self.is_local
+            or self.jobs_by_number.get(job.attempt.number) is not job
+        ):
+            return
+        size = _own_bytes(job.result)
+        if self.has_unsent():
+            size *= 2
+        size += ATTEMPT_BYTES
+        self._budget.take(size - job.held_bytes)
+        job.held_bytes = size
+
+    def forget_results(self):
+        """Free the results of a node that is lost, as memory is short.
+
+        Those of attempts that may have run become unknown, and are still not
+        run again.
+
+        Returns
+        -------
+        int
+            Number of the results that have become unknown.
+        """
+        count = 0
+        for number, job in list(self.jobs_by_number.items()):
+            result = job.result
+            if result is None:
+                continue
+            if _is_refusal(result):
+                self._remove(number)
+            elif len(result.head) + len(result.body) >= MIN_FORGOTTEN_BYTES:
+                job.result = _forgotten(number)
+                self.hold_result(job)
+                count += 1
+        return count
+
+    def remove_all(self):
+        """Remove all attempts, as the node is not remembered any more."""
+        for number in list(self.jobs_by_number):
+            self._remove(number)
+
+    def _remove(self, number):
+        job = self.jobs_by_number.pop(number)
+        self._budget.take(-job.held_bytes)
+        job.held_bytes = 0
 
 
 class Callers:
@@ -128,6 +242,12 @@
     ----------
     reactor : Reactor
         Event loop.
+    budget : Budget, optional
+        Memory for attempts of other nodes and for their results, until they
+        are confirmed; a default one if not given.
+    response_budget : Budget, optional
+        Memory for responses of the target, whose large bodies are those of
+        the results.
 
     Attributes
     ----------
@@ -135,19 +255,39 @@
         Calling nodes, by the random numbers that identify their processes.
     """
 
-    def __init__(self, reactor):
+    def __init__(self, reactor, budget=None, response_budget=None):
         self.reactor = reactor
         self.by_incarnation = {}
+        self.budget = budget or _memory.MemoryAccount().budget('attempts')
+        self._response_budget = response_budget
+        # In the order of their losses.
         self._lost_by_incarnation = {}
 
     def get(self, incarnation):
         """Return the state of a calling node; create it if needed."""
         caller = self.by_incarnation.get(incarnation)
         if caller is None:
-            caller = Caller(incarnation)
+            caller = Caller(incarnation, self.budget)
             self.by_incarnation[incarnation] = caller
         return caller
 
+    def has_room(self):
+        """Return whether the target's responses leave room for another."""
+        budget = self._response_budget
+        return budget is None or (
+            budget.used_bytes <= ACCEPT_RESPONSES_SHARE * budget.limit_bytes
+        )
+
+    def is_short(self):
+        """Return whether memory is short, so that attempts are refused."""
+        budget = self.budget
+        account = budget.account
+        return (
+            not self.has_room()
+            or budget.used_bytes > SHORT_SHARE * budget.limit_bytes
+            or account.used_bytes > SHORT_SHARE * account.limit_bytes
+        )
+
     def lose(self, caller, address):
         """Record that the connection of a calling node was lost.
 
@@ -160,12 +300,14 @@
         """
         caller.send = None
         caller.catch_up = _do_nothing
+        caller.has_unsent = _have_none
         caller.is_lost = True
         caller.lost_at = self.reactor.now()
+        self._lost_by_incarnation.pop(caller.incarnation, None)
         self._lost_by_incarnation[caller.incarnation] = caller
         _log_connection('caller_lost', 'lost', caller, address)
 
-    def restore(self, caller, address, send, catch_up):
+    def restore(self, caller, address, send, catch_up, has_unsent=_have_none):
         """Record that a calling node has connected.
 
         Parameters
@@ -174,10 +316,11 @@
             State of that node.
         address : str
             Address of that node, for the log.
-        send, catch_up : callable
+        send, catch_up, has_unsent : callable
             Attributes of the caller.
         """
         caller.send = send
+        caller.has_unsent = has_unsent
         caller.catch_up = catch_up
         caller.is_lost = False
         self._lost_by_incarnation.pop(caller.incarnation, None)
@@ -204,13 +347,63 @@
             # The attempts must be remembered after the cancellation, or
             # they would run again when the node reconnects and resends them.
             if now > caller.lost_at + CALLER_RETENTION_S:
-                del self.by_incarnation[caller.incarnation]
-                del self._lost_by_incarnation[caller.incarnation]
+                self._remove(caller)
+        if self.is_short():
+            self._forget_results(now)
         return jobs
 
+    def _remove(self, caller):
+        caller.remove_all()
+        del self.by_incarnation[caller.incarnation]
+        del self._lost_by_incarnation[caller.incarnation]
 
-def _do_nothing(_number):
-    """Stand in for reading from a node that is not connected."""
+    def _forget_results(self, now):
+        """Free results of nodes that have not come back in time."""
+        for caller in self._lost_by_incarnation.values():
+            if now < caller.lost_at + CALLER_RECONNECT_TIMEOUT_S:
+                return
+            count = caller.forget_results()
+            if count:
+                _LOG.warning(
+                    'results of a lost node are given up for want of memory',
+                    extra={
+                        'event': 'results_forgotten',
+                        'caller': caller.incarnation,
+                        'count': count,
+                        'lost_s': round(now - caller.lost_at, 3),
+                    },
+                )
+            if not self.is_short():
+                return
+
+
+def _own_bytes(message):
+    """Return the bytes of a message that are not in another budget."""
+    body = message.body
+    size = len(message.head)
+    if type(body) is memoryview or getattr(body, 'hold', None) is not None:
+        return size
+    return size + len(body)
+
+
+def _is_refusal(result):
+    """Return whether an attempt has not run, and may if it is sent again."""
+    return (
+        result.outcome == _frames.Outcome.NOT_RUN
+        and result.reason != _frames.Reason.CANCELLED
+    )
+
+
+def _forgotten(number):
+    return _frames.Result(
+        number,
+        int(_frames.Outcome.UNKNOWN),
+        int(_frames.Reason.FORGOTTEN),
+        0,
+        b'',
+        b'',
+        None,
+    )
 
 
 def _log_connection(event, verb, caller, address):
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -169,6 +169,9 @@
         """Send a notification."""
         self._stream.write(_frames.encode(frame))
 
+    def _has_unsent(self):
+        return self._stream.unsent_bytes > 0
+
     def send_result(self, result):
         """Send the result of an attempt."""
         for part in _frames.encode_parts(result):
@@ -233,7 +236,11 @@
         caller.features = hello.features
         self._generation = caller.generation = hello.generation
         self.node.target_side.restore_caller(
-            caller, self.address, self.send_result, self.catch_up
+            caller,
+            self.address,
+            self.send_result,
+            self.catch_up,
+            self._has_unsent,
         )
         self.notify(self.node.hello(0, self.address, hello.features))
         self.node.receive_hello(hello, self)
--- a/rosemarycrank/dataplane/_local_peer.py
+++ b/rosemarycrank/dataplane/_local_peer.py
@@ -22,6 +22,7 @@
         self.sent_since_load = 0
         self._on_result_by_number = {}
         self._clients_by_number = {}
+        caller.is_local = True
         caller.features = int(_frames.FEATURES)
         caller.send = self._deliver_result
         caller.catch_up = self._catch_up
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -236,6 +236,8 @@
             self.costs,
             self.front,
             settings.drain_s,
+            self.memory,
+            self.pool.budget,
         )
         node.set_target_side(self.target_side)
         picker = _routes.ServicePicker(rng)
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -15,6 +15,7 @@
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _limit
+from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _pressure
 from rosemarycrank.dataplane import _rank_waits
@@ -63,6 +64,10 @@
     drain_s : float, default=0.0
         Seconds for which a target serves after the node acknowledged that it
         is leaving.
+    memory : MemoryAccount, optional
+        Account of the process; a default one if not given.
+    response_budget : Budget, optional
+        Memory for responses of the target, as the pool has it.
 
     Attributes
     ----------
@@ -94,7 +99,16 @@
     """
 
     def __init__(
-        self, reactor, pool, names, counters, costs, front, drain_s=0.0
+        self,
+        reactor,
+        pool,
+        names,
+        counters,
+        costs,
+        front,
+        drain_s=0.0,
+        memory=None,
+        response_budget=None,
     ):
         self.reactor = reactor
         self.pool = pool
@@ -114,7 +128,10 @@
         self.limit = _limit.ConcurrencyLimit()
         self.rate_limit = _rate_limit.RateLimit()
         self.rank_waits = _rank_waits.RankWaits()
-        self.callers = _callers.Callers(reactor)
+        memory = memory or _memory.MemoryAccount()
+        self.callers = _callers.Callers(
+            reactor, memory.budget('target_attempts'), response_budget
+        )
         self.suspect_runs = _suspect_runs.SuspectRuns(
             _crash_history.CrashHistory(reactor),
             lambda _crashes: None,
@@ -237,8 +254,7 @@
         number = attempt.number
         known = caller.jobs_by_number.get(number)
         if known is not None:
-            if known.result is not None and caller.send is not None:
-                caller.send(known.result)
+            self._send_again(known)
             return
         now = self.reactor.now()
         job = _callers.Job(
@@ -247,6 +263,9 @@
         if number < caller.discarded_below:
             self._finish(job, _UNKNOWN, _frames.Reason.FORGOTTEN)
             return
+        if not (self.callers.has_room() and caller.hold_attempt(job)):
+            self._refuse_for_memory(job)
+            return
         caller.jobs_by_number[number] = job
         if not attempt.previous_offers:
             self.arrivals.record_arrival()
@@ -263,6 +282,26 @@
             else:
                 self._waiting.add(job)
 
+    def _refuse_for_memory(self, job):
+        """Refuse an attempt, without keeping the refusal."""
+        attempt = job.attempt
+        self.callers.budget.log_refusal(
+            self.reactor.now(),
+            len(attempt.body),
+            request_id=attempt.request_id,
+            attempt=attempt.number,
+        )
+        reason = _frames.Reason.QUEUE_FULL
+        self.counters.target_failures_by_reason[int(reason)] += 1
+        self._ended_attempts.log(job, _NOT_RUN, reason, 0)
+        self.refuse_unread(job.caller, attempt.number)
+
+    def _send_again(self, job):
+        caller = job.caller
+        if job.result is not None and caller.send is not None:
+            caller.hold_result(job)
+            caller.send(job.result)
+
     def refuse_unread(self, caller, number):
         """Refuse an attempt that was not read, as there is no memory for it.
 
@@ -275,8 +314,7 @@
         """
         known = caller.jobs_by_number.get(number)
         if known is not None:
-            if known.result is not None and caller.send is not None:
-                caller.send(known.result)
+            self._send_again(known)
             return
         outcome, reason = _NOT_RUN, _frames.Reason.QUEUE_FULL
         if number < caller.discarded_below:
@@ -312,9 +350,9 @@
         self._waiting.count -= 1
         self._start(job, now)
 
-    def restore_caller(self, caller, address, send, catch_up):
+    def restore_caller(self, caller, *args):
         """Record that a calling node has connected; see `Callers.restore`."""
-        self.callers.restore(caller, address, send, catch_up)
+        self.callers.restore(caller, *args)
         parked, caller.parked_jobs = caller.parked_jobs, []
         for job in parked:
             self._waiting.add(job)
@@ -550,8 +588,10 @@
             self._ended_attempts.log(job, outcome, reason, status)
         # The request is not needed any more; the result may be sent again.
         attempt.head = attempt.body = b''
-        if job.caller.send is not None:
-            job.caller.send(job.result)
+        caller = job.caller
+        caller.hold_result(job)
+        if caller.send is not None:
+            caller.send(job.result)
 
     def _abandon(self, job, reason):
         """End an attempt whose sender does not wait for a result any more."""
@@ -568,6 +608,7 @@
             attempt.number, outcome, int(reason), 0, b'', b'', None
         )
         attempt.head = attempt.body = b''
+        job.caller.hold_result(job)
 
     def _start_waiting_soon(self):
         if not self._is_start_scheduled:
