Bound the memory for callers that never sent an attempt

Each handshake with a new random number adds the state of a calling node, which is kept for CALLER_RETENTION_S, 120 s, once its connection is lost. Strangers could so fill a node's memory, which no account covers. Of lost callers that have sent no attempt, whose state protects nothing from running twice, 256 are remembered now, and those lost first are forgotten first. The test failed before with 769 callers in place of 257.

--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -16,6 +16,10 @@
 #: after it.
 CALLER_RETENTION_S = 120.0
 
+#: Number of lost nodes that have sent no attempt and are remembered, so that
+#: the random numbers of strangers cannot fill the memory.
+MAX_IDLE_LOST_CALLERS = 256
+
 #: Share of the memory for attempts and results that may be taken when an
 #: attempt is accepted. The rest is for the results of those that run.
 ACCEPT_SHARE = 0.8
@@ -99,6 +103,8 @@
     is_local : bool
         Whether it is this node, whose clients' requests are charged for it,
         and which gets its results at once.
+    has_attempted : bool
+        Whether it has sent attempts.
     generation : int
         Number of its newest connection; -1 before the first.
     send : callable or None
@@ -126,6 +132,7 @@
     def __init__(self, incarnation, budget):
         self.incarnation = incarnation
         self.is_local = False
+        self.has_attempted = False
         self.generation = -1
         self.send = None
         self.has_unsent = _have_none
@@ -171,6 +178,7 @@
         bool
             Whether it fits.
         """
+        self.has_attempted = True
         if self.is_local:
             return True
         budget = self._budget
@@ -348,6 +356,7 @@
             # they would run again when the node reconnects and resends them.
             if now > caller.lost_at + CALLER_RETENTION_S:
                 self._remove(caller)
+        self._remove_idle()
         if self.is_short():
             self._forget_results(now)
         return jobs
@@ -357,6 +366,19 @@
         del self.by_incarnation[caller.incarnation]
         del self._lost_by_incarnation[caller.incarnation]
 
+    def _remove_idle(self):
+        """Forget those that have sent no attempt, those lost first first."""
+        surplus = len(self._lost_by_incarnation) - MAX_IDLE_LOST_CALLERS
+        if surplus <= 0:
+            return
+        idle = [
+            caller
+            for caller in self._lost_by_incarnation.values()
+            if not caller.has_attempted
+        ]
+        for caller in idle[:surplus]:
+            self._remove(caller)
+
     def _forget_results(self, now):
         """Free results of nodes that have not come back in time."""
         for caller in self._lost_by_incarnation.values():
--- a/tests/dataplane/test_kept_results.py
+++ b/tests/dataplane/test_kept_results.py
@@ -248,3 +248,21 @@
     caller.send = results.append
     assert _run(side, pool, caller, 1)
     assert budget.used_bytes == 0
+
+
+# Guards against the random numbers of strangers, which filled the memory, and
+# against an attempt that runs again as its sender was forgotten for them.
+def test_callers_without_attempts_are_bounded(side, pool, caller, reactor):
+    assert _run(side, pool, caller, 1)
+    side.callers.lose(caller, 'n2')
+    bound = _callers.MAX_IDLE_LOST_CALLERS
+    for number in range(100, 100 + 3 * bound):
+        stranger = _connect(side, number, [])
+        side.callers.lose(stranger, f'n{number}')
+    reactor.run(0.1)
+    assert len(side.callers.by_incarnation) <= bound + 1
+    results = []
+    _connect(side, 77, results)
+    side.accept(side.callers.get(77), fakes.attempt(1))
+    assert len(pool.calls) == 1
+    assert results[0].body == BODY
