Free what a closed stream has not sent, and its owner

What callers saw: a node whose memory grows beyond its account while many connections come and go, as under loads of connections that do not read.

Cause: a stream and its owner refer to each other, so that both are freed by the garbage collector only, which runs rarely by design. What the stream had not sent stayed with them; bodies in it kept their share of a budget as well.

A closed stream now drops its output and its references to the owner. The test closes a stream with unsent output while the collector is off; it failed before for both ways of closing.

--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -308,6 +308,10 @@
         self.is_open = False
         if self._chunks and not reset and not self.is_connecting:
             self._send_chunks()
+        # The owner refers to the stream, so that both would be freed by a rare
+        # garbage collection only, with what the stream has not sent.
+        self.owner = self.on_drained = None
+        self._chunks.clear()
         self._read_watcher.stop()
         self._read_watcher.close()
         if self._write_watcher is not None:
@@ -328,8 +332,9 @@
 
     def _close_and_report(self, error):
         if self.is_open:
+            owner = self.owner
             self.close()
-            self.owner.closed(error)
+            owner.closed(error)
 
     def _read(self):
         """Read once; return whether there was something to read."""
--- a/tests/dataplane/test_reactor.py
+++ b/tests/dataplane/test_reactor.py
@@ -1,10 +1,12 @@
 """Streams over real sockets."""
 
+import gc
 import logging
 import socket
 import struct
 import time
 import tracemalloc
+import weakref
 
 import gevent
 import pytest
@@ -146,3 +148,38 @@
         theirs.shutdown(socket.SHUT_WR)
         gevent.sleep(0.05)
     assert owner.errors == [None]
+
+
+class _Buffer(bytearray):
+    """Buffer that can be referred to weakly."""
+
+
+class _OwnerOfStream(_Owner):
+    """Owner that refers to its stream, and is called by it."""
+
+    stream = None
+
+    def drained(self):
+        pass
+
+
+# Guards against memory that closed connections take until a rare garbage
+# collection: what they have not sent, and their owners with all input.
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_closed_stream_is_freed_with_its_output(stream_and_reader, is_reset):
+    stream, _ = stream_and_reader
+    output = _Buffer(RESPONSE)
+    stream.owner = owner = _OwnerOfStream()
+    stream.on_drained = owner.drained
+    owner.stream = stream
+    references = [weakref.ref(output), weakref.ref(owner)]
+    stream.write(output)
+    gevent.sleep(0.01)
+    assert stream.unsent_bytes
+    gc.disable()
+    try:
+        del output, owner
+        stream.close(reset=is_reset)
+        assert [reference() for reference in references] == [None, None]
+    finally:
+        gc.enable()
