Free an unfinished response of the target when its request ends

What callers saw: a target's node with more memory than its account says, while requests for large responses are cancelled or cut off. Cause: the reader of a response and its parser refer to each other, so that what had been received, up to 16 MB, stayed until a rare garbage collection, while the budget had its memory back at once. The reader drops the message now.

--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -253,6 +253,9 @@
     def _discard(self):
         self._connect_timer.cancel()
         self._reader.release()
+        # The reader and its parser refer to each other, so that both would be
+        # freed by a rare garbage collection only, with what was received.
+        self._reader.message = None
         self.stream.close()
         self.pool.discard(self)
 
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -1,7 +1,9 @@
 """Connections to the local target, over real sockets."""
 
+import gc
 import math
 import socket
+import tracemalloc
 
 import gevent
 import pytest
@@ -310,3 +312,37 @@
     listener.accept()[0].close()
     gevent.sleep(PASS_S)
     assert not pool.has_lost_all(pool.reactor.now())
+
+
+# Guards against unfinished responses that take memory, but none of their
+# budget, from the end of the request until a rare garbage collection.
+@pytest.mark.parametrize('is_aborted', [False, True])
+def test_memory_of_an_unfinished_response_is_freed(pool, listener, is_aborted):
+    answers = []
+    size = 2_000_000
+    connection = pool.acquire(True)
+    connection.start(b'r1', REQUEST % 1, b'', False, answers.append)
+    gevent.sleep(PASS_S)
+    target, _ = listener.accept()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        with target:
+            target.sendall(
+                RESPONSE.replace(b'Length: 2', b'Length: %d' % (2 * size))
+            )
+            # In a thread, as the stream reads meanwhile.
+            gevent.get_hub().threadpool.apply(target.sendall, (b'x' * size,))
+            gevent.sleep(PASS_S)
+            assert pool.budget.used_bytes >= size
+            if is_aborted:
+                connection.abort()
+        gevent.sleep(PASS_S)
+        del connection
+        used_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert len(answers) == (not is_aborted)
+    assert pool.budget.used_bytes == 0
+    assert used_bytes < size / 2
