--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -329,6 +329,10 @@
         self.is_open = False
         if self._chunks and not reset and not self.is_connecting:
             self._send_chunks()
+        # The owner refers to the stream, so that both would be freed by a rare
+        # garbage collection only, with what the stream has not sent.
+        self.owner = self.on_drained = None
+        self._chunks.clear()
         self._read_watcher.stop()
         self._read_watcher.close()
         if self._write_watcher is not None:
