Add a benchmark of the memory of nodes under loads without end

`python -m benchmarks.memory` (part of `make bench`) runs two nodes as real processes, 300 MB each, and prints for each kind of load the most memory of a node, whether it was killed above its limit, and the share and p99 of the requests of other clients, whose p99 beforehand is "calm p99". Deployment, loads and the watch over memory are those of tests/platform/, moved to benchmarks/ unchanged but for the target's server, which may now be another one, and loads that are sent in parts; the tests check what they did before.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 
 bench: venv
 	$(PYTHON) -m benchmarks.overload
+	$(PYTHON) -m benchmarks.memory
 
 plots: venv
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
--- a/tests/platform/memory_loads.py
+++ b/benchmarks/_memory_loads.py
@@ -1,6 +1,7 @@
 """Clients and nodes that make a node hold much, each within the limits."""
 
 import abc
+import itertools
 import random
 import struct
 import time
@@ -9,8 +10,8 @@
 import gevent.socket
 import msgspec
 
+from benchmarks import _platform_deployment as deployment
 from rosemarycrank.dataplane import _frames
-from tests.platform import deployment
 
 #: Time that a peer waits for a connection, in seconds, and for which it opens
 #: connections in all: a node short of processor time accepts them slowly.
@@ -67,7 +68,21 @@
         except OSError:
             sock.close()
             return
-        gevent.spawn(_send, sock, self.data(number))
+        gevent.spawn(self._send, sock, number)
+
+    def parts(self, number):
+        """Return an iterator over what is sent on a connection, in parts."""
+        yield self.data(number)
+
+    def _send(self, sock, number):
+        """Send data, as far as the node reads it."""
+        sock.settimeout(None)
+        try:
+            for part in self.parts(number):
+                sock.sendall(part)
+                gevent.sleep(0.0)
+        except OSError:
+            sock.close()
 
     @abc.abstractmethod
     def data(self, number):
@@ -79,15 +94,6 @@
             sock.close()
 
 
-def _send(sock, data):
-    """Send data, as far as the node reads it."""
-    sock.settimeout(None)
-    try:
-        sock.sendall(data)
-    except OSError:
-        sock.close()
-
-
 class UnfinishedHeads(Load):
     """Heads of requests to the client port whose last line is missing."""
 
@@ -123,6 +129,11 @@
     ahead = 16
     prefix = b'large'
 
+    def __init__(self, ip, ahead=None, prefix=None):
+        super().__init__(ip)
+        self.ahead = ahead or self.ahead
+        self.prefix = prefix or self.prefix
+
     def data(self, number):
         return b''.join(
             b'GET /read/1 HTTP/1.1\r\nHost: h.example\r\n'
@@ -140,6 +151,44 @@
     prefix = b'small'
 
 
+class EndlessRequests(Load):
+    """Requests with a part that is sent again, without end or often.
+
+    Parameters
+    ----------
+    ip : str
+        Address of the node.
+    head, part : bytes
+        Beginning of the request, and what follows it repeatedly.
+    part_count : int or None, default=None
+        Number of repetitions; None for no end.
+    """
+
+    path = b'/read/1'
+
+    def __init__(self, ip, head, part, part_count=None):
+        super().__init__(ip)
+        self._head = head
+        self._part = part
+        self._part_count = part_count
+
+    def data(self, number):
+        """Return the request line and the first fields."""
+        return (
+            b'POST %b HTTP/1.1\r\nHost: h.example\r\n'
+            b'X-Rosemarycrank-Request-Id: body.%d.%d\r\n%b'
+            % (self.path, id(self), number, self._head)
+        )
+
+    def parts(self, number):
+        yield self.data(number)
+        numbers = itertools.count()
+        if self._part_count is not None:
+            numbers = range(self._part_count)
+        for _ in numbers:
+            yield self._part
+
+
 class UnfinishedFrames(Load):
     """Frames to the port of other nodes whose ends are missing."""
 
--- a/tests/platform/deployment.py
+++ b/benchmarks/_platform_deployment.py
@@ -53,12 +53,16 @@
         self.born_ms = int(time.time() * 1000)
         self.runs_by_id = collections.Counter()
         self.acknowledged_sequence = 0
-        self._server = pywsgi.WSGIServer(
-            (ip, TARGET_PORT), self._application, log=None
-        )
+        self._server = self.make_server()
         self._server.start()
         self.start_heartbeats()
 
+    def make_server(self):
+        """Create the server that takes requests."""
+        return pywsgi.WSGIServer(
+            (self.ip, TARGET_PORT), self._application, log=None
+        )
+
     def close(self):
         self.stop_heartbeats()
         self._server.stop()
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -4,14 +4,12 @@
 requests that it holds are lost.
 """
 
-import signal
-
 import gevent
 import pytest
 
+from benchmarks import _memory_loads as memory_loads
+from benchmarks import _memory_run
 from rosemarycrank.platform import _settings
-from tests.platform import deployment
-from tests.platform import memory_loads
 
 #: Largest share of its limit that a node may take.
 MAX_MEMORY_SHARE = 0.9
@@ -22,80 +20,23 @@
 #: Time for which the connections are kept once all are open, in seconds.
 KEPT_S = 3.0
 
-SAMPLE_INTERVAL_S = 0.01
-LARGE_BODY = b'x' * 2_000_000
-
-
-class LargeTarget(deployment.Target):
-    """Target whose responses to requests of the loads are large."""
-
-    def body(self, request_id):
-        """Return the body of the response to a request."""
-        if request_id.startswith('large'):
-            return LARGE_BODY
-        return super().body(request_id)
-
-
-class LargeDeployment(deployment.Deployment):
-    """Deployment of such targets."""
-
-    def make_target(self, ip, service):
-        """Create the target of a node."""
-        return LargeTarget(ip, service)
-
 
 @pytest.fixture
 def cluster(tmp_path, request):
     number = 20 + sum(map(ord, request.node.name)) % 200
-    cluster = LargeDeployment(tmp_path, f'127.5.{number}', ['dues', 'archive'])
+    cluster = _memory_run.LargeDeployment(
+        tmp_path, f'127.5.{number}', ['dues', 'archive']
+    )
     try:
-        cluster.configure(1, read='archive', page='dues')
-        cluster.start_all()
-        cluster.wait_until_targets_are_known()
-        cluster.wait_until(
-            lambda: cluster.send(cluster.ips[1], 'page')[1] == 200,
-            'no request was served',
-        )
+        _memory_run.start(cluster)
         yield cluster
     finally:
         cluster.close()
 
 
-class _Watch:
+class _Watch(_memory_run.Watch):
     """Memory of all nodes, and requests of clients beside a load."""
 
-    def __init__(self, cluster):
-        self._cluster = cluster
-        self.peak_mb = 0.0
-        self.killed = []
-        self.statuses = []
-        self.goes_on = True
-        self._greenlets = [gevent.spawn(self._limit_memory)]
-        self._greenlets += [
-            gevent.spawn(self._send_requests, ip) for ip in cluster.ips
-        ]
-
-    def _limit_memory(self):
-        while self.goes_on:
-            for ip in self._cluster.ips:
-                used_mb = self._cluster.resident_mb(ip)
-                self.peak_mb = max(self.peak_mb, used_mb)
-                if used_mb > _settings.DEFAULT_MEMORY_MB:
-                    self.killed.append(ip)
-                    self._cluster.signal(ip, signal.SIGKILL)
-                    self._cluster.wait_for_exit(ip)
-            gevent.sleep(SAMPLE_INTERVAL_S)
-
-    def _send_requests(self, ip):
-        while self.goes_on:
-            self.statuses.append(self._cluster.send(ip, 'page')[1])
-            gevent.sleep(SAMPLE_INTERVAL_S)
-
-    def end(self):
-        """Wait for the last requests."""
-        self.goes_on = False
-        gevent.joinall(self._greenlets)
-
     def check_memory(self):
         """Assert that no node was close to its limit."""
         assert not self.killed, f'killed above its memory: {self.killed}'
@@ -104,8 +45,7 @@
 
     def check_served(self):
         """Assert that other clients were served."""
-        served = self.statuses.count(200) / len(self.statuses)
-        assert served >= MIN_SERVED_SHARE
+        assert self.served_share() >= MIN_SERVED_SHARE
 
 
 def _play(cluster, load, count):
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -8,9 +8,9 @@
 import gevent
 import pytest
 
+from benchmarks import _platform_deployment as deployment
 from rosemarycrank.platform import _program
 from rosemarycrank.platform import _settings
-from tests.platform import deployment
 
 METRICS_PORT = _program.METRICS_PORT
 
--- a/tests/platform/test_starts.py
+++ b/tests/platform/test_starts.py
@@ -7,7 +7,7 @@
 import gevent
 import pytest
 
-from tests.platform import deployment
+from benchmarks import _platform_deployment as deployment
 
 METRICS_PORT = 9464
 FIRST_PEER_PORT = int(deployment.PEER_PORTS.split(',')[0])
--- a/tests/soak/place.py
+++ b/tests/soak/place.py
@@ -6,7 +6,7 @@
 import gevent
 import gevent.socket
 
-from tests.platform import deployment
+from benchmarks import _platform_deployment as deployment
 from tests.soak import builds
 from tests.soak import promises
 from tests.soak import proxy
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,7 +8,7 @@
 import pytest
 
 from benchmarks import _builds
-from tests.platform import deployment
+from benchmarks import _platform_deployment as deployment
 from tests.soak import builds
 from tests.soak import place
 from tests.soak import promises
