Keep one callback that fails from stopping others

A figure that could not be packed into a frame ended the pings and notices to all nodes for as long as it stood: a notice to all ended at the first connection that failed, and checks of peers left out what follows them. The same held for checks of the connections of callers and clients. The loop stops a watcher whose callback raises, so that a listener or a connection went on without being served, and a timer that failed wrote up to 100 lines a second.

A guard of the reactor calls what must not stop anything else. It counts failures by function and writes one line a second for each: notices to all, each check of a peer, caller, client or contact, timers, callbacks of the loop, listeners, output and replies of the store. A connection is closed if its handler fails.

The guard of the virtual reactor raises, so that tests in virtual time still fail by any error.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -460,4 +460,4 @@
 
     def _sweep(self, now):
         for connection in list(self._connections):
-            connection.check_timeouts(now)
+            self.reactor.guard.call(connection.check_timeouts, now)
--- a/rosemarycrank/dataplane/_contacts.py
+++ b/rosemarycrank/dataplane/_contacts.py
@@ -37,7 +37,10 @@
             self._digest = directory.digest
             self._addresses = self._choose(directory.records())
         for address in self._addresses:
-            self._node.peer(address).keep_connected()
+            self._node.reactor.guard.call(self._connect, address)
+
+    def _connect(self, address):
+        self._node.peer(address).keep_connected()
 
     def _choose(self, records):
         own_address = self._node.address
--- a/rosemarycrank/dataplane/_crash_exchange.py
+++ b/rosemarycrank/dataplane/_crash_exchange.py
@@ -58,7 +58,7 @@
         if crashes:
             frame = _frames.Crashes(crashes)
             for connection in self._node.all_connections():
-                _notify(connection, frame)
+                self._node.reactor.guard.call(_notify, connection, frame)
 
     def tell_of_request(self, digest, connection):
         """Send the suspicions of a request to the node that is to run it.
@@ -151,7 +151,9 @@
         others.sort(key=lambda connection: connection.address)
         count = min(FANOUT, len(others))
         for connection in self._random.sample(others, count):
-            _notify(connection, _frames.Crashes(new))
+            self._node.reactor.guard.call(
+                _notify, connection, _frames.Crashes(new)
+            )
 
 
 def _notify(connection, frame):
--- a/rosemarycrank/dataplane/_demand_reports.py
+++ b/rosemarycrank/dataplane/_demand_reports.py
@@ -80,7 +80,9 @@
             self._reported_by_service[service] = (demand.offered_per_s, now)
             usable = node.usable_targets.of_service(service)
             for record in collectors(service, usable):
-                self._send_to(record.node, demand, now)
+                node.reactor.guard.call(
+                    self._send_to, record.node, demand, now
+                )
 
     def _send_to(self, address, demand, now):
         node = self._node
--- a/rosemarycrank/dataplane/_http_client.py
+++ b/rosemarycrank/dataplane/_http_client.py
@@ -47,6 +47,7 @@
 
     def __init__(self, client, timeout_s, on_reply):
         self._on_reply = on_reply
+        self._guard = client.reactor.guard
         self._reader = _http1.ResponseReader(self._handle_response)
         self._timer = client.reactor.timers.after(
             timeout_s, lambda _now: self._fail('timed out')
@@ -82,7 +83,7 @@
         on_reply = self._on_reply
         self._on_reply = None
         if on_reply is not None:
-            on_reply(reply)
+            self._guard.call(on_reply, reply)
 
 
 class HttpClient:
--- a/rosemarycrank/dataplane/_metrics.py
+++ b/rosemarycrank/dataplane/_metrics.py
@@ -95,6 +95,12 @@
         'Requests whose client left.',
         [({}, counters.cancelled)],
     )
+    _register_counter(
+        registry,
+        'callback_failures_total',
+        'Calls of timers and handlers that failed, by function.',
+        _labelled('callback', process.reactor.guard.failures_by_name),
+    )
     _register_counter(
         registry,
         'accept_failures_total',
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -307,7 +307,7 @@
         self.costs.retain(routes)
         self._cost_reports.retain(routes)
         for callback in self.on_configuration:
-            callback(configuration)
+            self.reactor.guard.call(callback, configuration)
 
     def _is_news(self, configuration, is_stored):
         """Return whether a configuration replaces the one in force.
@@ -333,7 +333,7 @@
     def broadcast(self, frame):
         """Send a notification to every connected node."""
         for connection in self.connections():
-            connection.notify(frame)
+            self.reactor.guard.call(connection.notify, frame)
 
     def connections(self):
         """Return one open connection to each other node.
@@ -622,9 +622,12 @@
 
     def _update_front(self, now):
         if self.target_side.record is not None:
-            self.receive_load(self.target_side.load(), self.address, now)
+            self.reactor.guard.call(self._receive_own_load, now)
         self.front.update(now)
 
+    def _receive_own_load(self, now):
+        self.receive_load(self.target_side.load(), self.address, now)
+
     def _report_costs(self, now):
         """Close the counting window; report the costs if they changed."""
         costs = self._cost_reports.close_window(now)
@@ -633,26 +636,21 @@
 
     def _check_peers(self, now):
         """Check all peers, the later ones also if an earlier check fails."""
-        errors = []
+        call = self.reactor.guard.call
         connected_count = 0
         for peer in list(self.peers_by_node.values()):
             connected_count += peer.connected
-            try:
-                peer.maintain(now)
-            except Exception as error:
-                errors.append(error)
+            call(peer.maintain, now)
         self.active_ping_interval_s = _peer_connection.active_interval_s(
             connected_count
         )
-        self.directory_sync.check(now)
-        self.crash_exchange.check(now)
-        self.usable_targets.update()
-        if errors:
-            raise ExceptionGroup('checks of peers failed', errors)
+        call(self.directory_sync.check, now)
+        call(self.crash_exchange.check, now)
+        call(self.usable_targets.update)
 
     def _check_silence(self, _now):
         for connection in list(self.inbound_connections):
-            connection.check_silence()
+            self.reactor.guard.call(connection.check_silence)
 
 
 def _knows_others(hello):
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -16,6 +16,7 @@
 import gevent
 
 from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _guard
 from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank import timers
 
@@ -92,11 +93,14 @@
         Delays of the ticks, which show how far the loop is behind.
     connect_failure_lines : RepeatedLines
         Limit on the lines about sockets that cannot be opened.
+    guard : Guard
+        Calls callbacks of which one that fails must stop no other.
     """
 
     def __init__(self):
         self.loop = gevent.get_hub().loop
-        self.timers = timers.Timers()
+        self.guard = _guard.Guard()
+        self.timers = timers.Timers(self.guard.record)
         self.timers.now = time.monotonic()
         self.delays = _counters.Histogram()
         self.connect_failure_lines = _repeated_lines.RepeatedLines(
@@ -129,7 +133,7 @@
 
     def call_soon(self, callback):
         """Call a function after all input that is ready has been handled."""
-        self.loop.run_callback(callback)
+        self.loop.run_callback(self.guard.call, callback)
 
     def _tick(self):
         now = time.monotonic()
@@ -142,10 +146,7 @@
                 late_s,
                 extra={'event': 'held_up', 'held_up_s': round(late_s, 3)},
             )
-        try:
-            self.timers.advance(now)
-        except Exception:
-            _LOG.exception('timer callback failed')
+        self.timers.advance(now)
 
 
 class Stream:
@@ -346,12 +347,15 @@
             else:
                 self._close_and_report(None)
         except Exception:
-            _LOG.exception('handling of received data failed')
-            self._close_and_report(
-                OSError(errno.EPROTO, 'handling of received data failed')
-            )
+            self._end_by_failure(self.owner.received)
         return True
 
+    def _end_by_failure(self, callback):
+        """Record that a callback failed, and close the connection."""
+        self.reactor.guard.record(callback)
+        error = OSError(errno.EPROTO, 'handling of a connection failed')
+        self.reactor.guard.call(self._close_and_report, error)
+
     def _start_write_watcher(self):
         if self._write_watcher is None:
             self._write_watcher = self.reactor.loop.io(
@@ -386,7 +390,10 @@
         if self._ends_when_sent:
             self._shutdown_socket()
         if self.on_drained is not None:
-            self.on_drained()
+            try:
+                self.on_drained()
+            except Exception:
+                self._end_by_failure(self.on_drained)
 
     def _shutdown_socket(self):
         try:
@@ -603,7 +610,8 @@
 
     def _handle_acceptable(self):
         for _ in range(MAX_ACCEPTS_PER_EVENT):
-            if self.is_full():
+            # The loop would not call again a watcher that fails.
+            if self.reactor.guard.call(self.is_full):
                 self._pause()
                 return
             try:
@@ -616,13 +624,13 @@
                     self._record_failure(error)
                     self._pause()
                     if self.on_failure is not None:
-                        self.on_failure()
+                        self.reactor.guard.call(self.on_failure)
                 return
             try:
                 _set_socket_options(sock)
                 self.on_accept(sock, peer[0])
             except Exception:
-                _LOG.exception('handling of an accepted connection failed')
+                self.reactor.guard.record(self.on_accept)
                 sock.close()
 
     def _pause(self):
--- a/rosemarycrank/dataplane/_small_server.py
+++ b/rosemarycrank/dataplane/_small_server.py
@@ -650,4 +650,4 @@
 
     def _sweep(self, now):
         for connection in list(self.connections):
-            connection.check(now)
+            self.reactor.guard.call(connection.check, now)
--- a/rosemarycrank/timers/_timers.py
+++ b/rosemarycrank/timers/_timers.py
@@ -37,9 +37,16 @@
 
     Timers that are due at the same time fire in the order in which they
     were scheduled.
+
+    Parameters
+    ----------
+    on_error : callable, optional
+        Called with the callback of each timer that fails, while its exception
+        is handled. If not given, `advance` raises the exceptions.
     """
 
-    def __init__(self):
+    def __init__(self, on_error=None):
+        self._on_error = on_error
         self._heap = []
         self._sequence = itertools.count()
         self.now = 0.0
@@ -108,7 +115,8 @@
         ------
         Exception
             The error of a callback, after all due timers have fired; an
-            `ExceptionGroup` of several errors.
+            `ExceptionGroup` of several errors. None if there is an
+            ``on_error``.
         """
         self.now = max(self.now, now)
         # The due timers are removed before any of them fires. Otherwise a
@@ -126,10 +134,14 @@
                 # burst of firings would act on stale state.
                 timer.due_at = self.now + timer.period_s
                 self._schedule(timer)
+            callback = timer.callback
             try:
-                timer.callback(self.now)
+                callback(self.now)
             except Exception as error:
-                errors.append(error)
+                if self._on_error is None:
+                    errors.append(error)
+                else:
+                    self._on_error(callback)
         if len(errors) == 1:
             raise errors[0]
         if errors:
--- a/tests/dataplane/fakes.py
+++ b/tests/dataplane/fakes.py
@@ -8,6 +8,7 @@
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
+from rosemarycrank.dataplane import _guard
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _origins
 from rosemarycrank.dataplane import _restart_times
@@ -15,11 +16,19 @@
 from rosemarycrank import kernel
 
 
+class StrictGuard(_guard.Guard):
+    """Guard that fails the test."""
+
+    def record(self, callback):
+        raise
+
+
 class VirtualReactor:
     """Reactor whose clock advances only when a test calls `run`."""
 
     def __init__(self):
         self.timers = kernel.Timers()
+        self.guard = StrictGuard()
         self._callbacks = []
 
     def now(self):
