--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -3,7 +3,6 @@
 import logging
 
 from rosemarycrank.dataplane import _frames
-from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank import stop_times
 
 #: Seconds from SIGTERM during which requests of clients are still accepted, so
@@ -22,9 +21,6 @@
 #: Seconds between checks whether the drain is complete.
 DRAIN_CHECK_INTERVAL_S = 0.05
 
-#: Shortest time between two lines about steps that failed, in seconds.
-FAILURE_LINE_INTERVAL_S = 1.0
-
 _LOG = logging.getLogger(__name__)
 
 
@@ -83,9 +79,8 @@
         self._times = None
         self._ended_at = None
         self._timer = None
-        self._failure_lines = _repeated_lines.RepeatedLines(
-            FAILURE_LINE_INTERVAL_S
-        )
+        # An error in one step must not keep the next from being taken.
+        self._call = node.reactor.guard.call
 
     def begin(self):
         """Announce the stop; has no effect if it has begun."""
@@ -107,9 +102,9 @@
             DRAIN_CHECK_INTERVAL_S, self._continue
         )
         self.clients.draining = True
-        self._take(self.entry.limit_run_end, self._times.runs_end_at)
+        self._call(self.entry.limit_run_end, self._times.runs_end_at)
         # A run may make calls until it ends.
-        self._take(self.target_side.limit_run_end, self._times.calls_end_at)
+        self._call(self.target_side.limit_run_end, self._times.calls_end_at)
 
     def _continue(self, now):
         """Take the next step that is due."""
@@ -117,7 +112,7 @@
             return
         if not self.target_side.stopping:
             self.target_side.stopping = True
-            self._take(self.node.broadcast, _frames.Leaving())
+            self._call(self.node.broadcast, _frames.Leaving())
         if self._ended_at is not None:
             if self._is_flushed(now):
                 self._complete()
@@ -132,29 +127,8 @@
         if not self.target_side.busy():
             # Requests that run at the target may still make calls through
             # this node, over new connections too.
-            self._take(self.clients.stop_accepting)
-            self._take(self.clients.close_idle)
-
-    def _take(self, step, *arguments):
-        """Take a step; an error in it must not keep the next from theirs.
-
-        Returns
-        -------
-        object
-            What the step returns; None after an error.
-        """
-        try:
-            return step(*arguments)
-        except Exception:
-            if not self._failure_lines.suppress(self.node.reactor.now()):
-                _LOG.exception(
-                    'a step of the planned stop failed',
-                    extra={
-                        'event': 'stop_step_failed',
-                        'suppressed': self._failure_lines.take_suppressed(),
-                    },
-                )
-            return None
+            self._call(self.clients.stop_accepting)
+            self._call(self.clients.close_idle)
 
     def _is_drained(self):
         return not (
@@ -164,7 +138,7 @@
         )
 
     def _has_unsent_output(self):
-        return self._take(self.clients.has_unsent_output) or self._take(
+        return self._call(self.clients.has_unsent_output) or self._call(
             self.node.has_unsent_results
         )
 
@@ -179,17 +153,17 @@
         """Answer what is left; nothing new is accepted any more."""
         self._ended_at = now
         self.entry.refuses_target_calls = True
-        self._take(self.clients.stop_accepting)
-        self._take(self.target_side.end_all)
-        self._take(self.entry.end_all)
-        self._take(self.clients.close_idle)
+        self._call(self.clients.stop_accepting)
+        self._call(self.target_side.end_all)
+        self._call(self.entry.end_all)
+        self._call(self.clients.close_idle)
 
     def _complete(self):
         """Close the connections and have the process exit."""
         self._timer.cancel()
-        self._take(self.clients.close)
-        self._take(self.node.close)
-        self._take(self.pool.close)
+        self._call(self.clients.close)
+        self._call(self.node.close)
+        self._call(self.pool.close)
         _LOG.warning(
             'node stopped',
             extra={'event': 'stopped', 'under_way': self.entry.in_flight},
--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -16,6 +16,7 @@
 import gevent
 
 from rosemarycrank.dataplane import _counters
+from rosemarycrank.dataplane import _guard
 from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank import timers
 
@@ -92,11 +93,14 @@
         Delays of the ticks, which show how far the loop is behind.
     connect_failure_lines : RepeatedLines
         Limit on the lines about sockets that cannot be opened.
+    guard : Guard
+        Calls callbacks of which one that fails must stop no other.
     """
 
     def __init__(self):
         self.loop = gevent.get_hub().loop
-        self.timers = timers.Timers()
+        self.guard = _guard.Guard()
+        self.timers = timers.Timers(self.guard.record)
         self.timers.now = time.monotonic()
         self.delays = _counters.Histogram()
         self.connect_failure_lines = _repeated_lines.RepeatedLines(
@@ -129,7 +133,7 @@
 
     def call_soon(self, callback):
         """Call a function after all input that is ready has been handled."""
-        self.loop.run_callback(callback)
+        self.loop.run_callback(self.guard.call, callback)
 
     def _tick(self):
         now = time.monotonic()
@@ -142,10 +146,7 @@
                 late_s,
                 extra={'event': 'held_up', 'held_up_s': round(late_s, 3)},
             )
-        try:
-            self.timers.advance(now)
-        except Exception:
-            _LOG.exception('timer callback failed')
+        self.timers.advance(now)
 
 
 class Stream:
@@ -370,18 +371,23 @@
                 return False
             self._close_and_report(error)
             return True
+        # A stream that is closed meanwhile has no owner any more.
+        received = self.owner.received
         try:
             if data:
-                self.owner.received(data)
+                received(data)
             else:
                 self._close_and_report(None)
         except Exception:
-            _LOG.exception('handling of received data failed')
-            self._close_and_report(
-                OSError(errno.EPROTO, 'handling of received data failed')
-            )
+            self._end_by_failure(received)
         return True
 
+    def _end_by_failure(self, callback):
+        """Record that a callback failed, and close the connection."""
+        self.reactor.guard.record(callback)
+        error = OSError(errno.EPROTO, 'handling of a connection failed')
+        self.reactor.guard.call(self._close_and_report, error)
+
     def _start_write_watcher(self):
         if self._write_watcher is None:
             self._write_watcher = self.reactor.loop.io(
@@ -413,12 +419,16 @@
         if self._chunks:
             self._start_write_watcher()
             if self.on_blocked is not None:
-                self.on_blocked()
+                self.reactor.guard.call(self.on_blocked)
             return
         if self._ends_when_sent:
             self._shutdown_socket()
-        if self.on_drained is not None:
-            self.on_drained()
+        on_drained = self.on_drained
+        if on_drained is not None:
+            try:
+                on_drained()
+            except Exception:
+                self._end_by_failure(on_drained)
 
     def _shutdown_socket(self):
         try:
@@ -645,7 +655,8 @@
 
     def _handle_acceptable(self):
         for _ in range(MAX_ACCEPTS_PER_EVENT):
-            if self.is_full():
+            # The loop would not call again a watcher that fails.
+            if self.reactor.guard.call(self.is_full):
                 self._pause()
                 return
             try:
@@ -658,13 +669,13 @@
                     self._record_failure(error)
                     self._pause()
                     if self.on_failure is not None:
-                        self.on_failure()
+                        self.reactor.guard.call(self.on_failure)
                 return
             try:
                 _set_socket_options(sock)
                 self.on_accept(sock, peer[0])
             except Exception:
-                _LOG.exception('handling of an accepted connection failed')
+                self.reactor.guard.record(self.on_accept)
                 sock.close()
 
     def _pause(self):
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _guard
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _planned_stop
@@ -570,6 +571,7 @@
 def test_error_in_a_step_does_not_keep_a_node_from_its_exit(
     start_stop, reactor, monkeypatch, part, step, caplog
 ):
+    reactor.guard = _guard.Guard(reactor.now)
     stop = start_stop(work_s=2 * GRACE_S, is_begun=False)
     monkeypatch.setattr(
         getattr(stop.process, part), step, _fail, raising=False
@@ -579,5 +581,5 @@
     _run_to_the_end(reactor)
     assert stop.has_exited()
     assert (part, step) == ('entry', 'end_all') or _status(stop.early_request)
-    failures = [r for r in caplog.records if r.event == 'stop_step_failed']
+    failures = [r for r in caplog.records if r.event == 'callback_failed']
     assert 1 <= len(failures) <= 2
