Refuse a request that has waited beyond its deadline unsent

A request that waits because its client leaves earlier responses unread was sent to a target with 1 ms left, when the client read on after the deadline. It gets 503 now.

Test: failed before (an attempt with 1 ms, 11.5 s beyond its goal).

--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -176,6 +176,10 @@
             timeout_s = min(timeout_s, requested_s)
         exchange.route = route
         exchange.deadline_at = exchange.arrived_at + timeout_s
+        if exchange.deadline_at < self.node.reactor.now():
+            # It has waited for its client to read earlier responses.
+            self._refuse(exchange, 503, 'deadline')
+            return
         exchange.service = self.picker.pick(route)
         exchange.rank = float(route.priority)
         exchange.digest = _request_digest.digest(
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -766,3 +766,19 @@
     assert connection_budget.used_bytes == held
     connection.closed(None)
     assert connection_budget.used_bytes == 0
+
+
+# Guards against requests that are sent to a target after their deadline: they
+# had waited for their client to read earlier responses.
+def test_request_that_has_waited_beyond_its_deadline_is_not_sent(entry):
+    blocked = _connect_blocked(entry, 14)
+    for connection in blocked:
+        assert _serve(entry, connection)
+    first = blocked[0]
+    assert not _serve(entry, first)
+    entry.node.reactor.run(12.0)
+    first.stream.is_blocked = False
+    first.stream.read()
+    assert not entry.node.peers_by_node['n1'].sent
+    assert _statuses(first) == [b'200', b'503']
+    assert entry.side.in_flight == 0
