--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -340,8 +340,12 @@
                     if not self._not_begun:
                         return
                 exchange = self._not_begun.popleft()
-                if exchange.response is None:
-                    self.server.begin(exchange)
+                if exchange.response is not None:
+                    continue
+                if self.server.is_output_full:
+                    self.server.refuse(exchange)
+                else:
+                    self.server.entry.begin(exchange)
         finally:
             self._is_beginning = False
 
@@ -437,7 +441,7 @@
         additional = size - self._output_bytes
         self._output_bytes = size
         if additional:
-            self.server.output_budget.take(additional)
+            self.server.record_output(additional)
 
     def _record_unread(self, count):
         """Count what has arrived and is not read, also beyond the limit."""
@@ -489,6 +493,8 @@
     draining : bool
         Whether connections are closed after the next response, because the
         node is shutting down.
+    is_output_full : bool
+        Whether no request is begun, as its response could not be held.
     """
 
     def __init__(
@@ -511,6 +517,7 @@
         self.output_budget = output_budget or account.budget('output')
         self.limits = _http1.Limits()
         self.draining = False
+        self.is_output_full = False
         self.closed_for_room = 0
         self._connections = set()
         # Those with part of a head and no request; the newest one is last.
@@ -636,18 +643,21 @@
             or account.used_bytes > account.limit_bytes
         )
 
-    def begin(self, exchange):
-        """Begin a request, unless its response could not be held."""
-        if self._is_output_above(1.0):
-            self.entry.refuse_unsent(
-                exchange, self.output_budget, RESPONSE_OVERHEAD_BYTES
-            )
-        else:
-            self.entry.begin(exchange)
+    def record_output(self, additional):
+        """Count memory of responses that have not been sent."""
+        self.output_budget.take(additional)
+        self.is_output_full = self._is_output_above(1.0)
+
+    def refuse(self, exchange):
+        """Refuse a request that has not begun: its response has no room."""
+        self.entry.refuse_unsent(
+            exchange, self.output_budget, RESPONSE_OVERHEAD_BYTES
+        )
 
     def _close_stalled(self, now):
         """Close connections that read nothing while memory is exhausted."""
-        if not self._is_output_above(1.0):
+        self.is_output_full = self._is_output_above(1.0)
+        if not self.is_output_full:
             return
         stalled = [
             connection
@@ -657,7 +667,7 @@
         ]
         stalled.sort(key=lambda connection: connection.read_at)
         for connection in stalled:
-            if not self._is_output_above(1.0):
+            if not self.is_output_full:
                 return
             self.output_budget.refusals += 1
             self.output_budget.log_refusal(
