Watch all nodes that are in a record

A target that had left starts again behind a node that was killed and restarted while the store is away. It gets no request until the store is back.

Cause: a node that starts without the store knows of no other one, so that others have to reach it. Those that had a connection of their own to it try for 30 s. Contacts are chosen among ready targets, by each node for itself, so that no node need have chosen it, and none does once its target has left.

A node whose row nobody had read is still unknown; no process knows its address then.

Tests: in virtual time 36 nodes, a third of which nobody had met, ready, draining or gone, down for 5 and 45 s; all six cases failed before.

Two tests in virtual time had a target that is not ready at an address to which nodes now connect: one gets an address with a port and no connections, like the test beside it; in the other the address answers nobody. What they check is unchanged.

--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -12,6 +12,7 @@
 
 import errno
 import logging
+import math
 import random
 
 from rosemarycrank.dataplane import _cancellations
@@ -50,10 +51,15 @@
 #: Time without attempts after which a connection is closed.
 IDLE_TIMEOUT_S = 60.0
 
-#: Time for which an unreachable peer is tried whose target has left, in
-#: seconds. Its node may return with another target, and know of no other node.
+#: Time for which an unreachable peer is tried that is not kept and whose
+#: target has left, in seconds. Its node may return with another target, and
+#: know of no other node.
 RETURN_TIME_S = 30.0
 
+#: Time after the last call of `keep_connected` during which a peer is kept, in
+#: seconds; several times the interval of these calls.
+KEPT_TIME_S = 5.0
+
 #: Longest time for which a peer that owes nothing is not checked, in seconds.
 MAX_QUIET_S = 0.5
 
@@ -106,7 +112,7 @@
         self._pending_by_number = {}
         self._cancellations = _cancellations.UnconfirmedCancellations()
         self._last_attempt_at = 0.0
-        self._kept_at = 0.0
+        self._kept_at = -math.inf
         self._failed_at = 0.0
         self._unreachable_since = 0.0
         self._reconnect_at = 0.0
@@ -416,6 +422,7 @@
         without_contact_s = now - self._unreachable_since
         return (
             without_contact_s < RETURN_TIME_S
+            or now - self._kept_at < KEPT_TIME_S
             or self.node.directory.is_ready(self.address)
         )
 
--- a/tests/dataplane/test_fleet.py
+++ b/tests/dataplane/test_fleet.py
@@ -151,7 +151,8 @@
     fleet.connect_all()
     fleet.reactor.run(1.0, 0.05)
     first, second = fleet.nodes
-    # Neither of the two is newer.
+    # Neither of the two is newer, and their node answers nobody.
+    fleet.cut_addresses.add('10.9.9.9:7000')
     for node, slots in ((first, 1), (second, 2)):
         node.merge(fakes.record('10.9.9.9:7000', slots=slots, state='gone'))
     fleet.clear_counts()
@@ -283,3 +284,31 @@
             connection.notify(_frames.Crashes([]))
         fleet.reactor.run(0.2, 0.05)
     assert fleet.frames_by_tag[HELLO] == 0
+
+
+# Guards against a node that stays unknown while the store is away: it was
+# killed before any other one had connected to it, and no call needs it.
+@pytest.mark.parametrize('down_s', [5.0, 45.0])
+@pytest.mark.parametrize('state', ['ready', 'draining', 'gone'])
+def test_node_that_nobody_had_met_becomes_known_without_the_store(
+    make_fleet, state, down_s
+):
+    fleet = make_fleet(36)
+    addresses = fleet.addresses[::3]
+    for node in fleet.nodes:
+        for address in fleet.addresses:
+            if node.address in addresses:
+                continue
+            changes = {'state': state} if address in addresses else {}
+            node.merge(fleet.record(address, **changes))
+    fleet.cut_addresses.update(addresses)
+    fleet.reactor.run(down_s, 0.05)
+    fleet.cut_addresses.clear()
+    for address in addresses:
+        node = fleet.targets_by_address[address]
+        node.announce(fleet.record(address, born_ms=2000))
+    fleet.reactor.run(2 * SPREAD_S, 0.05)
+    assert fleet.have_same_records()
+    assert len(fleet.nodes[0].directory.records()) == 36
+    for address in addresses:
+        assert fleet.nodes[1].directory.is_ready(address)
--- a/tests/dataplane/test_node.py
+++ b/tests/dataplane/test_node.py
@@ -45,8 +45,9 @@
 
 # Guards against a node whose target has left and that takes the idle target
 # for the state of the whole service, so that it sheds nothing for it.
-@pytest.mark.parametrize('address', [NODE, 'n2'])
+@pytest.mark.parametrize('address', [NODE, '10.0.0.2:7000'])
 def test_only_ready_targets_report_for_their_service(node, reactor, address):
+    node.peer(address).keep_connected = lambda: None
     record = fakes.record(address)
     node.announce(record) if address == NODE else node.merge(record)
     node.receive_load(node.target_side.load(), address, reactor.now())
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -32,9 +32,6 @@
 #: Longest time until a process handles signals, in seconds.
 MAX_START_S = 20.0
 
-_NODE_CONNECTIONS = re.compile(
-    r'^rosemarycrank_node_connections ([0-9.]+)', re.MULTILINE
-)
 # Signals that a process catches, as a mask in hexadecimal digits.
 _CAUGHT_SIGNALS = re.compile(r'SigCgt:\s+([0-9a-f]+)')
 _REQUEST_ID_KEY = 'HTTP_X_ROSEMARYCRANK_REQUEST_ID'
@@ -381,22 +378,6 @@
                 f'{ip} does not know all targets',
             )
 
-    def wait_until_nodes_are_connected(self):
-        """Wait until each node has connections to and from all others.
-
-        Nodes open them a moment after they have learned of each other.
-        """
-        count = 2 * (len(self.ips) - 1)
-        for ip in self.ips:
-            self.wait_until(
-                lambda ip=ip: self._node_connections(ip) >= count,
-                f'{ip} is not connected to all others',
-            )
-
-    def _node_connections(self, ip):
-        _, text = exchange(ip, _program.METRICS_PORT, 'GET', '/metrics')
-        return float(_NODE_CONNECTIONS.search(text)[1])
-
     def resident_mb(self, ip):
         """Return the resident memory of a node, in MB; 0 if it has ended."""
         try:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -263,9 +263,6 @@
 def test_target_that_left_is_not_used_after_a_restart_of_its_node(
     cluster, number, store_mode
 ):
-    # Without the store, a node that starts again knows of others only from
-    # those that were connected to it.
-    cluster.wait_until_nodes_are_connected()
     target = cluster.target(cluster.ips[0])
     target.stop_heartbeats()
     late_heartbeat = target.next_heartbeat()
