Let clients of the soak make nodes hold much

The soak had no clients that hold memory of a node, so that a node killed above its limit was not to be seen in it. In three of ten seeds a series beside the faults now opens 20 connections at a time with unfinished heads, heartbeats or frames, or unread responses, keeps them for up to 2.5 s, and checks that the node has at most 0.9 of its memory. It draws from a generator of its own, so that the faults of all seeds stay as they are, and ends with the other series. Runs with planned work only have none: they may refuse no request.

--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -28,6 +28,8 @@
 import gevent
 
 from benchmarks import _builds
+from benchmarks import _memory_loads
+from rosemarycrank.platform import _settings
 from tests.soak import place as soak_place
 
 #: Maximum seconds after the last fault until requests are served again.
@@ -49,6 +51,19 @@
 CALLED_WORK_S = 0.01
 SLOW_CALLED_WORK_S = 1.2
 
+#: Share of the seeds in which clients make nodes hold much, what they send,
+#: the connections of each series, and the share of its memory that a node may
+#: take.
+LOAD_SEEDS_SHARE = 0.3
+LOAD_KINDS = (
+    _memory_loads.UnfinishedHeads,
+    _memory_loads.UnfinishedHeartbeats,
+    _memory_loads.UnreadResponses,
+    _memory_loads.UnfinishedFrames,
+)
+LOAD_CONNECTIONS = 20
+MAX_MEMORY_SHARE = 0.9
+
 #: Signals at a start: the most of a series, the longest time between two, in
 #: seconds, and the share of the starts that SIGTERM ends.
 MAX_EARLY_SIGNALS = 8
@@ -78,11 +93,14 @@
         self.cluster = cluster
         self.early_signals = early_signals
         self.random = soak_place.random_for(seed)
+        # Another generator, so that the faults of a seed stay as they are.
+        self._load_random = soak_place.random_for(f'loads-{seed}')
         self.seconds = seconds
         self.planned_only = planned_only
         self.version = 1
         self.log = []
         self.failed_starts = []
+        self.memory_violations = []
         self._disrupted_ips = set()
 
     def run(self):
@@ -98,6 +116,8 @@
         injectors = [
             gevent.spawn(self._inject_faults, until) for _ in range(3)
         ]
+        if self._has_loads():
+            injectors.append(gevent.spawn(self._play_loads, until))
         if cluster.build_sequence is not None:
             injectors.append(gevent.spawn(self._restart_nodes, until))
         gevent.joinall(injectors, raise_error=True)
@@ -105,7 +125,8 @@
         cluster.heal()
         cluster.set_work('archive', CALLED_WORK_S)
         self._restart_exited_nodes()
-        violations = self.failed_starts + self._check_recovery()
+        violations = self.failed_starts + self.memory_violations
+        violations += self._check_recovery()
         return violations + cluster.find_violations(self.planned_only)
 
     def _start_clients(self, until):
@@ -136,6 +157,27 @@
             gevent.sleep(self.random.uniform(0.0, 0.8))
             self.random.choice(faults)(self.random.uniform(0.1, 2.5))
 
+    def _has_loads(self):
+        return (
+            not self.planned_only
+            and self._load_random.random() < LOAD_SEEDS_SHARE
+        )
+
+    def _play_loads(self, until):
+        """Open connections that make a node hold much, in series."""
+        while gevent.get_hub().loop.now() < until:
+            ip = self._load_random.choice(self.cluster.ips)
+            load = self._load_random.choice(LOAD_KINDS)(ip)
+            self._log_fault('load', type(load).__name__, ip)
+            load.run(LOAD_CONNECTIONS)
+            gevent.sleep(self._load_random.uniform(0.1, 2.5))
+            used_mb = self.cluster.resident_mb(ip)
+            load.close()
+            if used_mb > MAX_MEMORY_SHARE * _settings.DEFAULT_MEMORY_MB:
+                self.memory_violations.append(
+                    f'memory: {ip} has {used_mb:.0f} MB'
+                )
+
     def _restart_nodes(self, until):
         """Restart one node after the other, as in a rolling upgrade."""
         restarts = [self._stop_node]
