--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -230,7 +230,7 @@
         elif elapsed_s > limits.idle_timeout_s:
             self.close()
 
-    def refuse_unfinished(self):
+    def give_up_unfinished(self):
         """Refuse the request that is not complete, for want of memory."""
         self._reject(_http1.NoMemoryError(0, self.server.budget))
 
@@ -391,7 +391,7 @@
         """Remove a closed connection."""
         self._connections.discard(connection)
 
-    def refuse_newer(self):
+    def refuse_newest_unfinished(self):
         """Refuse the newest request that is not complete.
 
         Returns
@@ -406,7 +406,7 @@
         )
         if newest is None:
             return False
-        newest.refuse_unfinished()
+        newest.give_up_unfinished()
         return True
 
     def close_longest_idle(self):
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -264,7 +264,7 @@
         )
         self.memory_guard.subscribe(
             'unfinished_requests',
-            self.clients.refuse_newer,
+            self.clients.refuse_newest_unfinished,
             MAX_UNFINISHED_SHED,
         )
         self.memory_guard.subscribe(
--- a/tests/dataplane/test_freed_connections.py
+++ b/tests/dataplane/test_freed_connections.py
@@ -128,7 +128,7 @@
             gevent.sleep(0.0)
         gevent.sleep(PASS_S)
         assert _count(_memory.HeldBuffer) == 1
-        assert server.refuse_newer()
+        assert server.refuse_newest_unfinished()
         assert _count(_memory.HeldBuffer) == 0
         assert _count(_clients.ClientConnection) == 1
     server.close()
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -314,13 +314,13 @@
     older.received(HEAD % MB)
     entry.node.reactor.run(0.1)
     newer.received(CHUNKED + b'3\r\nabc\r\n')
-    assert entry.server.refuse_newer()
+    assert entry.server.refuse_newest_unfinished()
     (refusal,) = newer.stream.sent
     assert refusal.startswith(b'HTTP/1.1 503 ')
     assert b'Retry-After: ' in refusal
     assert not older.stream.sent
-    assert entry.server.refuse_newer()
-    assert not entry.server.refuse_newer()
+    assert entry.server.refuse_newest_unfinished()
+    assert not entry.server.refuse_newest_unfinished()
     entry.end_attempt(_frames.Outcome.COMPLETE)
     assert running.stream.sent[0].startswith(b'HTTP/1.1 200 ')
     assert idle.stream.is_open
