--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -293,7 +293,7 @@
         elif elapsed_s > limits.idle_timeout_s:
             self.close()
 
-    def refuse_unfinished(self):
+    def give_up_unfinished(self):
         """Refuse the request that is not complete, for want of memory."""
         head = self._reader.unfinished_head
         if head is None:
@@ -603,7 +603,7 @@
         newest = next(reversed(self._unfinished), None)
         if newest is None or newest is connection:
             return False
-        newest.refuse_unfinished()
+        newest.give_up_unfinished()
         return True
 
     def refuse_newest_unfinished(self):
@@ -623,7 +623,7 @@
         )
         if newest is None:
             return False
-        newest.refuse_unfinished()
+        newest.give_up_unfinished()
         return True
 
     def close_longest_idle(self):
