Refuse figures in documents that do not fit into frames

A configuration whose version has more than 64 bits, or is 2**64, was installed, and no ping, notice or handshake could be encoded as long as it stood: OverflowError in encode, from the pings to all nodes. The same held for the priority of a route in each attempt, and for time-outs whose milliseconds do not fit. A withdrawal could name any number as the start of a target.

One table has the ranges of all figures that are read from the configuration, from rows of targets, crashes and costs, and from heartbeats; attrs validators use it for the configuration. What is out of range is refused where it is read, with a line that names source, field and reason; the line about configurations is limited now to one per second. What was valid before stays in force. The ranges of a configuration are wide, so that what is odd and can be followed, as a negative weight, is still accepted.

--- a/rosemarycrank/dataplane/_cost_rows.py
+++ b/rosemarycrank/dataplane/_cost_rows.py
@@ -11,6 +11,7 @@
 
 from rosemarycrank.dataplane import _cost_changes
 from rosemarycrank.dataplane import _discovery
+from rosemarycrank.dataplane import _ranges
 from rosemarycrank.dataplane import _stored_costs
 from rosemarycrank import decoding
 
@@ -90,7 +91,8 @@
             return
         try:
             stored = decoding.decode(_DECODER, row.value)
-        except decoding.DecodeError as error:
+            _check_costs(stored)
+        except ValueError as error:
             _LOG.warning(
                 'cannot decode the stored costs of %s: %s',
                 row.key,
@@ -124,3 +126,11 @@
             },
         )
         self._publisher.publish(msgspec.json.encode(snapshot))
+
+
+def _check_costs(stored):
+    for cost in stored.costs_by_route.values():
+        for count in cost.values():
+            _ranges.check('calls_per_request', count)
+    for call in stored.calls:
+        _ranges.check('calls_per_request', call.count)
--- a/rosemarycrank/dataplane/_crash_rows.py
+++ b/rosemarycrank/dataplane/_crash_rows.py
@@ -12,6 +12,7 @@
 
 from rosemarycrank.dataplane import _discovery
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _ranges
 from rosemarycrank import decoding
 
 #: Prefix of the keys of these rows; the address of the node follows.
@@ -108,5 +109,5 @@
         *fact.proven,
         *fact.watched,
     )
-    if not all(0 <= number < 2**63 for number in numbers):
-        raise ValueError('number out of range')
+    for number in numbers:
+        _ranges.check('crash', number)
--- a/rosemarycrank/dataplane/_directory.py
+++ b/rosemarycrank/dataplane/_directory.py
@@ -7,6 +7,7 @@
 
 from rosemarycrank import addresses
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _ranges
 
 READY = 'ready'
 DRAINING = 'draining'
@@ -17,11 +18,6 @@
 #: Maximum number of removed records that are remembered.
 MAX_REMOVED = 10000
 
-#: Largest values of a record. All decoders and encoders take them, and a start
-#: in Unix milliseconds and a count of heartbeats stay far below.
-MAX_SLOTS = 1_000_000
-MAX_NUMBER = 2**53
-
 #: Length of the digest of a record, in bytes.
 _DIGEST_BYTES = 7
 
@@ -75,13 +71,9 @@
     ValueError
         If one is out of range.
     """
-    for name, value, largest in (
-        ('slots', slots, MAX_SLOTS),
-        ('start', born_ms, MAX_NUMBER),
-        ('sequence', sequence, MAX_NUMBER),
-    ):
-        if not 0 <= value <= largest:
-            raise ValueError(f'{name}: got {value}, allowed 0 to {largest}')
+    _ranges.check('slots', slots)
+    _ranges.check('start', born_ms)
+    _ranges.check('sequence', sequence)
 
 
 def range_of(node):
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -23,6 +23,7 @@
 from rosemarycrank.dataplane import _peer_connection
 from rosemarycrank.dataplane import _peers
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank.dataplane import _restart_times
 from rosemarycrank.dataplane import _suspect_place
 from rosemarycrank.dataplane import _suspect_runs
@@ -36,6 +37,9 @@
 #: seconds. It may be cut off from all of them.
 INFORMATION_TIMEOUT_S = 1.0
 
+#: Shortest time between two lines about invalid configurations, in seconds.
+INVALID_LINE_INTERVAL_S = 1.0
+
 #: Time after its crash for which a target gets no work unless its node has a
 #: newer record, in seconds.
 ENDED_TARGET_S = 10.0
@@ -172,6 +176,9 @@
         self._has_met_node = False
         self._listener = None
         self._cost_reports = _cost_reports.CostReports(costs)
+        self._invalid_lines = _repeated_lines.RepeatedLines(
+            INVALID_LINE_INTERVAL_S
+        )
         reactor.timers.every(PEER_CHECK_INTERVAL_S, self._check_peers)
         reactor.timers.every(
             _inbound.SILENCE_CHECK_INTERVAL_S, self._check_silence
@@ -283,12 +290,7 @@
         try:
             configuration = self.decode_configuration(body)
         except ValueError as error:
-            _LOG.error(
-                'invalid configuration from %s ignored: %s',
-                source,
-                error,
-                extra={'event': 'configuration_invalid'},
-            )
+            self._log_invalid_configuration(source, error)
             return
         if not self._is_news(configuration, is_stored):
             return
@@ -309,6 +311,19 @@
         for callback in self.on_configuration:
             self.reactor.guard.call(callback, configuration)
 
+    def _log_invalid_configuration(self, source, error):
+        lines = self._invalid_lines
+        if not lines.suppress(self.reactor.now()):
+            _LOG.error(
+                'invalid configuration from %s ignored: %s',
+                source,
+                error,
+                extra={
+                    'event': 'configuration_invalid',
+                    'suppressed': lines.take_suppressed(),
+                },
+            )
+
     def _is_news(self, configuration, is_stored):
         """Return whether a configuration replaces the one in force.
 
--- a/rosemarycrank/dataplane/_routes.py
+++ b/rosemarycrank/dataplane/_routes.py
@@ -3,6 +3,7 @@
 import attrs
 
 from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _ranges
 
 
 @attrs.frozen
@@ -10,7 +11,7 @@
     """A service and its weight in the distribution of a route's requests."""
 
     service: str
-    weight: float
+    weight: float = attrs.field(validator=_ranges.validate)
 
 
 @attrs.frozen
@@ -43,10 +44,15 @@
     path_prefix: bytes
     services: tuple
     idempotent: bool
-    max_attempts: int
-    timeout_s: float
-    latency_goal_s: float
-    priority: int
+    max_attempts: int = attrs.field(validator=_ranges.validate)
+    timeout_s: float = attrs.field(validator=_ranges.validate)
+    latency_goal_s: float = attrs.field(validator=_ranges.validate)
+    priority: int = attrs.field(validator=_ranges.validate)
+
+
+def _check_limits(_instance, _attribute, limits):
+    for field in attrs.fields(type(limits)):
+        _ranges.check(field.name, getattr(limits, field.name))
 
 
 @attrs.frozen(eq=False)
@@ -65,9 +71,9 @@
         The encoded document, to be sent to peers that lack this version.
     """
 
-    version: int
+    version: int = attrs.field(validator=_ranges.validate)
     routes: tuple
-    limits: _http1.Limits
+    limits: _http1.Limits = attrs.field(validator=_check_limits)
     body: bytes
     _routes_by_host: dict = attrs.field(init=False, factory=dict)
 
--- a/rosemarycrank/platform/_configuration.py
+++ b/rosemarycrank/platform/_configuration.py
@@ -45,6 +45,13 @@
 
 
 def _decode_route(route):
+    try:
+        return _convert_route(route)
+    except ValueError as error:
+        raise ValueError(f'route {route.name}: {error}') from error
+
+
+def _convert_route(route):
     weighted_services = route.weighted_services or [
         _WeightedService(route.service)
     ]
--- a/rosemarycrank/platform/_heartbeats.py
+++ b/rosemarycrank/platform/_heartbeats.py
@@ -79,8 +79,10 @@
     Raises
     ------
     ValueError
-        If the body is not a JSON object.
+        If the body is not a JSON object, or the start is out of range.
     """
     if not body:
         return 0
-    return decoding.decode(_WITHDRAWAL_DECODER, body).born
+    born_ms = decoding.decode(_WITHDRAWAL_DECODER, body).born
+    dataplane.check_numbers(0, born_ms, 0)
+    return born_ms
