Name the handler of a connection that fails before it is called

A handler may close its stream and fail then. A stream that forgets its owner when it is closed has no name for the line in the log. No change for callers.

--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -341,13 +341,14 @@
                 return False
             self._close_and_report(error)
             return True
+        handler = self.owner.received
         try:
             if data:
-                self.owner.received(data)
+                handler(data)
             else:
                 self._close_and_report(None)
         except Exception:
-            self._end_by_failure(self.owner.received)
+            self._end_by_failure(handler)
         return True
 
     def _end_by_failure(self, callback):
@@ -389,11 +390,12 @@
             return
         if self._ends_when_sent:
             self._shutdown_socket()
-        if self.on_drained is not None:
+        handler = self.on_drained
+        if handler is not None:
             try:
-                self.on_drained()
+                handler()
             except Exception:
-                self._end_by_failure(self.on_drained)
+                self._end_by_failure(handler)
 
     def _shutdown_socket(self):
         try:
