Charge attempts at other nodes and what waits to be sent to them

What callers saw: an entry node whose memory grows beyond its account while a target's node is silent. Cause: an attempt with a body below 64 KB is kept encoded until its result, and copied again when its stream joins what it has not sent; neither was in an account. What was sent of cancelled attempts stayed in the stream until the connection was replaced.

Now the budget `node_output` has the encoded attempts, twice their size, until they end, and what is unsent at a cancellation and at each check of the peer. An attempt that does not fit is not sent, and goes elsewhere or is refused as not run.

Evidence: the tests in virtual time need the new budget.

--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -85,6 +85,8 @@
     ----------
     attempt_budget, result_budget : Budget
         Memory for large attempts and results of other nodes.
+    output_budget : Budget
+        Memory for attempts at other nodes, and for what waits to be sent.
     input_budget : Budget
         Memory for connections of other nodes and their unfinished frames.
     configuration : Configuration or None
@@ -138,6 +140,7 @@
         memory = memory or _memory.MemoryAccount()
         self.attempt_budget = memory.budget('node_attempts')
         self.result_budget = memory.budget('node_results')
+        self.output_budget = memory.budget('node_output')
         self.input_budget = _inbound_connections.budget(memory)
         self.reactor = reactor
         self.address = address
--- a/rosemarycrank/dataplane/_peer_connection.py
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -107,6 +107,7 @@
         )
         self._hold = _memory.Hold(self.node.input_budget)
         self._unfinished_bytes = 0
+        self._unsent_hold = _memory.Hold(self.node.output_budget)
         self._probe = None
         self._connecting_checks = 0
         self._unconfirmed_bytes = 0
@@ -236,20 +237,33 @@
 
     def closed(self, error):
         """Report the loss of the connection to the peer."""
-        self._release_input()
+        self._release_memory()
         self.peer.connection_lost(error)
 
     def close(self):
         """Close the connection and discard what has not been delivered."""
         self._close_probe()
-        self._release_input()
+        self._release_memory()
         # A reset discards data in transit, so that it cannot arrive after
         # the data that is sent over a new connection.
         self.stream.close(reset=True)
 
-    def _release_input(self):
+    def hold_unsent(self):
+        """Charge what waits to be sent, also of cancelled attempts.
+
+        Called periodically, and after a cancellation.
+        """
+        hold = self._unsent_hold
+        unsent_bytes = self.stream.unsent_bytes
+        if unsent_bytes != hold.size:
+            # Further attempts do not fit, beyond the limit.
+            hold.budget.take(unsent_bytes - hold.size)
+            hold.size = unsent_bytes
+
+    def _release_memory(self):
         # The objects of a connection refer to each other, so that they are
         # freed by a rare garbage collection only.
+        self._unsent_hold.release()
         self._hold.release()
         self._reader.discard()
 
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -163,6 +163,9 @@
             on_result,
             client,
         )
+        if not self._hold(pending):
+            on_result(pending.result_without_memory())
+            return
         self._pending_by_number[attempt.number] = pending
         self.sent_since_load += 1
         self._quiet_until = 0.0
@@ -173,6 +176,29 @@
         elif connection.is_ready:
             self._write(pending)
 
+    def _hold(self, pending):
+        """Take memory for an attempt; return whether it fits."""
+        budget = self.node.output_budget
+        size = pending.memory_bytes()
+        if budget.take_if_fits(size, size):
+            pending.held_bytes = size
+            return True
+        budget.refusals += 1
+        budget.log_refusal(
+            self.node.reactor.now(),
+            size,
+            target_node=self.address,
+            attempt=pending.number,
+        )
+        return False
+
+    def _pop(self, number):
+        """Remove and return a pending attempt; None if there is none."""
+        pending = self._pending_by_number.pop(number, None)
+        if pending is not None:
+            self.node.output_budget.take(-pending.held_bytes)
+        return pending
+
     def keep_connected(self):
         """Open a connection if there is none; keep it while this is called."""
         self._kept_at = self.node.reactor.now()
@@ -181,7 +207,7 @@
 
     def cancel(self, number):
         """Cancel an attempt; its result is ignored."""
-        pending = self._pending_by_number.pop(number, None)
+        pending = self._pop(number)
         if pending is not None and pending.sent_to_incarnation:
             self._cancellations.add(number)
             self._quiet_until = 0.0
@@ -189,6 +215,7 @@
                 self._connection.stream.write(
                     _frames.encode(_frames.Cancel(number))
                 )
+                self._connection.hold_unsent()
 
     def notify(self, frame):
         """Send a notification if the peer is connected."""
@@ -225,6 +252,8 @@
         if self.leaving and now > self._leaving_since + LEAVING_EXPIRY_S:
             self.leaving = False
         connection = self._connection
+        if connection is not None:
+            connection.hold_unsent()
         needs_peer = self._needs_peer
         idle_s = now - self._last_attempt_at
         if connection is None:
@@ -354,7 +383,7 @@
         now : float
             Time of receipt, in seconds of the node's clock.
         """
-        pending = self._pending_by_number.pop(result.number, None)
+        pending = self._pop(result.number)
         if result.load is not None:
             self._update_load(result.load, now)
         if pending is not None:
@@ -481,7 +510,7 @@
             connection.stream.write(_frames.encode(_frames.Cancel(number)))
 
     def _finish(self, pending, result):
-        if self._pending_by_number.pop(pending.number, None) is not None:
+        if self._pop(pending.number) is not None:
             pending.on_result(result)
 
     def _update_load(self, load, now):
--- a/rosemarycrank/dataplane/_pending_attempts.py
+++ b/rosemarycrank/dataplane/_pending_attempts.py
@@ -3,6 +3,11 @@
 import attrs
 
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _memory
+
+#: Copies of an encoded attempt: it is kept to be sent again, and a stream
+#: joins what it has not sent.
+ENCODED_COPIES = 2
 
 
 @attrs.define(eq=False, slots=True)
@@ -23,6 +28,8 @@
         Called once with the `Result`.
     client : ClientConnection
         Connection on which the request arrived.
+    held_bytes : int
+        Memory that it takes of the budget for output to nodes.
     """
 
     number: int
@@ -31,6 +38,19 @@
     sent_to_incarnation: int
     on_result: object
     client: object
+    held_bytes: int = 0
+
+    def memory_bytes(self):
+        """Return the memory that it takes beside that of its request.
+
+        A large body is that of the request, which is charged for it.
+        """
+        size = sum([len(part) for part in self.parts if type(part) is bytes])
+        return _memory.MESSAGE_OVERHEAD_BYTES + ENCODED_COPIES * size
+
+    def result_without_memory(self):
+        """Return the result when it is not sent for want of memory."""
+        return self._result(_frames.Outcome.NOT_RUN, _frames.Reason.QUEUE_FULL)
 
     def result_without_peer(self, process_ended):
         """Return the result when the peer cannot be reached.
--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -343,3 +343,84 @@
         )
         most = max(most, kept)
     assert most <= 3 * _peer_connection.MAX_UNCONFIRMED_BYTES
+
+
+def _send_body(simulation, body, client=None):
+    simulation.entry.last_attempt_number += 1
+    results = []
+    simulation.entry.peer(TARGET).send(
+        fakes.attempt(
+            simulation.entry.last_attempt_number,
+            instance=f'i-{TARGET}',
+            body=body,
+        ),
+        results.append,
+        client or fakes.RecordingConnection(),
+    )
+    return results
+
+
+# Guards against a node above its memory by attempts at a node that is silent:
+# their encoded copies were in no account.
+def test_attempts_at_a_silent_node_stay_within_their_budget(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    simulation.ignores_connections = True
+    budget = simulation.entry.output_budget
+    body = b'x' * 60_000
+    count = budget.limit_bytes // len(body)
+    sent = [_send_body(simulation, body) for _ in range(count)]
+    refused = [results[0] for results in sent if results]
+    assert 0.1 * count < len(refused) < 0.9 * count
+    for result in refused:
+        assert result.outcome == _frames.Outcome.NOT_RUN
+        assert result.reason == _frames.Reason.QUEUE_FULL
+    pending = count - len(refused)
+    assert pending * len(body) < budget.used_bytes <= budget.limit_bytes
+    assert not sent[0]
+    reactor.run(2.0)
+    assert all(sent)
+    assert budget.used_bytes == 0
+
+
+def test_memory_of_ended_and_cancelled_attempts_is_given_back(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    budget = simulation.entry.output_budget
+    body = b'x' * 60_000
+    first = _send_body(simulation, body)
+    _send_body(simulation, body)
+    simulation.entry.peer(TARGET).cancel(2)
+    assert len(body) < budget.used_bytes < 3 * len(body)
+    reactor.run(1.0)
+    assert first
+    assert budget.used_bytes == 0
+
+
+# Guards against output of cancelled attempts that a node does not read: it
+# stayed in the stream, but in no account.
+def test_unsent_output_of_cancelled_attempts_is_charged(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    _send(simulation)
+    reactor.run(1.0)
+    peer = simulation.entry.peer(TARGET)
+    budget = simulation.entry.output_budget
+    (link,) = simulation.links
+    _send_body(simulation, b'x' * 60_000)
+    link.unsent_bytes = 60_000
+    peer.cancel(2)
+    assert budget.used_bytes == 60_000
+    link.unsent_bytes = 0
+    reactor.run(0.5)
+    assert budget.used_bytes == 0
+    link.unsent_bytes = 50_000
+    peer.cancel(9)
+    _send_body(simulation, b'x' * 60_000)
+    peer.cancel(3)
+    assert budget.used_bytes == 50_000
+    peer.close()
+    assert budget.used_bytes == 0
