--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -137,6 +137,7 @@
         self.send = None
         self.has_unsent = _have_none
         self._budget = budget
+        self._accept_limit_bytes = ACCEPT_SHARE * budget.limit_bytes
         self.catch_up = _do_nothing
         self.is_lost = False
         self.lost_at = 0.0
@@ -167,8 +168,10 @@
             for number, job in self.jobs_by_number.items()
             if number < oldest and job.result is not None
         ]
+        held_bytes = 0
         for number in ended:
-            self._remove(number)
+            held_bytes += self.jobs_by_number.pop(number).held_bytes
+        self._budget.take(-held_bytes)
 
     def hold_attempt(self, job):
         """Take memory for an attempt that has arrived.
@@ -178,12 +181,15 @@
         bool
             Whether it fits.
         """
-        self.has_attempted = True
         if self.is_local:
             return True
+        self.has_attempted = True
         budget = self._budget
-        size = ATTEMPT_BYTES + _own_bytes(job.attempt)
-        if budget.used_bytes + size > ACCEPT_SHARE * budget.limit_bytes or (
+        attempt = job.attempt
+        size = ATTEMPT_BYTES + len(attempt.head)
+        if attempt.body:
+            size += _own_bytes(attempt.body)
+        if budget.used_bytes + size > self._accept_limit_bytes or (
             not budget.take_if_fits(size, size)
         ):
             budget.refusals += 1
@@ -196,17 +202,19 @@
 
         It may exceed the limit: a result that is ready is delivered.
         """
-        if (
-            self.is_local
-            or self.jobs_by_number.get(job.attempt.number) is not job
-        ):
+        if not job.held_bytes:
+            # It is that of this node, or not kept.
             return
-        size = _own_bytes(job.result)
+        result = job.result
+        size = len(result.head)
+        if result.body:
+            size += _own_bytes(result.body)
         if self.has_unsent():
             size *= 2
         size += ATTEMPT_BYTES
-        self._budget.take(size - job.held_bytes)
-        job.held_bytes = size
+        if size != job.held_bytes:
+            self._budget.take(size - job.held_bytes)
+            job.held_bytes = size
 
     def forget_results(self):
         """Free the results of a node that is lost, as memory is short.
@@ -268,6 +276,10 @@
         self.by_incarnation = {}
         self.budget = budget or _memory.MemoryAccount().budget('attempts')
         self._response_budget = response_budget
+        if response_budget is not None:
+            self._accept_responses_bytes = (
+                ACCEPT_RESPONSES_SHARE * response_budget.limit_bytes
+            )
         # In the order of their losses.
         self._lost_by_incarnation = {}
 
@@ -283,7 +295,7 @@
         """Return whether the target's responses leave room for another."""
         budget = self._response_budget
         return budget is None or (
-            budget.used_bytes <= ACCEPT_RESPONSES_SHARE * budget.limit_bytes
+            budget.used_bytes <= self._accept_responses_bytes
         )
 
     def is_short(self):
@@ -399,13 +411,13 @@
                 return
 
 
-def _own_bytes(message):
-    """Return the bytes of a message that are not in another budget."""
-    body = message.body
-    size = len(message.head)
+def _own_bytes(body):
+    """Return the bytes of a body that are not in another budget."""
+    if type(body) is bytes:
+        return len(body)
     if type(body) is memoryview or getattr(body, 'hold', None) is not None:
-        return size
-    return size + len(body)
+        return 0
+    return len(body)
 
 
 def _is_refusal(result):
