Charge replies to nodes that do not read them

What callers saw: nothing yet; found by reading. A node, or a stranger behind a handshake, that asks and does not read makes the other one keep its replies in the stream without a bound and in no account; and a connection whose results are not read stayed for as long as its node sent anything.

Output that is not a kept result is charged to `node_input` with its connection from 64 KB on, so that connections are closed for want of room in the same order. A connection that makes no progress for 5 s is closed: its pings are not answered, and its node has opened another one if it runs. Results are kept and sent again. Tests with replies that are not read; by the code before, all of these connections stayed open.

--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -19,6 +19,15 @@
 #: by then.
 MAX_CHECKS_BEFORE_HANDSHAKE = 6
 
+#: Number of these checks without progress after which the connection of a node
+#: that does not read is closed. Its pings are not answered then, so that it
+#: has opened another one if it still runs.
+MAX_CHECKS_WITHOUT_PROGRESS = 20
+
+#: Size from which output that is not read, and is not a result, is charged, in
+#: bytes.
+MIN_CHARGED_NOTICES_BYTES = 65536
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -47,8 +56,12 @@
         self.caller = None
         self._generation = -1
         self._checks_before_handshake = 0
+        self._checks_without_progress = 0
+        self._written_bytes = 0
+        self._sent_at_last_check = 0
+        self._notice_bytes = 0
         self._silent_checks = 0
-        self._unfinished_bytes = 0
+        self._held_bytes = 0
         self._reader = _frame_reader.FrameReader(
             node.attempt_budget, node.input_budget
         )
@@ -92,15 +105,18 @@
         self._has_read_all = len(data) < _reactor.MAX_READ_BYTES
         self._handle_frames()
         self._has_read_all = False
-        self._charge_unfinished()
+        self._charge()
 
-    def _charge_unfinished(self):
-        unfinished_bytes = self._reader.unfinished_bytes
-        if unfinished_bytes == self._unfinished_bytes:
+    def _charge(self):
+        """Charge unfinished frames, and output that is not read."""
+        held_bytes = self._reader.unfinished_bytes
+        if self._notice_bytes >= MIN_CHARGED_NOTICES_BYTES:
+            held_bytes += self._notice_bytes
+        if held_bytes == self._held_bytes:
             return
-        self._unfinished_bytes = unfinished_bytes
+        self._held_bytes = held_bytes
         if self in self.node.inbound_connections:
-            self.node.inbound_connections.charge(self, unfinished_bytes)
+            self.node.inbound_connections.charge(self, held_bytes)
 
     def is_of_known_node(self):
         """Return whether the other node has a target or attempts here."""
@@ -130,6 +146,9 @@
             if self._checks_before_handshake > MAX_CHECKS_BEFORE_HANDSHAKE:
                 self.close()
                 return
+        if not self._is_read():
+            self._close_unread()
+            return
         self._silent_checks += 1
         if self._silent_checks <= MAX_SILENT_CHECKS:
             return
@@ -140,6 +159,36 @@
         )
         self.close()
 
+    def _is_read(self):
+        """Return whether the other node reads its output; a check."""
+        unsent_bytes = self._stream.unsent_bytes
+        if not unsent_bytes and self._notice_bytes:
+            self._notice_bytes = 0
+            self._charge()
+        sent_bytes = self._written_bytes - unsent_bytes
+        if not unsent_bytes or sent_bytes > self._sent_at_last_check:
+            self._checks_without_progress = 0
+        else:
+            self._checks_without_progress += 1
+        self._sent_at_last_check = sent_bytes
+        return self._checks_without_progress <= MAX_CHECKS_WITHOUT_PROGRESS
+
+    def _close_unread(self):
+        """Close a connection whose output is not read.
+
+        Results are kept, and are sent again if the node asks for them.
+        """
+        _LOG.warning(
+            'calling node %s does not read; closing its connection',
+            self.address,
+            extra={
+                'event': 'caller_unread',
+                'checks': self._checks_without_progress,
+                'unsent': self._stream.unsent_bytes,
+            },
+        )
+        self.close()
+
     def closed(self, _error):
         """Record the loss of the connection."""
         self.node.inbound_connections.discard(self)
@@ -167,14 +216,29 @@
 
     def notify(self, frame):
         """Send a notification."""
-        self._stream.write(_frames.encode(frame))
+        self._write_notice(_frames.encode(frame))
+
+    def _write_notice(self, data):
+        """Write what is not a kept result; charge what is not read of it."""
+        if not self._stream.unsent_bytes:
+            self._notice_bytes = 0
+        self._notice_bytes += len(data)
+        self._written_bytes += len(data)
+        self._stream.write(data)
+        if self._notice_bytes >= MIN_CHARGED_NOTICES_BYTES:
+            self._charge()
 
     def _has_unsent(self):
         return self._stream.unsent_bytes > 0
 
     def send_result(self, result):
         """Send the result of an attempt."""
+        if result.number not in self.caller.jobs_by_number:
+            # A refusal that is not kept.
+            self._write_notice(_frames.encode(result))
+            return
         for part in _frames.encode_parts(result):
+            self._written_bytes += len(part)
             self._stream.write(part)
 
     def _handle_frame(self, frame):
--- a/tests/dataplane/test_inbound_connections.py
+++ b/tests/dataplane/test_inbound_connections.py
@@ -35,7 +35,9 @@
         self.unsent_bytes = 0
 
     def write(self, data):
-        """Ignore the output."""
+        """Keep the output, as if the other node did not read."""
+        if self.is_open:
+            self.unsent_bytes += len(data)
 
     def close(self, reset=False):
         self.is_open = False
@@ -290,3 +292,48 @@
     for stranger in _opened(node, strangers):
         stranger.close()
     assert budget.used_bytes == 0
+
+
+# Guards against a node above its memory by nodes that ask and do not read the
+# replies, which were in no account.
+@pytest.mark.parametrize('is_known', [False, True])
+def test_replies_that_are_not_read_stay_within_the_budget(
+    node, connect, is_known
+):
+    pings = _frames.encode(_frames.Ping(-1, 0)) * 500
+    if is_known:
+        node.merge(fakes.record('n2'))
+    reader = connect(_hello(2, 'n2'))
+    others = [connect(_hello(number)) for number in range(10, 60)]
+    for _ in range(20):
+        for connection in _opened(node, others):
+            connection.received(pings)
+        reader._stream.unsent_bytes = 0
+    budget = node.input_budget
+    opened = _opened(node, others)
+    unsent = sum(c._stream.unsent_bytes for c in opened)
+    assert 0 < len(opened) < len(others)
+    assert unsent <= budget.used_bytes <= budget.limit_bytes
+    assert reader in node.inbound_connections
+    for connection in opened:
+        connection._stream.unsent_bytes = 0
+        connection.check_silence()
+    assert budget.used_bytes == (
+        len(node.inbound_connections) * _inbound_connections.CONNECTION_BYTES
+    )
+
+
+# Guards against results for a node that does not read and goes on to send.
+@pytest.mark.parametrize('reads', [False, True])
+def test_connection_of_a_node_that_does_not_read_is_closed(
+    node, connect, reactor, reads
+):
+    connection = connect(_hello(2))
+    stream = connection._stream
+    for _ in range(12):
+        reactor.run(0.5)
+        if connection in node.inbound_connections:
+            connection.received(_frames.encode(_frames.Ping(-1, 0)))
+            stream.unsent_bytes -= reads
+    assert (connection in node.inbound_connections) == reads
+    assert stream.is_open == reads
