Test a node under responses of 16 MB that are not read

Responses that did not fit were cut off and stayed until a garbage collection, as did what closed streams had not sent.

--- a/tests/platform/memory_loads.py
+++ b/tests/platform/memory_loads.py
@@ -133,6 +133,12 @@
         )
 
 
+class UnreadLargestResponses(UnreadResponses):
+    """The same for responses about as large as a target may send."""
+
+    prefix = b'largest'
+
+
 class ManyAhead(UnreadResponses):
     """Many more requests ahead than may be in flight at once."""
 
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -24,6 +24,7 @@
 
 SAMPLE_INTERVAL_S = 0.01
 LARGE_BODY = b'x' * 2_000_000
+LARGEST_BODY = b'x' * 16_000_000
 
 
 class LargeTarget(deployment.Target):
@@ -31,6 +32,8 @@
 
     def body(self, request_id):
         """Return the body of the response to a request."""
+        if request_id.startswith('largest'):
+            return LARGEST_BODY
         if request_id.startswith('large'):
             return LARGE_BODY
         return super().body(request_id)
@@ -140,6 +143,14 @@
     assert all(cluster.is_ready(ip) for ip in cluster.ips)
 
 
+# Guards against the same at the target's node, by responses of 16 MB that are
+# cut off and not freed, or kept while further ones arrive.
+def test_node_survives_the_largest_responses(cluster):
+    load = memory_loads.UnreadLargestResponses(cluster.ips[0])
+    _play(cluster, load, 200).check_served()
+    assert all(cluster.is_ready(ip) for ip in cluster.ips)
+
+
 # Guards against the same by requests ahead. They are more than the node has
 # the processor time to answer, so that others are not served either.
 def test_node_survives_many_requests_ahead(cluster):
