--- a/benchmarks/_memory_run.py
+++ b/benchmarks/_memory_run.py
@@ -16,6 +16,7 @@
 
 SAMPLE_INTERVAL_S = 0.01
 LARGE_BODY = b'x' * 2_000_000
+LARGEST_BODY = b'x' * 16_000_000
 MIDDLE_BODY = b'x' * 36_000
 
 _READ_BYTES = 65536
@@ -30,6 +31,8 @@
 
     def body(self, request_id):
         """Return the body of the response to a request."""
+        if request_id.startswith('largest'):
+            return LARGEST_BODY
         if request_id.startswith('large'):
             return LARGE_BODY
         return super().body(request_id)
--- a/tests/platform/test_memory_limit.py
+++ b/tests/platform/test_memory_limit.py
@@ -80,6 +80,14 @@
     assert all(cluster.is_ready(ip) for ip in cluster.ips)
 
 
+# Guards against the same at the target's node, by responses of 16 MB that are
+# cut off and not freed, or kept while further ones arrive.
+def test_node_survives_the_largest_responses(cluster):
+    load = memory_loads.UnreadLargestResponses(cluster.ips[0])
+    _play(cluster, load, 200).check_served()
+    assert all(cluster.is_ready(ip) for ip in cluster.ips)
+
+
 # Guards against the same by requests ahead. They are more than the node has
 # the processor time to answer, so that others are not served either.
 def test_node_survives_many_requests_ahead(cluster):
