Take line ends within chunks for none of a body's end

A client's body of chunks was given to the parser in parts, each up to the next empty line, since a body may end there. The search came with the reading of heads once they are complete.

Chunks are skipped by their sizes now, runs of small ones by one expression, and only behind the last chunk the end is searched.

--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -74,6 +74,19 @@
 _FIRST_CHUNKED_END = re.compile(rb'\n\r?\n|\A\r?\n')
 _CHUNKED_END = re.compile(rb'\n\r?\n')
 
+# Size of a chunk at the beginning of its line, and the number of its digits
+# that are kept while the line is incomplete: more than a valid size has.
+_CHUNK_SIZE = re.compile(rb'[0-9a-fA-F]*')
+_MAX_CHUNK_DIGITS = 20
+
+# Chunks of up to 63 bytes that stand one behind the other: a step for each of
+# them would take longer than parsing it.
+_SMALL_CHUNKS = re.compile(
+    b'(?:%b)*+'
+    % b'|'.join(b'%x\r\n.{%d}\r\n' % (size, size) for size in range(1, 64)),
+    re.DOTALL | re.IGNORECASE,
+)
+
 # Request target with scheme and authority; groups of authority and rest.
 _ABSOLUTE_TARGET = re.compile(rb'(?i:https?)://([^/?#@]+)([/?][^#]*)?')
 
@@ -323,6 +336,12 @@
         self._body_bytes = 0
         # Size of the body; None if it has chunks.
         self._length = None
+        # Bytes that are missing of a chunk and the end of its line, the
+        # beginning of an incomplete line with a size, and whether the last
+        # chunk has been received.
+        self._chunk_missing_bytes = 0
+        self._chunk_line = b''
+        self._is_behind_chunks = False
         self._has_offer = False
         self._error = None
         self._parser = httptools.HttpRequestParser(self)
@@ -459,19 +478,57 @@
         """Parse chunks up to the end of the body, if it is there.
 
         The parser does not tell where a body ends. So it gets the data in
-        parts, each up to where this may be.
+        parts, each up to where this may be: behind the last chunk.
         """
-        match = _FIRST_CHUNKED_END.search(data, position)
+        pattern = _FIRST_CHUNKED_END
+        start = position
+        if not self._is_behind_chunks:
+            position = self._skip_chunks(data, position)
+            if not self._is_behind_chunks:
+                self._parse_body(data[start:])
+                return len(data)
+            pattern = _CHUNKED_END
+            position -= 1
+        match = pattern.search(data, position)
         while match is not None:
             end = match.end()
-            self._parse_body(data[position:end])
-            position = end
+            self._parse_body(data[start:end])
+            start = end
             if not self.in_body:
-                return position
-            match = _CHUNKED_END.search(data, position - 1)
-        self._parse_body(data[position:])
+                return end
+            match = _CHUNKED_END.search(data, end - 1)
+        self._parse_body(data[start:])
         return len(data)
 
+    def _skip_chunks(self, data, position):
+        """Return the position behind the chunks, or behind all data.
+
+        Their contents may look like the end of a body everywhere.
+        """
+        while position < len(data):
+            if self._chunk_missing_bytes:
+                count = min(self._chunk_missing_bytes, len(data) - position)
+                self._chunk_missing_bytes -= count
+                position += count
+                continue
+            if not self._chunk_line:
+                position = _SMALL_CHUNKS.match(data, position).end()
+            end = data.find(b'\n', position) + 1
+            line = self._chunk_line + data[position : end or len(data)]
+            # Zeros may come without end.
+            line = line.lstrip(b'0')[:_MAX_CHUNK_DIGITS]
+            if not end:
+                self._chunk_line = line
+                return len(data)
+            self._chunk_line = b''
+            position = end
+            size = int(_CHUNK_SIZE.match(line)[0] or b'0', 16)
+            if not size:
+                self._is_behind_chunks = True
+                return position
+            self._chunk_missing_bytes = size + len(_LINE_END_BYTES)
+        return position
+
     def _parse_body(self, data):
         self._parse(data)
         if self.in_body:
@@ -578,6 +635,7 @@
             self._length = int(length)
         else:
             self._length = None
+            self._is_behind_chunks = False
         host_count = [name for name, _ in message.headers].count(b'host')
         if host_count != 1:
             self._reject(400, f'{host_count} Host headers')
