Close a connection of a node at its second handshake

Each handshake makes the state of a caller by its random number, which is forgotten once its connection is lost. A connection that sent one handshake after the other, each with another number, left the states of all but the last behind: they had no connection to lose, and stayed until the process ended. The bound on callers that never sent an attempt counts lost ones only.

A node sends one handshake a connection, so a second one closes it. The test failed before: the connection stayed open.

--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -220,7 +220,10 @@
         self.node.target_side.refuse_unread(self.caller, skipped.number)
 
     def _handle_hello(self, hello):
-        if hello.protocol != _frames.PROTOCOL_VERSION:
+        if (
+            hello.protocol != _frames.PROTOCOL_VERSION
+            or self.caller is not None
+        ):
             self.close()
             return
         self.address = hello.node
--- a/tests/dataplane/test_inbound_connections.py
+++ b/tests/dataplane/test_inbound_connections.py
@@ -290,3 +290,16 @@
     for stranger in _opened(node, strangers):
         stranger.close()
     assert budget.used_bytes == 0
+
+
+# Guards against random numbers of nodes that are kept for as long as one
+# connection stays open.
+def test_connection_has_one_handshake(node, connect):
+    connection = connect(_hello(10))
+    callers = node.target_side.callers.by_incarnation
+    known = len(callers)
+    for number in range(11, 500):
+        if connection in node.inbound_connections:
+            connection.received(_hello(number))
+    assert connection not in node.inbound_connections
+    assert len(callers) == known
