Bound the notifications that a node does not read

A node answers each ping. What it answered to a node, or to a stranger, that sends pings and does not read waited in the stream, in no account and without a limit: 5,000 pings on each of 200 connections left 51 MB of answers beside an account of 0.8 MB (virtual time, without what each piece takes as an object).

What waits is charged to the memory for input of nodes, which is kept for it, and the connection is closed once it does not fit or exceeds 4 MB. The node reconnects, and its attempts go on; results have their own account. The close comes after the event, as callers may go on with the connection.

The tests of unread answers failed before.

--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -5,6 +5,7 @@
 
 from rosemarycrank.dataplane import _frame_reader
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _reactor
 
 #: Seconds between checks for received data, and number of checks without any
@@ -19,6 +20,15 @@
 #: by then.
 MAX_CHECKS_BEFORE_HANDSHAKE = 6
 
+#: Memory of notifications that wait to be sent from which it is charged, and
+#: above which the connection is closed, in bytes: the other node does not
+#: read. A handshake with the records of all targets is smaller.
+MIN_CHARGED_NOTICE_BYTES = 16384
+MAX_NOTICE_BYTES = 4 * 1024 * 1024
+
+#: Memory that a notification takes beside its bytes, in bytes.
+NOTICE_OVERHEAD_BYTES = 64
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -49,6 +59,10 @@
         self._checks_before_handshake = 0
         self._silent_checks = 0
         self._unfinished_bytes = 0
+        # Memory of the notifications that wait to be sent.
+        self._notice_bytes = 0
+        self._notice_hold = _memory.Hold(node.input_budget)
+        self._is_refused = False
         self._reader = _frame_reader.FrameReader(
             node.attempt_budget, node.input_budget
         )
@@ -56,6 +70,7 @@
         self._frames = collections.deque()
         self._has_read_all = False
         self._stream = _reactor.Stream(node.reactor, sock, self)
+        self._stream.on_drained = self._release_notices
 
     @property
     def features(self):
@@ -143,6 +158,7 @@
     def closed(self, _error):
         """Record the loss of the connection."""
         self.node.inbound_connections.discard(self)
+        self._release_notices()
         # Its objects refer to each other, so that they are freed by a rare
         # garbage collection only.
         self._reader.discard()
@@ -166,8 +182,31 @@
         self.closed(None)
 
     def notify(self, frame):
-        """Send a notification."""
-        self._stream.write(_frames.encode(frame))
+        """Send a notification.
+
+        The connection is closed soon if the other node does not read them.
+        """
+        if self._is_refused or not self._stream.is_open:
+            return
+        data = _frames.encode(frame)
+        self._stream.write(data)
+        self._notice_bytes += len(data) + NOTICE_OVERHEAD_BYTES
+        if self._notice_bytes <= MIN_CHARGED_NOTICE_BYTES:
+            return
+        if self._notice_bytes > MAX_NOTICE_BYTES or not self._notice_hold.grow(
+            self._notice_bytes
+        ):
+            self._is_refused = True
+            # Callers may go on with the connection.
+            self.node.reactor.call_soon(self._refuse)
+
+    def _refuse(self):
+        if self._stream.is_open:
+            self.node.inbound_connections.refuse_unread(self)
+
+    def _release_notices(self):
+        self._notice_bytes = 0
+        self._notice_hold.release()
 
     def _has_unsent(self):
         return self._stream.unsent_bytes > 0
--- a/rosemarycrank/dataplane/_inbound_connections.py
+++ b/rosemarycrank/dataplane/_inbound_connections.py
@@ -142,6 +142,10 @@
                 return
             self._refuse(victim, 'memory')
 
+    def refuse_unread(self, connection):
+        """Close a connection whose node does not read what is sent to it."""
+        self._refuse(connection, 'unread')
+
     def _max_without_handshake(self):
         return min(
             MAX_WITHOUT_HANDSHAKE, MAX_WITHOUT_HANDSHAKE_SHARE * self.max_count
--- a/tests/dataplane/test_inbound_connections.py
+++ b/tests/dataplane/test_inbound_connections.py
@@ -292,6 +292,50 @@
     assert budget.used_bytes == 0
 
 
+def _leave_unread(connection):
+    """Have a connection keep what is written to it."""
+    stream = connection._stream
+
+    def write(data):
+        if stream.is_open:
+            stream.unsent_bytes += len(data)
+
+    stream.write = write
+
+
+# Guards against a node above its memory by answers to pings, without end, that
+# the sender does not read.
+@pytest.mark.parametrize('count', [1, CONNECTIONS])
+def test_answers_that_are_not_read_stay_within_their_budget(
+    node, reactor, connect, count
+):
+    connections = [connect(_hello(number)) for number in range(10, 10 + count)]
+    pings = _frames.encode(_frames.Ping(-1, 0)) * 5000
+    for connection in connections:
+        _leave_unread(connection)
+    for _ in range(20):
+        for connection in _opened(node, connections):
+            connection.received(pings)
+        reactor.run(0.01)
+        unsent_bytes = sum(
+            connection._stream.unsent_bytes
+            for connection in _opened(node, connections)
+        )
+        assert unsent_bytes <= node.input_budget.used_bytes
+    assert not _opened(node, connections)
+    assert node.input_budget.used_bytes == 0
+
+
+def test_answers_that_are_read_take_no_memory(node, connect):
+    connection = connect(_hello(10))
+    used_bytes = node.input_budget.used_bytes
+    for _ in range(100):
+        connection.received(_frames.encode(_frames.Ping(-1, 0)) * 1000)
+        connection._stream.on_drained()
+    assert connection in node.inbound_connections
+    assert node.input_budget.used_bytes == used_bytes
+
+
 # Guards against random numbers of nodes that are kept for as long as one
 # connection stays open.
 def test_connection_has_one_handshake(node, connect):
