Read the handshakes of nodes that connect at once

Connections without a handshake may be half of those that other nodes may open, and above that the oldest was closed. Connections are accepted in groups of up to 64, before any of them is read: where half of the room is less, handshakes lay unread in the connections that were closed.

What has arrived on the oldest connection is read before it is closed. The stand-in for a stream in test_inbound_connections has a method to read more, which does nothing; what these tests check is unchanged.

--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -123,6 +123,10 @@
             self.caller is not None and bool(self.caller.jobs_by_number)
         )
 
+    def read_handshake(self):
+        """Handle what has arrived, as it may be the handshake."""
+        self._stream.catch_up()
+
     def catch_up(self, _number):
         """Handle what has arrived, if it may have cancellations."""
         if not self._has_read_all:
--- a/rosemarycrank/dataplane/_inbound_connections.py
+++ b/rosemarycrank/dataplane/_inbound_connections.py
@@ -73,7 +73,7 @@
         self._hold_by_connection[connection] = _memory.Hold(self.budget)
         self._without_handshake[connection] = None
         if len(self._without_handshake) > self._max_without_handshake():
-            self._refuse(next(iter(self._without_handshake)), 'handshakes')
+            self._refuse_oldest_without_handshake()
         if connection in self:
             self.charge(connection, 0)
 
@@ -146,6 +146,17 @@
         """Close a connection whose node does not read what is sent to it."""
         self._refuse(connection, 'unread')
 
+    def _refuse_oldest_without_handshake(self):
+        """Close the oldest connection whose handshake has not arrived."""
+        for oldest in list(self._without_handshake):
+            # Connections are accepted in groups, before any is read.
+            oldest.read_handshake()
+            if len(self._without_handshake) <= self._max_without_handshake():
+                return
+            if oldest in self._without_handshake:
+                self._refuse(oldest, 'handshakes')
+                return
+
     def _max_without_handshake(self):
         return min(
             MAX_WITHOUT_HANDSHAKE, MAX_WITHOUT_HANDSHAKE_SHARE * self.max_count
--- a/tests/dataplane/test_inbound_connections.py
+++ b/tests/dataplane/test_inbound_connections.py
@@ -40,6 +40,9 @@
     def close(self, reset=False):
         self.is_open = False
 
+    def catch_up(self):
+        """Read nothing: input is passed by the tests."""
+
     def unacknowledged_bytes(self):
         return 0
 
