Keep connections of clients while others hold all memory

While the account of the process was full, as by responses that others do not read, a new connection took its 4 KB by closing kept connections that had been idle for half a second, a twentieth at a time, until none was left, as they held too little. Then it was reset itself, with the request on it unanswered. In the test one new connection closed all 50 others.

Kept connections are closed only for want of room in that budget.

--- a/rosemarycrank/dataplane/_clients.py
+++ b/rosemarycrank/dataplane/_clients.py
@@ -712,8 +712,15 @@
 
     def _hold_connection(self):
         """Return memory for a new connection, or None if there is none."""
-        hold = _memory.Hold(self.connection_budget)
+        budget = self.connection_budget
+        hold = _memory.Hold(budget)
         while not hold.grow(CONNECTION_BYTES):
+            if budget.used_bytes + CONNECTION_BYTES <= budget.limit_bytes:
+                # Others hold the memory. A request on the connection is
+                # answered, if only with a refusal.
+                budget.take(CONNECTION_BYTES)
+                hold.size = CONNECTION_BYTES
+                return hold
             if not self.refuse_newer() and not self._make_room():
                 return None
         return hold
