Let all nodes of a large fleet call the target of one

The bound on connections of other nodes, 0.2 of the descriptors, was the same for nodes that are known and for strangers. A service of up to 12 targets has callers on all nodes: with 1,024 descriptors a node kept 200 of them, with 4,100 it kept 816, and closed the newest one of a larger fleet at each connection, with its attempts (by arithmetic; no run with so many nodes).

Known nodes may take 0.35 of the descriptors while there are no strangers, which go first as before. The test failed before: 20 of 35 known nodes kept their connections.

--- a/rosemarycrank/dataplane/_descriptor_shares.py
+++ b/rosemarycrank/dataplane/_descriptor_shares.py
@@ -8,9 +8,11 @@
 OWN_COUNT = 20
 
 #: Share of the others that connections of clients may take, those that other
-#: nodes open, and those to each small server.
+#: nodes open, those of known nodes while there are no others, and those to
+#: each small server. All nodes of a large fleet may call the target of one.
 CLIENTS_SHARE = 0.55
 NODES_SHARE = 0.2
+KNOWN_NODES_SHARE = 0.35
 SMALL_SERVER_SHARE = 0.02
 
 #: Number of connections to a small server that may always be open.
@@ -39,6 +41,17 @@
     return max(1, int(NODES_SHARE * (max_descriptors - OWN_COUNT)))
 
 
+def known_nodes(max_descriptors):
+    """Return the number of connections that known nodes may keep open.
+
+    Parameters
+    ----------
+    max_descriptors : int
+        Number of descriptors that the process may open.
+    """
+    return max(1, int(KNOWN_NODES_SHARE * (max_descriptors - OWN_COUNT)))
+
+
 def small_server(max_descriptors):
     """Return the number of connections to one port of a small server.
 
--- a/rosemarycrank/dataplane/_inbound_connections.py
+++ b/rosemarycrank/dataplane/_inbound_connections.py
@@ -47,13 +47,16 @@
     Attributes
     ----------
     max_count : float
-        Maximum number of connections.
+        Maximum number of connections, unless all are of known nodes.
+    max_known_count : float
+        Maximum number of connections of known nodes.
     """
 
     def __init__(self, reactor, budget):
         self.reactor = reactor
         self.budget = budget
         self.max_count = math.inf
+        self.max_known_count = math.inf
         # In the order of their arrival, as the next one.
         self._hold_by_connection = {}
         self._without_handshake = {}
@@ -96,8 +99,12 @@
             self._known[connection] = None
         else:
             self._strangers[connection] = None
-        if len(self._strangers) + len(self._known) > self.max_count:
-            victim = self._newest_stranger() or self._newest_known()
+        if len(self._strangers) + len(self._known) <= self.max_count:
+            return
+        victim = self._newest_stranger()
+        if victim is None and len(self._known) > self.max_known_count:
+            victim = self._newest_known()
+        if victim is not None:
             self._refuse(victim, 'connections')
 
     def charge(self, connection, unfinished_bytes):
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -228,6 +228,9 @@
         self.node.inbound_connections.max_count = _descriptor_shares.nodes(
             settings.max_descriptors
         )
+        self.node.inbound_connections.max_known_count = (
+            _descriptor_shares.known_nodes(settings.max_descriptors)
+        )
         self._create_components(rng)
 
     def _create_components(self, rng):
--- a/tests/dataplane/test_inbound_connections.py
+++ b/tests/dataplane/test_inbound_connections.py
@@ -350,3 +350,18 @@
             connection.received(_hello(number))
     assert connection not in node.inbound_connections
     assert len(callers) == known
+
+
+# Guards against nodes of a large fleet that are kept from a small service by
+# the bound on what strangers may open: all of them call its targets.
+def test_known_nodes_exceed_the_bound_on_strangers(node, connect):
+    node.inbound_connections.max_count = 20
+    node.inbound_connections.max_known_count = 35
+    for number in range(10, 60):
+        node.merge(fakes.record(f'n{number}:1'))
+    strangers = [connect(_hello(number)) for number in range(100, 150)]
+    assert len(_opened(node, strangers)) == 20
+    known = [connect(_hello(number)) for number in range(10, 60)]
+    assert _opened(node, known) == known[:35]
+    assert not _opened(node, strangers)
+    assert connect(_hello(150)) not in node.inbound_connections
