Forget strangers whose attempts found no room

Callers that never sent an attempt are forgotten first, at most 256 are kept. A stranger counted as one that has sent attempts also if its attempt was refused for want of memory, so that while memory was short each of them was kept for 120 s, in no account. Such an attempt has not run and holds nothing, so that nothing has to be remembered of it.

The test failed before: 768 callers were kept.

--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -108,7 +108,7 @@
         Whether it is this node, whose clients' requests are charged for it,
         and which gets its results at once.
     has_attempted : bool
-        Whether it has sent attempts.
+        Whether it has sent attempts that were not refused for want of memory.
     generation : int
         Number of its newest connection; -1 before the first.
     send : callable or None
@@ -182,8 +182,8 @@
         bool
             Whether it fits.
         """
-        self.has_attempted = True
         if self.is_local:
+            self.has_attempted = True
             return True
         budget = self._budget
         size = ATTEMPT_BYTES + _own_bytes(job.attempt)
@@ -193,6 +193,7 @@
             budget.refusals += 1
             return False
         job.held_bytes = size
+        self.has_attempted = True
         return True
 
     def hold_result(self, job):
--- a/tests/dataplane/test_kept_results.py
+++ b/tests/dataplane/test_kept_results.py
@@ -266,3 +266,18 @@
     side.accept(side.callers.get(77), fakes.attempt(1))
     assert len(pool.calls) == 1
     assert results[0].body == BODY
+
+
+# Guards against the same by strangers whose attempts find no room.
+def test_callers_whose_attempts_find_no_room_are_bounded(side, reactor):
+    budget = side.callers.budget
+    budget.take(budget.limit_bytes)
+    bound = _callers.MAX_IDLE_LOST_CALLERS
+    for number in range(100, 100 + 3 * bound):
+        results = []
+        stranger = _connect(side, number, results)
+        side.accept(stranger, fakes.attempt(1))
+        assert results[0].outcome == _frames.Outcome.NOT_RUN
+        side.callers.lose(stranger, f'n{number}')
+    reactor.run(0.1)
+    assert len(side.callers.by_incarnation) <= bound + 1
