--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -108,7 +108,7 @@
         Whether it is this node, whose clients' requests are charged for it,
         and which gets its results at once.
     has_attempted : bool
-        Whether it has sent attempts.
+        Whether it has sent attempts that were not refused for want of memory.
     generation : int
         Number of its newest connection; -1 before the first.
     send : callable or None
@@ -186,6 +186,7 @@
             Whether it fits.
         """
         if self.is_local:
+            self.has_attempted = True
             return True
         self.has_attempted = True
         budget = self._budget
@@ -199,6 +200,7 @@
             budget.refusals += 1
             return False
         job.held_bytes = size
+        self.has_attempted = True
         return True
 
     def hold_result(self, job):
--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -124,6 +124,10 @@
             self.caller is not None and bool(self.caller.jobs_by_number)
         )
 
+    def read_handshake(self):
+        """Handle what has arrived, as it may be the handshake."""
+        self._stream.catch_up()
+
     def catch_up(self, _number):
         """Handle what has arrived, if it may have cancellations."""
         if not self._has_read_all:
@@ -284,7 +288,10 @@
         self.node.target_side.refuse_unread(self.caller, skipped.number)
 
     def _handle_hello(self, hello):
-        if hello.protocol != _frames.PROTOCOL_VERSION:
+        if (
+            hello.protocol != _frames.PROTOCOL_VERSION
+            or self.caller is not None
+        ):
             self.close()
             return
         self.address = hello.node
--- a/rosemarycrank/dataplane/_inbound_connections.py
+++ b/rosemarycrank/dataplane/_inbound_connections.py
@@ -47,13 +47,16 @@
     Attributes
     ----------
     max_count : float
-        Maximum number of connections.
+        Maximum number of connections, unless all are of known nodes.
+    max_known_count : float
+        Maximum number of connections of known nodes.
     """
 
     def __init__(self, reactor, budget):
         self.reactor = reactor
         self.budget = budget
         self.max_count = math.inf
+        self.max_known_count = math.inf
         # In the order of their arrival, as the next one.
         self._hold_by_connection = {}
         self._without_handshake = {}
@@ -73,7 +76,7 @@
         self._hold_by_connection[connection] = _memory.Hold(self.budget)
         self._without_handshake[connection] = None
         if len(self._without_handshake) > self._max_without_handshake():
-            self._refuse(next(iter(self._without_handshake)), 'handshakes')
+            self._refuse_oldest_without_handshake()
         if connection in self:
             self.charge(connection, 0)
 
@@ -96,8 +99,12 @@
             self._known[connection] = None
         else:
             self._strangers[connection] = None
-        if len(self._strangers) + len(self._known) > self.max_count:
-            victim = self._newest_stranger() or self._newest_known()
+        if len(self._strangers) + len(self._known) <= self.max_count:
+            return
+        victim = self._newest_stranger()
+        if victim is None and len(self._known) > self.max_known_count:
+            victim = self._newest_known()
+        if victim is not None:
             self._refuse(victim, 'connections')
 
     def charge(self, connection, unfinished_bytes):
@@ -142,6 +149,17 @@
                 return
             self._refuse(victim, 'memory')
 
+    def _refuse_oldest_without_handshake(self):
+        """Close the oldest connection whose handshake has not arrived."""
+        for oldest in list(self._without_handshake):
+            # Connections are accepted in groups, before any is read.
+            oldest.read_handshake()
+            if len(self._without_handshake) <= self._max_without_handshake():
+                return
+            if oldest in self._without_handshake:
+                self._refuse(oldest, 'handshakes')
+                return
+
     def _max_without_handshake(self):
         return min(
             MAX_WITHOUT_HANDSHAKE, MAX_WITHOUT_HANDSHAKE_SHARE * self.max_count
--- a/tests/dataplane/test_inbound_connections.py
+++ b/tests/dataplane/test_inbound_connections.py
@@ -42,6 +42,9 @@
     def close(self, reset=False):
         self.is_open = False
 
+    def catch_up(self):
+        """Read nothing: input is passed by the tests."""
+
     def unacknowledged_bytes(self):
         return 0
 
@@ -337,3 +340,31 @@
             stream.unsent_bytes -= reads
     assert (connection in node.inbound_connections) == reads
     assert stream.is_open == reads
+
+
+# Guards against random numbers of nodes that are kept for as long as one
+# connection stays open.
+def test_connection_has_one_handshake(node, connect):
+    connection = connect(_hello(10))
+    callers = node.target_side.callers.by_incarnation
+    known = len(callers)
+    for number in range(11, 500):
+        if connection in node.inbound_connections:
+            connection.received(_hello(number))
+    assert connection not in node.inbound_connections
+    assert len(callers) == known
+
+
+# Guards against nodes of a large fleet that are kept from a small service by
+# the bound on what strangers may open: all of them call its targets.
+def test_known_nodes_exceed_the_bound_on_strangers(node, connect):
+    node.inbound_connections.max_count = 20
+    node.inbound_connections.max_known_count = 35
+    for number in range(10, 60):
+        node.merge(fakes.record(f'n{number}:1'))
+    strangers = [connect(_hello(number)) for number in range(100, 150)]
+    assert len(_opened(node, strangers)) == 20
+    known = [connect(_hello(number)) for number in range(10, 60)]
+    assert _opened(node, known) == known[:35]
+    assert not _opened(node, strangers)
+    assert connect(_hello(150)) not in node.inbound_connections
