--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -188,7 +188,6 @@
         if self.is_local:
             self.has_attempted = True
             return True
-        self.has_attempted = True
         budget = self._budget
         attempt = job.attempt
         size = ATTEMPT_BYTES + len(attempt.head)
