--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -101,7 +101,7 @@
             budget=_node.RetryBudgetSettings(),
             max_descriptors=1000,
             # The process of the tests has more memory than a node.
-            max_memory_bytes=1e12,
+            max_memory_bytes=300e6,
             targets_table='targets',
             costs_table='costs',
             configuration_table='op',
