--- a/rosemarycrank/dataplane/_descriptor_shares.py
+++ b/rosemarycrank/dataplane/_descriptor_shares.py
@@ -12,7 +12,7 @@
 #: each small server. All nodes of a large fleet may call the target of one.
 CLIENTS_SHARE = 0.55
 NODES_SHARE = 0.2
-KNOWN_NODES_SHARE = 0.35
+KNOWN_NODES_SHARE = 0.25
 SMALL_SERVER_SHARE = 0.02
 
 #: Number of connections to a small server that may always be open.
--- a/tests/dataplane/test_unread_input.py
+++ b/tests/dataplane/test_unread_input.py
@@ -251,6 +251,9 @@
             clients.append(client.detach())
         if data:
             os.write(clients[-1], data)
+    with gevent.Timeout(WAIT_S):
+        while len(server._connections) < count:
+            gevent.sleep(PASS_S)
     gevent.sleep(PASS_S)
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
