Move the readers and the connection of a client to modules of their own

The readers of requests and responses, and the connection of a client, have a module each now; the code is the same but for the names of modules.

--- a/benchmarks/dataplane.py
+++ b/benchmarks/dataplane.py
@@ -19,6 +19,8 @@
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _front
 from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _request_reader
+from rosemarycrank.dataplane import _response_reader
 from rosemarycrank.dataplane import _routes
 
 ROUNDS = 7
@@ -85,10 +87,10 @@
 
 def _operations_by_name():
     parsed_messages = []
-    request_reader = _http1.RequestReader(
+    request_reader = _request_reader.RequestReader(
         _http1.Limits(), parsed_messages.append
     )
-    response_reader = _http1.ResponseReader(parsed_messages.append)
+    response_reader = _response_reader.ResponseReader(parsed_messages.append)
     request_reader.feed(REQUEST)
     request = parsed_messages.pop()
     response_reader.feed(RESPONSE)
--- a/rosemarycrank/dataplane/_http_client.py
+++ b/rosemarycrank/dataplane/_http_client.py
@@ -8,6 +8,7 @@
 
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _response_reader
 
 
 @attrs.frozen
@@ -48,7 +49,7 @@
     def __init__(self, client, timeout_s, on_reply):
         self._on_reply = on_reply
         self._guard = client.reactor.guard
-        self._reader = _http1.ResponseReader(self._handle_response)
+        self._reader = _response_reader.ResponseReader(self._handle_response)
         self._timer = client.reactor.timers.after(
             timeout_s, lambda _now: self._fail('timed out')
         )
--- a/rosemarycrank/dataplane/_small_server.py
+++ b/rosemarycrank/dataplane/_small_server.py
@@ -21,6 +21,7 @@
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _repeated_lines
+from rosemarycrank.dataplane import _request_reader
 
 #: Limits on these requests, which are all small.
 LIMITS = _http1.Limits(header_bytes=8192, body_bytes=65536)
@@ -180,7 +181,7 @@
     def __init__(self, server, sock):
         self._server = server
         self._tally = _Tally()
-        self._reader = _http1.RequestReader(
+        self._reader = _request_reader.RequestReader(
             LIMITS, self._add_request, budget=self._tally
         )
         self._waiting = collections.deque()
--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -12,6 +12,7 @@
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _rate_limit
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _response_reader
 
 #: Longest time to open a connection to a process on the same VM, in seconds.
 CONNECT_TIMEOUT_S = 1.0
@@ -116,7 +117,9 @@
         self.pool = pool
         self.idle_since = 0.0
         self.max_idle_s = DEFAULT_MAX_IDLE_S
-        self._reader = _http1.ResponseReader(self._on_response, pool.budget)
+        self._reader = _response_reader.ResponseReader(
+            self._on_response, pool.budget
+        )
         self._request_id = b''
         self._on_answer = None
         self._answer = None
--- a/tests/dataplane/test_any_request.py
+++ b/tests/dataplane/test_any_request.py
@@ -6,6 +6,7 @@
 import pytest
 
 from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _request_reader
 
 LIMITS = _http1.Limits(header_bytes=4000, body_bytes=4000)
 
@@ -82,7 +83,7 @@
 def test_any_requests_in_any_packets_are_read_as_sent(sent, sizes):
     data = b''.join(request.data for request in sent)
     read = []
-    reader = _http1.RequestReader(LIMITS, read.append, lambda: None)
+    reader = _request_reader.RequestReader(LIMITS, read.append, lambda: None)
     position = 0
     for size in [*sizes, len(data)]:
         if position < len(data):
@@ -104,7 +105,7 @@
 def _read(data):
     """Return the requests that are read, and the status of an error."""
     read = []
-    reader = _http1.RequestReader(LIMITS, read.append)
+    reader = _request_reader.RequestReader(LIMITS, read.append)
     try:
         reader.feed(data)
     except _http1.MessageError as error:
--- a/tests/dataplane/test_chunked_ends.py
+++ b/tests/dataplane/test_chunked_ends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rosemarycrank.dataplane import _http1
+from rosemarycrank.dataplane import _request_reader
 
 HEAD = b'POST /%d HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 
@@ -13,7 +14,7 @@
 MAX_PARTS = 4
 
 
-class _CountingReader(_http1.RequestReader):
+class _CountingReader(_request_reader.RequestReader):
     """Reader that counts the parts that its parser gets."""
 
     parts = 0
@@ -64,7 +65,7 @@
         for number, body in enumerate(bodies)
     )
     messages = []
-    reader = _http1.RequestReader(_http1.Limits(), messages.append)
+    reader = _request_reader.RequestReader(_http1.Limits(), messages.append)
     while data:
         size = rng.choice((1, 2, 3, 50, 500))
         reader.feed(data[:size])
--- a/tests/dataplane/test_clients.py
+++ b/tests/dataplane/test_clients.py
@@ -3,6 +3,7 @@
 import attrs
 import pytest
 
+from rosemarycrank.dataplane import _client_connection
 from rosemarycrank.dataplane import _clients
 from rosemarycrank.dataplane import _exchange
 from rosemarycrank.dataplane import _http1
@@ -144,7 +145,7 @@
 
 
 def test_reading_pauses_at_the_pipelining_limit(connection, entry):
-    for number in range(_clients.MAX_PIPELINED_REQUESTS):
+    for number in range(_client_connection.MAX_PIPELINED_REQUESTS):
         connection.received(REQUEST % number)
     assert connection.stream.paused
     entry.answer(0)
@@ -152,7 +153,7 @@
 
 
 def test_reading_pauses_while_responses_are_unsent(connection, entry, reactor):
-    connection.stream.unsent_bytes = _clients.MAX_UNSENT_BYTES + 1
+    connection.stream.unsent_bytes = _client_connection.MAX_UNSENT_BYTES + 1
     connection.received(REQUEST % 1)
     assert connection.stream.paused
     entry.answer(0)
@@ -167,12 +168,12 @@
 def test_client_that_leaves_while_reading_is_paused_is_noticed(
     connection, entry, reactor
 ):
-    for number in range(_clients.MAX_PIPELINED_REQUESTS):
+    for number in range(_client_connection.MAX_PIPELINED_REQUESTS):
         connection.received(REQUEST % number)
     connection.stream.has_left = True
     reactor.run(2 * _clients.SWEEP_INTERVAL_S)
     assert not connection.stream.is_open
-    assert len(entry.abandoned) == _clients.MAX_PIPELINED_REQUESTS
+    assert len(entry.abandoned) == _client_connection.MAX_PIPELINED_REQUESTS
 
 
 def test_client_that_never_reads_its_responses_is_disconnected(
@@ -344,12 +345,12 @@
 def test_input_is_read_after_the_last_response(
     connection, entry, server, reactor
 ):
-    for number in range(_clients.MAX_PIPELINED_REQUESTS):
+    for number in range(_client_connection.MAX_PIPELINED_REQUESTS):
         connection.received(REQUEST % number)
     assert connection.stream.paused
     server.draining = True
-    connection.stream.unsent_bytes = _clients.MAX_UNSENT_BYTES + 1
-    for index in range(_clients.MAX_PIPELINED_REQUESTS):
+    connection.stream.unsent_bytes = _client_connection.MAX_UNSENT_BYTES + 1
+    for index in range(_client_connection.MAX_PIPELINED_REQUESTS):
         entry.answer(index)
     assert not connection.stream.paused
 
--- a/tests/dataplane/test_freed_connections.py
+++ b/tests/dataplane/test_freed_connections.py
@@ -6,16 +6,18 @@
 import gevent
 import pytest
 
+from rosemarycrank.dataplane import _client_connection
 from rosemarycrank.dataplane import _clients
 from rosemarycrank.dataplane import _exchange
 from rosemarycrank.dataplane import _frames
-from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _http_client
 from rosemarycrank.dataplane import _inbound
 from rosemarycrank.dataplane import _inbound_connections
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _request_reader
+from rosemarycrank.dataplane import _response_reader
 from rosemarycrank.dataplane import _upstream
 from tests.dataplane import fakes
 
@@ -107,13 +109,13 @@
             except BlockingIOError:
                 gevent.sleep(0.0)
         gevent.sleep(PASS_S)
-        assert _count(_clients.ClientConnection) == 1
+        assert _count(_client_connection.ClientConnection) == 1
         if ends_by == 'node':
             server.close()
     gevent.sleep(PASS_S)
     server.stop_accepting()
-    assert _count(_clients.ClientConnection) == 0
-    assert _count(_http1.RequestReader) == 0
+    assert _count(_client_connection.ClientConnection) == 0
+    assert _count(_request_reader.RequestReader) == 0
     assert _count(_memory.HeldBuffer) == 0
 
 
@@ -131,7 +133,7 @@
         assert _count(_memory.HeldBuffer) == 1
         assert server.refuse_newest_unfinished()
         assert _count(_memory.HeldBuffer) == 0
-        assert _count(_clients.ClientConnection) == 1
+        assert _count(_client_connection.ClientConnection) == 1
     server.close()
     server.stop_accepting()
 
@@ -159,7 +161,7 @@
     assert len(answers) == 1
     answers.clear()
     assert _count(_upstream.UpstreamConnection) == 0
-    assert _count(_http1.ResponseReader) == 0
+    assert _count(_response_reader.ResponseReader) == 0
     assert _count(_memory.HeldBuffer) == 0
 
 
--- a/tests/dataplane/test_http1.py
+++ b/tests/dataplane/test_http1.py
@@ -10,6 +10,8 @@
 
 from rosemarycrank.dataplane import _http1
 from rosemarycrank.dataplane import _memory
+from rosemarycrank.dataplane import _request_reader
+from rosemarycrank.dataplane import _response_reader
 
 
 @pytest.fixture
@@ -20,7 +22,7 @@
 @pytest.fixture
 def reader(requests):
     limits = _http1.Limits(header_bytes=300, body_bytes=20)
-    return _http1.RequestReader(limits, requests.append)
+    return _request_reader.RequestReader(limits, requests.append)
 
 
 @pytest.fixture
@@ -30,7 +32,7 @@
 
 @pytest.fixture
 def response_reader(responses):
-    return _http1.ResponseReader(responses.append)
+    return _response_reader.ResponseReader(responses.append)
 
 
 def test_request_received_byte_by_byte(reader, requests):
@@ -96,7 +98,7 @@
 
 def test_expect_100_continue_is_reported(requests):
     continues = []
-    reader = _http1.RequestReader(
+    reader = _request_reader.RequestReader(
         _http1.Limits(), requests.append, lambda: continues.append(True)
     )
     reader.feed(
@@ -171,28 +173,36 @@
 @pytest.mark.parametrize(
     'start, endless, limit',
     [
-        (b'HTTP/1.1 200 O', b'k', _http1.MAX_RESPONSE_HEADER_BYTES),
+        (b'HTTP/1.1 200 O', b'k', _response_reader.MAX_RESPONSE_HEADER_BYTES),
         (
             b'HTTP/1.1 200 OK\r\n',
             b'a: b\r\n',
-            _http1.MAX_RESPONSE_HEADER_BYTES,
+            _response_reader.MAX_RESPONSE_HEADER_BYTES,
+        ),
+        (
+            b'',
+            b'HTTP/1.1 103 E\r\n\r\n',
+            _response_reader.MAX_RESPONSE_HEADER_BYTES,
+        ),
+        (
+            b'HTTP/1.1 200 OK\r\n\r\n',
+            b'b',
+            _response_reader.MAX_OPEN_RESPONSE_BYTES,
         ),
-        (b'', b'HTTP/1.1 103 E\r\n\r\n', _http1.MAX_RESPONSE_HEADER_BYTES),
-        (b'HTTP/1.1 200 OK\r\n\r\n', b'b', _http1.MAX_OPEN_RESPONSE_BYTES),
         (
             b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
             b'1\r\nb\r\n',
-            _http1.MAX_OPEN_RESPONSE_BYTES,
+            _response_reader.MAX_OPEN_RESPONSE_BYTES,
         ),
         (
             b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;',
             b'e',
-            _http1.MAX_OPEN_RESPONSE_BYTES,
+            _response_reader.MAX_OPEN_RESPONSE_BYTES,
         ),
         (
             b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n',
             b't: v\r\n',
-            _http1.MAX_OPEN_RESPONSE_BYTES,
+            _response_reader.MAX_OPEN_RESPONSE_BYTES,
         ),
     ],
 )
@@ -211,7 +221,7 @@
 
 
 def test_announced_body_that_is_too_large_is_rejected_at_once(response_reader):
-    length = _http1.MAX_RESPONSE_BYTES + 1
+    length = _response_reader.MAX_RESPONSE_BYTES + 1
     with pytest.raises(_http1.MessageError):
         response_reader.feed(
             b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % length
@@ -227,7 +237,8 @@
 def test_unfinished_responses_share_a_budget():
     budget = _budget(10000)
     readers = [
-        _http1.ResponseReader(lambda _response: None, budget) for _ in range(3)
+        _response_reader.ResponseReader(lambda _response: None, budget)
+        for _ in range(3)
     ]
     for reader in readers:
         reader.feed(b'HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\n')
@@ -276,14 +287,15 @@
 def test_budget_covers_the_memory_of_unfinished_responses(start, pieces):
     budget = _budget(1 << 40)
     readers = [
-        _http1.ResponseReader(lambda _response: None, budget) for _ in range(8)
+        _response_reader.ResponseReader(lambda _response: None, budget)
+        for _ in range(8)
     ]
     pieces = itertools.cycle(pieces)
     size = 0
     tracemalloc.start()
     for reader in readers:
         reader.feed(start)
-    while size < _http1.MAX_RESPONSE_HEADER_BYTES // 2:
+    while size < _response_reader.MAX_RESPONSE_HEADER_BYTES // 2:
         data = b''.join(itertools.islice(pieces, 100))
         size += len(data)
         for reader in readers:
@@ -315,7 +327,7 @@
     budget = _budget(1 << 40)
     limits = _http1.Limits()
     readers = [
-        _http1.RequestReader(
+        _request_reader.RequestReader(
             limits, lambda message: message.release(), budget=budget
         )
         for _ in range(8)
@@ -337,7 +349,7 @@
 # its connection was open.
 def test_reader_keeps_nothing_of_a_complete_request():
     bodies = []
-    reader = _http1.RequestReader(
+    reader = _request_reader.RequestReader(
         _http1.Limits(), lambda message: bodies.append(message.body)
     )
     head = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n'
@@ -352,7 +364,7 @@
     messages = []
     continues = []
     limits = _http1.Limits(header_bytes=200, body_bytes=100)
-    reader = _http1.RequestReader(
+    reader = _request_reader.RequestReader(
         limits, messages.append, lambda: continues.append(len(messages))
     )
     status = None
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rosemarycrank.dataplane import _balance
+from rosemarycrank.dataplane import _client_connection
 from rosemarycrank.dataplane import _clients
 from rosemarycrank.dataplane import _counters
 from rosemarycrank.dataplane import _entry
@@ -16,6 +17,7 @@
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank.dataplane import _request_reader
 from rosemarycrank.dataplane import _routes
 from tests.dataplane import fakes
 
@@ -107,7 +109,7 @@
 @pytest.fixture
 def make_reader(budget):
     def make():
-        return _http1.RequestReader(
+        return _request_reader.RequestReader(
             LIMITS, lambda _message: None, budget=budget
         )
 
@@ -132,7 +134,7 @@
 
 def test_client_is_not_told_to_send_a_body_that_does_not_fit(budget):
     continues = []
-    reader = _http1.RequestReader(
+    reader = _request_reader.RequestReader(
         LIMITS, None, lambda: continues.append(True), budget
     )
     assert _hold(budget, 20 * MB)
@@ -571,7 +573,7 @@
     empty_bytes = held_bytes()
     connection.received(data)
     attempts = entry.node.peers_by_node['n1'].sent
-    assert len(attempts) == _clients.MAX_PIPELINED_REQUESTS
+    assert len(attempts) == _client_connection.MAX_PIPELINED_REQUESTS
     # The data of the test are held, too.
     counted = budget.used_bytes + connection_budget.used_bytes
     assert len(data) <= counted <= 3 * len(data)
@@ -581,7 +583,7 @@
         read.append(attempts[0][0].request_id)
         attempts.append(attempts.pop(0))
         entry.end_attempt(_frames.Outcome.COMPLETE)
-        assert len(attempts) <= _clients.MAX_PIPELINED_REQUESTS
+        assert len(attempts) <= _client_connection.MAX_PIPELINED_REQUESTS
     assert read == [b'r%d' % number for number in range(800)]
     assert _statuses(connection) == [b'200'] * 800
     assert budget.used_bytes == 0
--- a/tests/dataplane/test_shedding_cost.py
+++ b/tests/dataplane/test_shedding_cost.py
@@ -4,6 +4,7 @@
 import gevent.socket
 import pytest
 
+from rosemarycrank.dataplane import _client_connection
 from rosemarycrank.dataplane import _clients
 from rosemarycrank.dataplane import _exchange
 from rosemarycrank.dataplane import _reactor
@@ -33,14 +34,14 @@
 def looks(monkeypatch):
     """Return a list with an item for each look at a connection."""
     looks = []
-    is_unfinished = _clients.ClientConnection.is_unfinished.fget
+    is_unfinished = _client_connection.ClientConnection.is_unfinished.fget
 
     def look(connection):
         looks.append(connection)
         return is_unfinished(connection)
 
     monkeypatch.setattr(
-        _clients.ClientConnection, 'is_unfinished', property(look)
+        _client_connection.ClientConnection, 'is_unfinished', property(look)
     )
     return looks
 
--- a/tests/dataplane/test_unread_input.py
+++ b/tests/dataplane/test_unread_input.py
@@ -14,6 +14,7 @@
 import gevent.socket
 import pytest
 
+from rosemarycrank.dataplane import _client_connection
 from rosemarycrank.dataplane import _clients
 from rosemarycrank.dataplane import _costs
 from rosemarycrank.dataplane import _counters
@@ -149,7 +150,7 @@
 def test_pipelined_requests_of_a_client_that_has_closed_are_not_sent(
     address, entry
 ):
-    begun = _clients.MAX_PIPELINED_REQUESTS
+    begun = _client_connection.MAX_PIPELINED_REQUESTS
     with socket.create_connection(address) as client:
         client.sendall(
             b''.join(REQUEST % number for number in range(2 * begun))
@@ -161,7 +162,7 @@
 
 
 def test_requests_of_a_client_that_stays_are_sent_in_order(address, entry):
-    count = _clients.MAX_PIPELINED_REQUESTS
+    count = _client_connection.MAX_PIPELINED_REQUESTS
     with socket.create_connection(address) as client:
         client.sendall(b''.join(REQUEST % number for number in range(count)))
         _wait_until(lambda: len(entry.sent) == count)
