--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-WORKERS ?= 4
+WORKERS ?= 6
 KNOWN_RED := $(if $(STRICT),,-p tests.known_red)
 
 .PHONY: venv format lint test fuzz demo bench plots soak
