List pings without end as a fault with a failing test

Cause: each ping is answered by itself, with the load and digests worked out anew. The test passes 500 pings in one read and gets 500 answers (target 1).

--- a/tests/dataplane/test_inbound_connections.py
+++ b/tests/dataplane/test_inbound_connections.py
@@ -368,3 +368,13 @@
     assert _opened(node, known) == known[:35]
     assert not _opened(node, strangers)
     assert connect(_hello(150)) not in node.inbound_connections
+
+
+# Guards against a node whose processor time is taken by the pings of others:
+# each of those that were read together was answered by itself.
+def test_pings_that_are_read_together_are_answered_once(node, connect):
+    connection = connect(_hello(2))
+    written = []
+    connection._stream.write = written.append
+    connection.received(_frames.encode(_frames.Ping(-1, 0)) * 500)
+    assert len(written) == 1
