--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -219,6 +219,7 @@
         self.is_leaving = False
         self.running = 0
         self.runs = []
+        self.ended = {}
         self.server = None
         self.beats = None
         self._writers = set()
@@ -310,6 +311,7 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
+            self.ended[request_id] = time.monotonic()
         body = (request_id + ' ').encode().ljust(self.body_bytes, b'.')
         extra = [f'X-Rosemarycrank-Response-Signature: s.{request_id}']
         self._write(writer, '200 OK', request_id, extra, body)
@@ -348,7 +350,7 @@
         self.target_port = next(ports)
         self.inbound_port = next(ports)
         self.peer_port = next(ports)
-        self.extra_settings = settings
+        self.extra_settings = dict(settings)
 
     def settings(self):
         """Return the settings, in the format of DEPLOY.md."""
@@ -389,11 +391,16 @@
             'provider.form': 'table',
         } | self.extra_settings
 
-    def start(self):
-        """Start the node with the command of the deploy file."""
+    def write_settings(self):
+        """Write the settings file, and return its path."""
         path = self.deployment.folder / f'{self.name}.conf'
         lines = [f'{k}={v}\n' for k, v in self.settings().items()]
         path.write_text(''.join(lines), encoding='utf-8')
+        return path
+
+    def start(self):
+        """Start the node with the command of the deploy file."""
+        path = self.write_settings()
         env = {
             'PATH': os.environ.get('PATH', ''),
             'HOME': os.environ.get('HOME', '/tmp'),
