--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -31,9 +31,9 @@
 class Record:
     """Lines about what was sent, answered and run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started_at = time.monotonic()
-        self._file = open(folder / 'record.txt', 'w', encoding='utf-8')
+        self._file = open(path, 'w', encoding='utf-8')
 
     def now(self):
         """Return the seconds since the start."""
@@ -513,8 +513,8 @@
 class Deployment:
     """A store, machines with their nodes, and targets."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         a, b = random.randint(1, 250), random.randint(1, 250)
         self.network = f'127.{a}.{b}'
@@ -607,11 +607,14 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
-def main(folder, play):
-    """Play a case; `play` returns the lines of broken rules."""
+def main(record_path, play):
+    """Play a case; `play` returns the lines of broken rules.
+
+    What was sent, answered and run is written to `record_path`.
+    """
 
     async def run():
-        deployment = Deployment(pathlib.Path(folder))
+        deployment = Deployment(record_path)
         record = deployment.record
         try:
             async with asyncio.timeout(115):
