review: a trial beside the cases, a withdrawal that is acknowledged and ignored

Cause: while the first heartbeat of a new target is held, as the node has not read the store, Registration.withdraw compares a withdrawal with the earlier target's record only, which other nodes have told; the held heartbeat makes the target ready later.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # library only. The nodes that they start are those of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - rig-2/*.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py <<'PROGRAM'
+python3 - rig-2/*.py 6/*.py 7/*.py 8/*.py 9/*.py 10/*.py trials-2/*.py <<'PROGRAM'
 import sys
 
 for path in sys.argv[1:]:
