Record SIGTERM in the start, and act on it between the steps of the start

Cause: the handler for the time of the start raised SystemExit in whatever ran at that moment. In the callback of a weak reference, a destructor or a callback of the garbage collection the interpreter reports the exception and goes on, and nothing else noted the signal. In an extension that calls Python it may crash the process.

Change: the handlers record a signal and do nothing else, from the beginning of the start to the exit, so that no handler is replaced by another one in between. The steps of the start ask whether the process is to stop: each try to read the settings, each try to listen, and the end of the start. From the first pass of the loop on a timer delivers the signals. The loop does not run while an address is awaited: a node that may still give up its start accepts nothing. A node that has received SIGTERM is not ready, whatever has become of its stop. When the process exits, the signals are ignored.

--- a/benchmarks/_platform_deployment.py
+++ b/benchmarks/_platform_deployment.py
@@ -29,6 +29,9 @@
 PEER_PORTS = '7620,7635'
 HEARTBEAT_INTERVAL_S = 0.3
 
+#: Module of a node, to be run by the interpreter.
+PROGRAM = ('rosemarycrank.platform',)
+
 #: Longest time until a process handles signals, in seconds.
 MAX_START_S = 20.0
 
@@ -263,14 +266,15 @@
         path.write_text(text[: int(share * len(text))])
         return path
 
-    def start(self, ip, settings_share=1.0, closed=()):
+    def start(self, ip, settings_share=1.0, closed=(), program=PROGRAM):
         """Start the node at an address; see `write_settings`.
 
-        It starts without the standard descriptors in `closed`.
+        It starts without the standard descriptors in `closed`. `program` is
+        the module to run, with its arguments.
         """
         path = self.write_settings(ip, settings_share)
         build = self.choose_build(ip)
-        command = [build.python, '-m', 'rosemarycrank.platform']
+        command = [build.python, '-m', *program]
         if closed:
             redirections = ''.join(f' {number}>&-' for number in closed)
             command[:0] = ['/bin/sh', '-c', f'exec "$0" "$@"{redirections}']
--- a/rosemarycrank/dataplane/_binding.py
+++ b/rosemarycrank/dataplane/_binding.py
@@ -3,8 +3,7 @@
 import errno
 import logging
 import socket
-
-import gevent
+import time
 
 #: Time for which an address that is taken is tried, and the pause between two
 #: tries, in seconds.
@@ -19,17 +18,20 @@
     """Raised if an address stays taken."""
 
 
-def listen(reactor, address, open_listener):
+def listen(address, open_listener, check_start):
     """Listen at an address, once it is free.
 
+    The event loop does not run meanwhile: a node that may still have to give
+    up its start accepts no connections.
+
     Parameters
     ----------
-    reactor : Reactor
-        Event loop; it runs meanwhile.
     address : tuple of (str, int)
         IP address and port.
     open_listener : callable
         Called with the address; raises OSError if it cannot be bound.
+    check_start : callable
+        Called before each try; raises an exception if the start is to end.
 
     Returns
     -------
@@ -41,22 +43,23 @@
     AddressTakenError
         If it does not become free for `MAX_WAIT_S`.
     """
-    give_up_at = reactor.now() + MAX_WAIT_S
+    give_up_at = time.monotonic() + MAX_WAIT_S
     is_logged = False
     while True:
+        check_start()
         try:
             return open_listener(address)
         except OSError as error:
             if error.errno not in _UNAVAILABLE:
                 raise
-            if reactor.now() >= give_up_at:
+            if time.monotonic() >= give_up_at:
                 raise AddressTakenError(
                     error.errno, f'cannot listen at {_text(address)}: {error}'
                 ) from error
             if not is_logged:
                 is_logged = True
                 _log_taken(address, error)
-        gevent.sleep(TRY_INTERVAL_S)
+        time.sleep(TRY_INTERVAL_S)
 
 
 def is_free(address):
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -8,7 +8,6 @@
 import signal
 
 import attrs
-import gevent
 import gevent.event
 
 from rosemarycrank.dataplane import _allocator
@@ -36,6 +35,7 @@
 from rosemarycrank.dataplane import _target
 from rosemarycrank.dataplane import _target_table
 from rosemarycrank.dataplane import _upstream
+from rosemarycrank import process_signals
 
 #: Longest delay between a change of the configuration and the next long poll,
 #: in seconds.
@@ -58,6 +58,9 @@
 #: Seconds between checks whether a first heartbeat can be followed.
 HELD_CHECK_INTERVAL_S = 0.05
 
+#: Seconds between deliveries of the signals that have been received.
+SIGNAL_INTERVAL_S = 0.01
+
 #: Seconds between tries to serve metrics while their address is taken.
 METRICS_RETRY_INTERVAL_S = 1.0
 
@@ -186,12 +189,15 @@
         Interface to the platform.
     log_handler : RateLimitedHandler or None
         Handler of the log; its counters appear in the metrics.
+    signals : ProcessSignals, optional
+        Signals of the process; none are handled if not given.
     """
 
-    def __init__(self, settings, adapter, log_handler=None):
+    def __init__(self, settings, adapter, log_handler=None, signals=None):
         self.settings = settings
         self.adapter = adapter
         self.log_handler = log_handler
+        self.signals = signals or process_signals.ProcessSignals()
         self.reactor = _reactor.Reactor()
         rng = random.Random(os.urandom(16))
         self.incarnation = rng.getrandbits(62)
@@ -341,7 +347,14 @@
         ------
         AddressTakenError
             If an address that is needed to serve stays taken.
+        StopRequestedError
+            If the process is to stop before it serves.
         """
+        self._start()
+        self._stopped.wait()
+
+    def _start(self):
+        """Start to serve, from the first pass of the loop on."""
         settings = self.settings
         self._listen_for_http(
             settings.ready_address, self._handle_readiness_request
@@ -351,7 +364,6 @@
         )
         self._listen(settings.peer_listen_address, self.node.listen)
         self._listen(settings.client_address, self.clients.listen)
-        gevent.signal_handler(signal.SIGTERM, self.planned_stop.begin)
         if settings.metrics_address is not None:
             self._serve_metrics()
         self.resident_memory.start()
@@ -362,6 +374,11 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
+        self.signals.check_start()
+        self.signals.subscribe(signal.SIGTERM, self.planned_stop.begin)
+        self.reactor.timers.every(
+            SIGNAL_INTERVAL_S, lambda _now: self.signals.deliver()
+        )
         _LOG.warning(
             'node started',
             extra={
@@ -371,10 +388,11 @@
                 'failure_domain': settings.failure_domain,
             },
         )
-        self._stopped.wait()
 
     def _listen(self, address, open_listener):
-        return _binding.listen(self.reactor, address, open_listener)
+        return _binding.listen(
+            address, open_listener, self.signals.check_start
+        )
 
     def _listen_for_http(self, address, handle):
         server = self._listen(
@@ -436,6 +454,7 @@
         """
         return (
             not self.planned_stop.has_begun
+            and not self.signals.has_stop
             and self.node.configuration is not None
             and (self.target_table.has_read or self.node.knows_other_nodes())
             and self.node.is_informed()
--- a/rosemarycrank/platform/_program.py
+++ b/rosemarycrank/platform/_program.py
@@ -7,12 +7,12 @@
 import time
 
 import attrs
-import gevent
 
 from rosemarycrank import dataplane
 from rosemarycrank.platform import _adapter
 from rosemarycrank.platform import _names
 from rosemarycrank.platform import _settings
+from rosemarycrank import process_signals
 
 #: Port of the metrics page, as in the deploy file.
 METRICS_PORT = 9464
@@ -97,7 +97,7 @@
         process.reactor.timers.every(
             SETTINGS_CHECK_INTERVAL_S, self._check_file
         )
-        gevent.signal_handler(signal.SIGHUP, self.reload)
+        process.signals.subscribe(signal.SIGHUP, self.reload)
 
     def _check_file(self, _now):
         modified_ns = _settings.modification_time_ns(self._path)
@@ -126,9 +126,16 @@
         )
 
 
-def _read_settings(path):
+def _read_settings(path, signals):
     """Read the settings file, again for a while if it cannot be used.
 
+    Parameters
+    ----------
+    path : str
+        The file.
+    signals : ProcessSignals
+        Signals of the process.
+
     Returns
     -------
     tuple of (Settings, int)
@@ -139,10 +146,13 @@
     ------
     SettingsError
         If it still cannot be used.
+    StopRequestedError
+        If the process is to stop.
     """
     give_up_at = time.monotonic() + SETTINGS_PATIENCE_S
     is_logged = False
     while True:
+        signals.check_start()
         modified_ns = _settings.modification_time_ns(path)
         try:
             return _settings.read(path), modified_ns
@@ -164,29 +174,34 @@
 
     Parameters
     ----------
-    signals : EarlySignals
-        Signals that have arrived during the start.
+    signals : ProcessSignals
+        Signals of the process, of which some may have been received.
     """
-    path = os.environ.get(_names.SETTINGS_VARIABLE, '')
     handler = dataplane.configure_log('', _STDOUT, time.monotonic)
     try:
-        settings, modified_ns = _read_settings(path)
+        _run_node(signals, handler)
     except _settings.SettingsError as error:
         sys.exit(f'{_names.SETTINGS_VARIABLE}: {error}')
-    handler.formatter.node = settings.node_name
-    process = dataplane.NodeProcess(
-        _process_settings(_select_peer_port(settings)),
-        _adapter.PlatformAdapter(settings.store_address),
-        handler,
-    )
-    watcher = _SettingsWatcher(path, settings, modified_ns, process)
-    if signals.has_hangup:
-        watcher.reload()
-    try:
-        process.run()
+    except process_signals.StopRequestedError as error:
+        _LOG.warning('%s', error, extra={'event': 'stopped'})
+        return
     except dataplane.AddressTakenError as error:
         sys.exit(str(error))
     except Exception:
         _LOG.exception('node ended by an error', extra={'event': 'ended'})
         sys.exit(1)
     _LOG.warning('node ended', extra={'event': 'ended'})
+
+
+def _run_node(signals, log_handler):
+    path = os.environ.get(_names.SETTINGS_VARIABLE, '')
+    settings, modified_ns = _read_settings(path, signals)
+    log_handler.formatter.node = settings.node_name
+    process = dataplane.NodeProcess(
+        _process_settings(_select_peer_port(settings)),
+        _adapter.PlatformAdapter(settings.store_address),
+        log_handler,
+        signals,
+    )
+    _SettingsWatcher(path, settings, modified_ns, process)
+    process.run()
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -1,6 +1,7 @@
 """Readiness and metrics of a node process without open sockets."""
 
 import json
+import signal
 
 import attrs
 import gevent
@@ -15,6 +16,7 @@
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _process
 from rosemarycrank.dataplane import _registration
+from rosemarycrank import process_signals
 from tests.dataplane import fakes
 
 OWN_ADDRESS = '10.0.0.1:7620'
@@ -56,8 +58,21 @@
         return True
 
 
+class RecordedSignals(process_signals.ProcessSignals):
+    """Signals of which a test says which ones are received."""
+
+    def receive(self, number):
+        """Record a signal, as its handler does."""
+        self._record(number, None)
+
+
 @pytest.fixture
-def process():
+def signals():
+    return RecordedSignals()
+
+
+@pytest.fixture
+def process(signals):
     settings = dataplane.ProcessSettings(
         node_name='vm-1',
         failure_domain='a',
@@ -80,7 +95,7 @@
         configuration_table='configuration',
         configuration_key='current',
     )
-    return dataplane.NodeProcess(settings, Adapter())
+    return dataplane.NodeProcess(settings, Adapter(), signals=signals)
 
 
 def record_of(address):
@@ -134,6 +149,18 @@
     assert process.ready()
 
 
+# Guards against a node that clients are sent to after its SIGTERM, whatever
+# has become of the stop.
+def test_node_that_has_received_sigterm_is_not_ready(process, signals):
+    process.node.install(b'{}', 'test')
+    process.node.announce(record_of(OWN_ADDRESS))
+    process.target_table.follower.has_read = True
+    assert process.ready()
+    signals.receive(signal.SIGTERM)
+    assert not process.planned_stop.has_begun
+    assert not process.ready()
+
+
 def test_node_without_a_configuration_is_not_ready(process):
     process.node.merge(record_of(OTHER_ADDRESS))
     assert not process.ready()
--- a/tests/platform/test_starts.py
+++ b/tests/platform/test_starts.py
@@ -10,6 +10,7 @@
 from benchmarks import _platform_deployment as deployment
 
 METRICS_PORT = 9464
+SIGNALLED_START = 'tests.platform.signalled_start'
 FIRST_PEER_PORT = int(deployment.PEER_PORTS.split(',')[0])
 
 
@@ -79,6 +80,61 @@
     assert 'Traceback' not in _log(cluster, ip)
 
 
+# Guards against a node that goes on after SIGTERM in its start, takes
+# requests and is killed with them: its handler raised SystemExit, which is
+# dropped at some places.
+@pytest.mark.parametrize(
+    'place',
+    [
+        'weak_reference',
+        'destructor',
+        'collection',
+        'decoder',
+        *(f'import:{number}' for number in range(1, 200, 33)),
+    ],
+)
+def test_sigterm_at_any_place_of_the_start_ends_a_node(cluster, place):
+    ip = cluster.ips[0]
+    cluster.start(ip, program=(SIGNALLED_START, place))
+    assert cluster.wait_for_exit(ip) == 0
+    assert '"event":"stopped"' in _log(cluster, ip)
+    assert '"event":"start"' not in _log(cluster, ip)
+    assert 'Traceback' not in _log(cluster, ip)
+
+
+def test_sigterm_while_the_settings_are_awaited_ends_a_node(cluster):
+    ip = cluster.ips[0]
+    cluster.start(ip, settings_share=0.5)
+    cluster.wait_until(
+        lambda: '"event":"settings_unusable"' in _log(cluster, ip),
+        'the log does not report the settings file',
+    )
+    cluster.signal(ip, signal.SIGTERM)
+    assert cluster.wait_for_exit(ip) == 0
+
+
+def test_sigterm_while_an_address_is_awaited_ends_a_node(cluster):
+    ip = cluster.ips[0]
+    with socket.create_server((ip, deployment.CLIENT_PORT)):
+        cluster.start(ip)
+        cluster.wait_until(
+            lambda: '"event":"address_taken"' in _log(cluster, ip),
+            'the log does not report the address',
+        )
+        cluster.signal(ip, signal.SIGTERM)
+        assert cluster.wait_for_exit(ip) == 0
+    assert '"event":"start"' not in _log(cluster, ip)
+
+
+# Guards against a node that ends by a second SIGTERM while it exits.
+def test_second_sigterm_does_not_change_the_exit_status(cluster):
+    ip = cluster.ips[0]
+    cluster.start(ip, program=(SIGNALLED_START, 'teardown'))
+    cluster.wait_until(lambda: cluster.is_ready(ip), 'node is not ready')
+    cluster.signal(ip, signal.SIGTERM)
+    assert cluster.wait_for_exit(ip) == 0
+
+
 # Guards against a node that ends as another program has the port of its
 # metrics, which are not needed to serve.
 def test_taken_metrics_port_does_not_end_a_node(cluster):
