Report a reset that a write has met as the end of a connection

What callers saw (MIXED): a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written. The client got that part as a complete answer.

Cause: the operating system reports a reset once, to the call that comes first. If that is the write of the upload, the read behind the received data returns what it returns at an orderly end. `Stream` dropped the error of the write and reported that end, at which an answer without a length is complete.

Change: `Stream` keeps the first error of a write and reports it to its owner at the end, after the data that came before it. So one place knows it for all owners: answers of targets, the store's replies, other nodes and clients. EPIPE as the first error is left out: the peer had ended its output in order before, and an answer without a length is complete then.

Early answers that are whole, with a length or in chunks, and one without a length that ends in order are passed on as before.

--- a/rosemarycrank/dataplane/_reactor.py
+++ b/rosemarycrank/dataplane/_reactor.py
@@ -161,8 +161,7 @@
     owner : object
         Has methods ``received(data)`` and ``closed(error)``. ``closed`` is
         called at most once, when the connection is lost, and not after
-        `close`; ``error`` is None if the peer closed the connection
-        normally.
+        `close`; ``error`` is None if the peer ended its output in order.
     connecting : bool, default=False
         Whether ``sock`` is still connecting.
 
@@ -197,6 +196,7 @@
         '_chunks',
         '_flush_scheduled',
         '_ends_when_sent',
+        '_write_error',
     )
 
     def __init__(self, reactor, sock, owner, connecting=False):
@@ -209,6 +209,7 @@
         self._chunks = []
         self._flush_scheduled = False
         self._ends_when_sent = False
+        self._write_error = None
         self.is_connecting = connecting
         self._read_watcher = reactor.loop.io(sock.fileno(), _READ)
         self._write_watcher = None
@@ -377,7 +378,7 @@
             if data:
                 received(data)
             else:
-                self._close_and_report(None)
+                self._close_and_report(self._write_error)
         except Exception:
             self._end_by_failure(received)
         return True
@@ -412,9 +413,7 @@
             return
         error = self._send_chunks()
         if error is not None:
-            # The connection is not closed here, so that data received before
-            # the failure is still delivered.
-            self.discard_unsent()
+            self._record_write_error(error)
             return
         if self._chunks:
             self._start_write_watcher()
@@ -430,6 +429,19 @@
             except Exception:
                 self._end_by_failure(on_drained)
 
+    def _record_write_error(self, error):
+        """Record how the connection has failed, and send nothing more.
+
+        It is not closed here, so that data received before the failure is
+        still delivered. The operating system reports a failure once: the read
+        behind these data returns what it returns at an orderly end.
+        """
+        self.discard_unsent()
+        # EPIPE as the first error: the peer had ended its output in order
+        # before it took no more input.
+        if self._write_error is None and error.errno != errno.EPIPE:
+            self._write_error = error
+
     def _shutdown_socket(self):
         try:
             self._sock.shutdown(socket.SHUT_WR)
--- a/tests/dataplane/test_reactor.py
+++ b/tests/dataplane/test_reactor.py
@@ -150,6 +150,75 @@
     assert owner.errors == [None]
 
 
+def _connected_stream(owner):
+    """Return a stream over TCP and the other end."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    ours.setblocking(False)
+    return _reactor.Stream(_reactor.Reactor(), ours, owner), theirs
+
+
+class _ReadRecorder(_EndRecorder):
+    def __init__(self):
+        super().__init__()
+        self.data = b''
+
+    def received(self, data):
+        self.data += data
+
+
+def _reset(sock):
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    sock.close()
+
+
+# Guards against a part of an answer that passes for a whole one: the operating
+# system reports a reset once, and a read after a write that got it returns
+# what it returns at an orderly end.
+def test_reset_that_a_write_has_met_is_reported_as_the_end():
+    owner = _ReadRecorder()
+    stream, theirs = _connected_stream(owner)
+    theirs.sendall(b'part')
+    _reset(theirs)
+    # The loop writes before it reads.
+    stream.write(b'upload')
+    gevent.sleep(0.05)
+    assert owner.data == b'part'
+    assert [type(error) for error in owner.errors] == [ConnectionResetError]
+
+
+def test_first_failure_of_a_write_is_the_one_that_is_reported():
+    owner = _ReadRecorder()
+    stream, theirs = _connected_stream(owner)
+    stream.pause()
+    _reset(theirs)
+    for _ in range(3):
+        stream.write(b'upload')
+        gevent.sleep(0.01)
+    stream.resume()
+    gevent.sleep(0.05)
+    assert [type(error) for error in owner.errors] == [ConnectionResetError]
+
+
+# The peer has ended its output in order, and takes no further input.
+def test_end_before_a_write_fails_is_an_orderly_one():
+    owner = _ReadRecorder()
+    stream, theirs = _connected_stream(owner)
+    stream.pause()
+    theirs.sendall(b'whole')
+    theirs.close()
+    for _ in range(3):
+        stream.write(b'upload')
+        gevent.sleep(0.01)
+    stream.resume()
+    gevent.sleep(0.05)
+    assert owner.data == b'whole'
+    assert owner.errors == [None]
+
+
 class _Buffer(bytearray):
     """Buffer that can be referred to weakly."""
 
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -2,7 +2,9 @@
 
 import gc
 import math
+import random
 import socket
+import struct
 import tracemalloc
 
 import gevent
@@ -266,6 +268,98 @@
     assert _outcomes(answers) == ['UNKNOWN'] * (len(head) + 1)
 
 
+#: More than the buffers between node and target take.
+UPLOAD = bytes(16_000_000)
+WITHOUT_LENGTH = RESPONSE.replace(b'Content-Length: 2\r\n', b'')
+IN_CHUNKS = (
+    RESPONSE.replace(b'Content-Length: 2', b'Transfer-Encoding: chunked')[:-2]
+    + b'2\r\nok\r\n0\r\n\r\n'
+)
+
+
+def _begin_upload(pool, listener, on_answer):
+    """Begin a request that the target does not read to its end."""
+    connection = pool.acquire(True)
+    connection.start(b'r1', REQUEST % 1, UPLOAD, False, on_answer)
+    gevent.sleep(PASS_S)
+    assert connection.stream.unsent_bytes
+    return connection, listener.accept()[0]
+
+
+def _reset(sock):
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    sock.close()
+
+
+# Guards against a part of an answer that clients get as a complete one: the
+# target answers an upload at once without a length, and resets the connection
+# while the upload is being written.
+@pytest.mark.parametrize('end', [_reset, socket.socket.close])
+@pytest.mark.parametrize('length', [-1, len(WITHOUT_LENGTH)])
+def test_early_answer_without_length_that_is_reset_is_not_complete(
+    pool, listener, end, length
+):
+    answers = []
+    connection, target = _begin_upload(pool, listener, answers.append)
+    target.sendall(WITHOUT_LENGTH[:length])
+    # With unread input, a close is a reset as well.
+    end(target)
+    # The loop writes before it reads.
+    connection.stream.write(b'more')
+    gevent.sleep(PASS_S)
+    assert _outcomes(answers) == ['UNKNOWN']
+
+
+@pytest.mark.parametrize('response', [RESPONSE, IN_CHUNKS])
+def test_early_answer_that_is_whole_counts_whatever_comes_after_it(
+    pool, listener, response
+):
+    answers = []
+    connection, target = _begin_upload(pool, listener, answers.append)
+    target.sendall(response)
+    _reset(target)
+    connection.stream.write(b'more')
+    gevent.sleep(PASS_S)
+    assert _outcomes(answers) == ['COMPLETE']
+    assert answers[0].body == b'ok'
+
+
+def test_early_answer_without_length_that_ends_in_order_is_complete(
+    pool, listener
+):
+    answers = []
+    connection, target = _begin_upload(pool, listener, answers.append)
+    with target:
+        target.sendall(WITHOUT_LENGTH)
+        target.shutdown(socket.SHUT_WR)
+        connection.stream.write(b'more')
+        gevent.sleep(PASS_S)
+    assert _outcomes(answers) == ['COMPLETE']
+    assert answers[0].body == b'ok'
+
+
+# Guards against the same at any moment of the upload and of the answer.
+@pytest.mark.parametrize('seed', range(20))
+def test_no_early_answer_that_is_reset_is_complete(pool, listener, seed):
+    rng = random.Random(seed)
+    answers = []
+    connection, target = _begin_upload(pool, listener, answers.append)
+    target.setblocking(False)
+    pieces = [WITHOUT_LENGTH, *[bytes(1000)] * rng.randrange(4)]
+    for piece in pieces:
+        target.sendall(piece)
+        if rng.random() < 0.5:
+            target.recv(rng.randrange(1, 1_000_000))
+        if rng.random() < 0.5:
+            gevent.sleep(rng.choice([0.0, 0.002]))
+    _reset(target)
+    gevent.sleep(PASS_S)
+    assert not connection.stream.is_open
+    assert _outcomes(answers) == ['UNKNOWN']
+
+
 def _send(target, data):
     """Send data, if the other end is still there, and wait for its effect."""
     try:
