Take no part of a store's reply for a whole one when its connection is reset

Evidence: the new test got status 200 with the part before the change, and no reply after it; a reply without a length that ends in order counts as before.

--- a/rosemarycrank/dataplane/_http_client.py
+++ b/rosemarycrank/dataplane/_http_client.py
@@ -65,8 +65,15 @@
             self._fail(error.reason)
 
     def closed(self, error):
-        """Handle the end of the connection."""
-        self._reader.end_of_stream()
+        """Handle the end of the connection.
+
+        Parameters
+        ----------
+        error : OSError or None
+            Error that ended it; None if the store ended it in order.
+        """
+        if error is None:
+            self._reader.end_of_stream()
         self._fail(str(error) if error else 'connection closed')
 
     def _fail(self, reason):
--- a/tests/dataplane/test_store_client.py
+++ b/tests/dataplane/test_store_client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 
 import gevent
 import pytest
@@ -42,6 +43,29 @@
     assert bodies == [b'first', b'second']
 
 
+# Guards against a part of a reply that passes for a whole one.
+@pytest.mark.real_time
+@pytest.mark.parametrize(('is_reset', 'status'), [(True, 0), (False, 200)])
+def test_reply_without_length_that_is_reset_is_no_reply(is_reset, status):
+    replies = []
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        client = _http_client.HttpClient(
+            _reactor.Reactor(), listener.getsockname()
+        )
+        client.call('GET', '/1', None, 2.0, replies.append)
+        gevent.sleep(PASS_S)
+        store, _ = listener.accept()
+        store.recv(4096)
+        store.sendall(b'HTTP/1.1 200 OK\r\n\r\n{"rows": []')
+        if is_reset:
+            store.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+        store.close()
+        gevent.sleep(PASS_S)
+    assert [reply.status for reply in replies] == [status]
+
+
 def _connection_of_next_call(listener, earlier):
     """Return the new connection of a call, or the earlier one in use again."""
     listener.settimeout(PASS_S)
