Reject answers whose head is none of HTTP

What callers saw, or would have seen: an answer with the status 600 or 999 was passed on. One with the status 000 to 099 was taken for an interim answer: its caller waited for another one until the end of the connection or its deadline. Answers in another protocol (RTSP, ICE, HTTP/2.0), with control bytes in the reason phrase, and with a body in another transfer coding (`gzip, chunked`, whose field was removed while the coding stayed) were passed on as 200.

Cause: the readers leave the check of a head to the parser, which takes these.

Change: what a head has to be stands in one place, `http_heads.find_fault`, which both readers of answers use: that of targets and of the store, and the client of the product's own interface. A head that is none ends the attempt at once, with an unknown outcome. Names and values of fields are left to the parser, which rejects all that the grammar does not allow.

--- a/rosemarycrank/dataplane/_response_reader.py
+++ b/rosemarycrank/dataplane/_response_reader.py
@@ -113,6 +113,9 @@
             raise _http1.MessageError(502, 'response too large')
 
     def _parse(self, data):
+        # The parser takes RTSP and ICE, too, and empty lines.
+        if not self._has_begun and data[:1] not in (b'H', b''):
+            raise _http1.MessageError(502, 'malformed response: no HTTP')
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -165,11 +168,14 @@
             self._complete(keep_alive=self._parser.should_keep_alive())
 
     def _check_head(self):
-        values = [value for _, value in self.message.headers]
-        if http_heads.contains_status_line(
-            b'\n'.join((self._reason, *values))
-        ):
-            self._error = _http1.MessageError(502, 'status line within a head')
+        fault = http_heads.find_fault(
+            self._parser.get_status_code(),
+            self._parser.get_http_version(),
+            self._reason,
+            self.message.headers,
+        )
+        if fault is not None:
+            self._error = _http1.MessageError(502, fault)
             raise self._error
 
     def _complete(self, keep_alive):
--- a/rosemarycrank/http_client/__init__.py
+++ b/rosemarycrank/http_client/__init__.py
@@ -4,6 +4,7 @@
 from rosemarycrank.http_client import _tls
 from rosemarycrank.http_client import _token
 
+AnswerInvalid = _client.AnswerInvalid
 AnswerLost = _client.AnswerLost
 AnswerTooLarge = _client.AnswerTooLarge
 AnswerSurplus = _client.AnswerSurplus
@@ -20,6 +21,7 @@
 
 __all__ = [
     'AUTHORIZATION_HEADER',
+    'AnswerInvalid',
     'AnswerLost',
     'AnswerTooLarge',
     'AnswerSurplus',
--- a/rosemarycrank/http_client/_client.py
+++ b/rosemarycrank/http_client/_client.py
@@ -34,6 +34,10 @@
     """The answer is longer than allowed."""
 
 
+class AnswerInvalid(AnswerTruncated):
+    """The head of the answer is none of HTTP, or consists of parts of two."""
+
+
 class AnswerSurplus(AnswerTruncated):
     """Bytes of another answer came with the answer."""
 
@@ -336,20 +340,27 @@
                 f'answer: got {len(body)} bytes, announced {announced}'
             )
         fields = [(str(k).lower(), str(v)) for k, v in answer.items()]
-        self._check_head(answer.status_message or '', fields)
+        self._check_head(answer, fields)
         return Response(answer.status_code, dict(fields), body)
 
-    def _check_head(self, reason, fields):
-        """Check that a head does not consist of parts of two.
+    def _check_head(self, answer, fields):
+        """Check that a head is one of HTTP, and that of one answer.
 
         Raises
         ------
+        AnswerInvalid
+            If it is not valid, or consists of parts of two.
         AnswerSurplus
-            If it does.
+            If it names two requests.
         """
-        text = '\n'.join([reason, *(value for _, value in fields)])
-        if http_heads.contains_status_line(text.encode()):
-            raise AnswerSurplus('answer: status line within the head')
+        fault = http_heads.find_fault(
+            answer.status_code,
+            answer.get_http_version().removeprefix('HTTP/'),
+            (answer.status_message or '').encode(),
+            [(name.encode(), value.encode()) for name, value in fields],
+        )
+        if fault is not None:
+            raise AnswerInvalid(f'answer: {fault}')
         token_name = (self.token_header or '').lower()
         if sum(name == token_name for name, _ in fields) > 1:
             raise AnswerSurplus('answer: names two requests')
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -387,3 +387,35 @@
     origin.answer = (HEAD % 5 + b'whole') * 2
     with pytest.raises(http_client.AnswerSurplus):
         client.request('GET', '/', timeout_s=5)
+
+
+# Guards against an answer whose head is none of HTTP, or whose body is in a
+# coding that the caller does not know.
+@pytest.mark.parametrize(
+    'head',
+    [
+        *(f'HTTP/1.1 {s} X\r\n' for s in ('000', '099', '600', '999')),
+        'HTTP/2.0 200 OK\r\n',
+        'HTTP/1.1 200 O\x01K\r\n',
+        *(
+            f'HTTP/1.1 200 OK\r\n{name}: v\r\n'
+            for name in ('A b', 'A ', ' A', 'A\t', 'A\x00', 'A\x7f', '', 'A(')
+        ),
+        *(f'HTTP/1.1 200 OK\r\nA: v{byte}\r\n' for byte in '\x00\x01\x7f'),
+    ],
+)
+def test_answer_with_an_invalid_head_is_an_error(origin, client, head):
+    origin.answer = head.encode() + b'Content-Length: 2\r\n\r\nok'
+    with pytest.raises(http_client.HttpError):
+        client.request('GET', '/', timeout_s=5)
+
+
+@pytest.mark.parametrize(
+    'coding',
+    ['gzip, chunked', 'gzip', 'chunked\r\nTransfer-Encoding: chunked'],
+)
+def test_answer_in_another_transfer_coding_is_an_error(origin, client, coding):
+    head = f'HTTP/1.1 200 OK\r\nTransfer-Encoding: {coding}\r\n\r\n'
+    origin.answer = head.encode() + b'2\r\nok\r\n0\r\n\r\n'
+    with pytest.raises(http_client.HttpError):
+        client.request('GET', '/', timeout_s=5)
