Pass on no answer of another node without a valid status

Nodes of this build send none without a valid status, but during a rolling upgrade those of an earlier build pass on what their targets send.

Change: such a result counts as unknown, as if the answer had been rejected where it was read.

Evidence: five of the six cases of the new test failed before the change, all pass after it.

--- a/rosemarycrank/dataplane/_peer_connection.py
+++ b/rosemarycrank/dataplane/_peer_connection.py
@@ -14,6 +14,7 @@
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _probe
 from rosemarycrank.dataplane import _reactor
+from rosemarycrank import http_heads
 
 #: Time without received data after which a peer is pinged: an active peer,
 #: whose load has to be current, and an idle one.
@@ -46,9 +47,34 @@
 #: Maximum time to open a connection and receive the first frame.
 CONNECT_TIMEOUT_S = 1.0
 
+_COMPLETE = int(_frames.Outcome.COMPLETE)
+
 _LOG = logging.getLogger(__name__)
 
 
+def _with_valid_status(result):
+    """Return a result; an unknown one if its answer has no status of HTTP.
+
+    Nodes of an earlier build pass such an answer on.
+    """
+    if result.outcome != _COMPLETE or http_heads.is_status(result.status):
+        return result
+    _LOG.info(
+        'answer with the status %d is not passed on',
+        result.status,
+        extra={'event': 'answer_invalid', 'attempt': result.number},
+    )
+    return _unknown_result(
+        result.number, _frames.Reason.ANSWER_INVALID, result.load
+    )
+
+
+def _unknown_result(number, reason, load=None):
+    return _frames.Result(
+        number, int(_frames.Outcome.UNKNOWN), int(reason), 0, b'', b'', load
+    )
+
+
 def active_interval_s(peer_count):
     """Return the interval of pings to active peers that owe no result.
 
@@ -192,7 +218,7 @@
         self._charge_unfinished()
         for frame in frames:
             if type(frame) is _frames.Result:
-                self.peer.handle_result(frame, now)
+                self.peer.handle_result(_with_valid_status(frame), now)
             elif type(frame) is _frame_reader.Skipped:
                 self._drop_skipped(frame, now)
             elif type(frame) is _frame_reader.SkippedNotice:
@@ -224,15 +250,7 @@
             target_node=self.peer.address,
             attempt=skipped.number,
         )
-        result = _frames.Result(
-            skipped.number,
-            int(_frames.Outcome.UNKNOWN),
-            int(_frames.Reason.FORGOTTEN),
-            0,
-            b'',
-            b'',
-            None,
-        )
+        result = _unknown_result(skipped.number, _frames.Reason.FORGOTTEN)
         self.peer.handle_result(result, now)
 
     def closed(self, error):
--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -74,6 +74,33 @@
     assert sent.results[0].body == sent.request_id
 
 
+# Guards against an answer without a valid status that a node of an earlier
+# build passes on.
+@pytest.mark.parametrize(
+    'status, outcome',
+    [
+        (0, 'UNKNOWN'),
+        (99, 'UNKNOWN'),
+        (599, 'COMPLETE'),
+        (600, 'UNKNOWN'),
+        (-200, 'UNKNOWN'),
+        (2**63, 'UNKNOWN'),
+    ],
+)
+def test_result_without_a_valid_status_is_unknown(
+    make_simulation, reactor, status, outcome
+):
+    simulation = make_simulation()
+    sent = _send(simulation)
+    reactor.run(0.004, 0.001)
+    result = _frames.Result(
+        sent.number, int(_frames.Outcome.COMPLETE), 0, status, b'', b'', None
+    )
+    connection = simulation.entry.peer(TARGET)._connection
+    connection.received(_frames.encode(result))
+    assert _outcomes(sent) == [outcome]
+
+
 @pytest.mark.parametrize('fault_kind', ['reset', 'silent', 'one_way'])
 @pytest.mark.parametrize('fault_at_s', [0.0, 0.003, 0.006, 0.02, 0.2])
 def test_broken_connection_is_replaced_and_nothing_runs_twice(
