Acknowledge a heartbeat or withdrawal only once its state is in force

The control address answered 200 to whatever it could decode, whether the registration followed it or not.

- A heartbeat of another writer was followed: only the fields that the node uses had to be there, and the service was not compared with that of the settings.
- `draining` was ignored if its sequence number was lower than that of any heartbeat before it, or if its start stated an earlier time than the known one, as after a jump of the clock.
- A withdrawal was compared with the record alone while the first heartbeat of its target was held.

A heartbeat needs all of its fields and the service of the settings.

--- a/rosemarycrank/dataplane/_directory.py
+++ b/rosemarycrank/dataplane/_directory.py
@@ -48,6 +48,11 @@
     return record.sequence > known.sequence
 
 
+def later_state(state, other):
+    """Return the one of two states that a target reaches later."""
+    return max(state, other, key=_PRECEDENCE_BY_STATE.get)
+
+
 def check_record(record):
     """Check a record that another process has sent or stored.
 
--- a/rosemarycrank/dataplane/_http1.py
+++ b/rosemarycrank/dataplane/_http1.py
@@ -28,6 +28,7 @@
     404: b'Not Found',
     405: b'Method Not Allowed',
     408: b'Request Timeout',
+    409: b'Conflict',
     413: b'Content Too Large',
     421: b'Misdirected Request',
     429: b'Too Many Requests',
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -304,6 +304,8 @@
             self._publish_record,
             lambda: node.directory.is_ended(settings.peer_address),
             lambda: self.target_table.has_read and node.is_informed(),
+            settings.service,
+            self.reactor.now,
         )
         node.on_local_record = self.registration.learn
         self._held_timer = self.reactor.timers.every(
--- a/rosemarycrank/platform/_adapter.py
+++ b/rosemarycrank/platform/_adapter.py
@@ -35,17 +35,21 @@
         return _configuration.decode(body)
 
     def handle_control(self, message, registration):
-        """Handle a heartbeat or a withdrawal of the local target."""
+        """Handle a heartbeat or a withdrawal of the local target.
+
+        What is not in force is not acknowledged.
+        """
         path = message.target.partition(b'?')[0]
         instance = _heartbeats.instance_from_path(path)
         if not instance:
             return dataplane.Reply(404)
         try:
             if message.method == b'PUT':
-                registration.report(_heartbeats.decode(instance, message.body))
+                heartbeat = _heartbeats.decode(instance, message.body)
+                is_in_force = registration.report(heartbeat)
             elif message.method == b'DELETE':
                 born_ms = _heartbeats.decode_withdrawal(message.body)
-                registration.withdraw(instance, born_ms)
+                is_in_force = registration.withdraw(instance, born_ms)
             else:
                 return dataplane.Reply(405)
         except ValueError as error:
@@ -56,7 +60,7 @@
                 extra={'event': 'heartbeat_invalid', 'instance': instance},
             )
             return dataplane.Reply(400)
-        return dataplane.Reply(200, b'{}')
+        return dataplane.Reply(200 if is_in_force else 409, b'{}')
 
     def is_readiness_probe(self, message):
         """Return whether a request is a readiness probe of the node."""
--- a/rosemarycrank/platform/_heartbeats.py
+++ b/rosemarycrank/platform/_heartbeats.py
@@ -1,5 +1,6 @@
 """Format of the heartbeats that targets send to the node on their VM."""
 
+import math
 import urllib.parse
 
 import msgspec
@@ -10,11 +11,15 @@
 
 
 class _Heartbeat(msgspec.Struct):
+    # A heartbeat without one of the fields is that of another writer, also if
+    # nothing here uses the field.
     service: str
     address: str
     zone: str
+    version: str
     slots: int
     state: str
+    cold_left_s: float
     seq: int
     #: Start of the target, in whole Unix milliseconds.
     born: int
@@ -60,6 +65,8 @@
     heartbeat = decoding.decode(_HEARTBEAT_DECODER, body)
     if heartbeat.state not in _STATES:
         raise ValueError(f'state: got {heartbeat.state!r}, allowed {_STATES}')
+    if not 0.0 <= heartbeat.cold_left_s < math.inf:
+        raise ValueError(f'cold_left_s: got {heartbeat.cold_left_s}')
     dataplane.check_numbers(heartbeat.slots, heartbeat.born, heartbeat.seq)
     return dataplane.Heartbeat(
         instance=instance,
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -167,6 +167,12 @@
     'changes',
     [
         {'state': 'sleeping'},
+        {'version': 7},
+        {'cold_left_s': '0'},
+        {'cold_left_s': -1},
+        {'cold_left_s': 1e999},
+        {'zone': None},
+        {'address': 8080},
         {'slots': 'many'},
         {'slots': -1},
         {'seq': None},
@@ -193,11 +199,15 @@
     def __init__(self):
         self.reports = []
 
+    is_in_force = True
+
     def report(self, heartbeat):
         self.reports.append(heartbeat.state)
+        return self.is_in_force
 
     def withdraw(self, instance, born_ms):
         self.reports.append((instance, born_ms))
+        return self.is_in_force
 
 
 @pytest.fixture
@@ -237,6 +247,26 @@
     assert (reply.status, registration.reports) == (status, reports)
 
 
+# Guards against an acknowledgement of what is not followed.
+@pytest.mark.parametrize('method', [b'PUT', b'DELETE'])
+def test_what_is_not_in_force_is_not_acknowledged(adapter, method):
+    registration = _RecordingRegistration()
+    registration.is_in_force = False
+    target = b'/rosemarycrank/instances/i-1'
+    body = _heartbeat() if method == b'PUT' else b''
+    message = dataplane.Message(method, target, body=body)
+    assert adapter.handle_control(message, registration).status == 409
+
+
+# Guards against a heartbeat of another writer that is followed.
+@pytest.mark.parametrize('field', json.loads(_heartbeat()))
+def test_heartbeat_without_one_of_its_fields_is_rejected(field):
+    fields = json.loads(_heartbeat())
+    del fields[field]
+    with pytest.raises(ValueError):
+        _heartbeats.decode('i-1', json.dumps(fields).encode())
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_arbitrary_bytes_as_heartbeat_are_rejected(body):
     adapter = _adapter.PlatformAdapter(('127.0.0.1', 1))
