Take changed times, retry budget and memory limit without a restart

A planned stop 6 s later went by 10 s: paid requests waited for their answers when the platform killed it.

Cause: a reload took the address of the store only.

Change: it takes the grace time, unless a stop has begun; the drain time, for leavings from then on; the retry budget; and the memory limit, with all budgets that are shares of it. The line of the reload names the settings that were taken and those that apply from the next start.

--- a/rosemarycrank/dataplane/_attempts.py
+++ b/rosemarycrank/dataplane/_attempts.py
@@ -76,6 +76,8 @@
 
     Attributes
     ----------
+    retry_limits : RetryLimits
+        Limits on attempts and retries.
     latest_run_end_at : float
         Latest deadline given to attempts, in seconds of the node's clock.
         Infinite except during a planned stop.
@@ -97,7 +99,7 @@
         self.on_failure = on_failure
         self.latest_run_end_at = math.inf
         self._subsets = _subsets.Subsets(node.address, chooser.failure_domain)
-        self._retry_limits = _retry_limits.RetryLimits(
+        self.retry_limits = _retry_limits.RetryLimits(
             node.directory, budget_settings
         )
 
@@ -123,7 +125,7 @@
         route = exchange.route
         exchange.instance = record.instance
         if not exchange.tried_nodes:
-            self._retry_limits.budget(exchange.service).deposit()
+            self.retry_limits.budget(exchange.service).deposit()
         self.node.last_attempt_number += 1
         number = self.node.last_attempt_number
         attempt = _frames.Attempt(
@@ -263,7 +265,7 @@
             return False
         if not self._may_run_again(exchange, reason):
             return False
-        return self._retry_limits.allow_retry(
+        return self.retry_limits.allow_retry(
             exchange, now, self._run_deadline_at(exchange)
         )
 
--- a/rosemarycrank/dataplane/_budget.py
+++ b/rosemarycrank/dataplane/_budget.py
@@ -23,6 +23,18 @@
         self.capacity = capacity
         self._tokens = capacity
 
+    def configure(self, ratio, capacity):
+        """Change the limits; tokens beyond a lower capacity are lost.
+
+        Parameters
+        ----------
+        ratio, capacity : float
+            As for the constructor.
+        """
+        self.ratio = ratio
+        self.capacity = capacity
+        self._tokens = min(self._tokens, capacity)
+
     def deposit(self):
         """Add the tokens for one request."""
         self._tokens = min(self.capacity, self._tokens + self.ratio)
--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -141,7 +141,6 @@
         self.send = None
         self.has_unsent = _have_none
         self._budget = budget
-        self._accept_limit_bytes = ACCEPT_SHARE * budget.limit_bytes
         self.catch_up = _do_nothing
         self.is_lost = False
         self.lost_at = 0.0
@@ -193,7 +192,7 @@
         size = ATTEMPT_BYTES + len(attempt.head)
         if attempt.body:
             size += _own_bytes(attempt.body)
-        if budget.used_bytes + size > self._accept_limit_bytes or (
+        if budget.used_bytes + size > ACCEPT_SHARE * budget.limit_bytes or (
             not budget.take_if_fits(size, size)
         ):
             budget.refusals += 1
@@ -281,10 +280,6 @@
         self.by_incarnation = {}
         self.budget = budget or _memory.MemoryAccount().budget('attempts')
         self._response_budget = response_budget
-        if response_budget is not None:
-            self._accept_responses_bytes = (
-                ACCEPT_RESPONSES_SHARE * response_budget.limit_bytes
-            )
         # In the order of their losses.
         self._lost_by_incarnation = {}
 
@@ -300,7 +295,7 @@
         """Return whether the target's responses leave room for another."""
         budget = self._response_budget
         return budget is None or (
-            budget.used_bytes <= self._accept_responses_bytes
+            budget.used_bytes <= ACCEPT_RESPONSES_SHARE * budget.limit_bytes
         )
 
     def is_short(self):
--- a/rosemarycrank/dataplane/_entry.py
+++ b/rosemarycrank/dataplane/_entry.py
@@ -282,6 +282,16 @@
         exchange.refused_for_s = history.refused_for_s(exchange.digest)
         return exchange.refused_for_s > 0.0
 
+    def set_retry_budget(self, settings):
+        """Set the retry budget of all nodes together.
+
+        Parameters
+        ----------
+        settings : RetryBudgetSettings
+            The budget.
+        """
+        self._attempts.retry_limits.configure(settings)
+
     def limit_run_end(self, latest_run_end_at):
         """Limit the deadlines given to attempts, during a planned stop.
 
--- a/rosemarycrank/dataplane/_memory.py
+++ b/rosemarycrank/dataplane/_memory.py
@@ -75,6 +75,28 @@
         self.budgets_by_name = {}
         self.shortage = Shortage.NONE
         self._process_limit_bytes = limit_bytes
+        self._shares_by_name = {}
+
+    def set_limit(self, limit_bytes):
+        """Set the memory limit of the process.
+
+        What is held beyond new limits stays held, and nothing is added to it.
+
+        Parameters
+        ----------
+        limit_bytes : float
+            The limit, in bytes.
+        """
+        self._process_limit_bytes = limit_bytes
+        self.limit_bytes = int(HELD_SHARE * limit_bytes)
+        for name, budget in self.budgets_by_name.items():
+            budget.limit_bytes = self._budget_bytes(name)
+            if budget.account is not self:
+                budget.account.limit_bytes = budget.limit_bytes
+                self.limit_bytes -= budget.limit_bytes
+
+    def _budget_bytes(self, name):
+        return int(self._shares_by_name[name] * self._process_limit_bytes)
 
     def budget(
         self,
@@ -97,7 +119,8 @@
         large_until : Shortage, default=Shortage.LARGE
             Shortage from which it has no room for large messages.
         """
-        budget_bytes = int(share * self._process_limit_bytes)
+        self._shares_by_name[name] = share
+        budget_bytes = self._budget_bytes(name)
         pool = self
         if is_reserved:
             self.limit_bytes -= budget_bytes
--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -82,6 +82,17 @@
         # An error in one step must not keep the next from being taken.
         self._call = node.reactor.guard.call
 
+    def set_grace(self, grace_s):
+        """Set the grace time of a stop that has not begun.
+
+        Parameters
+        ----------
+        grace_s : float
+            Seconds from SIGTERM until the process is killed.
+        """
+        if not self.has_begun:
+            self.grace_s = grace_s
+
     def begin(self):
         """Announce the stop; has no effect if it has begun."""
         if self.has_begun:
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -58,6 +58,9 @@
 #: Seconds between checks whether a first heartbeat can be followed.
 HELD_CHECK_INTERVAL_S = 0.05
 
+#: Settings that take effect while the process runs.
+CHANGEABLE_SETTINGS = ('grace_s', 'drain_s', 'budget', 'max_memory_bytes')
+
 #: Seconds between deliveries of the signals that have been received.
 SIGNAL_INTERVAL_S = 0.01
 
@@ -342,6 +345,26 @@
         ):
             self.store.on_rise(callback)
 
+    def update_settings(self, settings):
+        """Take what may change while the process runs.
+
+        That is the grace time, if no stop has begun; the drain time, for
+        leavings from now on; the retry budget; and the memory limit.
+
+        Parameters
+        ----------
+        settings : ProcessSettings
+            The new settings, of which the others are ignored.
+        """
+        taken = {name: getattr(settings, name) for name in CHANGEABLE_SETTINGS}
+        self.settings = attrs.evolve(self.settings, **taken)
+        self.planned_stop.set_grace(settings.grace_s)
+        self.target_side.set_drain_s(settings.drain_s)
+        self.entry.set_retry_budget(settings.budget)
+        self.memory.set_limit(settings.max_memory_bytes)
+        self.memory_guard.limit_bytes = settings.max_memory_bytes
+        self.resident_memory.limit_bytes = settings.max_memory_bytes
+
     def run(self):
         """Serve requests until the planned stop is complete.
 
--- a/rosemarycrank/dataplane/_retry_limits.py
+++ b/rosemarycrank/dataplane/_retry_limits.py
@@ -49,15 +49,31 @@
         """
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            settings = self.settings
-            node_count = max(1, len(self.directory.records_by_node))
-            budget = _budget.RetryBudget(
-                settings.ratio * RETRY_BUDGET_SHARE,
-                max(1.0, settings.slack * RETRY_BUDGET_SHARE / node_count),
-            )
+            budget = _budget.RetryBudget(*self._share())
             self._budgets_by_service[service] = budget
         return budget
 
+    def configure(self, settings):
+        """Change the retry budget of all nodes together.
+
+        Parameters
+        ----------
+        settings : RetryBudgetSettings
+            The budget.
+        """
+        self.settings = settings
+        for budget in self._budgets_by_service.values():
+            budget.configure(*self._share())
+
+    def _share(self):
+        """Return ratio and capacity of this node's budget for a service."""
+        settings = self.settings
+        node_count = max(1, len(self.directory.records_by_node))
+        return (
+            settings.ratio * RETRY_BUDGET_SHARE,
+            max(1.0, settings.slack * RETRY_BUDGET_SHARE / node_count),
+        )
+
     def allow_retry(self, exchange, now, deadline_at):
         """Return whether a request may be sent again; spend the budget.
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -182,6 +182,17 @@
             # Other nodes learn of the leaving before they get attempts back.
             self.reactor.call_soon(self._give_back_waiting)
 
+    def set_drain_s(self, drain_s):
+        """Set the drain time of leavings from now on.
+
+        Parameters
+        ----------
+        drain_s : float
+            Seconds for which the target serves after its leaving was
+            acknowledged.
+        """
+        self._run_limits.drain_s = drain_s
+
     def limit_run_end(self, runs_end_at):
         """Accept and start only attempts that are expected to end in time.
 
--- a/rosemarycrank/platform/_program.py
+++ b/rosemarycrank/platform/_program.py
@@ -27,6 +27,16 @@
 SETTINGS_PATIENCE_S = 2.0
 SETTINGS_RETRY_INTERVAL_S = 0.1
 
+#: Settings that take effect without a restart.
+_CHANGEABLE = (
+    'store_address',
+    'grace_s',
+    'drain_s',
+    'retry_budget_ratio',
+    'retry_budget_slack',
+    'memory_mb',
+)
+
 _STDOUT = 1
 _LOG = logging.getLogger(__name__)
 
@@ -85,8 +95,8 @@
 class _SettingsWatcher:
     """Reloads the settings file when it changes and on SIGHUP.
 
-    Only a changed address of the store takes effect; the other settings
-    apply from the next start of the process.
+    The settings in `_CHANGEABLE` take effect at once; the others apply from
+    the next start of the process.
     """
 
     def __init__(self, path, settings, modified_ns, process):
@@ -116,16 +126,32 @@
                 extra={'event': 'reload'},
             )
             return
-        changed = settings != self._settings
-        if settings.store_address != self._settings.store_address:
+        changed = _changed_names(settings, self._settings)
+        if 'store_address' in changed:
             self._process.store.client.set_address(settings.store_address)
+        self._process.update_settings(_process_settings(settings))
         self._settings = settings
         _LOG.warning(
             'settings file reloaded',
-            extra={'event': 'reload', 'changed': changed},
+            extra={
+                'event': 'reload',
+                'taken': [name for name in changed if name in _CHANGEABLE],
+                'not_taken': [
+                    name for name in changed if name not in _CHANGEABLE
+                ],
+            },
         )
 
 
+def _changed_names(settings, known):
+    """Return the names of the settings whose values differ."""
+    return [
+        field.name
+        for field in attrs.fields(type(settings))
+        if getattr(settings, field.name) != getattr(known, field.name)
+    ]
+
+
 def _read_settings(path, signals):
     """Read the settings file, again for a while if it cannot be used.
 
--- a/tests/dataplane/test_memory.py
+++ b/tests/dataplane/test_memory.py
@@ -816,3 +816,24 @@
     assert not entry.node.peers_by_node['n1'].sent
     assert _statuses(first) == [b'200', b'503']
     assert entry.side.in_flight == 0
+
+
+# Guards against limits that stay as they were at the start.
+def test_new_limit_of_the_process_holds_for_all_budgets():
+    changed, expected = (
+        _memory.MemoryAccount(limit) for limit in (100 * MB, 200 * MB)
+    )
+    for account in (changed, expected):
+        account.budget('requests')
+        account.budget('nodes', 0.1, is_reserved=True)
+    held = changed.budgets_by_name['requests']
+    held.take(20 * MB)
+    changed.set_limit(200 * MB)
+    assert changed.limit_bytes == expected.limit_bytes
+    for name, budget in expected.budgets_by_name.items():
+        other = changed.budgets_by_name[name]
+        assert other.limit_bytes == budget.limit_bytes
+        assert other.account.limit_bytes == budget.account.limit_bytes
+    assert held.take_if_fits(1000, 1000)
+    changed.set_limit(50 * MB)
+    assert not held.take_if_fits(1000, 1000)
--- a/tests/dataplane/test_process.py
+++ b/tests/dataplane/test_process.py
@@ -175,6 +175,37 @@
     assert [r.event for r in caplog.records] == ['row_invalid']
 
 
+# Guards against requests that are cut off as a planned stop lasts longer than
+# the platform waits, and against the same for the other limits.
+def test_limits_that_change_take_effect_at_once(process):
+    limits = process.entry._attempts.retry_limits
+    budget = limits.budget('archive')
+    process.update_settings(
+        attrs.evolve(
+            process.settings,
+            grace_s=3.0,
+            drain_s=1.0,
+            budget=dataplane.RetryBudgetSettings(0.1, 10.0),
+            max_memory_bytes=400e6,
+            service='dues',
+        )
+    )
+    assert process.planned_stop.grace_s == 3.0
+    assert process.target_side._run_limits.drain_s == 1.0
+    assert limits.budget('archive') is budget
+    assert budget.capacity == pytest.approx(7.0)
+    assert sum(budget.try_spend() for _ in range(50)) == 7
+    assert process.memory_guard.limit_bytes == 400e6
+    assert process.resident_memory.limit_bytes == 400e6
+    assert process.settings.service == 'archive'
+
+
+def test_grace_time_does_not_change_during_a_stop(process):
+    process.planned_stop.begin()
+    process.update_settings(attrs.evolve(process.settings, grace_s=60.0))
+    assert process.planned_stop.grace_s == 6.0
+
+
 ODD_KEY = '10.0.0.9:7620'
 
 
--- a/tests/platform/test_starts.py
+++ b/tests/platform/test_starts.py
@@ -237,6 +237,22 @@
     assert cluster.wait_for_exit(ip) == 0
 
 
+# Guards against a limit that an operator has changed and that is not followed.
+def test_changed_settings_are_taken_or_named(cluster):
+    ip = cluster.ips[0]
+    cluster.start(ip)
+    cluster.wait_until(lambda: cluster.is_ready(ip), 'node is not ready')
+    path = cluster.write_settings(ip)
+    text = path.read_text().replace('bounds.grace_s=4', 'bounds.grace_s=3')
+    path.write_text(text.replace('zone=a', 'zone=b'))
+    cluster.signal(ip, signal.SIGHUP)
+    cluster.wait_until(
+        lambda: '"taken":["grace_s"]' in _log(cluster, ip),
+        'the grace time is not taken',
+    )
+    assert '"not_taken":["failure_domain"]' in _log(cluster, ip)
+
+
 # Guards against a node that ends as its settings file is being written.
 def test_settings_file_that_is_half_written_is_read_again(cluster):
     ip = cluster.ips[0]
