Answer pings that are read together once

What callers saw: 16 connections to the nodes' port that send pings without end leave little of the processor: requests wait for seconds or end with 504.

Cause: each ping was answered by itself, and an answer with the load and the digests takes far more time than a ping.

Change: the last of the pings that are read together is answered. An earlier answer would say the same.

--- a/rosemarycrank/dataplane/_inbound.py
+++ b/rosemarycrank/dataplane/_inbound.py
@@ -68,6 +68,7 @@
         self._reader.expects_handshake = True
         self._frames = collections.deque()
         self._has_read_all = False
+        self._unanswered_ping = None
         self._stream = _reactor.Stream(node.reactor, sock, self)
 
     @property
@@ -138,6 +139,9 @@
     def _handle_frames(self):
         while self._frames and self._stream.is_open:
             self._handle_frame(self._frames.popleft())
+        ping, self._unanswered_ping = self._unanswered_ping, None
+        if ping is not None and self._stream.is_open:
+            self._answer_ping(ping)
 
     def check_silence(self):
         """Close the connection if the other node has been silent for long.
@@ -263,20 +267,26 @@
             self.node.target_side.cancel(self.caller, frame.number)
         elif kind is _frames.Ping:
             self.caller.discard_results_before(frame.oldest_pending)
-            self.notify(
-                _frames.Pong(
-                    self.node.configuration_version(),
-                    self.node.target_side.load(),
-                    self.node.directory.digest,
-                    self.node.crash_history.digest,
-                )
-            )
-            self.node.request_newer_configuration(
-                frame.configuration_version, self
-            )
+            self._unanswered_ping = frame
         else:
             self.node.receive_notification(frame, self)
 
+    def _answer_ping(self, ping):
+        """Answer the last of the pings that were read together.
+
+        An answer takes far more time than a ping, and an earlier one would
+        say the same.
+        """
+        self.notify(
+            _frames.Pong(
+                self.node.configuration_version(),
+                self.node.target_side.load(),
+                self.node.directory.digest,
+                self.node.crash_history.digest,
+            )
+        )
+        self.node.request_newer_configuration(ping.configuration_version, self)
+
     def _refuse_skipped(self, skipped):
         """Refuse an attempt that was not read for want of memory."""
         self.node.attempt_budget.log_refusal(
