Leave out rows of other parts of the tables

The feed of a table has the rows of all its parts. The users' pages give the operator's rows an empty part, and the nodes use no other one.

Change: such a row counts as invalid, with a line. The new case of the test failed before the change and passes after it.

--- a/rosemarycrank/platform/_store.py
+++ b/rosemarycrank/platform/_store.py
@@ -33,6 +33,7 @@
 
 class _Row(msgspec.Struct):
     key: str
+    part: str = ''
     ver: int = 0
     #: Base64; absent if the row was removed.
     value: str | None = None
@@ -52,6 +53,8 @@
 
 def _decode_row(data):
     row = decoding.decode(_ROW_DECODER, data)
+    if row.part != PARTITION:
+        raise ValueError(f'part: got {row.part!r}')
     if not 0 <= row.ver <= MAX_VERSION:
         raise ValueError(f'ver: got {row.ver}')
     value = None
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -399,6 +399,8 @@
         {'key': 'k', 'ver': 4, 'value': '%%'},
         {'key': 'k', 'ver': 10**30, 'value': ''},
         {'key': 'k', 'ver': 4, 'value': ['x']},
+        # Rows of other parts are not those of the nodes or the operator.
+        {'key': 'k', 'part': 'p', 'ver': 4, 'value': 'eA=='},
     ],
 )
 def test_odd_row_of_a_table_is_left_out(odd, caplog):
