--- a/rosemarycrank/dataplane/__init__.py
+++ b/rosemarycrank/dataplane/__init__.py
@@ -6,6 +6,7 @@
 `Adapter` supplies the names of header fields, the configuration and a store.
 """
 
+from rosemarycrank.dataplane import _adapter
 from rosemarycrank.dataplane import _balance
 from rosemarycrank.dataplane import _binding
 from rosemarycrank.dataplane import _decisions
@@ -17,12 +18,13 @@
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _process
+from rosemarycrank.dataplane import _process_settings
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _registration
 from rosemarycrank.dataplane import _routes
 from rosemarycrank.dataplane import _small_server
 
-Adapter = _process.Adapter
+Adapter = _adapter.Adapter
 AddressTakenError = _binding.AddressTakenError
 RetryBudgetSettings = _node.RetryBudgetSettings
 CALL_TIMEOUT_S = _discovery.CALL_TIMEOUT_S
@@ -37,7 +39,7 @@
 Node = _node.Node
 NodeProcess = _process.NodeProcess
 LONG_POLL_MARGIN_S = _discovery.LONG_POLL_MARGIN_S
-ProcessSettings = _process.ProcessSettings
+ProcessSettings = _process_settings.ProcessSettings
 RandomTarget = _balance.RandomTarget
 Reactor = _reactor.Reactor
 Reply = _small_server.Reply
--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -1,6 +1,5 @@
 """Process of a node: its components, start and planned stop."""
 
-import abc
 import gc
 import logging
 import os
@@ -26,6 +25,7 @@
 from rosemarycrank.dataplane import _memory_guard
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _planned_stop
+from rosemarycrank.dataplane import _process_settings
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _registration
 from rosemarycrank.dataplane import _resident_memory
@@ -58,9 +58,6 @@
 #: Seconds between checks whether a first heartbeat can be followed.
 HELD_CHECK_INTERVAL_S = 0.05
 
-#: Settings that take effect while the process runs.
-CHANGEABLE_SETTINGS = ('grace_s', 'drain_s', 'budget', 'max_memory_bytes')
-
 #: Seconds between deliveries of the signals that have been received.
 SIGNAL_INTERVAL_S = 0.01
 
@@ -70,117 +67,6 @@
 _LOG = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class ProcessSettings:
-    """Settings of a node process.
-
-    Attributes
-    ----------
-    node_name, failure_domain : str
-        Name and failure domain of the VM.
-    client_address : tuple of (str, int)
-        Address for requests of clients and of the local target.
-    ready_address : tuple of (str, int)
-        Address for readiness probes.
-    control_address : tuple of (str, int)
-        Address for heartbeats of the local target.
-    metrics_address : tuple of (str, int) or None
-        Address for metrics and the state dump; None to disable both.
-    peer_address : str
-        ``host:port`` at which other nodes reach this one.
-    peer_listen_address : tuple of (str, int)
-        Address at which this node accepts connections of other nodes.
-    target_address : tuple of (str, int)
-        Address of the local target.
-    service : str
-        Service of the local target.
-    grace_s : float
-        Seconds from SIGTERM until the process is killed.
-    drain_s : float
-        Seconds for which a target serves after the node acknowledged that it
-        is leaving.
-    budget : RetryBudgetSettings
-        Limit on retries.
-    max_descriptors : int
-        Number of descriptors that the process may open.
-    max_memory_bytes : float
-        Memory limit of the process.
-    targets_table : str
-        Table in which the nodes publish their targets.
-    costs_table : str
-        Table in which the costs of requests are stored.
-    configuration_table, configuration_key : str
-        Table and key of the row with the configuration.
-    """
-
-    node_name: str
-    failure_domain: str
-    client_address: tuple
-    ready_address: tuple
-    control_address: tuple
-    metrics_address: object
-    peer_address: str
-    peer_listen_address: tuple
-    target_address: tuple
-    service: str
-    grace_s: float
-    drain_s: float
-    budget: _node.RetryBudgetSettings
-    max_descriptors: int
-    max_memory_bytes: float
-    targets_table: str
-    costs_table: str
-    configuration_table: str
-    configuration_key: str
-
-
-class Adapter(abc.ABC):
-    """Interface of a node to the platform on which it runs.
-
-    Attributes
-    ----------
-    names : HeaderNames
-        Names of the header fields.
-    """
-
-    names = None
-
-    @abc.abstractmethod
-    def open_store(self, reactor):
-        """Return the `Store` for discovery and configuration."""
-
-    @abc.abstractmethod
-    def decode_configuration(self, body):
-        """Decode a document to a `Configuration`.
-
-        Raises
-        ------
-        ValueError
-            If the document is invalid.
-        """
-
-    @abc.abstractmethod
-    def handle_control(self, message, registration):
-        """Handle a heartbeat or withdrawal of the local target.
-
-        Parameters
-        ----------
-        message : Message
-            Request of the target.
-        registration : Registration
-            Registration to update.
-
-        Returns
-        -------
-        Reply
-            Reply to the target.
-        """
-
-    @abc.abstractmethod
-    def is_readiness_probe(self, message):
-        """Return whether a request is a readiness probe of the node."""
-
-
 class NodeProcess:
     """Creates, runs and stops the components of a node.
 
@@ -356,7 +242,10 @@
         settings : ProcessSettings
             The new settings, of which the others are ignored.
         """
-        taken = {name: getattr(settings, name) for name in CHANGEABLE_SETTINGS}
+        taken = {
+            name: getattr(settings, name)
+            for name in _process_settings.CHANGEABLE
+        }
         self.settings = attrs.evolve(self.settings, **taken)
         self.planned_stop.set_grace(settings.grace_s)
         self.target_side.set_drain_s(settings.drain_s)
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -6,12 +6,14 @@
 import hypothesis.strategies as st
 import pytest
 
+from rosemarycrank.dataplane import _adapter
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _guard
 from rosemarycrank.dataplane import _names
 from rosemarycrank.dataplane import _node
 from rosemarycrank.dataplane import _planned_stop
 from rosemarycrank.dataplane import _process
+from rosemarycrank.dataplane import _process_settings
 from rosemarycrank.dataplane import _upstream
 from rosemarycrank import stop_times
 from tests.dataplane import fakes
@@ -25,7 +27,7 @@
 TARGET_BODY = b'answer of the target'
 
 
-class _Adapter(_process.Adapter):
+class _Adapter(_adapter.Adapter):
     names = _names.HeaderNames()
 
     def open_store(self, reactor):
@@ -85,7 +87,7 @@
     """A node that is about to stop, and requests in flight."""
 
     def __init__(self, reactor, work_s, grace_s):
-        settings = _process.ProcessSettings(
+        settings = _process_settings.ProcessSettings(
             node_name='n1',
             failure_domain='fd-a',
             client_address=('127.0.0.1', 0),
