--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,6 +18,7 @@
     'dataplane/test_slow_readers.py',
     'load',
     'node',
+    'platform/test_early_answers.py',
     'platform/test_memory_limit.py',
     'platform/test_processes.py',
     'platform/test_starts.py',
