Count only connections that were open together as the end of a target

What callers saw: a target in trouble reset the connections of three or four requests one after the other.

Cause: the loss of two connections within 0.1 s, with none left, counted as the end of the process, also if the second one had been opened after the first was lost. A process that ends closes what is open at that moment.

Change: the losses are kept with the times at which their connections were opened, and only those that were open at one moment count together.

Evidence: the new test fails before the change at the second of four connections, and passes after it.

--- a/rosemarycrank/dataplane/_upstream.py
+++ b/rosemarycrank/dataplane/_upstream.py
@@ -30,10 +30,14 @@
 #: only an idempotent request may be sent again.
 MAX_NON_IDEMPOTENT_IDLE_S = 1.0
 
-#: Number of connections that the target has to close, while none stays open,
-#: to show that its process has ended. Single ones are reset for other reasons.
+#: Number of connections, open at the same time, that the target has to close,
+#: while none stays open, to show that its process has ended. Single ones are
+#: reset for other reasons.
 MIN_LOST_CONNECTIONS = 2
 
+#: Number of lost connections that are remembered.
+MAX_LOST_CONNECTIONS = 32
+
 #: Time between the first and the last loss of a connection to a process that
 #: has ended, in seconds.
 LOSS_SPREAD_S = 0.1
@@ -205,7 +209,7 @@
         """
         connecting = self.stream.is_connecting
         if not connecting:
-            self.pool.record_loss()
+            self.pool.record_loss(self)
         if self._on_answer is not None and error is None:
             if self._reader.end_of_stream() and self._answer is not None:
                 self._end_request()
@@ -374,6 +378,24 @@
             return None
 
 
+@attrs.frozen
+class _Loss:
+    """A connection that the target has closed.
+
+    Attributes
+    ----------
+    opened_at, lost_at : float
+        When it was opened and lost, in seconds of the node's clock.
+    """
+
+    opened_at: float
+    lost_at: float
+
+    def was_open_at(self, time):
+        """Return whether it was open at a time."""
+        return self.opened_at <= time <= self.lost_at
+
+
 class UpstreamPool:
     """Pool of connections to the local target, reused last in, first out.
 
@@ -401,7 +423,7 @@
         self.names = names
         self.opened = 0
         self._opened_at_by_connection = {}
-        self._lost_at = collections.deque(maxlen=MIN_LOST_CONNECTIONS)
+        self._losses = collections.deque(maxlen=MAX_LOST_CONNECTIONS)
         self.budget = budget or _memory.MemoryAccount().budget('responses')
         self._idle = []
         self._retire_timer = reactor.timers.every(0.25, self._close_expired)
@@ -461,14 +483,23 @@
         opened = self._opened_at_by_connection.values()
         if any(opened_at < since for opened_at in opened):
             return False
-        lost = sum(
-            lost_at >= since - LOSS_SPREAD_S for lost_at in self._lost_at
+        losses = [
+            loss
+            for loss in self._losses
+            if loss.lost_at >= since - LOSS_SPREAD_S
+        ]
+        # A process that ends closes what was open then, and nothing later.
+        return any(
+            sum(loss.was_open_at(end.lost_at) for loss in losses)
+            >= MIN_LOST_CONNECTIONS
+            for end in losses
         )
-        return lost >= MIN_LOST_CONNECTIONS
 
-    def record_loss(self):
+    def record_loss(self, connection):
         """Record that the target has closed a connection."""
-        self._lost_at.append(self.reactor.now())
+        now = self.reactor.now()
+        opened_at = self._opened_at_by_connection.get(connection, now)
+        self._losses.append(_Loss(opened_at, now))
 
     def release(self, connection):
         """Return a connection to the pool after its request has ended."""
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -399,6 +399,19 @@
     assert pool.has_lost_all(lost_at) == (closed == 3)
 
 
+# Guards against innocent requests that are refused: a target in trouble resets
+# connections one after the other, and passes for one that has crashed.
+def test_losses_one_after_the_other_do_not_show_it(pool, listener):
+    for number in range(4):
+        pool.acquire(True).start(
+            b'r1', REQUEST % number, b'', False, lambda _answer: 0
+        )
+        listener.accept()[0].close()
+        gevent.sleep(0.01)
+        assert pool.open_count == 0
+        assert not pool.has_lost_all(pool.reactor.now())
+
+
 # Guards against a single answer that is lost with its connection, and that
 # passes for the end of the target.
 def test_loss_of_one_connection_does_not_show_it(pool, listener):
