--- a/rosemarycrank/dataplane/_process.py
+++ b/rosemarycrank/dataplane/_process.py
@@ -59,7 +59,7 @@
 HELD_CHECK_INTERVAL_S = 0.05
 
 #: Seconds between deliveries of the signals that have been received.
-SIGNAL_INTERVAL_S = 0.05
+SIGNAL_INTERVAL_S = 0.01
 
 #: Seconds between tries to serve metrics while their address is taken.
 METRICS_RETRY_INTERVAL_S = 1.0
--- a/rosemarycrank/http_heads.py
+++ b/rosemarycrank/http_heads.py
@@ -35,14 +35,14 @@
     str or None
         Description of the fault; None if there is none.
     """
-    if not MIN_STATUS <= status <= MAX_STATUS:
+    if not is_status(status):
         return f'status outside {MIN_STATUS} to {MAX_STATUS}'
     if version not in _VERSIONS:
         return 'another version of the protocol'
-    if not reason.isalpha() and _CONTROL_BYTE.search(reason):
+    if _CONTROL_BYTE.search(reason):
         return 'control byte in the reason phrase'
-    text = b'\n'.join([value for _, value in fields])
-    if _contains_status_line(reason) or _contains_status_line(text):
+    values = [value for _, value in fields]
+    if _contains_status_line(b'\n'.join((reason, *values))):
         return 'status line within a head'
     codings = [value for name, value in fields if name == _TRANSFER_ENCODING]
     # The body of any other one would not be that of the response.
--- a/rosemarycrank/process_signals.py
+++ b/rosemarycrank/process_signals.py
@@ -68,8 +68,6 @@
 
     def deliver(self):
         """Call the functions for the signals since the last delivery."""
-        if not self._undelivered:
-            return
         for number in self._undelivered & self._callbacks_by_number.keys():
             # Before the call: a signal during it is delivered later.
             self._undelivered.discard(number)
