Report a reset that a send has met to the callers of the HTTP client

Change: the socket keeps the first error of a send, unless it says that the server had ended its output in order before, and raises it at the end of the input.

An answer that ends in order counts as before.

--- a/rosemarycrank/http_client/_client.py
+++ b/rosemarycrank/http_client/_client.py
@@ -1,5 +1,7 @@
 """HTTP client on geventhttpclient, with its automatic retries disabled."""
 
+import errno
+
 import attrs
 import gevent
 import gevent.socket
@@ -56,14 +58,32 @@
 
     The announced length of a body is checked separately. This limit covers
     bodies without an announced length, and endless headers.
+
+    The library reads an answer also after a failed send. The operating system
+    reports a reset once, so that the end of that answer would look orderly.
     """
 
     bytes_left = 0
     is_used_again = False
+    _send_error = None
+
+    def send(self, *arguments, **parameters):
+        """Send bytes; remember an error that is not that of an orderly end."""
+        try:
+            return super().send(*arguments, **parameters)
+        except OSError as error:
+            if self._send_error is None and error.errno != errno.EPIPE:
+                self._send_error = error
+            raise
 
     def recv(self, *arguments):
-        """Receive bytes; raise `AnswerTooLarge` beyond the limit."""
+        """Receive bytes; raise `AnswerTooLarge` beyond the limit.
+
+        At the end of the input, raise the error of an earlier send.
+        """
         received = super().recv(*arguments)
+        if not received and self._send_error is not None:
+            raise self._send_error
         self.bytes_left -= len(received)
         if self.bytes_left < 0:
             raise AnswerTooLarge('answer: got more bytes than allowed')
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -7,6 +7,8 @@
 import contextlib
 import datetime
 import ipaddress
+import socket
+import struct
 
 import attrs
 from cryptography.hazmat.primitives.asymmetric import ec
@@ -419,3 +421,62 @@
     origin.answer = head.encode() + b'2\r\nok\r\n0\r\n\r\n'
     with pytest.raises(http_client.HttpError):
         client.request('GET', '/', timeout_s=5)
+
+
+#: More than the buffers between client and server take.
+UPLOAD = b'x' * 16_000_000
+PART = b'HTTP/1.1 200 OK\r\n\r\npart'
+
+
+def _answer_early(certificate, is_tls, end):
+    """Start a server that answers before it has read the request."""
+
+    def serve(connection, _address):
+        connection.recv(4096)
+        connection.sendall(PART)
+        end(connection)
+
+    tls = {'ssl_context': certificate.server_context()} if is_tls else {}
+    origin = server.StreamServer(('127.0.0.1', 0), serve, **tls)
+    origin.start()
+    return origin
+
+
+def _reset(connection):
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    connection.close()
+
+
+# Guards against a part of an answer that callers get as a complete one: the
+# server resets the connection while the request is being written.
+@pytest.mark.parametrize(
+    'end', [_reset, lambda connection: connection.close()]
+)
+def test_early_answer_that_is_reset_is_an_error(
+    certificate, client_context, end
+):
+    origin = _answer_early(certificate, client_context is not None, end)
+    client = http_client.Client(
+        '127.0.0.1', origin.server_port, tls_context=client_context
+    )
+    with pytest.raises(http_client.HttpError):
+        client.request('POST', '/', body=UPLOAD, timeout_s=5)
+    client.close()
+    origin.stop()
+
+
+def test_early_answer_without_length_that_ends_in_order_counts(certificate):
+    def end(connection):
+        connection.shutdown(socket.SHUT_WR)
+        while connection.recv(65536):
+            pass
+        connection.close()
+
+    origin = _answer_early(certificate, False, end)
+    client = http_client.Client('127.0.0.1', origin.server_port)
+    answer = client.request('POST', '/', body=UPLOAD, timeout_s=5)
+    assert (answer.status, answer.body) == (200, b'part')
+    client.close()
+    origin.stop()
