--- a/review/11/run.py
+++ b/review/11/run.py
@@ -1,225 +1,158 @@
-"""A frozen node makes the node of a target exceed its memory limit."""
+"""A paid order runs twice as its target leaves and another client gives up."""
 
 import asyncio
 import collections
 import pathlib
-import re
-import signal
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'rig-3'))
 
 import fleet  # noqa: E402
 
-#: Users who open a page at the same time, images of a page, and bytes of one.
-USERS = 150
-IMAGES = 24
-IMAGE_BYTES = 60_000
-IMAGE_WORK_S = 0.2
-IMAGE_DEADLINE_MS = 6000
+#: Slots of a target, the smallest number of the site, and how many of them the
+#: node uses.
+SLOTS = 29
+USED_SLOTS = 27
 
-#: Clients on the machine of the previews, who place orders one by one.
-ORDER_CLIENTS = 16
-ORDER_WORK_S = 2.5
-ORDER_DEADLINE_MS = 5000
+#: Work of the three kinds of requests, in seconds.
+WORK_S_BY_KIND = {'report': 2.5, 'status': 0.05, 'order': 0.1}
+DEADLINE_MS = 5000
 
-#: Moment of the freeze after the pages are opened, and its length; the
-#: largest that `sites/krw-mesh.toml` names is 4.0.
-FREEZE_AFTER_S = 0.3
-FREEZE_S = 4.0
+#: Requests that a client sends behind each other: long ones for all slots, and
+#: others. Orders, of which some are sent after each of the latter.
+PIPELINED = 32
+ORDERS = 15
+ORDERS_PER_STATUS = 3
 
-#: Connections that may be closed with a request on the way (LOST).
-ALLOWED_LOST = 3
+#: Time from the acknowledged leaving of the target until the client leaves.
+GIVE_UP_AFTER_S = 0.83
 
-#: Memory limit of a process, `limits.memory_mb`, taken as mebibytes.
-MEMORY_LIMIT_KB = 300 * 1024
-MEMORY_CHECK_S = 0.05
-RESTART_DELAY_S = 0.5
+#: Releases in one run: a new target starts, and the old one leaves.
+RELEASES = 5
+
+#: Machines that have the target in turn.
+MACHINES = 5
 
-SLOTS = 261
 ROUTES = [
     {
-        'name': 'preview-view',
-        'path_prefix': '/preview/',
-        'route_type': 'idempotent',
-        'service': 'previews',
-        'max_attempts': 2,
-        'timeout_s': 5.0,
-    },
-    {
-        'name': 'render-order',
-        'path_prefix': '/order/',
-        'route_type': 'non_idempotent',
+        'name': f'{kind}-route',
+        'path_prefix': f'/{kind}/',
+        'route_type': 'non_idempotent' if kind == 'order' else 'idempotent',
         'service': 'orders',
         'max_attempts': 2,
         'timeout_s': 5.0,
-        'priority': 0,
-    },
+    }
+    for kind in WORK_S_BY_KIND
 ]
-IMAGE = b'i' * IMAGE_BYTES
 
 
-class Target(fleet.Target):
-    """Target that answers with an image, or takes an order."""
+class Fleet(fleet.Fleet):
+    """Fleet whose targets take orders and answer questions about them."""
 
-    async def run(self, request):
-        if self.service == 'previews':
-            await asyncio.sleep(IMAGE_WORK_S)
-            return 200, IMAGE
-        await asyncio.sleep(ORDER_WORK_S)
-        return 200, b'ordered'
+    def work_s(self, request):
+        return WORK_S_BY_KIND[request['path'].split('/')[1]]
 
 
-class Fleet(fleet.Fleet):
-    target_class = Target
+async def warm_up(deployment, ips):
+    """Have the targets run requests of the short kinds."""
+    for _ in range(10):
+        await asyncio.gather(
+            *(
+                deployment.request(
+                    ip, 'POST', '/order/warm', DEADLINE_MS, b'o'
+                )
+                for ip in ips
+            ),
+            *(
+                deployment.request(ip, 'GET', '/status/warm', DEADLINE_MS)
+                for ip in ips
+            ),
+        )
 
 
-class Platform:
-    """Kills processes above their memory limit, and starts them again.
+async def release(deployment, old_ip, new_ip, entry_ip):
+    """Replace a target while requests wait for it.
 
-    Attributes
-    ----------
-    peak_kb_by_ip : collections.Counter
-        Largest resident memory of each node.
-    killed : list of str
-        Addresses of the nodes that were killed, in order.
+    Returns
+    -------
+    list of tuple of (str, int)
+        Identifiers and statuses of the orders.
     """
-
-    def __init__(self, deployment):
-        self.fleet = deployment
-        self.peak_kb_by_ip = collections.Counter()
-        self.killed = []
-
-    async def watch(self):
-        """Check all processes until cancelled."""
-        while True:
-            for ip, node in self.fleet.nodes.items():
-                resident_kb = _resident_kb(node)
-                if resident_kb > self.peak_kb_by_ip[ip]:
-                    self.peak_kb_by_ip[ip] = resident_kb
-                if resident_kb > MEMORY_LIMIT_KB:
-                    self.fleet.record.write(
-                        'memory-over-limit', ip=ip, resident_kb=resident_kb
-                    )
-                    self.killed.append(ip)
-                    await node.end()
-                    await asyncio.sleep(RESTART_DELAY_S)
-                    await node.start()
-            await asyncio.sleep(MEMORY_CHECK_S)
-
-
-def _resident_kb(node):
-    if not node.is_up:
-        return 0
-    try:
-        text = pathlib.Path(f'/proc/{node.process.pid}/status').read_text()
-    except OSError:
-        return 0
-    found = re.search(r'VmRSS:\s+(\d+) kB', text)
-    return int(found[1]) if found else 0
-
-
-async def open_page(deployment, ip):
-    """Fetch the images of a page over one connection; return the statuses."""
-    connection = fleet.ClientConnection(deployment, ip)
-    await connection.open()
-    for number in range(IMAGES):
-        connection.send('GET', f'/preview/{number}', IMAGE_DEADLINE_MS)
-    statuses = []
-    try:
-        async with asyncio.timeout(IMAGE_DEADLINE_MS / 1000.0 + 2.0):
-            while connection.waiting:
-                answer = await connection.receive()
-                if answer is None:
-                    break
-                statuses.append(answer[1])
-    except TimeoutError:
-        pass
-    connection.close()
-    return statuses
-
-
-async def place_orders(deployment, ip, delay_s, cut):
-    """Place orders one by one until the connection ends."""
-    await asyncio.sleep(delay_s)
-    connection = fleet.ClientConnection(deployment, ip)
-    await connection.open()
-    while True:
-        connection.send('POST', '/order/1', ORDER_DEADLINE_MS, b'paid')
-        if await connection.receive() is None:
-            deployment.record.write(
-                'connection-ended',
-                node=ip,
-                unanswered=connection.waiting[0],
-                answered_before=connection.answered_count,
+    old, new = deployment.targets[old_ip], deployment.targets[new_ip]
+    await warm_up(deployment, (old_ip, entry_ip))
+    client = fleet.ClientConnection(deployment, old_ip)
+    await client.open()
+    opened_at = time.monotonic()
+    for number in range(USED_SLOTS):
+        client.send('GET', f'/report/{number}', DEADLINE_MS)
+    await asyncio.sleep(0.1)
+    orders = []
+    for number in range(ORDERS):
+        if number % ORDERS_PER_STATUS == 0:
+            client.send('GET', f'/status/{number}', DEADLINE_MS)
+        await asyncio.sleep(0.004)
+        orders.append(
+            asyncio.create_task(
+                deployment.request(
+                    entry_ip, 'POST', f'/order/{number}', DEADLINE_MS, b'paid'
+                )
             )
-            if connection.answered_count:
-                cut.append(connection.waiting[0])
-            return
-
-
-async def freeze(deployment, ip):
-    """Freeze the process of a node for a time."""
-    await asyncio.sleep(FREEZE_AFTER_S)
-    deployment.nodes[ip].signal(signal.SIGSTOP)
-    await asyncio.sleep(FREEZE_S)
-    deployment.nodes[ip].signal(signal.SIGCONT)
+        )
+        await asyncio.sleep(0.004)
+    await asyncio.sleep(0.05)
+    await new.start()
+    await asyncio.sleep(0.25)
+    old.state = 'draining'
+    status = await old.report()
+    left_at = time.monotonic()
+    deployment.record.write('leaving', ip=old_ip, status=status)
+    if fleet.has_trouble():
+        await asyncio.sleep(GIVE_UP_AFTER_S)
+        deployment.record.write(
+            'client-leaves',
+            node=old_ip,
+            waiting=len(client.waiting),
+            after_s=round(time.monotonic() - opened_at, 3),
+        )
+        client.close()
+    answers = await asyncio.gather(*orders)
+    await asyncio.sleep(max(0.0, left_at + 3.0 - time.monotonic()))
+    client.close()
+    old.crash('drained')
+    await asyncio.sleep(0.5)
+    return [(request_id, status) for request_id, status, _, _ in answers]
 
 
 async def case():
     """Return whether the rule was broken."""
-    deployment = Fleet(FOLDER, ['previews', 'orders', 'gallery'], SLOTS)
-    previews_ip, _, entry_ip = deployment.ips
-    platform = Platform(deployment)
-    cut = []
-    tasks = []
+    deployment = Fleet(FOLDER, ['orders'] * MACHINES + ['gallery'], SLOTS)
+    *ips, entry_ip = deployment.ips
+    orders = []
     try:
-        await deployment.start(ROUTES)
-        # Long enough for the targets to be in use and all to be in touch.
-        await asyncio.sleep(5.0)
-        tasks.append(asyncio.create_task(platform.watch()))
-        tasks += [
-            asyncio.create_task(
-                place_orders(
-                    deployment,
-                    previews_ip,
-                    ORDER_WORK_S * number / ORDER_CLIENTS,
-                    cut,
-                )
-            )
-            for number in range(ORDER_CLIENTS)
-        ]
-        await asyncio.sleep(8.0)
-        if fleet.has_trouble():
-            tasks.append(asyncio.create_task(freeze(deployment, entry_ip)))
-        pages = await asyncio.gather(
-            *(open_page(deployment, entry_ip) for _ in range(USERS))
-        )
-        await asyncio.sleep(2.0)
-        ran = {
+        await deployment.start(ROUTES, [ips[0], entry_ip])
+        await asyncio.sleep(4.0)
+        for number in range(RELEASES):
+            old_ip = ips[number % MACHINES]
+            new_ip = ips[(number + 1) % MACHINES]
+            orders += await release(deployment, old_ip, new_ip, entry_ip)
+        runs = collections.Counter(
             request_id
             for target in deployment.targets.values()
             for _, request_id, _ in target.runs
-        }
-        lost = [request_id for request_id in cut if request_id in ran]
-        for ip, peak_kb in platform.peak_kb_by_ip.items():
-            deployment.record.write('memory-peak', ip=ip, resident_kb=peak_kb)
-        statuses = collections.Counter(s for page in pages for s in page)
-        deployment.record.write(
-            'pages', **{f's{s}': n for s, n in statuses.items()}
         )
-        summary = (
-            f'killed above the memory limit: {len(platform.killed)}; peaks in '
-            f'kB: {sorted(platform.peak_kb_by_ip.values())}; orders passed on '
-            f'whose kept connection ended without an answer: {len(lost)}, '
-            f'allowed {ALLOWED_LOST}'
+        twice = [r for r, _ in orders if runs[r] > 1]
+        refused = [r for r, status in orders if status == 503 and runs[r]]
+        for name, ids in (('twice', twice), ('refused', refused)):
+            deployment.record.write(name, ids=','.join(ids) or 'none')
+        statuses = collections.Counter(status for _, status in orders)
+        print(
+            f'{len(orders)} orders, statuses {dict(statuses)}; ran twice: '
+            f'{len(twice)}; answered 503 and run: {len(refused)}'
         )
-        deployment.record.write('result', summary=summary.replace(' ', '_'))
-        print(summary)
-        return len(lost) > ALLOWED_LOST
+        return bool(twice or refused)
     finally:
-        await fleet.cancel(tasks)
         await deployment.close()
 
 
--- a/review/rig-3/fleet.py
+++ b/review/rig-3/fleet.py
@@ -654,24 +654,45 @@
                 {'hostname': HOST, 'aim_s': 1.5, 'priority': 1, **route}
                 for route in routes
             ],
-            'services': {},
+            'services': [
+                {
+                    'name': service,
+                    'health_path': '/health',
+                    'max_connections': 1666,
+                    'protocol': 'h1',
+                    'tls': False,
+                }
+                for service in sorted(
+                    {node.service for node in self.nodes.values()}
+                )
+            ],
             'limits': {
                 'max_header_bytes': 16384,
-                'max_body_bytes': 1048576,
-                'header_timeout_s': 5.0,
-                'idle_timeout_s': 20.0,
+                'max_body_bytes': 67108864,
+                'header_timeout_s': 3,
+                'idle_timeout_s': 15,
             },
         }
         value = base64.b64encode(json.dumps(document).encode()).decode()
         await self.store.put('op', 'config', value)
         self.record.write('configuration', version=self.version)
 
-    async def start(self, routes):
-        """Start everything, and wait until all nodes are ready."""
+    async def start(self, routes, ips_with_target=None):
+        """Start everything, and wait until all nodes are ready.
+
+        Parameters
+        ----------
+        routes : list of dict
+            Routes of the first configuration.
+        ips_with_target : list of str, optional
+            Machines whose targets start; all if not given.
+        """
         await self.store.start(self.store_ip, self.ports['store'])
         await self.configure(routes)
         await asyncio.gather(*(node.start() for node in self.nodes.values()))
-        await asyncio.gather(*(t.start() for t in self.targets.values()))
+        await asyncio.gather(
+            *(self.targets[ip].start() for ip in ips_with_target or self.ips)
+        )
         await self.wait_until_ready(self.ips)
 
     async def wait_until_ready(self, ips, timeout_s=20.0):
