Deliver results after the walk that ends attempts; give jobs one state

What callers saw: orders ran twice. With no other target, their callers got 503 for requests that had run.

Cause: the target side delivered a result at once, while it walked over a copy of its queue. The sender on the same node sent the request elsewhere, read the connection of its client first, found that it had left and cancelled all its attempts. Slots became free, attempts that were still ahead in the copy started, and the walk then reported them as not run. The same holds for four other walks: attempts that expire in the queue, runs past their deadlines, and both loops of the end of a node. The number of waiting attempts, kept by hand at ten places, was wrong after it.

Change: a job has one state, which JobStates changes and from which the number of waiting jobs follows; only a job that was never sent can be ended as not run, any other transition raises. Results wait in one queue and are delivered at the end of the loop's turn, so that no caller acts within a walk. A sender that cancels an attempt gets no result for it any more. Jobs whose senders are lost are ended with the node, too.

Ruled out: guards at the five walks. The next walk would need one as well.

Tests that read results in the same turn now end the turn first.

--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -2,8 +2,6 @@
 
 import logging
 
-import attrs
-
 from rosemarycrank.dataplane import _frames
 from rosemarycrank.dataplane import _memory
 
@@ -49,49 +47,6 @@
     return False
 
 
-@attrs.define(eq=False, slots=True)
-class Job:
-    """An attempt that was accepted or refused for the local target.
-
-    Attributes
-    ----------
-    caller : Caller
-        Node that sent it.
-    attempt : rosemarycrank.dataplane.Attempt
-        The attempt as received.
-    arrived_at, deadline_at : float
-        Seconds of the node's clock.
-    connection : UpstreamConnection or None
-        Connection on which it runs; None while it does not run.
-    started_at : float
-        When it was sent to the target; 0 while it is queued.
-    run : rosemarycrank.dataplane._call_links.Run or None
-        The run as counted by `CallCosts`; None while it is queued.
-    result : rosemarycrank.dataplane.Result or None
-        Its result; None until it has ended.
-    crashed_starts : tuple of tuple of (str, int)
-        Starts of targets that had crashed under the request when its run
-        began.
-    is_watched : bool
-        Whether its run is watched for a crash, and so has few others beside
-        it.
-    held_bytes : int
-        Memory that it takes of the budget of its caller.
-    """
-
-    caller: object
-    attempt: object
-    arrived_at: float
-    deadline_at: float
-    connection: object = None
-    started_at: float = 0.0
-    run: object = None
-    result: object = None
-    crashed_starts: tuple = ()
-    is_watched: bool = False
-    held_bytes: int = 0
-
-
 class Caller:
     """State of a calling node, kept across its reconnections.
 
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -14,12 +14,14 @@
 from rosemarycrank.dataplane import _crash_history
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
+from rosemarycrank.dataplane import _jobs
 from rosemarycrank.dataplane import _limit
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _pauses
 from rosemarycrank.dataplane import _pressure
 from rosemarycrank.dataplane import _rank_waits
 from rosemarycrank.dataplane import _rate_limit
+from rosemarycrank.dataplane import _result_delivery
 from rosemarycrank.dataplane import _run_limits
 from rosemarycrank.dataplane import _self_calls
 from rosemarycrank.dataplane import _suspect_runs
@@ -141,7 +143,8 @@
             reactor, pool, self._end_lost_runs
         )
         self._self_calls = _self_calls.SelfCalls(costs)
-        self._running = set()
+        self._jobs = _jobs.JobStates()
+        self._delivery = _result_delivery.ResultDelivery(reactor)
         self._waiting = _waiting_queue.WaitingQueue(self.rank_waits)
         # Those that wait as they are suspected; they say nothing of the load.
         self._held_suspects = 0
@@ -208,8 +211,8 @@
         """Return the `Load` of the target, as reported to other nodes."""
         limit, service_s = self._reported_capacity()
         return _frames.Load(
-            len(self._running),
-            max(0, self._waiting.count - self._held_suspects),
+            self.running_count,
+            max(0, self.waiting_count - self._held_suspects),
             limit,
             service_s,
             self.arrivals.per_s,
@@ -234,20 +237,20 @@
     @property
     def running_count(self):
         """Number of attempts that run at the target."""
-        return len(self._running)
+        return len(self._jobs.running)
 
     @property
     def waiting_count(self):
         """Number of attempts in the queue."""
-        return self._waiting.count
+        return self._jobs.waiting_count
 
     def idle_s(self, now):
         """Return the seconds since the last run ended; 0 during a run."""
-        return 0.0 if self._running else now - self._last_run_at
+        return 0.0 if self.running_count else now - self._last_run_at
 
     def busy(self):
-        """Return whether attempts are running or queued."""
-        return bool(self._running) or self._waiting.count > 0
+        """Return whether attempts run, wait or have undelivered results."""
+        return bool(self.running_count or self.waiting_count or self._delivery)
 
     def accept(self, caller, attempt):
         """Start, queue or refuse an attempt.
@@ -268,11 +271,11 @@
             self._send_again(known)
             return
         now = self.reactor.now()
-        job = _callers.Job(
+        job = _jobs.Job(
             caller, attempt, now, now + attempt.remaining_ms / 1000.0
         )
         if number < caller.discarded_below:
-            self._finish(job, _UNKNOWN, _frames.Reason.FORGOTTEN)
+            self._end_unsent(job, _frames.Reason.FORGOTTEN, _UNKNOWN)
             return
         if not (self.callers.has_room() and caller.hold_attempt(job)):
             self._refuse_for_memory(job)
@@ -282,9 +285,9 @@
             self.arrivals.record_arrival()
         reason = self._refusal_reason(attempt, job, now)
         if reason is not None:
-            self._finish(job, _NOT_RUN, reason)
+            self._end_unsent(job, reason)
         else:
-            self._waiting.count += 1
+            self._jobs.wait(job)
             if self._is_catching_up:
                 self._waiting.add(job)
                 self._start_waiting_soon()
@@ -311,7 +314,7 @@
         caller = job.caller
         if job.result is not None and caller.send is not None:
             caller.hold_result(job)
-            caller.send(job.result)
+            self._delivery.add(caller, job.result)
 
     def refuse_unread(self, caller, number):
         """Refuse an attempt that was not read, as there is no memory for it.
@@ -330,12 +333,12 @@
         outcome, reason = _NOT_RUN, _frames.Reason.QUEUE_FULL
         if number < caller.discarded_below:
             outcome, reason = _UNKNOWN, _frames.Reason.FORGOTTEN
-        if caller.send is not None:
-            caller.send(
-                _frames.Result(
-                    number, outcome, int(reason), 0, b'', b'', self.load()
-                )
-            )
+        self._delivery.add(
+            caller,
+            _frames.Result(
+                number, outcome, int(reason), 0, b'', b'', self.load()
+            ),
+        )
 
     def _start_if_wanted(self, job, now):
         """Start a job that counts as waiting, by what its sender sent since.
@@ -353,12 +356,12 @@
             caller.catch_up(job.attempt.number)
         finally:
             self._is_catching_up = False
-        if job.result is not None:
+        if job.state is not _jobs.JobState.WAITING:
             return
         if caller.is_lost:
+            self._jobs.park(job)
             caller.parked_jobs.append(job)
             return
-        self._waiting.count -= 1
         self._start(job, now)
 
     def restore_caller(self, caller, *args):
@@ -366,14 +369,16 @@
         self.callers.restore(caller, *args)
         parked, caller.parked_jobs = caller.parked_jobs, []
         for job in parked:
-            self._waiting.add(job)
+            if job.state is _jobs.JobState.PARKED:
+                self._jobs.wait(job)
+                self._waiting.add(job)
         if parked:
             self._start_waiting_soon()
 
     def _may_start(self, now):
         """Return whether one more attempt may start now."""
         return (
-            len(self._running) < self.limit.value
+            self.running_count < self.limit.value
             and self.rate_limit.allows_start(now)
             and self._pauses.is_settled(now)
         )
@@ -386,7 +391,9 @@
 
     def _may_start_suspect(self, job, now):
         held_s = self._held_suspects * self.limit.service_s
-        return self.suspect_runs.may_start(job, self._running, held_s, now)
+        return self.suspect_runs.may_start(
+            job, self._jobs.running, held_s, now
+        )
 
     def _expected_wait_s(self, ahead, now):
         """Return the expected delay in the queue, in seconds.
@@ -405,8 +412,9 @@
 
     def cancel(self, caller, number):
         """Cancel an attempt at the request of its sender."""
+        self._delivery.discard(caller, number)
         job = caller.jobs_by_number.get(number)
-        if job is None or job.result is not None:
+        if job is None or job.state is _jobs.JobState.ENDED:
             return
         self._abandon(job, _frames.Reason.CANCELLED)
         self._start_waiting()
@@ -415,16 +423,17 @@
         """End all attempts, as the node is about to exit.
 
         Those in the queue have not run. Those that run are aborted, and
-        their outcome is unknown.
+        their outcome is unknown. The results are delivered before it returns.
         """
-        waiting = self._waiting.jobs()
         self._waiting.clear()
-        self._waiting.count = 0
-        for job in waiting:
-            self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
+        for caller in self.callers.by_incarnation.values():
+            for job in caller.unfinished_jobs():
+                if job.state is not _jobs.JobState.RUNNING:
+                    self._end_unsent(job, _frames.Reason.LEAVING)
         now = self.reactor.now()
-        for job in list(self._running):
+        for job in list(self._jobs.running):
             self._abort(job, _frames.Reason.NODE_RESTARTED, now)
+        self._delivery.deliver_all()
 
     def _abort(self, job, reason, now):
         """End a running attempt; its sender still waits for a result."""
@@ -457,12 +466,12 @@
         return None
 
     def _start(self, job, now):
+        self._jobs.start(job)
         attempt = job.attempt
         job.started_at = now
         job.run = _call_links.Run(attempt.route, attempt.rank, job.deadline_at)
         self.costs.record_run_start(job.run)
         self.suspect_runs.record_start(job)
-        self._running.add(job)
         self._self_calls.record_start(job)
         self.rate_limit.record_start(now)
         self.rank_waits.record_start(attempt.rank)
@@ -519,12 +528,15 @@
         # A target that is leaving exits at the end of its drain period.
         now = self.reactor.now()
         if has_crashed and self._run_limits.target_serves(now):
-            jobs = [job for job, _ in lost if job.result is None]
+            jobs = [job for job, _ in lost if self._runs(job)]
             self.suspect_runs.record_crash(self.record, jobs)
         for job, answer in lost:
-            if job.result is None:
+            if self._runs(job):
                 self._end_run(job, answer)
 
+    def _runs(self, job):
+        return job.state is _jobs.JobState.RUNNING
+
     def _record_end_without_runs(self):
         """Record the end of a target that ran nothing then.
 
@@ -545,7 +557,7 @@
             Record of the target that has ended.
         """
         jobs = self._crash_detection.take_unexplained()
-        jobs += self._running
+        jobs += self._jobs.running
         serves = self._run_limits.target_serves(self.reactor.now())
         has_run = any(job.attempt.instance == known.instance for job in jobs)
         if has_run and serves and not self.suspect_runs.has_crashed(known):
@@ -573,14 +585,17 @@
         self._start_waiting()
 
     def _remove_running(self, job, now, failed):
-        if job not in self._running:
-            return
-        self._running.remove(job)
+        self._jobs.end_run(job)
         self._self_calls.record_end(job)
         self.costs.record_run_end(job.run, now, failed)
         job.connection = None
         self._last_run_at = now
 
+    def _end_unsent(self, job, reason, outcome=_NOT_RUN):
+        """End an attempt that was not sent to the target."""
+        self._jobs.end_unsent(job)
+        self._finish(job, outcome, reason)
+
     def _finish(self, job, outcome, reason, status=0, head=b'', body=b''):
         attempt = job.attempt
         job.result = _frames.Result(
@@ -599,20 +614,18 @@
             self._ended_attempts.log(job, outcome, reason, status)
         # The request is not needed any more; the result may be sent again.
         attempt.head = attempt.body = b''
-        caller = job.caller
-        caller.hold_result(job)
-        if caller.send is not None:
-            caller.send(job.result)
+        job.caller.hold_result(job)
+        self._delivery.add(job.caller, job.result)
 
     def _abandon(self, job, reason):
         """End an attempt whose sender does not wait for a result any more."""
         attempt = job.attempt
-        if job.connection is not None:
+        if job.state is _jobs.JobState.RUNNING:
             job.connection.abort()
             self._remove_running(job, self.reactor.now(), True)
             outcome = _UNKNOWN
         else:
-            self._waiting.count -= 1
+            self._jobs.end_unsent(job)
             outcome = _NOT_RUN
         _target_log.log_abandoned(job, outcome, reason, self.reactor.now())
         job.result = _frames.Result(
@@ -644,8 +657,7 @@
             job = entry[-1]
             reason = self.suspect_runs.refusal_reason(job)
             if reason is not None:
-                self._waiting.count -= 1
-                self._finish(job, _NOT_RUN, reason)
+                self._end_unsent(job, reason)
                 continue
             if not self._may_start_job(job, now):
                 held_back.append(entry)
@@ -653,11 +665,9 @@
                 continue
             least_s = self.limit.min_remaining_s(job.attempt.route)
             if now + least_s > job.deadline_at:
-                self._waiting.count -= 1
-                self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
+                self._end_unsent(job, _frames.Reason.QUEUE_EXPIRED)
             elif self._ends_too_late(job, now):
-                self._waiting.count -= 1
-                self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
+                self._end_unsent(job, _frames.Reason.LEAVING)
             else:
                 self._start_if_wanted(job, now)
         self._held_suspects = held_suspects
@@ -690,7 +700,7 @@
         started_at = min(
             (
                 job.started_at
-                for job in self._running
+                for job in self._jobs.running
                 if job.attempt.route == route
             ),
             default=math.inf,
@@ -710,8 +720,7 @@
         for job in self._waiting.jobs_in_order():
             start_at = now + self._expected_wait_s(ahead, now)
             if self._ends_too_late(job, start_at):
-                self._waiting.count -= 1
-                self._finish(job, _NOT_RUN, _frames.Reason.LEAVING)
+                self._end_unsent(job, _frames.Reason.LEAVING)
             else:
                 ahead += 1
 
@@ -719,15 +728,14 @@
         self._pauses.tick(now)
         self.suspect_runs.report_cleared()
         self._give_back_waiting()
-        if self._waiting.count:
+        if self.waiting_count:
             for job in self._waiting.jobs():
                 least_s = self.limit.min_remaining_s(job.attempt.route)
                 if now + least_s > job.deadline_at:
-                    self._waiting.count -= 1
-                    self._finish(job, _NOT_RUN, _frames.Reason.QUEUE_EXPIRED)
+                    self._end_unsent(job, _frames.Reason.QUEUE_EXPIRED)
         else:
             self._waiting.clear()
-        for job in list(self._running):
+        for job in list(self._jobs.running):
             if now > job.deadline_at + SWEEP_INTERVAL_S:
                 self._abort(job, _frames.Reason.DEADLINE, now)
         for job in self.callers.expire(now):
@@ -738,7 +746,7 @@
         """Return whether requests are shed while slots are free."""
         offered_per_s, admitted_per_s = self._demand_per_s
         return (
-            len(self._running) < self.limit.value
+            self.running_count < self.limit.value
             and admitted_per_s < MAX_SHARE_WITH_SHEDDING * offered_per_s
         )
 
--- a/rosemarycrank/dataplane/_waiting_queue.py
+++ b/rosemarycrank/dataplane/_waiting_queue.py
@@ -11,16 +11,9 @@
     ----------
     rank_waits : RankWaits
         Says for how long one rank counts.
-
-    Attributes
-    ----------
-    count : int
-        Number of attempts that have neither started nor ended. The target
-        side counts them, as some of them wait outside of the queue.
     """
 
     def __init__(self, rank_waits):
-        self.count = 0
         self._rank_waits = rank_waits
         self._heap = []
         self._sequence = itertools.count()
--- a/tests/dataplane/test_kept_results.py
+++ b/tests/dataplane/test_kept_results.py
@@ -77,15 +77,22 @@
 def _run(side, pool, caller, number, body=BODY):
     """Let an attempt run, if it is accepted; return whether it has run."""
     started = len(pool.calls)
-    side.accept(caller, fakes.attempt(number))
+    _accept(side, caller, fakes.attempt(number))
     if len(pool.calls) == started:
         return False
     pool.calls[-1].on_answer(
         _upstream.Answer(_frames.Outcome.COMPLETE, 0, 200, b'h: 1\r\n', body)
     )
+    side.reactor.run(0.0)
     return True
 
 
+def _accept(side, caller, attempt):
+    """Accept an attempt; if it is refused, its caller is told."""
+    side.accept(caller, attempt)
+    side.reactor.run(0.0)
+
+
 def _is_refused(result):
     return (
         result.outcome == _frames.Outcome.NOT_RUN
@@ -121,7 +128,7 @@
         _run(side, pool, caller, number)
     kept = len(caller.jobs_by_number)
     assert kept == len(pool.calls)
-    side.accept(caller, fakes.attempt(1))
+    _accept(side, caller, fakes.attempt(1))
     assert len(pool.calls) == kept
     assert results[-1].body == BODY
 
@@ -163,7 +170,8 @@
     side, pool, caller, results, budget
 ):
     for number in range(1, MANY):
-        side.accept(
+        _accept(
+            side,
             caller,
             fakes.attempt(number, body=BODY, remaining_ms=60_000),
         )
@@ -200,7 +208,7 @@
     results.clear()
     for caller in callers[:2]:
         _connect(side, caller.incarnation, results)
-        side.accept(caller, fakes.attempt(1))
+        _accept(side, caller, fakes.attempt(1))
     assert len(pool.calls) == ran
     assert results[0].outcome == _frames.Outcome.UNKNOWN
     assert results[0].reason == _frames.Reason.FORGOTTEN
@@ -216,7 +224,7 @@
     reactor.run(_callers.CALLER_RECONNECT_TIMEOUT_S - 0.1)
     results.clear()
     _connect(side, 77, results)
-    side.accept(caller, fakes.attempt(1))
+    _accept(side, caller, fakes.attempt(1))
     assert results[0].body == BODY
 
 
@@ -224,7 +232,7 @@
     side, pool, caller, reactor, budget
 ):
     _run(side, pool, caller, 1)
-    side.accept(caller, fakes.attempt(2, remaining_ms=9000))
+    _accept(side, caller, fakes.attempt(2, remaining_ms=9000))
     side.callers.lose(caller, 'n2')
     reactor.run(_callers.CALLER_RETENTION_S + 2.0)
     assert side.callers.by_incarnation == {}
@@ -233,7 +241,7 @@
 
 def test_cancelled_attempts_give_their_memory_back(side, caller, budget):
     for number in range(1, 20):
-        side.accept(caller, fakes.attempt(number, body=BODY))
+        _accept(side, caller, fakes.attempt(number, body=BODY))
         side.cancel(caller, number)
     assert budget.used_bytes < 100_000
     caller.discard_results_before(99)
@@ -263,7 +271,7 @@
     assert len(side.callers.by_incarnation) <= bound + 1
     results = []
     _connect(side, 77, results)
-    side.accept(side.callers.get(77), fakes.attempt(1))
+    _accept(side, side.callers.get(77), fakes.attempt(1))
     assert len(pool.calls) == 1
     assert results[0].body == BODY
 
@@ -276,7 +284,7 @@
     for number in range(100, 100 + 3 * bound):
         results = []
         stranger = _connect(side, number, results)
-        side.accept(stranger, fakes.attempt(1))
+        _accept(side, stranger, fakes.attempt(1))
         assert results[0].outcome == _frames.Outcome.NOT_RUN
         side.callers.lose(stranger, f'n{number}')
     reactor.run(0.1)
--- a/tests/dataplane/test_leaving_in_answers.py
+++ b/tests/dataplane/test_leaving_in_answers.py
@@ -61,6 +61,7 @@
         number = next(self._numbers)
         fields = {'remaining_ms': 60_000} | changes
         self.side.accept(self.caller, fakes.attempt(number, **fields))
+        self.side.reactor.run(0.0)
         return number
 
     def reason(self, number):
@@ -95,9 +96,12 @@
     assert node.reason(number) == 'LEAVING'
 
 
-def test_other_nodes_are_told_before_the_answer_is_passed_on(node, pool):
+def test_other_nodes_are_told_before_the_answer_is_passed_on(
+    node, pool, reactor
+):
     node.accept()
     pool.calls[0].on_answer(_answer())
+    reactor.run(0.0)
     assert node.announced[-1] == (_directory.DRAINING, 0)
     assert len(node.results) == 1
 
@@ -130,10 +134,13 @@
     assert not directory.is_ready(NODE)
 
 
-def test_answer_without_the_field_does_not_end_the_leaving(node, pool):
+def test_answer_without_the_field_does_not_end_the_leaving(
+    node, pool, reactor
+):
     numbers = [node.accept(), node.accept()]
     pool.calls[0].on_answer(_answer())
     pool.calls[1].on_answer(_answer(is_leaving=False))
+    reactor.run(0.0)
     assert len(numbers) == len(node.results)
     assert node.announced[-1][0] == _directory.DRAINING
 
--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -132,6 +132,7 @@
                 number, instance='i-1', route='page', remaining_ms=20000
             ),
         )
+        self.process.reactor.run(0.0)
 
     def call(self, target=b'/call/1'):
         """Send a call of the local target; return its connection."""
@@ -356,6 +357,7 @@
     assert len(stop.pool.calls) == 2
     reactor.run(0.5)
     stop.pool.calls[1].on_answer(_upstream.Answer(0, 0, 200))
+    reactor.run(0.0)
     assert (stop.results[-1].number, stop.results[-1].outcome) == (
         9,
         _frames.Outcome.COMPLETE,
--- a/tests/dataplane/test_rate_limit.py
+++ b/tests/dataplane/test_rate_limit.py
@@ -29,7 +29,11 @@
 
     def serve(rate_limit_per_s, outcome=_frames.Outcome.COMPLETE):
         number = len(caller.jobs_by_number) + 1
+        started = len(pool.calls)
         side.accept(caller, fakes.attempt(number))
+        # Earlier limits may delay its start.
+        side.reactor.run(0.1)
+        assert len(pool.calls) == started + 1
         pool.calls[-1].on_answer(
             _upstream.Answer(
                 outcome, 0, 200, b'', b'', rate_limit_per_s=rate_limit_per_s
