Start waiting attempts after cancellations, not between them

Cause: the cancellation of an attempt had the next one start at once. The requests of a client that leaves are cancelled one after the other, so that each took the slot of the one before, on a connection of its own, and was aborted in turn; meanwhile others had to wait. Starting also reads the connections of other clients, in the middle of whatever had called the cancellation: the end of a connection, a time-out, the end of all requests. Runs that are lost together had attempts start between their ends, too.

Change: attempts start at the end of the turn after a cancellation, and after all lost runs have been ended.

Evidence: test_attempts_cancelled_together_do_not_start; before, all five attempts of the client start at a target with one slot, now the first only.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -411,13 +411,17 @@
         )
 
     def cancel(self, caller, number):
-        """Cancel an attempt at the request of its sender."""
+        """Cancel an attempt at the request of its sender.
+
+        Others start at the end of the turn: the sender may be about to cancel
+        those, too.
+        """
         self._delivery.discard(caller, number)
         job = caller.jobs_by_number.get(number)
         if job is None or job.state is _jobs.JobState.ENDED:
             return
         self._abandon(job, _frames.Reason.CANCELLED)
-        self._start_waiting()
+        self._start_waiting_soon()
 
     def end_all(self):
         """End all attempts, as the node is about to exit.
@@ -514,6 +518,7 @@
         elif answer.is_refused:
             self._record_end_without_runs()
         self._end_run(job, answer)
+        self._start_waiting()
 
     def _end_lost_runs(self, lost, has_crashed):
         """End runs whose connections were lost.
@@ -533,6 +538,7 @@
         for job, answer in lost:
             if self._runs(job):
                 self._end_run(job, answer)
+        self._start_waiting()
 
     def _runs(self, job):
         return job.state is _jobs.JobState.RUNNING
@@ -582,7 +588,6 @@
             answer.head,
             answer.body,
         )
-        self._start_waiting()
 
     def _remove_running(self, job, now, failed):
         self._jobs.end_run(job)
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -46,8 +46,8 @@
     side.restore_caller(caller, 'n2', send, lambda _number: None)
 
 
-def _deliver(side):
-    """End the turn of the loop, so that results reach their callers."""
+def _end_turn(side):
+    """Let the target side do what it does at the end of a turn."""
     side.reactor.run(0.0)
 
 
@@ -75,10 +75,10 @@
         side.accept(caller, fakes.attempt())
     assert len(pool.calls) == 1
     pool.calls[0].on_answer(_complete())
-    _deliver(side)
+    _end_turn(side)
     side.accept(caller, fakes.attempt())
     assert len(pool.calls) == 1
-    _deliver(side)
+    _end_turn(side)
     assert [r.body for r in results] == [b'ok', b'ok']
 
 
@@ -90,7 +90,7 @@
     caller.discard_results_before(2)
     side.accept(caller, fakes.attempt())
     assert len(pool.calls) == 1
-    _deliver(side)
+    _end_turn(side)
     assert results[-1].outcome == _frames.Outcome.UNKNOWN
 
 
@@ -115,7 +115,7 @@
 ):
     side.update_record(record)
     side.accept(caller, fakes.attempt())
-    _deliver(side)
+    _end_turn(side)
     assert _reasons(results) == [reason]
     assert results[0].outcome == _frames.Outcome.NOT_RUN
     assert pool.calls == []
@@ -137,7 +137,7 @@
     caller = side.callers.get(1)
     caller.send = results.append
     side.accept(caller, fakes.attempt())
-    _deliver(side)
+    _end_turn(side)
     assert _reasons(results) == ['NOT_ANNOUNCED']
 
 
@@ -164,10 +164,23 @@
     side.accept(caller, fakes.attempt(1))
     side.accept(caller, fakes.attempt(2))
     side.cancel(caller, 1)
+    _end_turn(side)
     assert pool.calls[0].aborted
     assert pool.calls[1].request_id == b'r2'
 
 
+# Guards against requests that are sent on although their client has left: as
+# its first one was cancelled, the next ones took the slot, one after the other.
+def test_attempts_cancelled_together_do_not_start(side, caller, pool):
+    numbers = range(1, 6)
+    for number in numbers:
+        side.accept(caller, fakes.attempt(number))
+    for number in numbers:
+        side.cancel(caller, number)
+    _end_turn(side)
+    assert [call.request_id for call in pool.calls] == [b'r1']
+
+
 # Guards against attempts that are sent on long after their cancellation: a
 # node that had been paused read both and started the first at once.
 def test_attempt_cancelled_during_a_pause_does_not_start(
@@ -239,7 +252,7 @@
     side.limit.service_s = 0.5
     for number in range(1, 5):
         side.accept(caller, fakes.attempt(number))
-    _deliver(side)
+    _end_turn(side)
     assert _reasons(results) == ['QUEUE_FULL']
 
 
@@ -251,7 +264,7 @@
     pool.calls[0].on_answer(
         _upstream.Answer(_frames.Outcome[outcome], _frames.Reason.ANSWER_LOST)
     )
-    _deliver(side)
+    _end_turn(side)
     assert results[0].outcome == _frames.Outcome[outcome]
 
 
@@ -259,7 +272,7 @@
     for number in range(1, 4):
         side.accept(caller, fakes.attempt(number))
     pool.calls[0].on_answer(_complete())
-    _deliver(side)
+    _end_turn(side)
     assert results[0].load.waiting == 2
     assert results[0].load.limit == 1
 
@@ -276,7 +289,7 @@
         reconnected, fakes.attempt(remaining_ms=6000, idempotent=False)
     )
     assert len(pool.calls) == 1
-    _deliver(side)
+    _end_turn(side)
     assert [r.outcome for r in results] == [_frames.Outcome.UNKNOWN]
 
 
@@ -323,7 +336,7 @@
     for number in range(1, 6):
         side.accept(caller, fakes.attempt(number, rank=2.0))
     side.accept(caller, fakes.attempt(6, rank=0.0))
-    _deliver(side)
+    _end_turn(side)
     assert [r.number for r in results] == [5]
 
 
@@ -370,7 +383,7 @@
         side.cancel(caller, number)
     assert side.load().waiting == 1
     side.accept(caller, fakes.attempt(81, remaining_ms=1500))
-    _deliver(side)
+    _end_turn(side)
     assert not results
     assert side.load().waiting == 2
 
@@ -387,13 +400,13 @@
     side.accept(caller, fakes.attempt(1))
     side.accept(caller, fakes.attempt(2))
     pool.calls[0].on_answer(_upstream.Answer(0, 0, 200))
-    _deliver(side)
+    _end_turn(side)
     for number in (1, 2, 3):
         side.refuse_unread(caller, number)
-    _deliver(side)
+    _end_turn(side)
     caller.discard_results_before(3)
     side.refuse_unread(caller, 1)
-    _deliver(side)
+    _end_turn(side)
     assert [(r.number, _frames.Outcome(r.outcome).name) for r in results] == [
         (1, 'COMPLETE'),
         (1, 'COMPLETE'),
