Deliver the results of other nodes' attempts at the end of the turn

When a node was unreachable, its pending attempts were given up in a walk: for each one a cancellation was noted, and its sender was called at once. If that opened a connection to the same node, the cancellations noted before were sent over it, and those noted later were not; the next pong was taken for the confirmation of all. Their requests ran on, although their senders had long sent them elsewhere. The walk at a handshake calls senders as well.

Change: all results of attempts at other nodes wait in a queue, and reach their senders at the end of the turn; `Peer.send` never calls back. A sender that cancels meanwhile gets none. Before a stopping node answers what is left, the results that have arrived are delivered.

--- a/rosemarycrank/dataplane/_callers.py
+++ b/rosemarycrank/dataplane/_callers.py
@@ -104,6 +104,11 @@
         self.discarded_below = 0
         self.features = 0
 
+    def deliver(self, result):
+        """Send a result to the node if it is connected."""
+        if self.send is not None:
+            self.send(result)
+
     def unfinished_jobs(self):
         """Return its attempts without a result."""
         return [
--- a/rosemarycrank/dataplane/_node.py
+++ b/rosemarycrank/dataplane/_node.py
@@ -26,6 +26,7 @@
 from rosemarycrank.dataplane import _reactor
 from rosemarycrank.dataplane import _repeated_lines
 from rosemarycrank.dataplane import _restart_times
+from rosemarycrank.dataplane import _result_delivery
 from rosemarycrank.dataplane import _suspect_place
 from rosemarycrank.dataplane import _suspect_runs
 from rosemarycrank.dataplane import _usable_targets
@@ -124,6 +125,8 @@
         pinged.
     directory_sync : DirectorySync
         Comparisons of the directory with those of other nodes.
+    result_delivery : ResultDelivery
+        Results of attempts at other nodes.
     has_read_directory : callable
         Returns whether all records of the store have been read.
     on_local_record : callable
@@ -181,6 +184,7 @@
         self.directory_sync = _directory_sync.DirectorySync(
             self.directory, self.merge_received, random.Random(incarnation)
         )
+        self.result_delivery = _result_delivery.ResultDelivery(reactor)
         self.has_read_directory = lambda: True
         self.on_local_record = lambda _record: None
         self._started_at = reactor.now()
--- a/rosemarycrank/dataplane/_peers.py
+++ b/rosemarycrank/dataplane/_peers.py
@@ -156,7 +156,8 @@
         attempt : rosemarycrank.dataplane.Attempt
             Attempt to send.
         on_result : callable
-            Called once with the `Result`, unless the attempt is cancelled.
+            Called once with the `Result`, unless the attempt is cancelled;
+            not before this function has returned.
         client : ClientConnection
             Connection on which the request arrived. It catches up before the
             attempt is sent later or again.
@@ -170,7 +171,7 @@
             client,
         )
         if not self._hold(pending):
-            on_result(pending.result_without_memory())
+            self._deliver(pending, pending.result_without_memory())
             return
         self._pending_by_number[attempt.number] = pending
         self.sent_since_load += 1
@@ -213,6 +214,7 @@
 
     def cancel(self, number):
         """Cancel an attempt; its result is ignored."""
+        self.node.result_delivery.discard(self, number)
         pending = self._pop(number)
         if pending is not None and pending.sent_to_incarnation:
             self._cancellations.add(number)
@@ -393,7 +395,7 @@
         if result.load is not None:
             self._update_load(result.load, now)
         if pending is not None:
-            pending.on_result(result)
+            self._deliver(pending, result)
 
     def handle_notification(self, frame, now):
         """Handle a frame that is neither a result nor a handshake.
@@ -518,7 +520,10 @@
 
     def _finish(self, pending, result):
         if self._pop(pending.number) is not None:
-            pending.on_result(result)
+            self._deliver(pending, result)
+
+    def _deliver(self, pending, result):
+        self.node.result_delivery.add(self, pending.on_result, result)
 
     def _update_load(self, load, now):
         self.load = load
--- a/rosemarycrank/dataplane/_planned_stop.py
+++ b/rosemarycrank/dataplane/_planned_stop.py
@@ -166,6 +166,8 @@
         self.entry.refuses_target_calls = True
         self._call(self.clients.stop_accepting)
         self._call(self.target_side.end_all)
+        # What has arrived is not given up.
+        self._call(self.node.result_delivery.deliver_all)
         self._call(self.entry.end_all)
         self._call(self.clients.close_idle)
 
--- a/rosemarycrank/dataplane/_result_delivery.py
+++ b/rosemarycrank/dataplane/_result_delivery.py
@@ -1,7 +1,7 @@
-"""Delivery of results to the senders of attempts, after all other work.
+"""Delivery of results to those who wait for them, after all other work.
 
-A sender may act on a result at once: cancel attempts, send others, or find
-that its client has left. Results are delivered by themselves at the end of
+Whoever gets a result may act on it at once: cancel attempts, send others, or
+find that a client has left. Results are delivered by themselves at the end of
 the loop's turn, so that none of this meets a half-finished change of state.
 """
 
@@ -19,44 +19,46 @@
         self._reactor = reactor
         self._is_scheduled = False
         # In the order of their ends.
-        self._results_by_attempt = {}
+        self._undelivered_by_attempt = {}
 
     def __bool__(self):
-        return bool(self._results_by_attempt)
+        return bool(self._undelivered_by_attempt)
 
-    def add(self, caller, result):
+    def add(self, node, receive, result):
         """Deliver a result at the end of the turn.
 
         Parameters
         ----------
-        caller : Caller
-            Node that sent the attempt.
+        node : Caller or Peer
+            Node that sent the attempt, or that got it.
+        receive : callable
+            Called with the result.
         result : rosemarycrank.dataplane.Result
             The result.
         """
-        self._results_by_attempt[caller, result.number] = result
+        self._undelivered_by_attempt[node, result.number] = receive, result
         if not self._is_scheduled:
             self._is_scheduled = True
             self._reactor.call_soon(self._deliver_scheduled)
 
-    def discard(self, caller, number):
-        """Drop the result of an attempt, whose sender does not wait for it.
+    def discard(self, node, number):
+        """Drop the result of an attempt for which nobody waits any more.
 
         Parameters
         ----------
-        caller : Caller
-            Node that sent the attempt.
+        node : Caller or Peer
+            Node that sent the attempt, or that got it.
         number : int
             Number of the attempt, whose result may have been delivered.
         """
-        self._results_by_attempt.pop((caller, number), None)
+        self._undelivered_by_attempt.pop((node, number), None)
 
     def deliver_all(self):
         """Deliver the results now, also those that are added meanwhile.
 
         Not to be called during a change of state.
         """
-        while self._results_by_attempt:
+        while self._undelivered_by_attempt:
             self._deliver_batch()
 
     def _deliver_scheduled(self):
@@ -65,10 +67,8 @@
 
     def _deliver_batch(self):
         """Deliver what waits now; others get their turn before the rest."""
-        results_by_attempt = self._results_by_attempt
-        for key in list(results_by_attempt):
-            # A sender that got its result may have cancelled this attempt.
-            result = results_by_attempt.pop(key, None)
-            send = key[0].send
-            if result is not None and send is not None:
-                self._reactor.guard.call(send, result)
+        for attempt in list(self._undelivered_by_attempt):
+            undelivered = self._undelivered_by_attempt.pop(attempt, None)
+            # An earlier one may have had this attempt cancelled.
+            if undelivered is not None:
+                self._reactor.guard.call(*undelivered)
--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -314,7 +314,7 @@
         caller = job.caller
         if job.result is not None and caller.send is not None:
             caller.hold_result(job)
-            self._delivery.add(caller, job.result)
+            self._delivery.add(caller, caller.deliver, job.result)
 
     def refuse_unread(self, caller, number):
         """Refuse an attempt that was not read, as there is no memory for it.
@@ -335,6 +335,7 @@
             outcome, reason = _UNKNOWN, _frames.Reason.FORGOTTEN
         self._delivery.add(
             caller,
+            caller.deliver,
             _frames.Result(
                 number, outcome, int(reason), 0, b'', b'', self.load()
             ),
@@ -619,8 +620,9 @@
             self._ended_attempts.log(job, outcome, reason, status)
         # The request is not needed any more; the result may be sent again.
         attempt.head = attempt.body = b''
-        job.caller.hold_result(job)
-        self._delivery.add(job.caller, job.result)
+        caller = job.caller
+        caller.hold_result(job)
+        self._delivery.add(caller, caller.deliver, job.result)
 
     def _abandon(self, job, reason):
         """End an attempt whose sender does not wait for a result any more."""
--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -33,6 +33,12 @@
     number: int
     results: list = attrs.field(factory=list)
     cancelled: bool = False
+    on_result: object = None
+
+    def receive(self, result):
+        self.results.append(result)
+        if self.on_result is not None:
+            self.on_result()
 
 
 def _send(simulation, idempotent=False, answer_bytes=0):
@@ -49,7 +55,7 @@
         request_id=sent.request_id,
     )
     client = fakes.RecordingConnection()
-    simulation.entry.peer(TARGET).send(attempt, sent.results.append, client)
+    simulation.entry.peer(TARGET).send(attempt, sent.receive, client)
     return sent
 
 
@@ -98,6 +104,7 @@
     )
     connection = simulation.entry.peer(TARGET)._connection
     connection.received(_frames.encode(result))
+    reactor.run(0.0)
     assert _outcomes(sent) == [outcome]
 
 
@@ -398,6 +405,7 @@
     body = b'x' * 60_000
     count = budget.limit_bytes // len(body)
     sent = [_send_body(simulation, body) for _ in range(count)]
+    reactor.run(0.0)
     refused = [results[0] for results in sent if results]
     assert 0.1 * count < len(refused) < 0.9 * count
     for result in refused:
@@ -451,3 +459,40 @@
     assert budget.used_bytes == 50_000
     peer.close()
     assert budget.used_bytes == 0
+
+
+# Guards against runs that go on at a node that was away for a moment, after
+# their results were given up: as the first of these was passed on, a new
+# connection was opened, and the cancellations of the others, which followed,
+# were taken for sent over it.
+def test_results_given_up_are_cancelled_if_their_callers_reconnect(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    simulation.service_s = 3.0
+    peer = simulation.entry.peer(TARGET)
+    given_up = [_send(simulation, idempotent=True) for _ in range(3)]
+    reactor.run(0.1)
+    assert len(simulation.runs) == 3
+    given_up[0].on_result = lambda: _send(simulation, idempotent=True)
+    peer.mark_unreachable('broken', process_ended=False)
+    reactor.run(0.5)
+    assert [_outcomes(sent) for sent in given_up] == [['UNKNOWN']] * 3
+    assert all(run.aborted_at is not None for run in simulation.runs[:3])
+    assert simulation.runs[3].aborted_at is None
+
+
+# Guards against a result that reaches its caller after it has cancelled the
+# attempt, while the results of an unreachable node are given up.
+def test_attempt_cancelled_while_results_are_given_up_gets_no_result(
+    make_simulation, reactor
+):
+    simulation = make_simulation()
+    simulation.service_s = 3.0
+    peer = simulation.entry.peer(TARGET)
+    sent = [_send(simulation, idempotent=True) for _ in range(3)]
+    reactor.run(0.1)
+    sent[0].on_result = lambda: peer.cancel(sent[2].number)
+    peer.mark_unreachable('broken', process_ended=False)
+    reactor.run(0.1)
+    assert [len(one.results) for one in sent] == [1, 1, 0]
--- a/tests/dataplane/test_target.py
+++ b/tests/dataplane/test_target.py
@@ -170,7 +170,7 @@
 
 
 # Guards against requests that are sent on although their client has left: as
-# its first one was cancelled, the next ones took the slot, one after the other.
+# its first one was cancelled, the next ones took the slot one by one.
 def test_attempts_cancelled_together_do_not_start(side, caller, pool):
     numbers = range(1, 6)
     for number in numbers:
