--- a/tests/dataplane/test_planned_stop.py
+++ b/tests/dataplane/test_planned_stop.py
@@ -294,6 +294,21 @@
     assert stop.pool.calls[0].aborted
 
 
+# Guards against answers that have arrived, and are given up with the requests
+# that are left at the end of the drain.
+def test_result_that_has_arrived_at_the_end_of_the_drain_is_passed_on(
+    start_stop, reactor
+):
+    stop = start_stop(work_s=2 * GRACE_S)
+    attempt, on_result = stop.other.sent[0]
+    reactor.run(stop_times.max_drain_s(GRACE_S) - 0.005)
+    result = fakes.result(attempt.number, body=TARGET_BODY)
+    stop.process.node.result_delivery.add(stop.other, on_result, result)
+    # The end of the drain comes before the end of the turn.
+    reactor.timers.advance(reactor.now() + 0.1)
+    assert _status(stop.early_request) == 200
+
+
 # Guards against answers to slow readers that a planned stop truncates.
 def test_exit_waits_for_responses_that_are_not_sent_yet(start_stop, reactor):
     stop = start_stop(work_s=0.1)
--- a/tests/dataplane/test_result_delivery.py
+++ b/tests/dataplane/test_result_delivery.py
@@ -91,11 +91,20 @@
     caller.on_result = cancel
 
 
+def _leave(side):
+    side.update_record(fakes.record(slots=1, state='draining', sequence=2))
+
+
+def _stop_node(side):
+    side.limit_run_end(side.reactor.now() + 1.0)
+
+
 # Guards against orders that run at a leaving target and again at another one:
 # attempts that a cancellation let start while the queue was given back were
-# reported as not run (review/11).
+# reported as not run (review/11). A planned stop gives the queue back, too.
+@pytest.mark.parametrize('begin_end', [_leave, _stop_node])
 def test_attempt_that_starts_during_a_give_back_is_not_reported_as_not_run(
-    make_side, pool, reactor, make_caller
+    make_side, pool, reactor, make_caller, begin_end
 ):
     side = make_side(slots=1, drain_s=DRAIN_S)
     caller = make_caller(side, 77)
@@ -107,7 +116,7 @@
     side.limit.observe('read', 0.1, True)
     side.limit.service_s = 1.0
     reactor.run(1.7)
-    side.update_record(fakes.record(slots=1, state='draining', sequence=2))
+    begin_end(side)
     reactor.run(DRAIN_S)
     not_run = {
         number
