--- a/tests/dataplane/simulation.py
+++ b/tests/dataplane/simulation.py
@@ -160,8 +160,9 @@
         as it has much to do.
     runs : list of Run
         Runs of all targets, in order.
-    service_s : float or None
-        Duration of each run in seconds; None for random ones.
+    service_s : float, callable or None
+        Duration of each run in seconds, or function that returns it for a
+        request, in bytes; None for random ones.
     on_run_start, on_run_abort : callable or None
         Called with each `Run` that starts or is aborted.
     on_arrival : callable or None
@@ -443,6 +444,8 @@
             service_s = (
                 MIN_SERVICE_S + SERVICE_RANGE_S * simulation.random.random()
             )
+        elif callable(service_s):
+            service_s = service_s(data)
 
         def finish(_now):
             was_lost, run.ended = run.ended, True
