Part the target side: load reports and crashes in modules of their own

What other nodes are told of the load is in _target_load.py now, and what is recorded of the target's crashes in _target_crashes.py; both were moved without a change of what they do.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -10,7 +10,6 @@
 from rosemarycrank.dataplane import _call_links
 from rosemarycrank.dataplane import _callers
 from rosemarycrank.dataplane import _costs
-from rosemarycrank.dataplane import _crash_detection
 from rosemarycrank.dataplane import _crash_history
 from rosemarycrank.dataplane import _directory
 from rosemarycrank.dataplane import _frames
@@ -18,13 +17,14 @@
 from rosemarycrank.dataplane import _limit
 from rosemarycrank.dataplane import _memory
 from rosemarycrank.dataplane import _pauses
-from rosemarycrank.dataplane import _pressure
 from rosemarycrank.dataplane import _rank_waits
 from rosemarycrank.dataplane import _rate_limit
 from rosemarycrank.dataplane import _result_delivery
 from rosemarycrank.dataplane import _run_limits
 from rosemarycrank.dataplane import _self_calls
 from rosemarycrank.dataplane import _suspect_runs
+from rosemarycrank.dataplane import _target_crashes
+from rosemarycrank.dataplane import _target_load
 from rosemarycrank.dataplane import _target_log
 from rosemarycrank.dataplane import _waiting_queue
 
@@ -34,9 +34,6 @@
 #: Interval between updates of the rates of arrival and demand, in seconds.
 RATE_UPDATE_INTERVAL_S = 0.1
 
-#: Share of the offered requests below which requests count as shed.
-MAX_SHARE_WITH_SHEDDING = 0.98
-
 _COMPLETE = int(_frames.Outcome.COMPLETE)
 _NOT_RUN = int(_frames.Outcome.NOT_RUN)
 _UNKNOWN = int(_frames.Outcome.UNKNOWN)
@@ -73,12 +70,8 @@
 
     Attributes
     ----------
-    arrivals : ArrivalRate
-        Rate of attempts for which this target is the first choice.
     demand : ExpectedDemand
         Calls that the entry nodes expect.
-    pressures : dict of str to Pressure
-        Pressures on overloaded services, by service.
     record : TargetRecord or None
         Newest record of the local target; None until it has announced
         itself.
@@ -117,19 +110,17 @@
         self.names = names
         self.counters = counters
         self.costs = costs
-        self.front = front
-        self.arrivals = _pressure.ArrivalRate()
-        self.demand = _pressure.ExpectedDemand()
-        self._demand_per_s = (0.0, 0.0)
-        self.pressures = {}
         self.record = None
         self._target_since = 0.0
-        self._has_served = False
         self.stopping = False
         self.on_leaving = lambda _instance: None
         self.limit = _limit.ConcurrencyLimit()
         self.rate_limit = _rate_limit.RateLimit()
         self.rank_waits = _rank_waits.RankWaits()
+        self._load = _target_load.TargetLoad(
+            self.limit, self.rate_limit, self.rank_waits, front
+        )
+        self.demand = self._load.demand
         memory = memory or _memory.MemoryAccount()
         self.callers = _callers.Callers(
             reactor, memory.budget('target_attempts'), response_budget
@@ -139,9 +130,6 @@
             lambda _crashes: None,
             lambda _digest: True,
         )
-        self._crash_detection = _crash_detection.CrashDetection(
-            reactor, pool, self._end_lost_runs
-        )
         self._self_calls = _self_calls.SelfCalls(costs)
         self._jobs = _jobs.JobStates()
         self._delivery = _result_delivery.ResultDelivery(reactor)
@@ -149,6 +137,9 @@
         # Those that wait as they are suspected; they say nothing of the load.
         self._held_suspects = 0
         self._run_limits = _run_limits.RunLimits(drain_s)
+        self._crashes = _target_crashes.TargetCrashes(
+            self, self._run_limits, self._jobs, self._end_lost_runs
+        )
         self._last_run_at = reactor.now()
         self._is_catching_up = False
         self._is_start_scheduled = False
@@ -175,10 +166,10 @@
         if known is None or _run_limits.is_new_start(record, known):
             self.limit.reset(record.slots)
             self.rate_limit.reset()
-            self._has_served = False
+            self._crashes.has_served = False
             self._target_since = self.reactor.now()
         if known is not None and _run_limits.is_new_start(record, known):
-            self._record_unseen_crash(known)
+            self._crashes.record_new_start(known)
         self.record = record
         self._run_limits.update_target(record, known, self.reactor.now())
         if record.state != _directory.READY:
@@ -209,31 +200,11 @@
 
     def load(self):
         """Return the `Load` of the target, as reported to other nodes."""
-        limit, service_s = self._reported_capacity()
-        return _frames.Load(
+        return self._load.report(
             self.running_count,
             max(0, self.waiting_count - self._held_suspects),
-            limit,
-            service_s,
-            self.arrivals.per_s,
-            *self._demand_per_s,
-            self.pressures,
-            self.rank_waits.factors(),
         )
 
-    def _reported_capacity(self):
-        """Return the concurrency limit and service time that are reported.
-
-        Their ratio is the capacity, by which other nodes admit requests and
-        choose targets, so a lower rate limit is reported as fewer slots.
-        """
-        limit, service_s = self.limit.value, self.limit.service_s
-        rate_per_s = self.rate_limit.applied_per_s
-        if rate_per_s * service_s >= limit or rate_per_s == math.inf:
-            return limit, service_s
-        limit = max(1, int(rate_per_s * service_s))
-        return limit, limit / rate_per_s
-
     @property
     def running_count(self):
         """Number of attempts that run at the target."""
@@ -282,7 +253,7 @@
             return
         caller.jobs_by_number[number] = job
         if not attempt.previous_offers:
-            self.arrivals.record_arrival()
+            self._load.arrivals.record_arrival()
         reason = self._refusal_reason(attempt, job, now)
         if reason is not None:
             self._end_unsent(job, reason)
@@ -362,8 +333,9 @@
         if caller.is_lost:
             self._jobs.park(job)
             caller.parked_jobs.append(job)
-            return
-        self._start(job, now)
+        else:
+            self._jobs.start(job)
+            self._start(job, now)
 
     def restore_caller(self, caller, *args):
         """Record that a calling node has connected; see `Callers.restore`."""
@@ -471,7 +443,6 @@
         return None
 
     def _start(self, job, now):
-        self._jobs.start(job)
         attempt = job.attempt
         job.started_at = now
         job.run = _call_links.Run(attempt.route, attempt.rank, job.deadline_at)
@@ -511,65 +482,21 @@
             # Other nodes learn of it before the caller gets the response.
             self.on_leaving(job.attempt.instance)
         if answer.reason == _frames.Reason.ANSWER_LOST:
-            self._crash_detection.add(job, answer)
+            self._crashes.add_lost_run(job, answer)
             return
         if answer.outcome == _frames.Outcome.COMPLETE:
-            self._has_served = True
+            self._crashes.has_served = True
             self.suspect_runs.record_answer(job, answer.status)
         elif answer.is_refused:
-            self._record_end_without_runs()
+            self._crashes.record_refused_connection()
         self._end_run(job, answer)
         self._start_waiting()
 
-    def _end_lost_runs(self, lost, has_crashed):
-        """End runs whose connections were lost.
-
-        Parameters
-        ----------
-        lost : list of tuple of (Job, Answer)
-            The runs that were lost, and their outcomes.
-        has_crashed : bool
-            Whether the process of the target has ended.
-        """
-        # A target that is leaving exits at the end of its drain period.
-        now = self.reactor.now()
-        if has_crashed and self._run_limits.target_serves(now):
-            jobs = [job for job, _ in lost if self._runs(job)]
-            self.suspect_runs.record_crash(self.record, jobs)
+    def _end_lost_runs(self, lost):
         for job, answer in lost:
-            if self._runs(job):
-                self._end_run(job, answer)
+            self._end_run(job, answer)
         self._start_waiting()
 
-    def _runs(self, job):
-        return job.state is _jobs.JobState.RUNNING
-
-    def _record_end_without_runs(self):
-        """Record the end of a target that ran nothing then.
-
-        One that has not served yet may not listen yet.
-        """
-        serves = self._run_limits.target_serves(self.reactor.now())
-        if not self._has_served or not serves:
-            return
-        if not self.suspect_runs.has_crashed(self.record):
-            self.suspect_runs.record_crash(self.record, [])
-
-    def _record_unseen_crash(self, known):
-        """Record the end of a target that is known by its next start only.
-
-        Parameters
-        ----------
-        known : TargetRecord
-            Record of the target that has ended.
-        """
-        jobs = self._crash_detection.take_unexplained()
-        jobs += self._jobs.running
-        serves = self._run_limits.target_serves(self.reactor.now())
-        has_run = any(job.attempt.instance == known.instance for job in jobs)
-        if has_run and serves and not self.suspect_runs.has_crashed(known):
-            self.suspect_runs.record_crash(known, jobs)
-
     def _end_run(self, job, answer):
         now = self.reactor.now()
         if answer.rate_limit_per_s is not None:
@@ -749,20 +676,10 @@
             self._abandon(job, _frames.Reason.CANCELLED)
         self._start_waiting()
 
-    def _may_admit_more(self):
-        """Return whether requests are shed while slots are free."""
-        offered_per_s, admitted_per_s = self._demand_per_s
-        return (
-            self.running_count < self.limit.value
-            and admitted_per_s < MAX_SHARE_WITH_SHEDDING * offered_per_s
-        )
-
     def _update_rates(self, now):
-        self.arrivals.update(now)
-        self._demand_per_s = self.demand.total_per_s(now)
-        self.rank_waits.update(
-            now, self._waiting.jobs(), self._may_admit_more()
+        self._load.update(
+            now,
+            self.running_count,
+            self._waiting.jobs(),
+            RATE_UPDATE_INTERVAL_S,
         )
-        # Sent until the next update, so the ages are those at its time.
-        # Otherwise nodes that relay a report to each other keep it recent.
-        self.pressures = self.front.pressures(now + RATE_UPDATE_INTERVAL_S)
