End an attempt as unknown if its state does not allow a change

A change of state that isn't allowed raised, from the middle of a walk over other attempts or of a read. Now it is recorded by the guard (a log line and a counter, bounded as for other callbacks), the attempt ends as unknown if it runs, and the walk goes on. Tests still fail by it, as their guard raises.

--- a/rosemarycrank/dataplane/_target.py
+++ b/rosemarycrank/dataplane/_target.py
@@ -333,8 +333,7 @@
         if caller.is_lost:
             self._jobs.park(job)
             caller.parked_jobs.append(job)
-        else:
-            self._jobs.start(job)
+        elif self._may_change(self._jobs.start, job):
             self._start(job, now)
 
     def restore_caller(self, caller, *args):
@@ -526,8 +525,33 @@
 
     def _end_unsent(self, job, reason, outcome=_NOT_RUN):
         """End an attempt that was not sent to the target."""
-        self._jobs.end_unsent(job)
-        self._finish(job, outcome, reason)
+        if self._may_change(self._jobs.end_unsent, job):
+            self._finish(job, outcome, reason)
+
+    def _may_change(self, change, job):
+        """Change the state of a job; otherwise end it as unknown.
+
+        Parameters
+        ----------
+        change : callable
+            Method of `JobStates`.
+        job : Job
+            The job.
+
+        Returns
+        -------
+        bool
+            Whether its state allowed the change.
+        """
+        try:
+            change(job)
+        except _jobs.InvalidTransitionError:
+            self.reactor.guard.record(change)
+            if job.state is _jobs.JobState.RUNNING:
+                now = self.reactor.now()
+                self._abort(job, _frames.Reason.FORGOTTEN, now)
+            return False
+        return True
 
     def _finish(self, job, outcome, reason, status=0, head=b'', body=b''):
         attempt = job.attempt
