--- a/tests/dataplane/test_fleet_plays.py
+++ b/tests/dataplane/test_fleet_plays.py
@@ -64,7 +64,7 @@
     """
 
     def __init__(self, entry):
-        self._entry = entry
+        self.entry = entry
         self._exchanges = []
         self._is_closed = False
         self.request_ids = []
@@ -76,9 +76,9 @@
             return
         self.request_ids.append(request_id)
         message = fakes.request(target, rosemarycrank_request_id=request_id)
-        exchange = self._entry.open(message, self)
+        exchange = self.entry.open(message, self)
         self._exchanges.append(exchange)
-        self._entry.begin(exchange)
+        self.entry.begin(exchange)
 
     def catch_up(self):
         """Stand in for the reading of its connection by the node."""
@@ -91,7 +91,7 @@
             return
         self._is_closed = True
         for exchange in self._exchanges:
-            self._entry.abandon(exchange)
+            self.entry.abandon(exchange)
 
     def response_ready(self, exchange):
         assert not self._is_closed
@@ -100,6 +100,19 @@
         self.statuses_by_id[exchange.request_id] = status
 
 
+class _UnreachedPeer(fakes.RecordingPeer):
+    """Peer of a process that has ended."""
+
+    def keep_connected(self):
+        pass
+
+    def maintain(self, now):
+        pass
+
+    def close(self):
+        pass
+
+
 class _Play:
     """Nodes with a target and clients each, and random events."""
 
@@ -157,8 +170,9 @@
                 self.break_connections,
                 self.wait,
                 self.release,
+                self.restart_node,
             ],
-            [4, 4, 3, 1, 1, 4, 2],
+            [8, 8, 6, 2, 2, 8, 4, 1],
         )
         event()
 
@@ -246,6 +260,22 @@
         address = self.source.choice(ADDRESSES)
         self.simulation.break_connections(kind, address)
 
+    def restart_node(self):
+        """Replace the process of a node; its clients lose their connections."""
+        index = self.source.randrange(len(ADDRESSES))
+        address = ADDRESSES[index]
+        if address in self.leaving:
+            return
+        old = self.entries[index]
+        self.clients = [c for c in self.clients if c.entry is not old]
+        self.simulation.restart(address)
+        # The timers of the old process stay, and reach no other node.
+        old.node.close()
+        old.node.peers_by_node.clear()
+        old.node.peer = lambda _address: _UnreachedPeer()
+        node = self.simulation.targets_by_address[address]
+        self.entries[index] = self._make_entry(node)
+
     def wait(self):
         self.reactor.run(self.source.choice([0.0, 0.05, 0.2, 1.0]))
 
