--- a/tests/dataplane/test_fleet_plays.py
+++ b/tests/dataplane/test_fleet_plays.py
@@ -261,7 +261,7 @@
         self.simulation.break_connections(kind, address)
 
     def restart_node(self):
-        """Replace the process of a node; its clients lose their connections."""
+        """Replace the process of a node; its clients are cut off."""
         index = self.source.randrange(len(ADDRESSES))
         address = ADDRESSES[index]
         if address in self.leaving:
