--- a/tests/dataplane/test_peers.py
+++ b/tests/dataplane/test_peers.py
@@ -461,6 +461,15 @@
     assert budget.used_bytes == 0
 
 
+def _send_long_runs(simulation, count):
+    """Send idempotent attempts that run for some seconds; let them begin."""
+    simulation.service_s = 3.0
+    sent = [_send(simulation, idempotent=True) for _ in range(count)]
+    simulation.reactor.run(0.1)
+    assert len(simulation.runs) == count
+    return sent
+
+
 # Guards against runs that go on at a node that was away for a moment, after
 # their results were given up: as the first of these was passed on, a new
 # connection was opened, and the cancellations of the others, which followed,
@@ -469,11 +478,8 @@
     make_simulation, reactor
 ):
     simulation = make_simulation()
-    simulation.service_s = 3.0
+    given_up = _send_long_runs(simulation, 3)
     peer = simulation.entry.peer(TARGET)
-    given_up = [_send(simulation, idempotent=True) for _ in range(3)]
-    reactor.run(0.1)
-    assert len(simulation.runs) == 3
     given_up[0].on_result = lambda: _send(simulation, idempotent=True)
     peer.mark_unreachable('broken', process_ended=False)
     reactor.run(0.5)
@@ -488,10 +494,8 @@
     make_simulation, reactor
 ):
     simulation = make_simulation()
-    simulation.service_s = 3.0
+    sent = _send_long_runs(simulation, 3)
     peer = simulation.entry.peer(TARGET)
-    sent = [_send(simulation, idempotent=True) for _ in range(3)]
-    reactor.run(0.1)
     sent[0].on_result = lambda: peer.cancel(sent[2].number)
     peer.mark_unreachable('broken', process_ended=False)
     reactor.run(0.1)
